--- /dev/null
+++ b/crates/nutmegkeel/src/run.rs
@@ -0,0 +1,103 @@
+//! Runs a role until it is told to stop.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use nutmegkeel_node::settings::{self, Faults, Settings};
+use nutmegkeel_node::{agent, balancer, metric};
+use signal_hook::consts::{SIGINT, SIGTERM};
+
+use crate::logging;
+
+/// Time between two looks at the signals.
+const WAKE: Duration = Duration::from_millis(50);
+
+/// Exit code for wrong usage: arguments or settings.
+const USAGE: u8 = 2;
+/// Exit code for a start that failed; nothing has run.
+const NOT_RUN: u8 = 3;
+
+/// Why a command did not succeed.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Fault {
+    /// The settings are wrong.
+    #[error(transparent)]
+    Settings(#[from] Faults),
+    /// The settings are those of the other role.
+    #[error("field `role`: these are the settings of another role")]
+    Role,
+    /// The balancer could not start.
+    #[error(transparent)]
+    Balancer(#[from] balancer::Fault),
+    /// The agent could not start.
+    #[error(transparent)]
+    Agent(#[from] agent::Fault),
+    /// The metrics recorder could not be installed.
+    #[error("metrics: {0}")]
+    Metrics(#[from] metric::Fault),
+    /// The signal handlers could not be installed.
+    #[error("signals: {0}")]
+    Signals(std::io::Error),
+}
+
+impl Fault {
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        ExitCode::from(match self {
+            Self::Settings(_) | Self::Role => USAGE,
+            _ => NOT_RUN,
+        })
+    }
+}
+
+pub(crate) fn balancer(file: &Path) -> Result<(), Fault> {
+    let Settings::Balancer(settings) = settings::open(file)? else {
+        return Err(Fault::Role);
+    };
+    logging::start();
+    let stop = stop_signal()?;
+    let handle = balancer::spawn(&settings, metric::install()?)?;
+    while !stop.load(Ordering::Relaxed) && !handle.is_superseded() {
+        thread::sleep(WAKE);
+    }
+    handle.leave();
+    Ok(())
+}
+
+pub(crate) fn agent(file: &Path) -> Result<(), Fault> {
+    let Settings::Agent(settings) = settings::open(file)? else {
+        return Err(Fault::Role);
+    };
+    logging::start();
+    let stop = stop_signal()?;
+    let waiting = agent::bind(settings, metric::install()?)?;
+    let Some(handle) = waiting.spawn(|| stop.load(Ordering::Relaxed))? else {
+        return Ok(());
+    };
+    let mut told = false;
+    while !handle.is_over() {
+        if stop.load(Ordering::Relaxed) && !told {
+            told = true;
+            handle.leave();
+        }
+        thread::sleep(WAKE);
+    }
+    Ok(())
+}
+
+pub(crate) fn check_settings(file: &Path) -> Result<(), Fault> {
+    settings::open(file)?;
+    println!("{}: no faults", file.display());
+    Ok(())
+}
+
+fn stop_signal() -> Result<Arc<AtomicBool>, Fault> {
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [SIGTERM, SIGINT] {
+        signal_hook::flag::register(signal, Arc::clone(&stop)).map_err(Fault::Signals)?;
+    }
+    Ok(stop)
+}
--- /dev/null
+++ b/crates/nutmegkeel_core/src/balancer.rs
@@ -0,0 +1,220 @@
+//! The balancer's decisions: places new flows, watches peers, keeps the configuration.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::class;
+use crate::clock::Time;
+use crate::configuration::{Book, Entry};
+use crate::life::Phase;
+use crate::load::Report;
+use crate::member::{Health, Record, Role, Rumor};
+use crate::membership::Pace;
+use crate::peer::{self, Message, Peer};
+use crate::placement::{Candidate, Choice, Hop, Key, Pool, Rule};
+
+/// An agent that was sent a new flow and said nothing for so long is probed, in milliseconds.
+const UNANSWERED_MS: u64 = 400;
+/// Balancers of a failure domain that read the platform.
+const READERS: usize = 2;
+/// Between two reads of the platform by one reader, in milliseconds.
+const READ_EVERY_MS: u64 = 500;
+/// Between two reads when no peer of the own domain is known yet, so a newcomer reads at once.
+const FIRST_READ: Time = Time::ZERO;
+
+/// What happens to a balancer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Event {
+    /// The first packet of a flow that carries no routing token.
+    Opening(class::Name, Key),
+    /// An agent answered a flow and told its load.
+    Heard(Hop, Report),
+    /// A message of a peer.
+    Message(SocketAddr, Message),
+    /// The platform was read.
+    Read(Vec<Entry>),
+    /// The platform accepted a write that came by this balancer.
+    Accepted(Entry),
+    /// Time passes; about every 50 ms.
+    Tick,
+    /// Stop in a planned way.
+    Leave,
+}
+
+/// What a balancer's driver does.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Action {
+    /// Send the opening packet to the first choice, naming the next.
+    Forward(Choice),
+    /// No agent of the class takes new flows.
+    Unplaced,
+    /// Read the configuration from the platform.
+    Read,
+    /// See [`peer::Action`].
+    Peer(peer::Action),
+}
+
+/// State of a balancer.
+#[derive(Debug)]
+pub struct Balancer {
+    peer: Peer,
+    rule: Rule,
+    pools: BTreeMap<class::Name, Pool>,
+    unanswered: BTreeMap<SocketAddr, Time>,
+    next_read: Time,
+}
+
+impl Balancer {
+    /// A balancer that knows only itself.
+    #[must_use]
+    pub fn open(me: Record, pace: Pace, rule: Rule, seed: u64) -> Self {
+        Self {
+            peer: Peer::open(me, pace, seed),
+            rule,
+            pools: BTreeMap::new(),
+            unanswered: BTreeMap::new(),
+            next_read: FIRST_READ,
+        }
+    }
+
+    /// The peers and the configuration.
+    #[must_use]
+    pub const fn peer(&self) -> &Peer {
+        &self.peer
+    }
+
+    /// The configuration in force here.
+    #[must_use]
+    pub const fn book(&self) -> &Book {
+        self.peer.book()
+    }
+
+    /// Agents of a class that take new flows.
+    #[must_use]
+    pub fn takers(&self, class: &str) -> usize {
+        self.pools.get(class).map_or(0, Pool::len)
+    }
+
+    /// Takes in one event.
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
+        match event {
+            Event::Opening(class, key) => vec![self.place(now, &class, key)],
+            Event::Heard(hop, report) => self.heard(now, hop, report),
+            Event::Message(from, message) => {
+                let actions = self.peer.receive(now, from, message);
+                self.follow(actions)
+            }
+            Event::Read(entries) => {
+                let actions = self.peer.learn(entries);
+                self.follow(actions)
+            }
+            Event::Accepted(entry) => {
+                let actions = self.peer.learn(vec![entry]);
+                self.follow(actions)
+            }
+            Event::Tick => self.tick(now),
+            Event::Leave => self.leave(),
+        }
+    }
+
+    fn place(&mut self, now: Time, class: &class::Name, key: Key) -> Action {
+        let balancers = u32::try_from(self.peer.balancers().len() + 1).unwrap_or(u32::MAX);
+        let placed =
+            self.pools.get_mut(class).and_then(|pool| pool.place(key, self.rule, balancers));
+        let Some(choice) = placed else {
+            return Action::Unplaced;
+        };
+        self.unanswered.entry(choice.first.address).or_insert(now);
+        Action::Forward(choice)
+    }
+
+    fn heard(&mut self, now: Time, hop: Hop, report: Report) -> Vec<Action> {
+        self.unanswered.remove(&hop.address);
+        for pool in self.pools.values_mut() {
+            pool.heard(hop, report);
+        }
+        let actions = self.peer.heard(now, hop.address, hop.instance);
+        self.follow(actions)
+    }
+
+    fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut from_peer = self.peer.tick(now);
+        from_peer.extend(self.doubt_silent(now));
+        let mut actions = self.follow(from_peer);
+        if now >= self.next_read && self.reads_platform() {
+            self.next_read = now.after(READ_EVERY_MS);
+            actions.push(Action::Read);
+        }
+        actions
+    }
+
+    /// Death of an agent shows first on the data path: new flows that it does not answer.
+    fn doubt_silent(&mut self, now: Time) -> Vec<peer::Action> {
+        let silent: Vec<SocketAddr> = self
+            .unanswered
+            .iter()
+            .filter(|(_, since)| now.since(**since) > UNANSWERED_MS)
+            .map(|(address, _)| *address)
+            .collect();
+        let mut actions = Vec::new();
+        for address in silent {
+            self.unanswered.remove(&address);
+            actions.extend(self.peer.doubt(now, address));
+        }
+        actions
+    }
+
+    /// Whether this balancer is one of its failure domain's few readers of the platform.
+    ///
+    /// Guards the platform's read rate: it grows with the number of failure domains, not with the
+    /// fleet. Everybody else hears of changes from peers.
+    fn reads_platform(&self) -> bool {
+        let me = self.peer.membership().me();
+        let before_me = self
+            .peer
+            .membership()
+            .living()
+            .filter(|rumor| rumor.record.role == Role::Balancer)
+            .filter(|rumor| rumor.health == Health::Alive && rumor.record.domain == me.domain)
+            .filter(|rumor| rumor.record.address < me.address)
+            .count();
+        before_me < READERS
+    }
+
+    fn leave(&mut self) -> Vec<Action> {
+        self.peer.membership_mut().update(Role::Balancer, Phase::Leaving);
+        let actions = self.peer.farewell();
+        self.follow(actions)
+    }
+
+    fn follow(&mut self, actions: Vec<peer::Action>) -> Vec<Action> {
+        for action in &actions {
+            if let peer::Action::Changed(rumor) = action {
+                self.note(rumor);
+            }
+        }
+        actions.into_iter().map(Action::Peer).collect()
+    }
+
+    fn note(&mut self, rumor: &Rumor) {
+        let Some(capacity) = rumor.record.capacity() else {
+            return;
+        };
+        for (class, pool) in &mut self.pools {
+            if *class != capacity.class {
+                pool.remove(rumor.record.address);
+            }
+        }
+        let pool = self.pools.entry(capacity.class.clone()).or_default();
+        if rumor.health == Health::Dead || !rumor.record.phase.takes_new() {
+            self.unanswered.remove(&rumor.record.address);
+            return pool.remove(rumor.record.address);
+        }
+        let mut candidate =
+            Candidate::new(rumor.record.instance, capacity.slots, capacity.connections);
+        candidate.suspect = rumor.health == Health::Suspect;
+        pool.insert(rumor.record.address, candidate);
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_dev/src/body.rs
@@ -0,0 +1,35 @@
+//! Bodies whose every byte a caller can check.
+
+use bytes::Bytes;
+
+/// Length of one part of a long body.
+pub const PART: usize = 64 * 1024;
+
+/// Hash over a body as it arrives.
+pub type Hasher = blake3::Hasher;
+
+/// One part of the long body; the same for every server.
+#[must_use]
+pub fn part(index: usize) -> Bytes {
+    let mut part = vec![0; PART];
+    let mut source = blake3::Hasher::new();
+    source.update(&index.to_be_bytes());
+    source.finalize_xof().fill(&mut part);
+    part.into()
+}
+
+/// Hash of the long body of `parts` parts.
+#[must_use]
+pub fn hash(parts: usize) -> String {
+    let mut hasher = Hasher::new();
+    for index in 0..parts {
+        hasher.update(&part(index));
+    }
+    hasher.finalize().to_hex().to_string()
+}
+
+/// The answer to a status check.
+#[must_use]
+pub fn status(number: u64) -> String {
+    format!("request {number} is being processed\n").repeat(20)
+}
--- /dev/null
+++ b/crates/nutmegkeel_dev/src/caller.rs
@@ -0,0 +1,212 @@
+//! A caller: HTTP/3 over QUIC through the fabric, checking every byte of every answer.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Buf, Bytes};
+use h3::client::SendRequest;
+use h3::error::{Code, StreamError};
+use http::{Method, Request, StatusCode};
+use quinn::crypto::rustls::QuicClientConfig;
+use rustls::pki_types::CertificateDer;
+
+use crate::body::Hasher;
+use crate::standin::backend::{CLASS_HEADER, SERVER_HEADER};
+
+/// Name in the certificate of the agents.
+pub const SERVER_NAME: &str = "nutmegkeel.test";
+/// Longest body kept as text.
+const KEPT: usize = 4_096;
+/// A flow that is not open by then has failed.
+const OPEN_WITHIN: Duration = Duration::from_secs(10);
+/// An answer on which nothing arrives for so long has failed.
+const SILENT: Duration = Duration::from_secs(10);
+
+/// Why a call got no whole answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// The flow could not be opened; nothing was sent.
+    #[error("flow not opened: {0}")]
+    NotOpened(String),
+    /// The server said goodbye before it took the request; nothing ran.
+    #[error("flow is ending, the request was not taken")]
+    Goodbye,
+    /// The flow or the answer broke.
+    #[error("broken: {0}")]
+    Broken(String),
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Class that is meant.
+    pub class: String,
+    /// Key of a request that must run at most once.
+    pub key: Option<String>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Whether the request may have run, as the system says.
+    pub verdict: String,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+    /// Server that answered.
+    pub server: String,
+    /// Hash of the body.
+    pub hash: String,
+    /// Length of the body.
+    pub length: u64,
+    /// The body, when it is short.
+    pub text: String,
+    /// Time to the head of the answer.
+    pub head_after: Duration,
+    /// Longest time without a byte.
+    pub longest_silence: Duration,
+}
+
+/// A caller's endpoint: one UDP port, any number of flows.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    endpoint: quinn::Endpoint,
+}
+
+/// An open flow.
+pub struct Flow {
+    connection: quinn::Connection,
+    requests: SendRequest<h3_quinn::OpenStreams, Bytes>,
+}
+
+impl Caller {
+    /// A caller that trusts this certificate.
+    ///
+    /// # Errors
+    /// When the certificate is none or no port is free.
+    pub fn open(certificate: CertificateDer<'static>) -> std::io::Result<Self> {
+        let mut roots = rustls::RootCertStore::empty();
+        roots.add(certificate).map_err(std::io::Error::other)?;
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(std::io::Error::other)?
+            .with_root_certificates(roots)
+            .with_no_client_auth();
+        tls.alpn_protocols = vec![b"h3".to_vec()];
+        let crypto = QuicClientConfig::try_from(tls).map_err(std::io::Error::other)?;
+        let mut endpoint = quinn::Endpoint::client((Ipv4Addr::LOCALHOST, 0).into())?;
+        endpoint.set_default_client_config(quinn::ClientConfig::new(Arc::new(crypto)));
+        Ok(Self { endpoint })
+    }
+
+    /// Opens a flow.
+    ///
+    /// # Errors
+    /// When no server accepts it in time.
+    pub async fn flow(&self, address: SocketAddr) -> Result<Flow, Fault> {
+        let connecting = self
+            .endpoint
+            .connect(address, SERVER_NAME)
+            .map_err(|error| Fault::NotOpened(error.to_string()))?;
+        let connection = tokio::time::timeout(OPEN_WITHIN, connecting)
+            .await
+            .map_err(|_| Fault::NotOpened("no answer".to_owned()))?
+            .map_err(|error| Fault::NotOpened(error.to_string()))?;
+        let opened = h3::client::new(h3_quinn::Connection::new(connection.clone())).await;
+        let (mut driver, requests) = opened.map_err(|error| Fault::NotOpened(error.to_string()))?;
+        tokio::spawn(async move { std::future::poll_fn(|cx| driver.poll_close(cx)).await });
+        Ok(Flow { connection, requests })
+    }
+}
+
+impl Flow {
+    /// Sends a request and takes in its whole answer.
+    ///
+    /// # Errors
+    /// When the answer is not whole; [`Fault::Goodbye`] when the request was surely not taken.
+    pub async fn call(&mut self, call: &Call) -> Result<Answer, Fault> {
+        let began = Instant::now();
+        let request = request(call).map_err(|error| Fault::Broken(error.to_string()))?;
+        let mut stream = self.requests.send_request(request).await.map_err(fault)?;
+        if !call.body.is_empty() {
+            stream.send_data(call.body.clone()).await.map_err(fault)?;
+        }
+        stream.finish().await.map_err(fault)?;
+        let head = within(stream.recv_response()).await?;
+        let mut answer = Answer {
+            status: head.status(),
+            verdict: header(&head, "nutmegkeel-verdict"),
+            retry_after: header(&head, "retry-after").parse().ok().map(Duration::from_secs),
+            server: header(&head, SERVER_HEADER),
+            hash: String::new(),
+            length: 0,
+            text: String::new(),
+            head_after: began.elapsed(),
+            longest_silence: began.elapsed(),
+        };
+        let mut hasher = Hasher::new();
+        let mut last = Instant::now();
+        while let Some(mut part) = within(stream.recv_data()).await? {
+            answer.longest_silence = answer.longest_silence.max(last.elapsed());
+            last = Instant::now();
+            let part = part.copy_to_bytes(part.remaining());
+            hasher.update(&part);
+            answer.length += part.len() as u64;
+            if answer.text.len() < KEPT {
+                answer.text.push_str(&String::from_utf8_lossy(&part));
+            }
+        }
+        answer.hash = hasher.finalize().to_hex().to_string();
+        Ok(answer)
+    }
+
+    /// Ends the flow.
+    pub fn close(self) {
+        self.connection.close(0x100_u32.into(), b"");
+    }
+}
+
+async fn within<T>(future: impl Future<Output = Result<T, StreamError>>) -> Result<T, Fault> {
+    match tokio::time::timeout(SILENT, future).await {
+        Ok(result) => result.map_err(fault),
+        Err(_) => Err(Fault::Broken("silence".to_owned())),
+    }
+}
+
+fn request(call: &Call) -> Result<Request<()>, http::Error> {
+    let mut builder = Request::builder()
+        .method(call.method.clone())
+        .uri(format!("https://{SERVER_NAME}{}", call.path))
+        .header(CLASS_HEADER, &call.class);
+    if let Some(key) = &call.key {
+        builder = builder.header("idempotency-key", key);
+    }
+    builder.body(())
+}
+
+fn header(head: &http::Response<()>, name: &str) -> String {
+    let value = head.headers().get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+/// Sorts an error by whether the server surely did not take the request (RFC 9114, section 4.1.1).
+#[allow(clippy::needless_pass_by_value)]
+fn fault(error: StreamError) -> Fault {
+    match error {
+        StreamError::RemoteTerminate { code, .. } if code == Code::H3_REQUEST_REJECTED => {
+            Fault::Goodbye
+        }
+        StreamError::RemoteClosing { .. } => Fault::Goodbye,
+        ref ended if ended.is_h3_no_error() => Fault::Goodbye,
+        other => Fault::Broken(other.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_dev/src/demo.rs
@@ -0,0 +1,67 @@
+//! The whole system on loopback, under stops, kills and a drain, judged by its surroundings.
+
+mod bench;
+mod calls;
+mod report;
+
+use std::time::{Duration, Instant};
+
+use bench::Bench;
+use calls::Calls;
+
+/// What the user of the demo may choose.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// How long the callers call, in seconds.
+    pub seconds: u64,
+    /// Whether to keep everything running afterwards.
+    pub keep: bool,
+}
+
+/// Runs the demo; true when no flow broke, nothing reached a wrong desk and nothing ran twice.
+///
+/// # Errors
+/// When a process cannot be started or does not come up.
+pub fn run(options: &Options) -> std::io::Result<bool> {
+    let mut bench = Bench::open()?;
+    println!("started {} processes; waiting for both classes", bench.processes());
+    let runtime = tokio::runtime::Runtime::new()?;
+    let certificate = bench.certificate();
+    runtime.block_on(calls::wait_until_served(certificate.clone(), &bench.classes()))?;
+    println!("both classes are served; callers begin");
+
+    let length = Duration::from_secs(options.seconds);
+    let calls = Calls::begin(&runtime, certificate, bench.classes(), length);
+    let began = Instant::now();
+    let step = length / 8;
+    pause(began, step);
+    println!("{:>6.1}s stopping balancer 1 in a planned way", began.elapsed().as_secs_f64());
+    bench.stop_balancer(0);
+    pause(began, step * 2);
+    println!("{:>6.1}s killing balancer 2", began.elapsed().as_secs_f64());
+    bench.kill_balancer(1);
+    pause(began, step * 3);
+    println!("{:>6.1}s starting balancer 4", began.elapsed().as_secs_f64());
+    bench.start_balancer(3)?;
+    pause(began, step * 4);
+    let drained = bench.drain_server_with_open_feed()?;
+    println!("{:>6.1}s draining {drained}, which holds the feed", began.elapsed().as_secs_f64());
+
+    let results = calls.end(&runtime);
+    println!("{:>6.1}s callers are done", began.elapsed().as_secs_f64());
+    let drained_ended = bench.agent_ended(&drained);
+    println!("the drained agent ended by itself: {drained_ended}");
+    let stopped_ended = bench.balancer_ended(0);
+    println!("the stopped balancer ended by itself: {stopped_ended}");
+    let records = bench.records();
+    let passed = report::print(&results, &records) && drained_ended && stopped_ended;
+    if options.keep {
+        println!("{}\npress Enter to stop everything", bench.directions());
+        std::io::stdin().read_line(&mut String::new())?;
+    }
+    Ok(passed)
+}
+
+fn pause(began: Instant, until: Duration) {
+    std::thread::sleep(until.saturating_sub(began.elapsed()));
+}
--- /dev/null
+++ b/crates/nutmegkeel_dev/src/demo/bench.rs
@@ -0,0 +1,332 @@
+//! The processes of the demo and their settings.
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+
+use rustls::pki_types::CertificateDer;
+use serde_json::{Value, json};
+
+use crate::caller::SERVER_NAME;
+use crate::port;
+use crate::process::{Process, Signal};
+use crate::standin::backend::{self, Records};
+use crate::standin::fabric;
+
+/// Balancers of the demo, the one that starts later included.
+const BALANCERS: usize = 4;
+/// Balancers that run from the start.
+const FIRST_BALANCERS: usize = 3;
+/// Backend servers of each class.
+const SERVERS: usize = 3;
+/// Classes of the demo.
+pub(super) const CLASSES: [&str; 2] = ["intake", "feeds"];
+/// Failure domains, in turn.
+const DOMAINS: [&str; 3] = ["osu", "kaneshie", "tema"];
+/// Slots and connections of a backend server (brief, "Sizes of today").
+const SLOTS: u32 = 7;
+const CONNECTIONS: u32 = 2_000;
+/// Time that a short request takes at a backend server, in milliseconds.
+const SERVICE_MS: u64 = 3;
+/// A planned end takes no longer.
+const END_WITHIN: Duration = Duration::from_secs(15);
+
+/// A class and its public address.
+#[derive(Clone, Debug)]
+pub(super) struct Class {
+    pub(super) name: &'static str,
+    pub(super) address: SocketAddr,
+}
+
+struct Server {
+    name: String,
+    address: SocketAddr,
+    agent: Process,
+    _backend: Process,
+}
+
+struct Balancer {
+    file: PathBuf,
+    administration: SocketAddr,
+    process: Option<Process>,
+}
+
+/// Everything that runs, in one directory of its own.
+pub(super) struct Bench {
+    directory: PathBuf,
+    product: PathBuf,
+    certificate: CertificateDer<'static>,
+    classes: Vec<Class>,
+    balancers: Vec<Balancer>,
+    servers: Vec<Server>,
+    _surroundings: Vec<Process>,
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        if std::thread::panicking() || std::env::var_os("NUTMEGKEEL_DEMO_KEEP_LOGS").is_some() {
+            println!("logs are kept in {}", self.directory.display());
+        } else {
+            let _ = fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+/// Addresses that all processes share.
+struct Shared {
+    platform: String,
+    join: SocketAddr,
+    keys: PathBuf,
+    certificate: PathBuf,
+    private_key: PathBuf,
+}
+
+impl Bench {
+    /// Builds the product and starts everything but the last balancer.
+    pub(super) fn open() -> io::Result<Self> {
+        let product = build_product()?;
+        let tool = std::env::current_exe()?;
+        let name = format!("nutmegkeel-demo-{}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        fs::create_dir_all(&directory)?;
+        let (certificate, private_key) = make_certificate()?;
+        let der = certificate.der().clone();
+
+        let ports = port::free(1 + CLASSES.len())?;
+        let (platform, public) = (ports[0], &ports[1..]);
+        let shared = Shared {
+            platform: format!("http://{platform}"),
+            join: public[0],
+            keys: write_secret(&directory, "keys.json", &make_keys())?,
+            certificate: write(&directory, "certificate.pem", &certificate.pem())?,
+            private_key: write_secret(&directory, "private_key.pem", &private_key)?,
+        };
+        let (balancers, listed) = make_balancers(&directory, &shared)?;
+        let fabric = fabric::Settings { public: public.to_vec(), balancers: listed };
+        let fabric = write(&directory, "fabric.json", &serde_json::to_string(&fabric)?)?;
+        let surroundings = vec![
+            spawn(&directory, "platform", &tool, &["platform", &platform.to_string()])?,
+            spawn(&directory, "fabric", &tool, &["fabric", &text(&fabric)])?,
+        ];
+        let classes = CLASSES.iter().zip(public);
+        let classes = classes.map(|(name, address)| Class { name, address: *address }).collect();
+        let mut bench = Self {
+            directory,
+            product,
+            certificate: der,
+            classes,
+            balancers,
+            servers: Vec::new(),
+            _surroundings: surroundings,
+        };
+        for index in 0..FIRST_BALANCERS {
+            bench.start_balancer(index)?;
+        }
+        for index in 0..CLASSES.len() * SERVERS {
+            bench.start_server(&tool, &shared, index)?;
+        }
+        Ok(bench)
+    }
+
+    pub(super) fn certificate(&self) -> CertificateDer<'static> {
+        self.certificate.clone()
+    }
+
+    pub(super) fn classes(&self) -> Vec<Class> {
+        self.classes.clone()
+    }
+
+    /// Number of processes that were started.
+    pub(super) fn processes(&self) -> usize {
+        let balancers = self.balancers.iter().filter(|balancer| balancer.process.is_some()).count();
+        balancers + 2 * self.servers.len() + self._surroundings.len()
+    }
+
+    pub(super) fn start_balancer(&mut self, index: usize) -> io::Result<()> {
+        let name = format!("balancer-{}", index + 1);
+        let file = text(&self.balancers[index].file);
+        let arguments = ["balancer", "--settings", &file];
+        let process = spawn(&self.directory, &name, &self.product, &arguments)?;
+        self.balancers[index].process = Some(process);
+        Ok(())
+    }
+
+    pub(super) fn stop_balancer(&self, index: usize) {
+        if let Some(process) = &self.balancers[index].process {
+            process.signal(Signal::Terminate);
+        }
+    }
+
+    pub(super) fn kill_balancer(&mut self, index: usize) {
+        if let Some(process) = &mut self.balancers[index].process {
+            process.kill();
+        }
+    }
+
+    pub(super) fn balancer_ended(&mut self, index: usize) -> bool {
+        let process = self.balancers[index].process.as_mut();
+        process.is_some_and(|process| process.ended_within(END_WITHIN))
+    }
+
+    /// Asks the server that holds the feed to drain and returns its name.
+    pub(super) fn drain_server_with_open_feed(&self) -> io::Result<String> {
+        let holder = self
+            .servers
+            .iter()
+            .find(|server| records_of(server.address).is_ok_and(|records| records.feeds > 0));
+        let server = holder.ok_or_else(|| io::Error::other("no server holds the feed"))?;
+        let url = format!("http://{}/drain", server.address);
+        ureq::post(&url).send_empty().map_err(io::Error::other)?;
+        Ok(server.name.clone())
+    }
+
+    pub(super) fn agent_ended(&mut self, name: &str) -> bool {
+        let server = self.servers.iter_mut().find(|server| server.name == name);
+        server.is_some_and(|server| server.agent.ended_within(END_WITHIN))
+    }
+
+    pub(super) fn records(&self) -> Vec<Records> {
+        self.servers.iter().filter_map(|server| records_of(server.address).ok()).collect()
+    }
+
+    /// How to reach what runs, for somebody who wants to try commands on it.
+    pub(super) fn directions(&self) -> String {
+        let mut lines = vec![format!("token file: {}", self.directory.join("token").display())];
+        for (index, balancer) in self.balancers.iter().enumerate() {
+            lines.push(format!(
+                "balancer {}: administration at {}",
+                index + 1,
+                balancer.administration
+            ));
+        }
+        lines.join("\n")
+    }
+
+    fn start_server(&mut self, tool: &Path, shared: &Shared, index: usize) -> io::Result<()> {
+        let class = CLASSES[index / SERVERS];
+        let domain = DOMAINS[index % DOMAINS.len()];
+        let name = format!("{class}-{}", index % SERVERS + 1);
+        let ports = port::free(3)?;
+        let agent = json!({
+            "role": "agent", "domain": domain, "frames": ports[0], "web": ports[1],
+            "join": shared.join, "platform": shared.platform, "keys": shared.keys,
+            "certificate": shared.certificate, "private_key": shared.private_key,
+        });
+        let agent = write_json(&self.directory, &format!("agent-{name}.json"), &agent)?;
+        let server = backend::Settings {
+            name: name.clone(),
+            class: class.to_owned(),
+            address: ports[2],
+            agent: ports[1],
+            slots: SLOTS,
+            connections: CONNECTIONS,
+            service_ms: SERVICE_MS,
+        };
+        let file = format!("backend-{name}.json");
+        let file = write(&self.directory, &file, &serde_json::to_string(&server)?)?;
+        let arguments = ["agent", "--settings", &text(&agent)];
+        let agent = spawn(&self.directory, &format!("agent-{name}"), &self.product, &arguments)?;
+        let arguments = ["backend", &text(&file)];
+        let backend = spawn(&self.directory, &format!("backend-{name}"), tool, &arguments)?;
+        self.servers.push(Server { name, address: ports[2], agent, _backend: backend });
+        Ok(())
+    }
+}
+
+fn make_balancers(
+    directory: &Path,
+    shared: &Shared,
+) -> io::Result<(Vec<Balancer>, Vec<fabric::Balancer>)> {
+    let token = write_secret(directory, "token", &hex(&rand::random::<[u8; 16]>()))?;
+    let token = fs::read_to_string(token)?;
+    let mut balancers = Vec::new();
+    let mut listed = Vec::new();
+    for index in 0..BALANCERS {
+        let ports = port::free(3 + CLASSES.len())?;
+        let desks = ports[3..].to_vec();
+        let listen: Vec<Value> = CLASSES
+            .iter()
+            .zip(&desks)
+            .map(|(class, address)| json!({"class": class, "address": address}))
+            .collect();
+        let settings = json!({
+            "role": "balancer", "domain": DOMAINS[index % DOMAINS.len()],
+            "frames": ports[0], "web": ports[1], "administration": ports[2],
+            "join": shared.join, "platform": shared.platform, "keys": shared.keys,
+            "listen": listen, "token": token,
+        });
+        let file = write_json(directory, &format!("balancer-{}.json", index + 1), &settings)?;
+        balancers.push(Balancer { file, administration: ports[2], process: None });
+        listed.push(fabric::Balancer { web: ports[1], desks });
+    }
+    Ok((balancers, listed))
+}
+
+fn records_of(address: SocketAddr) -> io::Result<Records> {
+    let mut answer =
+        ureq::get(format!("http://{address}/records")).call().map_err(io::Error::other)?;
+    answer.body_mut().read_json().map_err(io::Error::other)
+}
+
+/// Builds the product in the profile of this tool and returns its path.
+fn build_product() -> io::Result<PathBuf> {
+    let tool = std::env::current_exe()?;
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let mut build = Command::new(cargo);
+    build.args(["build", "--quiet", "--package", "nutmegkeel"]);
+    if !cfg!(debug_assertions) {
+        build.arg("--release");
+    }
+    if !build.status()?.success() {
+        return Err(io::Error::other("the product could not be built"));
+    }
+    let beside = tool.parent().map(|directory| directory.join("nutmegkeel"));
+    beside
+        .filter(|path| path.exists())
+        .ok_or_else(|| io::Error::other("no product beside the tool"))
+}
+
+fn make_certificate() -> io::Result<(rcgen::Certificate, String)> {
+    let names = vec![SERVER_NAME.to_owned()];
+    let made = rcgen::generate_simple_self_signed(names).map_err(io::Error::other)?;
+    Ok((made.cert, made.key_pair.serialize_pem()))
+}
+
+fn make_keys() -> String {
+    json!({"used": 1, "accepted": {"1": hex(&rand::random::<[u8; 32]>())}}).to_string()
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn spawn(directory: &Path, name: &str, program: &Path, arguments: &[&str]) -> io::Result<Process> {
+    Process::spawn(name, program, arguments, &directory.join(format!("{name}.log")))
+}
+
+fn write_json(directory: &Path, name: &str, value: &Value) -> io::Result<PathBuf> {
+    write_secret(directory, name, &value.to_string())
+}
+
+fn write(directory: &Path, name: &str, text: &str) -> io::Result<PathBuf> {
+    let path = directory.join(name);
+    fs::write(&path, text)?;
+    Ok(path)
+}
+
+fn write_secret(directory: &Path, name: &str, text: &str) -> io::Result<PathBuf> {
+    const OWNER_ONLY: u32 = 0o600;
+    let path = directory.join(name);
+    let mut options = fs::OpenOptions::new();
+    let file = options.write(true).create(true).truncate(true).mode(OWNER_ONLY).open(&path)?;
+    io::Write::write_all(&mut &file, text.as_bytes())?;
+    Ok(path)
+}
+
+fn text(path: &Path) -> String {
+    path.to_string_lossy().into_owned()
+}
--- /dev/null
+++ b/crates/nutmegkeel_dev/src/lib.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for what surrounds the product, the demo over all of it, and measurements.
+
+pub mod body;
+pub mod caller;
+pub mod demo;
+pub mod port;
+pub mod process;
+pub mod standin;
--- /dev/null
+++ b/crates/nutmegkeel_dev/src/standin.rs
@@ -0,0 +1,5 @@
+//! Small stand-ins for the platform, the fabric and a backend server.
+
+pub mod backend;
+pub mod fabric;
+pub mod platform;
--- /dev/null
+++ b/crates/nutmegkeel_dev/src/standin/fabric.rs
@@ -0,0 +1,156 @@
+//! Stand-in for the fabric: hands every packet to a random balancer that reports itself healthy.
+//!
+//! Each caller gets a socket of its own towards the balancers, so that they see one address per
+//! caller, as they would behind a real fabric.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+/// Time between two looks at a balancer's health.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// A caller that sent nothing for so long is forgotten.
+const FORGET: Duration = Duration::from_secs(60);
+/// Largest datagram.
+const LARGEST: usize = 2_048;
+
+/// Where a balancer takes packets and tells its health.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Balancer {
+    /// Address of its small HTTP server.
+    pub web: SocketAddr,
+    /// Its address for each public address, in the same order.
+    pub desks: Vec<SocketAddr>,
+}
+
+/// Settings of the stand-in.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Settings {
+    /// Public addresses: one per class.
+    pub public: Vec<SocketAddr>,
+    /// Balancers, those not started yet included.
+    pub balancers: Vec<Balancer>,
+}
+
+type Healthy = Arc<RwLock<Vec<Balancer>>>;
+type Callers = Arc<Mutex<BTreeMap<SocketAddr, Caller>>>;
+
+struct Caller {
+    socket: Arc<UdpSocket>,
+    heard: Instant,
+}
+
+/// Runs the stand-in until the process ends.
+///
+/// # Errors
+/// When the settings cannot be read or an address cannot be bound.
+pub fn run(file: &Path) -> std::io::Result<()> {
+    let settings: Settings = serde_json::from_str(&std::fs::read_to_string(file)?)?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    let healthy: Healthy = Arc::default();
+    for balancer in settings.balancers {
+        let healthy = Arc::clone(&healthy);
+        std::thread::spawn(move || watch(&balancer, &healthy));
+    }
+    runtime.block_on(async {
+        let mut tasks = tokio::task::JoinSet::new();
+        for (index, address) in settings.public.into_iter().enumerate() {
+            let socket = Arc::new(UdpSocket::bind(address).await?);
+            tasks.spawn(spray(socket, index, Arc::clone(&healthy)));
+        }
+        while tasks.join_next().await.is_some() {}
+        Ok(())
+    })
+}
+
+fn watch(balancer: &Balancer, healthy: &Healthy) {
+    let config = ureq::Agent::config_builder().timeout_global(Some(LOOK_EVERY)).build();
+    let http = ureq::Agent::new_with_config(config);
+    let url = format!("http://{}/health", balancer.web);
+    loop {
+        let is_healthy = http.get(&url).call().is_ok();
+        let mut listed = healthy.write().unwrap_or_else(PoisonError::into_inner);
+        listed.retain(|other| other.web != balancer.web);
+        if is_healthy {
+            listed.push(balancer.clone());
+        }
+        drop(listed);
+        std::thread::sleep(LOOK_EVERY);
+    }
+}
+
+async fn spray(public: Arc<UdpSocket>, index: usize, healthy: Healthy) {
+    let callers: Callers = Arc::default();
+    let mut datagram = [0; LARGEST];
+    loop {
+        let Ok((length, from)) = public.recv_from(&mut datagram).await else {
+            continue;
+        };
+        let Some(balancer) = pick(&healthy, index) else {
+            continue;
+        };
+        let Ok(socket) = socket_of(&callers, &public, from).await else {
+            continue;
+        };
+        // A lost packet is the fabric's right; QUIC sends it again.
+        let _ = socket.send_to(&datagram[..length], balancer).await;
+    }
+}
+
+fn pick(healthy: &Healthy, index: usize) -> Option<SocketAddr> {
+    let listed = healthy.read().unwrap_or_else(PoisonError::into_inner);
+    let balancer = listed.choose(&mut rand::rng())?;
+    balancer.desks.get(index).copied()
+}
+
+async fn socket_of(
+    callers: &Callers,
+    public: &Arc<UdpSocket>,
+    from: SocketAddr,
+) -> std::io::Result<Arc<UdpSocket>> {
+    {
+        let mut callers = callers.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(caller) = callers.get_mut(&from) {
+            caller.heard = Instant::now();
+            return Ok(Arc::clone(&caller.socket));
+        }
+    }
+    let socket = Arc::new(UdpSocket::bind((from.ip(), 0)).await?);
+    let caller = Caller { socket: Arc::clone(&socket), heard: Instant::now() };
+    callers.lock().unwrap_or_else(PoisonError::into_inner).insert(from, caller);
+    let back = (Arc::clone(callers), Arc::clone(public), Arc::clone(&socket));
+    tokio::spawn(bring_back(back.0, back.1, back.2, from));
+    Ok(socket)
+}
+
+async fn bring_back(
+    callers: Callers,
+    public: Arc<UdpSocket>,
+    socket: Arc<UdpSocket>,
+    caller: SocketAddr,
+) {
+    let mut datagram = [0; LARGEST];
+    loop {
+        let received = tokio::time::timeout(FORGET, socket.recv_from(&mut datagram)).await;
+        match received {
+            Ok(Ok((length, _))) => {
+                let _ = public.send_to(&datagram[..length], caller).await;
+            }
+            Ok(Err(_)) => {}
+            Err(_) => {
+                let mut callers = callers.lock().unwrap_or_else(PoisonError::into_inner);
+                let quiet = callers.get(&caller).is_none_or(|known| known.heard.elapsed() > FORGET);
+                if quiet {
+                    callers.remove(&caller);
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/agent.rs
@@ -0,0 +1,193 @@
+//! The running agent: ends QUIC, asks the core, and speaks HTTP/1.1 to its backend server.
+
+mod announcement;
+mod backend;
+mod claims;
+mod flow;
+mod request;
+mod shared;
+mod socket;
+mod transport;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::Duration;
+
+use log::info;
+use metrics_exporter_prometheus::PrometheusHandle;
+use nutmegkeel_core::agent::Event;
+use nutmegkeel_core::life::Phase;
+use nutmegkeel_platform::etcd;
+
+use crate::clock::Clock;
+use crate::settings;
+use crate::web::{self, Answer, Call};
+use announcement::Announcement;
+use shared::Shared;
+
+/// Time between two ticks of the core.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two looks at the life cycle while leaving.
+const WAKE: Duration = Duration::from_millis(50);
+
+/// What reaches the agent from beside it.
+enum Notice {
+    Announced(Announcement),
+    Drain,
+}
+
+/// Why an agent could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// An address could not be bound.
+    #[error("field `{field}`: cannot bind {address}: {error}")]
+    Bind {
+        /// The settings field.
+        field: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the machine said.
+        error: io::Error,
+    },
+    /// The certificate or its key cannot be used.
+    #[error("fields `certificate` and `private_key`: {0}")]
+    Certificate(String),
+    /// A thread or the runtime could not be started.
+    #[error("cannot start: {0}")]
+    Start(io::Error),
+    /// The backend server announced an address that an agent cannot serve.
+    #[error("the agent's own address {0} is not IPv4")]
+    Address(SocketAddr),
+}
+
+/// An agent whose backend server has not announced itself yet.
+pub struct Waiting {
+    settings: settings::Agent,
+    notices: Receiver<Notice>,
+    web: web::Handle,
+}
+
+/// A running agent.
+pub struct Handle {
+    shared: Arc<Shared>,
+    _web: web::Handle,
+    _runtime: tokio::runtime::Runtime,
+}
+
+/// Starts the address that the backend server announces itself to.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub fn bind(settings: settings::Agent, metrics: PrometheusHandle) -> Result<Waiting, Fault> {
+    let (notify, notices) = channel();
+    let address = settings.common.web;
+    let handler = move |call: &Call| match (call.post, call.path.as_str()) {
+        (false, "/health") => Answer::new(200, "running\n"),
+        (false, "/metrics") => Answer::new(200, metrics.render()),
+        (true, "/drain") => {
+            let _ = notify.send(Notice::Drain);
+            Answer::new(200, "leaving\n")
+        }
+        (true, "/announce") => match announcement::parse(&call.body) {
+            Ok(announcement) => {
+                let _ = notify.send(Notice::Announced(announcement));
+                Answer::new(200, "announced\n")
+            }
+            Err(fault) => Answer::new(400, format!("{fault}\n")),
+        },
+        _ => Answer::new(404, "there are POST /announce, POST /drain, /health and /metrics\n"),
+    };
+    let web = web::spawn(address, Box::new(handler)).map_err(|error| Fault::Bind {
+        field: "web",
+        address,
+        error,
+    })?;
+    Ok(Waiting { settings, notices, web })
+}
+
+impl Waiting {
+    /// Waits for the announcement, then serves. `None` when `stop` says so before it came.
+    ///
+    /// # Errors
+    /// When an address cannot be bound or the certificate cannot be used.
+    pub fn spawn(self, stop: impl Fn() -> bool) -> Result<Option<Handle>, Fault> {
+        let announcement = loop {
+            if stop() {
+                return Ok(None);
+            }
+            if let Ok(Notice::Announced(announcement)) = self.notices.recv_timeout(WAKE) {
+                break announcement;
+            }
+        };
+        let handle = serve(&self.settings, &announcement, self.web)?;
+        let shared = Arc::clone(&handle.shared);
+        let notices = self.notices;
+        start("notices", move || heed(&shared, &notices))?;
+        Ok(Some(handle))
+    }
+}
+
+impl Handle {
+    /// Begins to leave; [`Handle::is_over`] tells when nothing is open any more.
+    pub fn leave(&self) {
+        self.shared.handle(Event::Leave);
+    }
+
+    /// Whether the agent's life has ended and its process may exit.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        self.shared.phase() == Phase::Gone || self.shared.is_superseded()
+    }
+}
+
+fn serve(
+    settings: &settings::Agent,
+    announcement: &Announcement,
+    web: web::Handle,
+) -> Result<Handle, Fault> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .map_err(Fault::Start)?;
+    let entered = runtime.enter();
+    let shared = Arc::new(shared::open(settings, announcement, Clock::open())?);
+    let endpoint = transport::open(settings, &shared)?;
+    drop(entered);
+    runtime.spawn(flow::accept_all(Arc::clone(&shared), endpoint));
+    runtime.spawn(keep_time(Arc::clone(&shared)));
+    let store = etcd::Client::open(&settings.common.platform);
+    let claims = Arc::clone(&shared);
+    start("claims", move || claims::write_all(&claims, &store))?;
+    shared.handle(Event::Announced(announcement.capacity()));
+    info!(event = "agent_started", class = &*announcement.class,
+        backend:display = announcement.address; "agent started");
+    Ok(Handle { shared, _web: web, _runtime: runtime })
+}
+
+async fn keep_time(shared: Arc<Shared>) {
+    let mut interval = tokio::time::interval(TICK);
+    loop {
+        interval.tick().await;
+        shared.handle(Event::Tick);
+    }
+}
+
+fn heed(shared: &Shared, notices: &Receiver<Notice>) {
+    while let Ok(notice) = notices.recv() {
+        match notice {
+            Notice::Announced(announcement) => {
+                shared.handle(Event::Announced(announcement.capacity()));
+            }
+            Notice::Drain => shared.handle(Event::Leave),
+        }
+    }
+}
+
+fn start(name: &str, body: impl FnOnce() + Send + 'static) -> Result<(), Fault> {
+    let thread = thread::Builder::new().name(name.to_owned());
+    thread.spawn(body).map(drop).map_err(Fault::Start)
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/agent/backend.rs
@@ -0,0 +1,68 @@
+//! HTTP/1.1 to the backend server beside the agent.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::combinators::BoxBody;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use nutmegkeel_core::verdict::Verdict;
+use tokio::net::TcpStream;
+
+/// A request body on its way to the backend server.
+pub(super) type Body = BoxBody<Bytes, std::io::Error>;
+
+/// Longest wait for the backend server to accept a connection; it runs on the same host.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// Why the backend server gave no answer.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum Fault {
+    /// It accepted no connection; nothing was sent.
+    #[error("backend server not reached: {0}")]
+    NotReached(std::io::Error),
+    /// It broke off, or answered what is no HTTP/1.1, after something may have been sent.
+    #[error("backend server broke off: {0}")]
+    BrokeOff(hyper::Error),
+}
+
+impl Fault {
+    pub(super) const fn verdict(&self) -> Verdict {
+        match self {
+            Self::NotReached(_) => Verdict::NotRun,
+            Self::BrokeOff(_) => Verdict::MayHaveRun,
+        }
+    }
+}
+
+/// A connection that has not been used. Sending consumes it, so that no request is sent twice.
+#[derive(Debug)]
+pub(super) struct Ready {
+    sender: SendRequest<Body>,
+}
+
+/// Connects to the backend server.
+pub(super) async fn connect(address: SocketAddr) -> Result<Ready, Fault> {
+    let connected = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
+    let stream = connected
+        .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+        .map_err(Fault::NotReached)?;
+    let shaken = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) =
+        shaken.map_err(|error| Fault::NotReached(std::io::Error::other(error)))?;
+    tokio::spawn(connection);
+    Ok(Ready { sender })
+}
+
+impl Ready {
+    /// Sends the request and waits for the head of the answer.
+    pub(super) async fn send(
+        mut self,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, Fault> {
+        self.sender.send_request(request).await.map_err(Fault::BrokeOff)
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/agent/flow.rs
@@ -0,0 +1,116 @@
+//! One caller's flow: an HTTP/3 connection and the requests on it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use metrics::{counter, gauge};
+use nutmegkeel_core::agent::Event;
+use nutmegkeel_core::life::Phase;
+use quinn::{Endpoint, Incoming};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use super::request;
+use super::shared::Shared;
+use crate::metric;
+
+/// The HTTP/3 server side of a flow.
+type Connection = h3::server::Connection<h3_quinn::Connection, Bytes>;
+
+/// HTTP/3 error code for an end without error (RFC 9114, section 8.1).
+const NO_ERROR: quinn::VarInt = quinn::VarInt::from_u32(0x100);
+/// How long a leaving agent lets a caller act upon its goodbye before an idle flow ends.
+const GOODBYE: Duration = Duration::from_millis(500);
+
+/// Accepts flows until the endpoint closes.
+pub(super) async fn accept_all(shared: Arc<Shared>, endpoint: Endpoint) {
+    while let Some(incoming) = endpoint.accept().await {
+        if shared.core().takes_new() {
+            tokio::spawn(serve(Arc::clone(&shared), incoming));
+        } else {
+            // The caller gets its final answer at once.
+            counter!(metric::REFUSED, "class" => shared.class.to_string(), "reason" => "flows")
+                .increment(1);
+            incoming.refuse();
+        }
+    }
+}
+
+/// Counts a flow for as long as it lives.
+struct Counted {
+    shared: Arc<Shared>,
+}
+
+impl Counted {
+    fn open(shared: Arc<Shared>) -> Self {
+        shared.handle(Event::FlowOpened);
+        gauge!(metric::FLOWS, "class" => shared.class.to_string()).increment(1);
+        Self { shared }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.shared.handle(Event::FlowClosed);
+        gauge!(metric::FLOWS, "class" => self.shared.class.to_string()).decrement(1);
+    }
+}
+
+async fn serve(shared: Arc<Shared>, incoming: Incoming) {
+    let _counted = Counted::open(Arc::clone(&shared));
+    let Ok(connecting) = incoming.accept() else {
+        return;
+    };
+    let Ok(transport) = connecting.await else {
+        return;
+    };
+    let opened = h3::server::Connection::new(h3_quinn::Connection::new(transport.clone())).await;
+    if let Ok(connection) = opened {
+        answer_all(&shared, connection).await;
+        transport.close(NO_ERROR, b"");
+    }
+}
+
+/// Answers requests until the caller closes, or until the agent leaves and none is in progress.
+///
+/// Guards against a planned stop that cuts a request: a leaving agent says goodbye (GOAWAY), takes
+/// no request that the caller sends after it, and keeps the flow until the last answer is out.
+async fn answer_all(shared: &Arc<Shared>, mut connection: Connection) {
+    let mut phases = shared.phases();
+    let mut requests = JoinSet::new();
+    let mut said_goodbye = false;
+    loop {
+        tokio::select! {
+            accepted = connection.accept() => match accepted {
+                Ok(Some(resolver)) => {
+                    requests.spawn(request::answer(Arc::clone(shared), resolver));
+                }
+                Ok(None) => break,
+                Err(_) => {
+                    // The flow is lost: free the slots of its requests now.
+                    requests.abort_all();
+                    break;
+                }
+            },
+            () = leaving(&mut phases), if !said_goodbye => {
+                said_goodbye = true;
+                if connection.shutdown(0).await.is_err() {
+                    break;
+                }
+            }
+            () = idle(&mut requests), if said_goodbye => break,
+        }
+    }
+    while requests.join_next().await.is_some() {}
+}
+
+async fn leaving(phases: &mut watch::Receiver<Phase>) {
+    // The sender lives as long as the agent.
+    let _ = phases.wait_for(|phase| *phase >= Phase::Leaving).await;
+}
+
+async fn idle(requests: &mut JoinSet<()>) {
+    while requests.join_next().await.is_some() {}
+    tokio::time::sleep(GOODBYE).await;
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/agent/request.rs
@@ -0,0 +1,338 @@
+//! One request: admission, a claim if it has a key, the backend server, the answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Buf, Bytes};
+use h3::error::Code;
+use h3::server::RequestStream;
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version};
+use http_body::Frame;
+use http_body_util::{BodyExt, Empty, StreamBody};
+use hyper::body::Incoming;
+use metrics::{counter, histogram};
+use nutmegkeel_core::admission::{Id, Reason};
+use nutmegkeel_core::agent::Event;
+use nutmegkeel_core::claim;
+use nutmegkeel_core::verdict::Verdict;
+use tokio::sync::{mpsc, oneshot};
+use tokio_stream::wrappers::ReceiverStream;
+
+use super::backend::{self, Body, Ready};
+use super::shared::{Go, Shared};
+use crate::metric;
+
+type Resolver = h3::server::RequestResolver<h3_quinn::Connection, Bytes>;
+type Answering = RequestStream<h3_quinn::SendStream<Bytes>, Bytes>;
+type Receiving = RequestStream<h3_quinn::RecvStream, Bytes>;
+
+/// Tells the caller whether its request may have run.
+pub(super) const VERDICT: &str = "nutmegkeel-verdict";
+/// The caller's name for a request that must run at most once.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The caller's deadline in milliseconds.
+const DEADLINE: &str = "nutmegkeel-deadline-ms";
+/// Parts of a request body that wait for the backend server at most; bounds memory per flow.
+const BODY_PARTS: usize = 4;
+/// Answers longer than this, or of unknown length, give their slot back at their head: they take
+/// a connection, not the backend server's attention.
+const SHORT_ANSWER: u64 = 1024 * 1024;
+/// When to come back after a fault that may pass soon, in milliseconds.
+const SOON_MS: u64 = 1_000;
+
+/// An answer that the agent gives itself.
+struct Refusal {
+    status: StatusCode,
+    verdict: Verdict,
+    after_ms: Option<u64>,
+    text: &'static str,
+}
+
+impl Refusal {
+    const fn not_run(text: &'static str, after_ms: u64) -> Self {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Self { status, verdict: Verdict::NotRun, after_ms: Some(after_ms), text }
+    }
+
+    const fn may_have_run(status: StatusCode, text: &'static str) -> Self {
+        Self { status, verdict: Verdict::MayHaveRun, after_ms: None, text }
+    }
+
+    const fn of(reason: Reason, after_ms: u64) -> Self {
+        Self::not_run(
+            match reason {
+                Reason::Busy => "busy: the request could not finish in time\n",
+                Reason::Late => "late: the deadline passed while the request waited\n",
+                Reason::Unavailable => "unavailable: the backend server is not serving\n",
+            },
+            after_ms,
+        )
+    }
+}
+
+/// Answers one request.
+pub(super) async fn answer(shared: Arc<Shared>, resolver: Resolver) {
+    let arrived = Instant::now();
+    let Ok((head, stream)) = resolver.resolve_request().await else {
+        return;
+    };
+    let (mut answering, receiving) = stream.split();
+    let mut work = Work::open(Arc::clone(&shared), &head);
+    match work.prepare(&head).await {
+        Ok(ready) => {
+            let request = to_backend(&shared, &head, receiving);
+            match ready.send(request).await {
+                Ok(response) => {
+                    record(&shared, Verdict::Ran, arrived);
+                    work.relay(response, &mut answering).await;
+                }
+                Err(fault) => {
+                    work.shed = true;
+                    let refusal = broke_off(&fault);
+                    refuse(&shared, &mut answering, refusal, arrived).await;
+                }
+            }
+        }
+        Err(refusal) => refuse(&shared, &mut answering, refusal, arrived).await,
+    }
+}
+
+/// A request that the core counts until it is dropped.
+struct Work {
+    shared: Arc<Shared>,
+    id: Id,
+    told: Option<oneshot::Receiver<Go>>,
+    started: bool,
+    refused: bool,
+    shed: bool,
+}
+
+impl Work {
+    fn open(shared: Arc<Shared>, head: &Request<()>) -> Self {
+        let id = shared.next_id();
+        let told = shared.wait(id);
+        let allowed = deadline_ms(&shared, head.headers());
+        shared.handle(Event::Request(id, shared.now().after(allowed)));
+        Self { shared, id, told: Some(told), started: false, refused: false, shed: false }
+    }
+
+    /// Waits for a slot, connects, and claims the key if there is one.
+    ///
+    /// The connection comes before the claim, so that a claim is made only for a request that can
+    /// be sent at once.
+    async fn prepare(&mut self, head: &Request<()>) -> Result<Ready, Refusal> {
+        self.start().await?;
+        let ready = match backend::connect(self.shared.backend).await {
+            Ok(ready) => ready,
+            Err(_) => {
+                self.shed = true;
+                return Err(Refusal::not_run("the backend server is not there\n", SOON_MS));
+            }
+        };
+        if let Some(key) = key_to_claim(head) {
+            self.claim(&key).await?;
+        }
+        Ok(ready)
+    }
+
+    async fn start(&mut self) -> Result<(), Refusal> {
+        let began = Instant::now();
+        match self.told().await {
+            Go::Start => {
+                self.started = true;
+                histogram!(metric::WAIT_SECONDS, "class" => self.shared.class.to_string())
+                    .record(began.elapsed().as_secs_f64());
+                Ok(())
+            }
+            Go::Refuse(reason, after_ms) => {
+                self.refused = true;
+                Err(Refusal::of(reason, after_ms))
+            }
+            Go::Run | Go::Unclaimed | Go::ClaimedBefore => Err(Refusal::not_run("lost\n", SOON_MS)),
+        }
+    }
+
+    async fn claim(&mut self, key: &[u8]) -> Result<(), Refusal> {
+        self.told = Some(self.shared.wait(self.id));
+        let name = claim::Name::of(&self.shared.class, key);
+        self.shared.handle(Event::Claim(self.id, name));
+        match self.told().await {
+            Go::Run => Ok(()),
+            Go::ClaimedBefore => Err(Refusal::may_have_run(
+                StatusCode::CONFLICT,
+                "a request with this Idempotency-Key was sent before and may have run\n",
+            )),
+            Go::Unclaimed | Go::Start | Go::Refuse(..) => {
+                Err(Refusal::not_run("the key could not be claimed now\n", SOON_MS))
+            }
+        }
+    }
+
+    async fn told(&mut self) -> Go {
+        let unavailable = Go::Refuse(Reason::Unavailable, SOON_MS);
+        match self.told.take() {
+            Some(told) => told.await.unwrap_or(unavailable),
+            None => unavailable,
+        }
+    }
+
+    /// Passes the backend server's answer on, at the pace of the caller.
+    async fn relay(mut self, response: Response<Incoming>, answering: &mut Answering) {
+        let (mut head, mut body) = response.into_parts();
+        self.shed = head.status == StatusCode::SERVICE_UNAVAILABLE;
+        if !is_short(&head.headers) {
+            self.finish();
+        }
+        remove_hop_headers(&mut head.headers);
+        head.headers.insert(VERDICT, HeaderValue::from_static(Verdict::Ran.as_str()));
+        head.version = Version::HTTP_3;
+        if answering.send_response(Response::from_parts(head, ())).await.is_err() {
+            return;
+        }
+        while let Some(part) = body.frame().await {
+            let Ok(part) = part else {
+                // Cut the answer so that the caller cannot take a part for the whole.
+                answering.stop_stream(Code::H3_INTERNAL_ERROR);
+                return;
+            };
+            if let Ok(data) = part.into_data()
+                && answering.send_data(data).await.is_err()
+            {
+                return;
+            }
+        }
+        self.finish();
+        // The caller may be gone; the backend server has done its work either way.
+        let _ = answering.finish().await;
+    }
+
+    fn finish(&mut self) {
+        if self.started {
+            self.started = false;
+            self.refused = true;
+            self.shared.handle(Event::Finished(self.id, self.shed));
+        }
+    }
+}
+
+impl Drop for Work {
+    /// Frees the slot or the place in the queue, also when the caller went away and the task that
+    /// held this was dropped.
+    fn drop(&mut self) {
+        self.shared.stop_waiting(self.id);
+        if self.started {
+            self.finish();
+        } else if !self.refused {
+            self.shared.handle(Event::Cancelled(self.id));
+        }
+    }
+}
+
+fn deadline_ms(shared: &Shared, headers: &HeaderMap) -> u64 {
+    let stated = headers.get(DEADLINE).and_then(|value| value.to_str().ok()?.parse().ok());
+    stated.unwrap_or_else(|| {
+        let core = shared.core();
+        let target = core.peer().book().target(&shared.class);
+        target.map_or_else(
+            || nutmegkeel_core::class::Target::default().deadline_ms,
+            |target| target.deadline_ms,
+        )
+    })
+}
+
+/// The key of a request that must not run twice. Idempotent methods need no claim (RFC 9110, 9.2.2).
+fn key_to_claim(head: &Request<()>) -> Option<Vec<u8>> {
+    if matches!(*head.method(), Method::GET | Method::HEAD | Method::OPTIONS) {
+        return None;
+    }
+    head.headers().get(IDEMPOTENCY_KEY).map(|key| key.as_bytes().to_vec())
+}
+
+fn is_short(headers: &HeaderMap) -> bool {
+    let length = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
+    length.is_some_and(|length: u64| length <= SHORT_ANSWER)
+}
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+fn remove_hop_headers(headers: &mut HeaderMap) {
+    for name in [CONNECTION, TRANSFER_ENCODING] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+}
+
+fn to_backend(shared: &Shared, head: &Request<()>, receiving: Receiving) -> Request<Body> {
+    let body = if matches!(*head.method(), Method::GET | Method::HEAD) {
+        Empty::new().map_err(|never| match never {}).boxed()
+    } else {
+        stream(receiving)
+    };
+    let mut request = Request::new(body);
+    *request.method_mut() = head.method().clone();
+    let path = head.uri().path_and_query().map_or("/", |path| path.as_str());
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    *request.headers_mut() = head.headers().clone();
+    remove_hop_headers(request.headers_mut());
+    let host = head.uri().authority().map_or(&*shared.class, |authority| authority.as_str());
+    if let Ok(host) = HeaderValue::from_str(host) {
+        request.headers_mut().insert(HOST, host);
+    }
+    request
+}
+
+/// The request's body as it arrives; a slow backend server slows the caller.
+fn stream(mut receiving: Receiving) -> Body {
+    let (parts, received) = mpsc::channel(BODY_PARTS);
+    tokio::spawn(async move {
+        loop {
+            let part = match receiving.recv_data().await {
+                Ok(Some(mut data)) => Ok(Frame::data(data.copy_to_bytes(data.remaining()))),
+                Ok(None) => return,
+                // Cuts the request, so that the backend server cannot take a part for the whole.
+                Err(error) => Err(std::io::Error::other(error.to_string())),
+            };
+            let ends = part.is_err();
+            if parts.send(part).await.is_err() || ends {
+                return;
+            }
+        }
+    });
+    BodyExt::boxed(StreamBody::new(ReceiverStream::new(received)))
+}
+
+fn broke_off(fault: &backend::Fault) -> Refusal {
+    match fault.verdict() {
+        Verdict::NotRun => Refusal::not_run("the backend server is not there\n", SOON_MS),
+        Verdict::MayHaveRun | Verdict::Ran => Refusal::may_have_run(
+            StatusCode::BAD_GATEWAY,
+            "the backend server broke off; the request may have run\n",
+        ),
+    }
+}
+
+async fn refuse(shared: &Shared, answering: &mut Answering, refusal: Refusal, arrived: Instant) {
+    record(shared, refusal.verdict, arrived);
+    let mut response = Response::new(());
+    *response.status_mut() = refusal.status;
+    let headers = response.headers_mut();
+    headers.insert(VERDICT, HeaderValue::from_static(refusal.verdict.as_str()));
+    if let Some(after_ms) = refusal.after_ms {
+        let seconds = Duration::from_millis(after_ms).as_secs_f64().ceil();
+        if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.0}")) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    // The caller may be gone; then nobody waits for this answer.
+    if answering.send_response(response).await.is_ok() {
+        let _ = answering.send_data(Bytes::from_static(refusal.text.as_bytes())).await;
+        let _ = answering.finish().await;
+    }
+}
+
+fn record(shared: &Shared, verdict: Verdict, arrived: Instant) {
+    let class = shared.class.to_string();
+    counter!(metric::REQUESTS, "class" => class.clone(), "verdict" => verdict.as_str())
+        .increment(1);
+    histogram!(metric::ANSWER_SECONDS, "class" => class).record(arrived.elapsed().as_secs_f64());
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/agent/shared.rs
@@ -0,0 +1,223 @@
+//! What the tasks and threads of an agent share, and how the core's actions are carried out.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use log::info;
+use metrics::counter;
+use nutmegkeel_core::admission::{Decision, Id, Reason};
+use nutmegkeel_core::agent::{Action, Agent as Core, Event};
+use nutmegkeel_core::claim::{Claim, Settled};
+use nutmegkeel_core::class;
+use nutmegkeel_core::clock::Time;
+use nutmegkeel_core::life::Phase;
+use nutmegkeel_core::member::{Record, Role};
+use nutmegkeel_core::membership::Pace;
+use nutmegkeel_core::peer;
+use nutmegkeel_wire::frame::{self, Header};
+use nutmegkeel_wire::key::Ring;
+use tokio::net::UdpSocket;
+use tokio::sync::{oneshot, watch};
+
+use super::Fault;
+use super::announcement::Announcement;
+use crate::clock::Clock;
+use crate::metric;
+use crate::settings;
+
+/// The answer that a waiting request gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Go {
+    /// Start it.
+    Start,
+    /// It was refused and has not run; ask again after so many milliseconds.
+    Refuse(Reason, u64),
+    /// It was claimed; run it.
+    Run,
+    /// The platform gave no claim; it has not run.
+    Unclaimed,
+    /// Its key was claimed before; that request may have run.
+    ClaimedBefore,
+}
+
+/// Shared state of one agent.
+#[derive(Debug)]
+pub(super) struct Shared {
+    core: Mutex<Core>,
+    waiting: Mutex<BTreeMap<Id, oneshot::Sender<Go>>>,
+    claims: Sender<Vec<Claim>>,
+    claim_groups: Mutex<Option<Receiver<Vec<Claim>>>>,
+    phase: watch::Sender<Phase>,
+    next_id: AtomicU64,
+    superseded: AtomicBool,
+    join: SocketAddr,
+    pub(super) clock: Clock,
+    pub(super) keys: Ring,
+    pub(super) socket: UdpSocket,
+    pub(super) own: SocketAddr,
+    pub(super) class: class::Name,
+    pub(super) class_id: class::Id,
+    pub(super) backend: SocketAddr,
+}
+
+/// Binds the agent's socket and opens its core.
+pub(super) fn open(
+    settings: &settings::Agent,
+    announcement: &Announcement,
+    clock: Clock,
+) -> Result<Shared, Fault> {
+    let common = &settings.common;
+    let socket = bind(common.frames)?;
+    let own = socket.local_addr().unwrap_or(common.frames);
+    if !own.is_ipv4() {
+        return Err(Fault::Address(own));
+    }
+    let capacity = announcement.capacity();
+    let me = Record {
+        address: own,
+        instance: clock.instance(),
+        version: 0,
+        role: Role::Agent(capacity.clone()),
+        domain: common.domain.clone(),
+        phase: Phase::Announced,
+    };
+    let (claims, claim_groups) = channel();
+    Ok(Shared {
+        core: Mutex::new(Core::open(me, capacity, Pace::default(), rand::random())),
+        waiting: Mutex::new(BTreeMap::new()),
+        claims,
+        claim_groups: Mutex::new(Some(claim_groups)),
+        phase: watch::Sender::new(Phase::Announced),
+        next_id: AtomicU64::new(0),
+        superseded: AtomicBool::new(false),
+        join: common.join,
+        clock,
+        keys: common.keys.clone(),
+        socket,
+        own,
+        class: announcement.class.clone(),
+        class_id: class::Id::of(&announcement.class),
+        backend: announcement.address,
+    })
+}
+
+fn bind(address: SocketAddr) -> Result<UdpSocket, Fault> {
+    let bound = std::net::UdpSocket::bind(address).and_then(|socket| {
+        socket.set_nonblocking(true)?;
+        UdpSocket::from_std(socket)
+    });
+    bound.map_err(|error| Fault::Bind { field: "frames", address, error })
+}
+
+impl Shared {
+    pub(super) fn core(&self) -> MutexGuard<'_, Core> {
+        // A poisoned lock means that an invariant failed on another task; the process must end.
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub(super) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    pub(super) fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    pub(super) fn is_superseded(&self) -> bool {
+        self.superseded.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn next_id(&self) -> Id {
+        Id(self.next_id.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// The groups of claims to write; there is one taker.
+    pub(super) fn take_claim_groups(&self) -> Option<Receiver<Vec<Claim>>> {
+        self.claim_groups.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+
+    /// Takes an event to the core and carries out what it decides.
+    pub(super) fn handle(&self, event: Event) {
+        let actions = self.core().handle(self.now(), event);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    /// Registers a request that waits for the next answer of the core.
+    pub(super) fn wait(&self, id: Id) -> oneshot::Receiver<Go> {
+        let (tell, told) = oneshot::channel();
+        self.waiting().insert(id, tell);
+        told
+    }
+
+    pub(super) fn stop_waiting(&self, id: Id) {
+        self.waiting().remove(&id);
+    }
+
+    fn waiting(&self) -> MutexGuard<'_, BTreeMap<Id, oneshot::Sender<Go>>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn tell(&self, id: Id, go: Go) {
+        if let Some(tell) = self.waiting().remove(&id) {
+            // The request may have been given up meanwhile; its guard tells the core.
+            let _ = tell.send(go);
+        }
+    }
+
+    fn act(&self, action: Action) {
+        match action {
+            Action::Decided(Decision::Start(id)) => self.tell(id, Go::Start),
+            Action::Decided(Decision::Refuse(id, reason, after)) => {
+                self.tell(id, Go::Refuse(reason, after));
+            }
+            Action::Settled(Settled::Run(id)) => self.tell(id, Go::Run),
+            Action::Settled(Settled::NotRun(id)) => self.tell(id, Go::Unclaimed),
+            Action::Settled(Settled::MayHaveRun(id)) => self.tell(id, Go::ClaimedBefore),
+            Action::Write(claims) => {
+                // The writer is gone only when the process ends.
+                let _ = self.claims.send(claims);
+            }
+            Action::Entered(phase) => {
+                info!(event = "agent_entered", phase:? = phase; "life cycle moved on");
+                self.phase.send_replace(phase);
+            }
+            Action::Peer(action) => self.act_for_peer(action),
+            Action::Deliver | Action::PassOn(_) => {}
+        }
+    }
+
+    fn act_for_peer(&self, action: peer::Action) {
+        match action {
+            peer::Action::Send(to, message) => self.send(to, message),
+            peer::Action::Join(message) => self.send(self.join, message),
+            peer::Action::Superseded => {
+                info!(event = "agent_superseded"; "a later run has this address");
+                self.superseded.store(true, Ordering::Relaxed);
+            }
+            peer::Action::InForce(entry) => {
+                info!(event = "class_in_force", class = &*entry.name, revision = entry.revision.0;
+                    "class in force");
+            }
+            peer::Action::Changed(_) | peer::Action::Gone(..) => {}
+        }
+    }
+
+    fn send(&self, to: SocketAddr, message: peer::Message) {
+        let mut buffer = Vec::new();
+        let header = Header::Message(self.own, message);
+        frame::encode(&self.keys, self.now(), header, &[], &mut buffer);
+        counter!(metric::CONTROL_BYTES).increment(buffer.len() as u64);
+        if self.socket.try_send_to(&buffer, to).is_err() {
+            counter!(metric::DROPPED, "reason" => "send").increment(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/agent/socket.rs
@@ -0,0 +1,222 @@
+//! The socket under QUIC: callers' packets arrive in frames and leave in frames.
+
+use std::fmt;
+use std::io::{self, IoSliceMut};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use metrics::counter;
+use nutmegkeel_core::agent::{Action, Event, MOST_PASSES, Opening};
+use nutmegkeel_core::placement::Hop;
+use nutmegkeel_wire::frame::{self, Frame, Header, Inbound, LARGEST, Outbound};
+use nutmegkeel_wire::packet::{self, Header as Packet};
+use nutmegkeel_wire::reset;
+use quinn::udp::{RecvMeta, Transmit};
+use quinn::{AsyncUdpSocket, UdpPoller};
+use tokio::io::ReadBuf;
+
+use super::shared::Shared;
+use crate::metric;
+
+/// Gives QUIC the callers' packets as if they had come straight from the callers.
+#[derive(Debug)]
+pub(super) struct Socket {
+    shared: Arc<Shared>,
+}
+
+impl Socket {
+    pub(super) const fn open(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+}
+
+impl AsyncUdpSocket for Socket {
+    fn create_io_poller(self: Arc<Self>) -> Pin<Box<dyn UdpPoller>> {
+        Box::pin(Poller { shared: Arc::clone(&self.shared) })
+    }
+
+    fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
+        let caller = transmit.destination;
+        let shared = &self.shared;
+        let now = shared.now();
+        let (via, agent, report) = {
+            let mut core = shared.core();
+            (core.way(now, caller), core.hop(), core.report())
+        };
+        let Some(via) = via else {
+            counter!(metric::DROPPED, "reason" => "no_way").increment(1);
+            return Ok(());
+        };
+        let outbound = Outbound { class: shared.class_id, caller, agent, report };
+        let mut buffer = Vec::with_capacity(LARGEST);
+        frame::encode(
+            &shared.keys,
+            now,
+            Header::Outbound(outbound),
+            transmit.contents,
+            &mut buffer,
+        );
+        match shared.socket.try_send_to(&buffer, via) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Err(error),
+            Err(_) => {
+                counter!(metric::DROPPED, "reason" => "send").increment(1);
+                Ok(())
+            }
+            Ok(_) => Ok(()),
+        }
+    }
+
+    fn poll_recv(
+        &self,
+        context: &mut Context<'_>,
+        buffers: &mut [IoSliceMut<'_>],
+        meta: &mut [RecvMeta],
+    ) -> Poll<io::Result<usize>> {
+        let most = buffers.len().min(meta.len());
+        let mut filled = 0;
+        let mut datagram = [0; LARGEST];
+        while filled < most {
+            let mut read = ReadBuf::new(&mut datagram);
+            match self.shared.socket.poll_recv_from(context, &mut read) {
+                Poll::Pending if filled > 0 => break,
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                Poll::Ready(Ok(_)) => {}
+            }
+            if let Some(arrived) = receive(&self.shared, read.filled()) {
+                meta[filled] = fill(&mut buffers[filled], &arrived);
+                filled += 1;
+            }
+        }
+        Poll::Ready(Ok(filled))
+    }
+
+    fn local_addr(&self) -> io::Result<SocketAddr> {
+        Ok(self.shared.own)
+    }
+
+    fn may_fragment(&self) -> bool {
+        false
+    }
+}
+
+/// Waits until the socket can send.
+struct Poller {
+    shared: Arc<Shared>,
+}
+
+impl fmt::Debug for Poller {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Poller")
+    }
+}
+
+impl UdpPoller for Poller {
+    fn poll_writable(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.shared.socket.poll_send_ready(context))?;
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// A caller's packet for this agent.
+struct Arrived<'a> {
+    caller: SocketAddr,
+    packet: &'a [u8],
+}
+
+fn fill(buffer: &mut IoSliceMut<'_>, arrived: &Arrived<'_>) -> RecvMeta {
+    let length = arrived.packet.len().min(buffer.len());
+    buffer[..length].copy_from_slice(&arrived.packet[..length]);
+    RecvMeta { addr: arrived.caller, len: length, stride: length, ecn: None, dst_ip: None }
+}
+
+/// Decides on a datagram: a message is handled, a packet for this run is returned.
+fn receive<'a>(shared: &Shared, datagram: &'a [u8]) -> Option<Arrived<'a>> {
+    let Frame { header, packet } = match frame::decode(&shared.keys, shared.now(), datagram) {
+        Ok(frame) => frame,
+        Err(fault) => return dropped(metric::frame_fault(fault)),
+    };
+    match header {
+        Header::Inbound(inbound) => take(shared, &inbound, packet),
+        Header::Message(from, message) => {
+            shared.handle(Event::Message(from, message));
+            None
+        }
+        Header::Outbound(_) => dropped("misdirected"),
+    }
+}
+
+/// Checks class and run at the last hop.
+///
+/// Guards against the wrong desk: an address may be reused by another class or a later run, and a
+/// balancer may not have heard. Such a packet is never handed to the transport, whatever its
+/// connection ID says.
+fn take<'a>(shared: &Shared, inbound: &Inbound, packet: &'a [u8]) -> Option<Arrived<'a>> {
+    if inbound.class != shared.class_id {
+        return dropped("wrong_class");
+    }
+    let hop = shared.core().hop();
+    if inbound.instance != hop.instance {
+        match inbound.opening {
+            Some(opening) => pass_on(shared, inbound, opening, packet),
+            None => end(shared, inbound, packet),
+        }
+        return dropped("wrong_instance");
+    }
+    shared.core().heard_caller(shared.now(), inbound.caller, inbound.via);
+    if let Some(opening) = inbound.opening {
+        let actions = shared.core().handle(shared.now(), Event::Opening(opening));
+        if let Some(Action::PassOn(next)) = actions.into_iter().next() {
+            send_on(shared, inbound, opening, next, packet);
+            return None;
+        }
+    }
+    Some(Arrived { caller: inbound.caller, packet })
+}
+
+/// An opening meant for an earlier run goes to the next choice.
+fn pass_on(shared: &Shared, inbound: &Inbound, opening: Opening, packet: &[u8]) {
+    if let Some(next) = opening.next
+        && opening.passes < MOST_PASSES
+    {
+        send_on(shared, inbound, opening, next, packet);
+    }
+}
+
+fn send_on(shared: &Shared, inbound: &Inbound, opening: Opening, next: Hop, packet: &[u8]) {
+    let opening =
+        Opening { passes: opening.passes + 1, next: Some(shared.core().hop()), ..opening };
+    let onward = Inbound { instance: next.instance, opening: Some(opening), ..inbound.clone() };
+    let mut buffer = Vec::with_capacity(LARGEST);
+    frame::encode(&shared.keys, shared.now(), Header::Inbound(onward), packet, &mut buffer);
+    if shared.socket.try_send_to(&buffer, next.address).is_ok() {
+        counter!(metric::PASSED_ON).increment(1);
+    }
+}
+
+/// Ends a flow of an earlier run of the process at this address, so that its caller need not wait.
+fn end(shared: &Shared, inbound: &Inbound, packet: &[u8]) {
+    let Some(Packet::Short(id)) = packet::header(packet) else {
+        return;
+    };
+    let Some(reset) = reset::packet(&shared.keys, &id, packet.len(), rand::random()) else {
+        return;
+    };
+    let (agent, report) = {
+        let core = shared.core();
+        (core.hop(), core.report())
+    };
+    let outbound = Outbound { class: inbound.class, caller: inbound.caller, agent, report };
+    let mut buffer = Vec::with_capacity(LARGEST);
+    frame::encode(&shared.keys, shared.now(), Header::Outbound(outbound), &reset, &mut buffer);
+    if shared.socket.try_send_to(&buffer, inbound.via).is_ok() {
+        counter!(metric::RESETS).increment(1);
+    }
+}
+
+fn dropped<'a>(reason: &'static str) -> Option<Arrived<'a>> {
+    counter!(metric::DROPPED, "reason" => reason).increment(1);
+    None
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/agent/transport.rs
@@ -0,0 +1,132 @@
+//! The QUIC endpoint of an agent: its certificate, its connection IDs, its limits.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegkeel_core::class;
+use nutmegkeel_core::placement::Hop;
+use nutmegkeel_wire::cid;
+use nutmegkeel_wire::key::Ring;
+use nutmegkeel_wire::reset::Signer;
+use quinn::crypto::rustls::QuicServerConfig;
+use quinn::{
+    ConnectionId, ConnectionIdGenerator, Endpoint, EndpointConfig, IdleTimeout, MtuDiscoveryConfig,
+    ServerConfig, TokioRuntime, TransportConfig, VarInt,
+};
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+
+use super::Fault;
+use super::shared::Shared;
+use super::socket::Socket;
+use crate::settings;
+
+/// Application protocol of HTTP/3 (RFC 9114, section 3.1).
+const HTTP3: &[u8] = b"h3";
+/// A flow on which nothing arrives for so long is over.
+const IDLE: VarInt = VarInt::from_u32(30_000);
+/// Quiet flows are kept open by a packet this often.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+/// Requests in progress on one flow at most.
+const STREAMS: VarInt = VarInt::from_u32(64);
+/// Bytes that a caller may send ahead on one request; bounds memory per flow.
+const STREAM_WINDOW: VarInt = VarInt::from_u32(256 * 1024);
+/// Bytes that a caller may send ahead on all requests of a flow.
+const FLOW_WINDOW: VarInt = VarInt::from_u32(1024 * 1024);
+/// Bytes sent and not acknowledged on a flow at most; bounds memory per flow.
+const SEND_WINDOW: u64 = 1024 * 1024;
+/// Largest packet that fits an Ethernet frame together with our header.
+const LARGEST_PACKET: u16 = 1_380;
+
+/// Opens the endpoint over the agent's frame socket.
+pub(super) fn open(settings: &settings::Agent, shared: &Arc<Shared>) -> Result<Endpoint, Fault> {
+    let certificates = certificates(&settings.certificate).map_err(Fault::Certificate)?;
+    let key = private_key(&settings.private_key).map_err(Fault::Certificate)?;
+    let server = server(certificates, key).map_err(Fault::Certificate)?;
+    let signer = Arc::new(Signer::open(shared.keys.clone()));
+    let mut config = EndpointConfig::new(signer);
+    let (keys, class, hop) = (shared.keys.clone(), shared.class_id, shared.core().hop());
+    config.cid_generator(move || Box::new(Generator::open(keys.clone(), class, hop)));
+    let socket = Arc::new(Socket::open(Arc::clone(shared)));
+    Endpoint::new_with_abstract_socket(config, Some(server), socket, Arc::new(TokioRuntime))
+        .map_err(Fault::Start)
+}
+
+fn server(
+    certificates: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+) -> Result<ServerConfig, String> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(|error| error.to_string())?
+        .with_no_client_auth()
+        .with_single_cert(certificates, key)
+        .map_err(|error| error.to_string())?;
+    tls.alpn_protocols = vec![HTTP3.to_vec()];
+    let crypto = QuicServerConfig::try_from(tls).map_err(|error| error.to_string())?;
+    let mut server = ServerConfig::with_crypto(Arc::new(crypto));
+    server.transport_config(Arc::new(transport()));
+    Ok(server)
+}
+
+fn transport() -> TransportConfig {
+    let mut discovery = MtuDiscoveryConfig::default();
+    discovery.upper_bound(LARGEST_PACKET);
+    let mut transport = TransportConfig::default();
+    transport
+        .max_concurrent_bidi_streams(STREAMS)
+        .stream_receive_window(STREAM_WINDOW)
+        .receive_window(FLOW_WINDOW)
+        .send_window(SEND_WINDOW)
+        .max_idle_timeout(Some(IdleTimeout::from(IDLE)))
+        .keep_alive_interval(Some(KEEP_ALIVE))
+        .mtu_discovery_config(Some(discovery));
+    transport
+}
+
+fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, String> {
+    let text = std::fs::read(path).map_err(|error| error.to_string())?;
+    rustls_pemfile::certs(&mut text.as_slice())
+        .collect::<Result<_, _>>()
+        .map_err(|error| format!("{}: {error}", path.display()))
+}
+
+fn private_key(path: &Path) -> Result<PrivateKeyDer<'static>, String> {
+    let text = std::fs::read(path).map_err(|error| error.to_string())?;
+    rustls_pemfile::private_key(&mut text.as_slice())
+        .map_err(|error| format!("{}: {error}", path.display()))?
+        .ok_or_else(|| format!("{}: holds no private key", path.display()))
+}
+
+/// Issues connection IDs that lead every balancer back to this agent.
+struct Generator {
+    keys: Ring,
+    class: class::Id,
+    hop: Hop,
+    next_nonce: u64,
+}
+
+impl Generator {
+    fn open(keys: Ring, class: class::Id, hop: Hop) -> Self {
+        // Generators of one run start at random points of a space of 2^48, so they do not meet.
+        Self { keys, class, hop, next_nonce: rand::random() }
+    }
+}
+
+impl ConnectionIdGenerator for Generator {
+    fn generate_cid(&mut self) -> ConnectionId {
+        self.next_nonce = self.next_nonce.wrapping_add(1);
+        // The address was checked to fit when the agent started.
+        let bytes = cid::encode(&self.keys, self.class, self.hop, self.next_nonce);
+        ConnectionId::new(&bytes.unwrap_or_default())
+    }
+
+    fn cid_len(&self) -> usize {
+        cid::LENGTH
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        None
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/lib.rs
@@ -0,0 +1,9 @@
+//! The running balancer and agent: sockets, threads and clocks around the decisions of the core.
+
+pub mod administration;
+pub mod agent;
+pub mod balancer;
+pub mod clock;
+pub mod metric;
+pub mod settings;
+mod web;
--- /dev/null
+++ b/crates/nutmegkeel_node/src/metric.rs
@@ -0,0 +1,61 @@
+//! Names of the metrics and the recorder behind `/metrics`. docs/METRICS.md explains each one.
+
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use nutmegkeel_wire::frame;
+
+/// Callers' packets sent on to an agent.
+pub const PACKETS_IN: &str = "nutmegkeel_packets_in_total";
+/// Agents' packets sent on to a caller.
+pub const PACKETS_OUT: &str = "nutmegkeel_packets_out_total";
+/// New flows placed.
+pub const PLACED: &str = "nutmegkeel_flows_placed_total";
+/// New flows that no agent takes.
+pub const UNPLACED: &str = "nutmegkeel_flows_unplaced_total";
+/// Datagrams dropped, by reason.
+pub const DROPPED: &str = "nutmegkeel_dropped_total";
+/// Stateless resets sent.
+pub const RESETS: &str = "nutmegkeel_resets_total";
+/// Openings passed on to the next choice.
+pub const PASSED_ON: &str = "nutmegkeel_openings_passed_on_total";
+/// Requests answered, by verdict.
+pub const REQUESTS: &str = "nutmegkeel_requests_total";
+/// Requests refused, by reason.
+pub const REFUSED: &str = "nutmegkeel_requests_refused_total";
+/// Time from a request's arrival to the head of its answer.
+pub const ANSWER_SECONDS: &str = "nutmegkeel_answer_seconds";
+/// Time a request waited for its slot.
+pub const WAIT_SECONDS: &str = "nutmegkeel_wait_seconds";
+/// Open flows.
+pub const FLOWS: &str = "nutmegkeel_flows";
+/// Bytes of control messages sent.
+pub const CONTROL_BYTES: &str = "nutmegkeel_control_bytes_total";
+/// Failed calls to the platform.
+pub const PLATFORM_FAILURES: &str = "nutmegkeel_platform_failures_total";
+
+/// Bounds of the histograms' buckets, in seconds.
+const BUCKETS: [f64; 14] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 60.0];
+
+/// Why the recorder could not be installed.
+pub type Fault = metrics_exporter_prometheus::BuildError;
+
+/// Installs the recorder of this process.
+///
+/// # Errors
+/// When the process has one already.
+pub fn install() -> Result<PrometheusHandle, Fault> {
+    PrometheusBuilder::new()
+        .set_buckets_for_metric(Matcher::Suffix("_seconds".to_owned()), &BUCKETS)?
+        .install_recorder()
+}
+
+/// The reason, as a label of [`DROPPED`], why a frame was not acted upon.
+pub(crate) const fn frame_fault(fault: frame::Fault) -> &'static str {
+    match fault {
+        frame::Fault::Shape => "frame_shape",
+        frame::Fault::Key(_) => "frame_key",
+        frame::Fault::Mac => "frame_mac",
+        frame::Fault::Stale(_) => "frame_stale",
+        frame::Fault::Header => "frame_header",
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/web.rs
@@ -0,0 +1,78 @@
+//! The small HTTP server beside each process: health, metrics, and the agent's announcements.
+
+use std::io::{Cursor, Read};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tiny_http::{Method, Request, Response, Server};
+
+/// Largest body that is read, in bytes.
+const LARGEST_BODY: u64 = 64 * 1024;
+
+/// An answer: status and text.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    status: u16,
+    text: String,
+}
+
+impl Answer {
+    pub(crate) fn new(status: u16, text: impl Into<String>) -> Self {
+        Self { status, text: text.into() }
+    }
+}
+
+/// A request as the handler sees it.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) post: bool,
+    pub(crate) path: String,
+    pub(crate) body: Vec<u8>,
+}
+
+/// The handler: one answer for each call.
+pub(crate) type Handler = Box<dyn Fn(&Call) -> Answer + Send>;
+
+/// A running server; stops when dropped.
+pub(crate) struct Handle {
+    server: Arc<Server>,
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.server.unblock();
+    }
+}
+
+/// Serves calls at `address` on a thread of its own.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub(crate) fn spawn(address: SocketAddr, handler: Handler) -> std::io::Result<Handle> {
+    let server = Server::http(address).map_err(std::io::Error::other)?;
+    let server = Arc::new(server);
+    let serving = Arc::clone(&server);
+    std::thread::Builder::new().name("web".to_owned()).spawn(move || {
+        for request in serving.incoming_requests() {
+            serve(request, &handler);
+        }
+    })?;
+    Ok(Handle { server })
+}
+
+fn serve(mut request: Request, handler: &Handler) {
+    let mut body = Vec::new();
+    let read = request.as_reader().take(LARGEST_BODY).read_to_end(&mut body);
+    let answer = match read {
+        Ok(_) => {
+            let post = *request.method() == Method::Post;
+            handler(&Call { post, path: request.url().to_owned(), body })
+        }
+        Err(error) => Answer::new(400, format!("body cannot be read: {error}\n")),
+    };
+    let length = answer.text.len();
+    let data = Cursor::new(answer.text.into_bytes());
+    let response = Response::new(answer.status.into(), Vec::new(), data, Some(length), None);
+    // The client may be gone already; that changes nothing here.
+    let _ = request.respond(response);
+}
--- /dev/null
+++ b/crates/nutmegkeel_platform/src/claims.rs
@@ -0,0 +1,114 @@
+//! Claims of keyed requests in the platform's service, written in groups.
+
+use nutmegkeel_core::claim::{Claim, KEPT_MS, Outcome};
+use nutmegkeel_core::clock::Time;
+use serde::{Deserialize, Serialize};
+
+use crate::kv::{Committed, Fault, Lease, Store, Write};
+
+/// Keys of claims begin with this.
+pub const PREFIX: &str = "nutmegkeel/claims/";
+
+/// What a claim holds: the identity of the request that made it.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Value {
+    owner: String,
+    instance: u32,
+    request: u64,
+}
+
+/// Writes claims under a lease of its own, so that each is kept for at least
+/// [`KEPT_MS`] and at most twice as long.
+#[derive(Debug, Default)]
+pub struct Writer {
+    lease: Option<(Lease, Time)>,
+}
+
+impl Writer {
+    /// A writer that has no lease yet.
+    #[must_use]
+    pub const fn open() -> Self {
+        Self { lease: None }
+    }
+
+    /// Writes a group; one outcome for each claim in order.
+    ///
+    /// One transaction for all of them in the usual case. When a key exists already, or the answer
+    /// is lost, each claim is settled by itself.
+    pub fn write(&mut self, store: &dyn Store, now: Time, claims: &[Claim]) -> Vec<Outcome> {
+        let Ok(lease) = self.lease(store, now) else {
+            return vec![Outcome::NotWritten; claims.len()];
+        };
+        if !has_repeats(claims) {
+            let writes: Vec<Write> = claims.iter().map(|claim| write(claim, lease)).collect();
+            match store.commit(&writes) {
+                Ok(Committed::Written(_)) => return vec![Outcome::Ours; claims.len()],
+                Err(Fault::NotSent(_)) => return vec![Outcome::NotWritten; claims.len()],
+                Ok(Committed::Differs) | Err(Fault::Lost(_)) => {}
+            }
+        }
+        claims.iter().map(|claim| settle(store, claim, lease)).collect()
+    }
+
+    fn lease(&mut self, store: &dyn Store, now: Time) -> Result<Lease, Fault> {
+        if let Some((lease, granted)) = self.lease
+            && now.since(granted) < KEPT_MS
+        {
+            return Ok(lease);
+        }
+        let lease = store.grant(2 * KEPT_MS / 1_000)?;
+        self.lease = Some((lease, now));
+        Ok(lease)
+    }
+}
+
+fn has_repeats(claims: &[Claim]) -> bool {
+    let names: std::collections::BTreeSet<_> = claims.iter().map(|claim| &claim.name).collect();
+    names.len() < claims.len()
+}
+
+fn key(claim: &Claim) -> String {
+    format!("{PREFIX}{}", claim.name.0)
+}
+
+fn value(claim: &Claim) -> Value {
+    Value {
+        owner: claim.owner.address.to_string(),
+        instance: claim.owner.instance.number(),
+        request: claim.id.0,
+    }
+}
+
+fn write(claim: &Claim, lease: Lease) -> Write {
+    let value = serde_json::to_vec(&value(claim)).unwrap_or_default();
+    Write { key: key(claim), value, expected: 0, lease: Some(lease) }
+}
+
+/// Settles one claim whose group did not commit, or whose answer was lost: reads it back, and
+/// creates it if it is not there. The identity inside tells an own write from another's.
+fn settle(store: &dyn Store, claim: &Claim, lease: Lease) -> Outcome {
+    match store.get(&key(claim)) {
+        Ok(Some(pair)) => owner(claim, &pair.value),
+        Ok(None) => create(store, claim, lease),
+        Err(_) => Outcome::Unknown,
+    }
+}
+
+fn create(store: &dyn Store, claim: &Claim, lease: Lease) -> Outcome {
+    match store.commit(&[write(claim, lease)]) {
+        Ok(Committed::Written(_)) => Outcome::Ours,
+        // The write in doubt, or another agent's, came between the read and this one.
+        Ok(Committed::Differs) | Err(Fault::Lost(_)) => match store.get(&key(claim)) {
+            Ok(Some(pair)) => owner(claim, &pair.value),
+            Ok(None) | Err(_) => Outcome::Unknown,
+        },
+        Err(Fault::NotSent(_)) => Outcome::Unknown,
+    }
+}
+
+fn owner(claim: &Claim, stored: &[u8]) -> Outcome {
+    match serde_json::from_slice::<Value>(stored) {
+        Ok(found) if found == value(claim) => Outcome::Ours,
+        _ => Outcome::Theirs,
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_platform/src/kv.rs
@@ -0,0 +1,89 @@
+//! What the system needs of a key-value service.
+
+use nutmegkeel_core::verdict::Verdict;
+
+/// A key, its value and the revision of its last write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pair {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// Revision of the last write.
+    pub revision: u64,
+}
+
+/// Number of a lease; keys written under it vanish when it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Lease(pub i64);
+
+/// One write inside a transaction: happens only if the key is still at `expected`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    /// The key.
+    pub key: String,
+    /// The new value.
+    pub value: Vec<u8>,
+    /// Revision at which the key must be; zero means that it must not exist.
+    pub expected: u64,
+    /// Lease that the key is written under.
+    pub lease: Option<Lease>,
+}
+
+/// How a transaction ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Committed {
+    /// All writes took effect at this revision.
+    Written(u64),
+    /// At least one key was not as expected; nothing was written.
+    Differs,
+}
+
+/// Why a call to the platform failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// The call did not reach the platform.
+    #[error("platform not reached: {0}")]
+    NotSent(String),
+    /// The call was sent and no usable answer came.
+    #[error("platform did not answer: {0}")]
+    Lost(String),
+}
+
+impl Fault {
+    /// Whether the call may have taken effect.
+    #[must_use]
+    pub const fn verdict(&self) -> Verdict {
+        match self {
+            Self::NotSent(_) => Verdict::NotRun,
+            Self::Lost(_) => Verdict::MayHaveRun,
+        }
+    }
+}
+
+/// A key-value service with compare-and-swap and leases.
+pub trait Store: Send + Sync {
+    /// Reads one key.
+    ///
+    /// # Errors
+    /// When the platform does not answer.
+    fn get(&self, key: &str) -> Result<Option<Pair>, Fault>;
+
+    /// Reads all keys that begin with `prefix`, by key.
+    ///
+    /// # Errors
+    /// When the platform does not answer.
+    fn list(&self, prefix: &str) -> Result<Vec<Pair>, Fault>;
+
+    /// Writes all or nothing.
+    ///
+    /// # Errors
+    /// When the platform does not answer; the fault's verdict says whether it may have written.
+    fn commit(&self, writes: &[Write]) -> Result<Committed, Fault>;
+
+    /// Grants a lease that ends after `seconds`.
+    ///
+    /// # Errors
+    /// When the platform does not answer.
+    fn grant(&self, seconds: u64) -> Result<Lease, Fault>;
+}
--- /dev/null
+++ b/crates/nutmegkeel_platform/src/lib.rs
@@ -0,0 +1,6 @@
+//! The platform's key-value service: what lasts, and how the system reads and writes it.
+
+pub mod claims;
+pub mod classes;
+pub mod etcd;
+pub mod kv;
--- /dev/null
+++ b/crates/nutmegkeel_wire/src/lib.rs
@@ -0,0 +1,7 @@
+//! What travels between the processes of the system, and the keys that protect it.
+
+pub mod cid;
+pub mod frame;
+pub mod key;
+pub mod packet;
+pub mod reset;
--- /dev/null
+++ b/crates/nutmegkeel_wire/src/reset.rs
@@ -0,0 +1,70 @@
+//! Stateless resets (RFC 9000, section 10.3): the immediate end of a flow whose agent is gone.
+//!
+//! The token is derived from the connection ID and the shared key alone, so that any balancer can
+//! end a flow whose agent no longer can.
+
+use quinn_proto::crypto::{CryptoError, HmacKey};
+use ring::hmac;
+
+use crate::key::{Index, Ring};
+
+/// Length of a reset token in bytes.
+const TOKEN: usize = 16;
+/// Least length of a reset that cannot be told from a short packet with a connection ID.
+const LEAST: usize = 5 + TOKEN;
+/// Preferred length.
+const USUAL: usize = 43;
+
+/// Signs reset tokens for the QUIC library with the key that a connection ID names.
+#[derive(Debug, Clone)]
+pub struct Signer {
+    ring: Ring,
+}
+
+impl Signer {
+    /// A signer over the accepted keys.
+    #[must_use]
+    pub const fn open(ring: Ring) -> Self {
+        Self { ring }
+    }
+
+    fn key_for(&self, data: &[u8]) -> &hmac::Key {
+        let named = data.first().and_then(|index| self.ring.get(Index(*index)));
+        &named.unwrap_or_else(|| self.ring.used().1).reset
+    }
+}
+
+impl HmacKey for Signer {
+    fn sign(&self, data: &[u8], out: &mut [u8]) {
+        out.copy_from_slice(hmac::sign(self.key_for(data), data).as_ref());
+    }
+
+    fn signature_len(&self) -> usize {
+        hmac::HMAC_SHA256.digest_algorithm().output_len()
+    }
+
+    fn verify(&self, data: &[u8], signature: &[u8]) -> Result<(), CryptoError> {
+        hmac::verify(self.key_for(data), data, signature).map_err(|_| CryptoError)
+    }
+}
+
+/// The reset that ends the flow of `cid`, in answer to a packet of `provoked_by` bytes; none when
+/// that packet was too short. A reset is shorter than its cause, so two ends never reset each
+/// other for ever.
+#[must_use]
+pub fn packet(ring: &Ring, cid: &[u8], provoked_by: usize, noise: u64) -> Option<Vec<u8>> {
+    let length = USUAL.min(provoked_by.checked_sub(1)?);
+    if length < LEAST {
+        return None;
+    }
+    let signer = Signer::open(ring.clone());
+    let token = hmac::sign(signer.key_for(cid), cid);
+    let mut packet = Vec::with_capacity(length);
+    let mut filler = blake3::Hasher::new_keyed(&ring.used().1.frame);
+    filler.update(&noise.to_be_bytes());
+    packet.resize(length - TOKEN, 0);
+    filler.finalize_xof().fill(&mut packet);
+    packet[0] = 0b0100_0000 | (packet[0] & 0b0011_1111);
+    packet.extend_from_slice(&token.as_ref()[..TOKEN]);
+    Some(packet)
+}
