--- a/crates/nutmegkeel_core/src/membership.rs
+++ b/crates/nutmegkeel_core/src/membership.rs
@@ -5,7 +5,7 @@
 
 mod rumors;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use rand::SeedableRng;
@@ -51,10 +51,24 @@
 const BURY_AFTER_MS: u64 = 60_000;
 /// Least time between two pulls of a peer's whole view, in milliseconds.
 const PULL_EVERY_MS: u64 = 5_000;
+/// The same for a process that is young.
+const YOUNG_PULL_EVERY_MS: u64 = 1_000;
 /// A gap between two ticks above this means that this process was paused, in milliseconds.
 const PAUSED_MS: u64 = 1_000;
+/// Time between two probes while a probe of this process went unanswered shortly before.
+const HASTE_MS: u64 = 100;
+/// Outcomes of probes count so long as evidence of being cut off, in milliseconds.
+const EVIDENCE_MS: u64 = 3_000;
+/// Suspects probed out of turn in one tick at most; bounds the traffic of a mass failure.
+const PER_TICK: usize = 2;
+/// With fewer others than this there is no evidence to be had.
+const FEW: usize = 3;
 /// Time between two attempts to join, in milliseconds.
 const JOIN_EVERY_MS: u64 = 500;
+/// A process is young for so long and meets a random balancer as often as it would join.
+const YOUNG_MS: u64 = 5_000;
+/// Time between two meetings with a random balancer of a process that is not young.
+const MEET_EVERY_MS: u64 = 5_000;
 
 /// A message between two processes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,6 +119,14 @@
 struct Belief {
     rumor: Rumor,
     since: Time,
+    /// Whether an own probe went unanswered since it became suspect.
+    failed: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Outcome {
+    at: Time,
+    answered: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -122,13 +144,16 @@
     pace: Pace,
     beliefs: BTreeMap<SocketAddr, Belief>,
     pending: BTreeMap<u64, Pending>,
+    outcomes: VecDeque<Outcome>,
     order: Vec<SocketAddr>,
     rumors: Rumors,
     rng: SmallRng,
     next_number: u64,
     next_probe: Time,
     next_join: Time,
+    next_meeting: Time,
     next_pull: Time,
+    first_tick: Option<Time>,
     last_tick: Option<Time>,
 }
 
@@ -141,13 +166,16 @@
             pace,
             beliefs: BTreeMap::new(),
             pending: BTreeMap::new(),
+            outcomes: VecDeque::new(),
             order: Vec::new(),
             rumors: Rumors::default(),
             rng: SmallRng::seed_from_u64(seed),
             next_number: 0,
             next_probe: Time::ZERO,
             next_join: Time::ZERO,
+            next_meeting: Time::ZERO,
             next_pull: Time::ZERO,
+            first_tick: None,
             last_tick: None,
         }
     }
@@ -190,14 +218,18 @@
 
     /// Time passes: probes, suspicions, deaths.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        self.first_tick.get_or_insert(now);
         self.notice_pause(now);
         let mut actions = Vec::new();
         self.join(now, &mut actions);
+        self.meet(now, &mut actions);
         self.expire_probes(now, &mut actions);
+        self.ask_suspects_again(now, &mut actions);
         self.give_up_suspects(now, &mut actions);
         self.bury(now);
         if now >= self.next_probe {
-            self.next_probe = now.after(self.pace.probe_every_ms);
+            let pause = if self.is_hasty(now) { HASTE_MS } else { self.pace.probe_every_ms };
+            self.next_probe = now.after(pause);
             self.probe_next(now, &mut actions);
         }
         actions
@@ -208,10 +240,11 @@
         let mut actions = Vec::new();
         match message {
             Message::Ping(probe) => {
-                let number = probe.number;
+                let (number, sender) = (probe.number, probe.sender.address);
                 self.take_in(now, probe, &mut actions);
-                let ack = Message::Ack(self.probe(number));
-                actions.push(Action::Send(from, ack));
+                let mut answer = self.probe(number);
+                answer.news.extend(self.grave_belief(sender));
+                actions.push(Action::Send(from, Message::Ack(answer)));
             }
             Message::Ack(probe) => self.acked(now, probe, &mut actions),
             Message::Relay(probe, target) => {
@@ -244,6 +277,7 @@
         {
             belief.rumor.health = Health::Alive;
             belief.since = now;
+            belief.failed = false;
             actions.push(Action::Changed(belief.rumor.clone()));
         }
         actions
@@ -269,11 +303,17 @@
             return;
         }
         self.pending.clear();
+        self.outcomes.clear();
         for belief in self.beliefs.values_mut() {
             belief.since = now;
+            belief.failed = false;
         }
     }
 
+    fn is_young(&self, now: Time) -> bool {
+        self.first_tick.is_none_or(|first| now.since(first) < YOUNG_MS)
+    }
+
     fn join(&mut self, now: Time, actions: &mut Vec<Action>) {
         let alone = self.living().next().is_none();
         if alone && now >= self.next_join {
@@ -282,6 +322,24 @@
         }
     }
 
+    /// Pings a random balancer by the fabric's address.
+    ///
+    /// Guards against groups that never hear of each other: processes that started at the same
+    /// time, or were cut apart for long, know only their own group, and probes stay within it. The
+    /// fabric knows no groups, so sooner or later it hands this ping to a balancer of another one,
+    /// and the digests in ping and answer show that the views differ.
+    fn meet(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if now < self.next_meeting {
+            return;
+        }
+        let pause = if self.is_young(now) { JOIN_EVERY_MS } else { MEET_EVERY_MS };
+        self.next_meeting = now.after(pause);
+        self.next_number += 1;
+        let number = self.next_number;
+        let probe = self.probe(number);
+        actions.push(Action::Join(Message::Ping(probe)));
+    }
+
     fn expire_probes(&mut self, now: Time, actions: &mut Vec<Action>) {
         let expired: Vec<(u64, Pending)> = self
             .pending
@@ -319,6 +377,7 @@
     }
 
     fn suspect(&mut self, now: Time, target: SocketAddr, actions: &mut Vec<Action>) {
+        self.note_outcome(now, false);
         let Some(belief) = self.beliefs.get(&target) else {
             return;
         };
@@ -326,32 +385,78 @@
             let rumor = Rumor { health: Health::Suspect, ..belief.rumor.clone() };
             self.learn(now, rumor, actions);
         }
+        if let Some(belief) = self.beliefs.get_mut(&target) {
+            belief.failed = true;
+        }
+    }
+
+    fn note_outcome(&mut self, now: Time, answered: bool) {
+        self.outcomes.push_back(Outcome { at: now, answered });
+        while self.outcomes.front().is_some_and(|first| now.since(first.at) > EVIDENCE_MS) {
+            self.outcomes.pop_front();
+        }
+    }
+
+    /// Whether an own probe went unanswered so recently that more evidence is wanted quickly.
+    fn is_hasty(&self, now: Time) -> bool {
+        let window = self.pace.suspect_for_ms;
+        self.outcomes.iter().any(|outcome| !outcome.answered && now.since(outcome.at) <= window)
     }
 
-    /// Gives up suspects whose time is over.
+    /// Whether most of this process's recent probes went unanswered.
+    fn is_cut_off(&self, now: Time) -> bool {
+        let recent = self.outcomes.iter().filter(|outcome| now.since(outcome.at) <= EVIDENCE_MS);
+        let all = recent.clone().count();
+        let failed = recent.filter(|outcome| !outcome.answered).count();
+        self.living().count() >= FEW && 2 * failed > all
+    }
+
+    /// Asks own suspects again while they have time left, so that one lost answer condemns nobody.
+    fn ask_suspects_again(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let suspects: Vec<SocketAddr> = self
+            .beliefs
+            .values()
+            .filter(|belief| belief.rumor.health == Health::Suspect && belief.failed)
+            .filter(|belief| now.since(belief.since) < self.pace.suspect_for_ms)
+            .map(|belief| belief.rumor.record.address)
+            .take(PER_TICK)
+            .collect();
+        for address in suspects {
+            actions.extend(self.doubt(now, address));
+        }
+    }
+
+    /// Gives up suspects whose time is over and whose silence this process met itself.
     ///
     /// Guards against a mass removal when the observer or its failure domain is cut off: then very
-    /// many go silent at once and the last good view is the better one. While more than a third
-    /// are silent nobody is given up before `hold_for_ms`, and nobody at all while this process
-    /// hears from fewer than half of the others.
+    /// many go silent at once and the last good view is the better one. Nobody is given up while
+    /// most own probes fail, and while more than a third are silent nobody before `hold_for_ms`.
     fn give_up_suspects(&mut self, now: Time, actions: &mut Vec<Action>) {
-        const FEW: usize = 3;
         let silent = self.living().filter(|rumor| rumor.health == Health::Suspect).count();
-        let known = self.living().count();
-        if silent == 0 || (silent >= FEW && silent * 2 > known) {
+        if silent == 0 {
             return;
         }
-        let many = silent >= FEW && silent * 3 > known;
+        let many = silent >= FEW && silent * 3 > self.living().count();
         let wait = if many { self.pace.hold_for_ms } else { self.pace.suspect_for_ms };
-        let over: Vec<Rumor> = self
+        let (own, hearsay): (Vec<&Belief>, Vec<&Belief>) = self
             .beliefs
             .values()
             .filter(|belief| belief.rumor.health == Health::Suspect)
             .filter(|belief| now.since(belief.since) >= wait)
+            .partition(|belief| belief.failed);
+        let over: Vec<Rumor> = own
+            .into_iter()
             .map(|belief| Rumor { health: Health::Dead, ..belief.rumor.clone() })
             .collect();
-        for rumor in over {
-            self.learn(now, rumor, actions);
+        let unsure: Vec<SocketAddr> =
+            hearsay.iter().map(|belief| belief.rumor.record.address).take(PER_TICK).collect();
+        for address in unsure {
+            actions.extend(self.doubt(now, address));
+        }
+        if !self.is_cut_off(now) {
+            for rumor in over {
+                self.believe(now, rumor, actions);
+            }
         }
     }
 
@@ -386,7 +491,8 @@
         let number = self.next_number;
         let until = now.after(self.pace.answer_within_ms);
         self.pending.insert(number, Pending { target, until, relayed: false, asked_by });
-        let probe = self.probe(number);
+        let mut probe = self.probe(number);
+        probe.news.extend(self.grave_belief(target));
         actions.push(Action::Send(target, Message::Ping(probe)));
     }
 
@@ -400,10 +506,17 @@
         }
     }
 
+    /// What the process at `address` must refute, if it is believed dead or suspect.
+    fn grave_belief(&self, address: SocketAddr) -> Option<Rumor> {
+        let belief = self.beliefs.get(&address)?;
+        (belief.rumor.health > Health::Alive).then(|| belief.rumor.clone())
+    }
+
     fn acked(&mut self, now: Time, probe: Probe, actions: &mut Vec<Action>) {
         let Some(pending) = self.pending.remove(&probe.number) else {
             return self.take_in(now, probe, actions);
         };
+        self.note_outcome(now, true);
         if let Some((asker, number)) = pending.asked_by {
             let passed_on = Probe { number, ..probe.clone() };
             actions.push(Action::Send(asker, Message::Ack(passed_on)));
@@ -421,24 +534,37 @@
             self.learn(now, rumor, actions);
         }
         if probe.digest != self.digest() && now >= self.next_pull {
-            self.next_pull = now.after(PULL_EVERY_MS);
+            let pause = if self.is_young(now) { YOUNG_PULL_EVERY_MS } else { PULL_EVERY_MS };
+            self.next_pull = now.after(pause);
             actions.push(Action::Send(sender, Message::Pull));
         }
     }
 
+    /// Takes in what others say.
+    ///
+    /// Guards against flows that are reset on hearsay: a process that was cut off or frozen is
+    /// dead to some and well to others. Their word makes it suspect here, which gives it the time
+    /// to refute; only this process's own unanswered waiting makes it dead.
     fn learn(&mut self, now: Time, rumor: Rumor, actions: &mut Vec<Action>) {
         if rumor.record.address == self.me.address {
             return self.learn_of_self(&rumor, actions);
         }
         let known = self.beliefs.get(&rumor.record.address).map(|belief| belief.rumor.clone());
-        let is_new = known.as_ref().is_none_or(|known| rumor.beats(known));
-        if !is_new || (known.is_none() && !is_living(&rumor)) {
+        if known.is_none() && !is_living(&rumor) {
             return;
         }
-        if let Some(known) = &known {
-            note_end(known, &rumor, actions);
+        let heard_dead = rumor.health == Health::Dead;
+        let rumor = if heard_dead { Rumor { health: Health::Suspect, ..rumor } } else { rumor };
+        if known.as_ref().is_none_or(|known| rumor.beats(known)) {
+            self.believe(now, rumor, actions);
+        }
+    }
+
+    fn believe(&mut self, now: Time, rumor: Rumor, actions: &mut Vec<Action>) {
+        if let Some(known) = self.beliefs.get(&rumor.record.address) {
+            note_end(&known.rumor, &rumor, actions);
         }
-        let belief = Belief { rumor: rumor.clone(), since: now };
+        let belief = Belief { rumor: rumor.clone(), since: now, failed: false };
         self.beliefs.insert(rumor.record.address, belief);
         self.rumors.add(rumor.clone());
         actions.push(Action::Changed(rumor));
--- a/crates/nutmegkeel_dev/src/demo/calls.rs
+++ b/crates/nutmegkeel_dev/src/demo/calls.rs
@@ -47,6 +47,7 @@
     pub(super) filed: Vec<String>,
     pub(super) times: Histogram<u64>,
     pub(super) longest_silence: Duration,
+    began: Instant,
 }
 
 impl Seen {
@@ -63,6 +64,7 @@
             filed: Vec::new(),
             times: times.unwrap_or_else(|_| Histogram::new(3).unwrap_or_else(|_| unreachable!())),
             longest_silence: Duration::ZERO,
+            began: Instant::now(),
         }
     }
 
@@ -80,13 +82,14 @@
         self.longest_silence = self.longest_silence.max(other.longest_silence);
     }
 
-    fn fault(&mut self, fault: &Fault) {
+    fn fault(&mut self, what: &str, fault: &Fault) {
         match fault {
             Fault::NotOpened(_) => self.not_opened += 1,
             Fault::Goodbye => self.refused += 1,
             Fault::Broken(_) => self.broken += 1,
         }
-        self.faults.push(fault.to_string());
+        let at = self.began.elapsed().as_secs_f64();
+        self.faults.push(format!("{at:.1}s {what}: {fault}"));
     }
 }
 
@@ -224,7 +227,7 @@
     match caller.flow(class.address).await {
         Ok(flow) => Ok(Held(Some(flow))),
         Err(fault) => {
-            seen.fault(&fault);
+            seen.fault("opening", &fault);
             Err(())
         }
     }
@@ -262,7 +265,7 @@
             }
             Err(Fault::Goodbye) => held = break_open(caller, class, seen).await,
             Err(fault) => {
-                seen.fault(&fault);
+                seen.fault(&call.path, &fault);
                 return None;
             }
         }
@@ -352,7 +355,7 @@
             None
         }
         Err(fault) => {
-            seen.fault(&fault);
+            seen.fault(&call.path, &fault);
             None
         }
     }
