--- a/crates/nutmegkeel_dev/src/caller.rs
+++ b/crates/nutmegkeel_dev/src/caller.rs
@@ -138,9 +138,9 @@
         let request = request(call).map_err(|error| Fault::Broken(error.to_string()))?;
         let mut stream = self.requests.send_request(request).await.map_err(fault)?;
         if !call.body.is_empty() {
-            stream.send_data(call.body.clone()).await.map_err(fault)?;
+            unless_unneeded(stream.send_data(call.body.clone()).await)?;
         }
-        stream.finish().await.map_err(fault)?;
+        unless_unneeded(stream.finish().await)?;
         let head = within(stream.recv_response()).await?;
         let mut answer = Answer {
             status: head.status(),
@@ -175,6 +175,14 @@
     }
 }
 
+/// A server that needs no more of a request says so and answers all the same.
+fn unless_unneeded(sent: Result<(), StreamError>) -> Result<(), Fault> {
+    match sent {
+        Err(StreamError::RemoteTerminate { code, .. }) if code == Code::H3_NO_ERROR => Ok(()),
+        other => other.map_err(fault),
+    }
+}
+
 async fn within<T>(future: impl Future<Output = Result<T, StreamError>>) -> Result<T, Fault> {
     match tokio::time::timeout(SILENT, future).await {
         Ok(result) => result.map_err(fault),
--- a/crates/nutmegkeel_dev/src/demo.rs
+++ b/crates/nutmegkeel_dev/src/demo.rs
@@ -1,7 +1,7 @@
 //! The whole system on loopback, under stops, kills and a drain, judged by its surroundings.
 
-mod bench;
-mod calls;
+pub(crate) mod bench;
+pub(crate) mod calls;
 mod report;
 
 use std::time::{Duration, Instant};
@@ -54,7 +54,8 @@
     let stopped_ended = bench.balancer_ended(0);
     println!("the stopped balancer ended by itself: {stopped_ended}");
     let records = bench.records();
-    let passed = report::print(&results, &records) && drained_ended && stopped_ended;
+    let counters = bench.counters();
+    let passed = report::print(&results, &records, &counters) && drained_ended && stopped_ended;
     if options.keep {
         println!("{}\npress Enter to stop everything", bench.directions());
         std::io::stdin().read_line(&mut String::new())?;
--- a/crates/nutmegkeel_dev/src/demo/bench.rs
+++ b/crates/nutmegkeel_dev/src/demo/bench.rs
@@ -1,5 +1,6 @@
 //! The processes of the demo and their settings.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
@@ -24,7 +25,7 @@
 /// Backend servers of each class.
 const SERVERS: usize = 3;
 /// Classes of the demo.
-pub(super) const CLASSES: [&str; 2] = ["intake", "feeds"];
+pub(crate) const CLASSES: [&str; 2] = ["intake", "feeds"];
 /// Failure domains, in turn.
 const DOMAINS: [&str; 3] = ["osu", "kaneshie", "tema"];
 /// Slots and connections of a backend server (brief, "Sizes of today").
@@ -37,9 +38,9 @@
 
 /// A class and its public address.
 #[derive(Clone, Debug)]
-pub(super) struct Class {
-    pub(super) name: &'static str,
-    pub(super) address: SocketAddr,
+pub(crate) struct Class {
+    pub(crate) name: &'static str,
+    pub(crate) address: SocketAddr,
 }
 
 struct Server {
@@ -56,14 +57,15 @@
 }
 
 /// Everything that runs, in one directory of its own.
-pub(super) struct Bench {
+pub(crate) struct Bench {
     directory: PathBuf,
     product: PathBuf,
     certificate: CertificateDer<'static>,
     classes: Vec<Class>,
     balancers: Vec<Balancer>,
     servers: Vec<Server>,
-    _surroundings: Vec<Process>,
+    webs: Vec<SocketAddr>,
+    surroundings: Vec<Process>,
 }
 
 impl Drop for Bench {
@@ -87,7 +89,7 @@
 
 impl Bench {
     /// Builds the product and starts everything but the last balancer.
-    pub(super) fn open() -> io::Result<Self> {
+    pub(crate) fn open() -> io::Result<Self> {
         let product = build_product()?;
         let tool = std::env::current_exe()?;
         let name = format!("nutmegkeel-demo-{}", std::process::id());
@@ -106,6 +108,7 @@
             private_key: write_secret(&directory, "private_key.pem", &private_key)?,
         };
         let (balancers, listed) = make_balancers(&directory, &shared)?;
+        let webs = listed.iter().map(|balancer| balancer.web).collect();
         let fabric = fabric::Settings { public: public.to_vec(), balancers: listed };
         let fabric = write(&directory, "fabric.json", &serde_json::to_string(&fabric)?)?;
         let surroundings = vec![
@@ -121,7 +124,8 @@
             classes,
             balancers,
             servers: Vec::new(),
-            _surroundings: surroundings,
+            webs,
+            surroundings,
         };
         for index in 0..FIRST_BALANCERS {
             bench.start_balancer(index)?;
@@ -132,21 +136,26 @@
         Ok(bench)
     }
 
-    pub(super) fn certificate(&self) -> CertificateDer<'static> {
+    pub(crate) fn certificate(&self) -> CertificateDer<'static> {
         self.certificate.clone()
     }
 
-    pub(super) fn classes(&self) -> Vec<Class> {
+    pub(crate) fn classes(&self) -> Vec<Class> {
         self.classes.clone()
     }
 
     /// Number of processes that were started.
-    pub(super) fn processes(&self) -> usize {
+    pub(crate) fn processes(&self) -> usize {
         let balancers = self.balancers.iter().filter(|balancer| balancer.process.is_some()).count();
-        balancers + 2 * self.servers.len() + self._surroundings.len()
+        balancers + 2 * self.servers.len() + self.surroundings.len()
     }
 
-    pub(super) fn start_balancer(&mut self, index: usize) -> io::Result<()> {
+    /// Number of processes that are the product's own.
+    pub(crate) fn product_processes(&self) -> usize {
+        self.processes() - self.servers.len() - self.surroundings.len()
+    }
+
+    pub(crate) fn start_balancer(&mut self, index: usize) -> io::Result<()> {
         let name = format!("balancer-{}", index + 1);
         let file = text(&self.balancers[index].file);
         let arguments = ["balancer", "--settings", &file];
@@ -155,25 +164,25 @@
         Ok(())
     }
 
-    pub(super) fn stop_balancer(&self, index: usize) {
+    pub(crate) fn stop_balancer(&self, index: usize) {
         if let Some(process) = &self.balancers[index].process {
             process.signal(Signal::Terminate);
         }
     }
 
-    pub(super) fn kill_balancer(&mut self, index: usize) {
+    pub(crate) fn kill_balancer(&mut self, index: usize) {
         if let Some(process) = &mut self.balancers[index].process {
             process.kill();
         }
     }
 
-    pub(super) fn balancer_ended(&mut self, index: usize) -> bool {
+    pub(crate) fn balancer_ended(&mut self, index: usize) -> bool {
         let process = self.balancers[index].process.as_mut();
         process.is_some_and(|process| process.ended_within(END_WITHIN))
     }
 
     /// Asks the server that holds the feed to drain and returns its name.
-    pub(super) fn drain_server_with_open_feed(&self) -> io::Result<String> {
+    pub(crate) fn drain_server_with_open_feed(&self) -> io::Result<String> {
         let holder = self
             .servers
             .iter()
@@ -184,17 +193,34 @@
         Ok(server.name.clone())
     }
 
-    pub(super) fn agent_ended(&mut self, name: &str) -> bool {
+    pub(crate) fn agent_ended(&mut self, name: &str) -> bool {
         let server = self.servers.iter_mut().find(|server| server.name == name);
         server.is_some_and(|server| server.agent.ended_within(END_WITHIN))
     }
 
-    pub(super) fn records(&self) -> Vec<Records> {
+    pub(crate) fn records(&self) -> Vec<Records> {
         self.servers.iter().filter_map(|server| records_of(server.address).ok()).collect()
     }
 
+    /// Counters of all processes that run, added up by name and labels.
+    pub(crate) fn counters(&self) -> BTreeMap<String, f64> {
+        let mut sums = BTreeMap::new();
+        for web in &self.webs {
+            let Ok(mut answer) = ureq::get(format!("http://{web}/metrics")).call() else {
+                continue;
+            };
+            let text = answer.body_mut().read_to_string().unwrap_or_default();
+            for line in text.lines().filter(|line| !line.starts_with('#')) {
+                if let Some((name, value)) = line.rsplit_once(' ') {
+                    *sums.entry(name.to_owned()).or_default() += value.parse().unwrap_or(0.0);
+                }
+            }
+        }
+        sums
+    }
+
     /// How to reach what runs, for somebody who wants to try commands on it.
-    pub(super) fn directions(&self) -> String {
+    pub(crate) fn directions(&self) -> String {
         let mut lines = vec![format!("token file: {}", self.directory.join("token").display())];
         for (index, balancer) in self.balancers.iter().enumerate() {
             lines.push(format!(
@@ -232,6 +258,7 @@
         let agent = spawn(&self.directory, &format!("agent-{name}"), &self.product, &arguments)?;
         let arguments = ["backend", &text(&file)];
         let backend = spawn(&self.directory, &format!("backend-{name}"), tool, &arguments)?;
+        self.webs.push(ports[1]);
         self.servers.push(Server { name, address: ports[2], agent, _backend: backend });
         Ok(())
     }
--- a/crates/nutmegkeel_dev/src/demo/calls.rs
+++ b/crates/nutmegkeel_dev/src/demo/calls.rs
@@ -36,17 +36,17 @@
 
 /// What the callers of one class saw.
 #[derive(Debug)]
-pub(super) struct Seen {
-    pub(super) calls: u64,
-    pub(super) answered: u64,
-    pub(super) refused: u64,
-    pub(super) may_have_run: u64,
-    pub(super) not_opened: u64,
-    pub(super) broken: u64,
-    pub(super) faults: Vec<String>,
-    pub(super) filed: Vec<String>,
-    pub(super) times: Histogram<u64>,
-    pub(super) longest_silence: Duration,
+pub(crate) struct Seen {
+    pub(crate) calls: u64,
+    pub(crate) answered: u64,
+    pub(crate) refused: u64,
+    pub(crate) may_have_run: u64,
+    pub(crate) not_opened: u64,
+    pub(crate) broken: u64,
+    pub(crate) faults: Vec<String>,
+    pub(crate) filed: Vec<String>,
+    pub(crate) times: Histogram<u64>,
+    pub(crate) longest_silence: Duration,
     began: Instant,
 }
 
@@ -94,16 +94,16 @@
 }
 
 /// What all callers saw, by class.
-pub(super) type Results = BTreeMap<&'static str, Seen>;
+pub(crate) type Results = BTreeMap<&'static str, Seen>;
 
 /// Callers at work.
-pub(super) struct Calls {
+pub(crate) struct Calls {
     tasks: JoinSet<(&'static str, Seen)>,
 }
 
 impl Calls {
     /// Sets the callers to work for `length`.
-    pub(super) fn begin(
+    pub(crate) fn begin(
         runtime: &Runtime,
         certificate: CertificateDer<'static>,
         classes: Vec<Class>,
@@ -125,7 +125,7 @@
     }
 
     /// Waits until the callers are done.
-    pub(super) fn end(mut self, runtime: &Runtime) -> Results {
+    pub(crate) fn end(mut self, runtime: &Runtime) -> Results {
         runtime.block_on(async {
             let mut results = Results::new();
             while let Some(ended) = self.tasks.join_next().await {
@@ -139,7 +139,7 @@
 }
 
 /// Returns once a status check is answered in every class.
-pub(super) async fn wait_until_served(
+pub(crate) async fn wait_until_served(
     certificate: CertificateDer<'static>,
     classes: &[Class],
 ) -> io::Result<()> {
@@ -163,7 +163,7 @@
     Ok(())
 }
 
-fn status_check(class: &Class, number: u64) -> Call {
+pub(crate) fn status_check(class: &Class, number: u64) -> Call {
     Call {
         method: Method::GET,
         path: format!("/status/{number}"),
@@ -173,7 +173,7 @@
     }
 }
 
-fn filing(class: &Class, number: u64) -> Call {
+pub(crate) fn filing(class: &Class, number: u64) -> Call {
     Call {
         method: Method::POST,
         path: "/filings".to_owned(),
--- a/crates/nutmegkeel_dev/src/demo/report.rs
+++ b/crates/nutmegkeel_dev/src/demo/report.rs
@@ -17,7 +17,11 @@
 }
 
 /// Prints what callers and backend servers saw; true when nothing was broken, misled or doubled.
-pub(super) fn print(results: &Results, records: &[Records]) -> bool {
+pub(super) fn print(
+    results: &Results,
+    records: &[Records],
+    counters: &BTreeMap<String, f64>,
+) -> bool {
     println!(
         "\n{:<8} {:>6} {:>8} {:>7} {:>6} {:>9} {:>6} {:>5} {:>5} {:>9} {:>8} {:>8} {:>8} {:>8}",
         "class",
@@ -76,6 +80,9 @@
         passed &= seen.broken == 0 && recorded.wrong_desk == 0 && recorded.run_twice == 0;
         passed &= recorded.not_recorded == 0 && seen.answered > 0;
     }
+    let dropped: BTreeMap<&String, &f64> =
+        counters.iter().filter(|(name, _)| name.starts_with("nutmegkeel_dropped")).collect();
+    line.insert("dropped".to_owned(), json!(dropped));
     line.insert("passed".to_owned(), passed.into());
     println!("{}", serde_json::Value::Object(line));
     passed
--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -4,21 +4,25 @@
 use std::process::ExitCode;
 
 use bpaf::Parser;
-use nutmegkeel_dev::{demo, standin};
+use nutmegkeel_dev::measure::Measurement;
+use nutmegkeel_dev::{demo, measure, standin};
 
 #[derive(Clone, Debug)]
 enum Command {
     Demo(demo::Options),
+    Measure(Measurement),
     Platform(std::net::SocketAddr),
     Fabric(PathBuf),
     Backend(PathBuf),
 }
 
 fn main() -> ExitCode {
-    let commands = bpaf::construct!([demo_command(), platform(), fabric(), backend()]);
+    let commands =
+        bpaf::construct!([demo_command(), measure_command(), platform(), fabric(), backend()]);
     let command = commands.to_options().descr("Demo, stand-ins and measurements").run();
     let ended = match command {
         Command::Demo(options) => demo::run(&options),
+        Command::Measure(measurement) => measure::run(&measurement),
         Command::Platform(address) => standin::platform::spawn(address).map(|_handle| {
             loop {
                 std::thread::park();
@@ -50,6 +54,25 @@
         .command("demo")
 }
 
+fn measure_command() -> impl Parser<Command> {
+    bpaf::construct!([path_measurement()])
+        .map(Command::Measure)
+        .to_options()
+        .descr("Measure one thing")
+        .command("measure")
+}
+
+fn path_measurement() -> impl Parser<Measurement> {
+    bpaf::long("flows")
+        .help("Flows to open, one after the other")
+        .argument("COUNT")
+        .fallback(200)
+        .map(Measurement::Path)
+        .to_options()
+        .descr("What the system adds to a call, and its control traffic")
+        .command("path")
+}
+
 fn platform() -> impl Parser<Command> {
     bpaf::positional("ADDRESS")
         .map(Command::Platform)
--- /dev/null
+++ b/crates/nutmegkeel_dev/tests/demo.rs
@@ -0,0 +1,49 @@
+//! The whole path as separate processes, under a planned stop, a kill, a start and a drain.
+
+use std::process::Command;
+
+use serde_json::Value;
+
+/// Seconds for which the callers call.
+const SECONDS: &str = "8";
+
+/// What a user would see: a feed that hangs or is cut, a download that stalls halfway, a filing
+/// that is lost or doubled. One balancer stops, one is killed, one starts, and the backend server
+/// that holds the feed drains, while callers open flows and file.
+#[test]
+fn callers_stay_connected_through_every_planned_change_and_a_kill() {
+    let ran = Command::new(env!("CARGO_BIN_EXE_nutmegkeel_dev"))
+        .args(["demo", "--seconds", SECONDS])
+        .output()
+        .expect("the demo starts");
+
+    let output = String::from_utf8_lossy(&ran.stdout);
+    let errors = String::from_utf8_lossy(&ran.stderr);
+    let last = output.lines().last().unwrap_or_default();
+    let report: Value = serde_json::from_str(last).unwrap_or_default();
+    assert!(ran.status.success(), "{output}\n{errors}");
+    for class in ["intake", "feeds"] {
+        let seen = &report[class];
+        assert_eq!(seen["broken"], 0, "{output}");
+        assert_eq!(seen["wrong_desk"], 0, "{output}");
+        assert_eq!(seen["run_twice"], 0, "{output}");
+        assert_eq!(seen["filed_not_recorded"], 0, "{output}");
+        assert_eq!(seen["calls"], seen["answered"], "{output}");
+    }
+}
+
+/// Every third packet was dropped because callers had leave to clear the bit by which balancers
+/// tell packets from frames (RFC 9287). Answers came only after a retransmission.
+#[test]
+fn no_packet_of_a_caller_is_taken_for_something_else() {
+    let ran = Command::new(env!("CARGO_BIN_EXE_nutmegkeel_dev"))
+        .args(["measure", "path", "--flows", "20"])
+        .output()
+        .expect("the measurement starts");
+
+    let output = String::from_utf8_lossy(&ran.stdout);
+    let report: Value =
+        serde_json::from_str(output.lines().last().unwrap_or_default()).unwrap_or_default();
+    assert!(ran.status.success(), "{output}");
+    assert_eq!(report["packets_not_understood"], 0, "{output}");
+}
--- a/crates/nutmegkeel_node/src/agent/flow.rs
+++ b/crates/nutmegkeel_node/src/agent/flow.rs
@@ -20,6 +20,9 @@
 
 /// HTTP/3 error code for an end without error (RFC 9114, section 8.1).
 const NO_ERROR: quinn::VarInt = quinn::VarInt::from_u32(0x100);
+/// A flow whose handshake is not done by then is given up. Without this bound a caller that opens
+/// and never speaks keeps a leaving agent from ending until the idle timeout.
+const OPEN_WITHIN: Duration = Duration::from_secs(5);
 /// How long a leaving agent lets a caller act upon its goodbye before an idle flow ends.
 const GOODBYE: Duration = Duration::from_millis(500);
 
@@ -62,7 +65,7 @@
     let Ok(connecting) = incoming.accept() else {
         return;
     };
-    let Ok(transport) = connecting.await else {
+    let Ok(Ok(transport)) = tokio::time::timeout(OPEN_WITHIN, connecting).await else {
         return;
     };
     let opened = h3::server::Connection::new(h3_quinn::Connection::new(transport.clone())).await;
--- a/crates/nutmegkeel_node/src/agent/request.rs
+++ b/crates/nutmegkeel_node/src/agent/request.rs
@@ -1,5 +1,6 @@
 //! One request: admission, a claim if it has a key, the backend server, the answer.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -77,24 +78,50 @@
     let Ok((head, stream)) = resolver.resolve_request().await else {
         return;
     };
-    let (mut answering, receiving) = stream.split();
+    let (mut answering, mut receiving) = stream.split();
     let mut work = Work::open(Arc::clone(&shared), &head);
     match work.prepare(&head).await {
+        Ok(ready) if has_no_body(&head) => {
+            let request = to_backend(&shared, &head, Empty::new().map_err(never).boxed());
+            send(&shared, work, ready, request, &mut answering, arrived).await;
+            end_receiving(&mut receiving);
+        }
         Ok(ready) => {
-            let request = to_backend(&shared, &head, receiving);
-            match ready.send(request).await {
-                Ok(response) => {
-                    record(&shared, Verdict::Ran, arrived);
-                    work.relay(response, &mut answering).await;
-                }
-                Err(fault) => {
-                    work.shed = true;
-                    let refusal = broke_off(&fault);
-                    refuse(&shared, &mut answering, refusal, arrived).await;
-                }
-            }
+            let request = to_backend(&shared, &head, stream_body(receiving));
+            send(&shared, work, ready, request, &mut answering, arrived).await;
+        }
+        Err(refusal) => {
+            refuse(&shared, &mut answering, refusal, arrived).await;
+            end_receiving(&mut receiving);
+        }
+    }
+}
+
+/// Says that the rest of a request is not needed (RFC 9114, section 4.1).
+///
+/// Guards against an answer that looks like a failure: dropping the stream would stop it with code
+/// 0, and a caller that had not sent its end yet would take that for a reset of its request.
+fn end_receiving(receiving: &mut Receiving) {
+    receiving.stop_sending(Code::H3_NO_ERROR);
+}
+
+async fn send(
+    shared: &Shared,
+    mut work: Work,
+    ready: Ready,
+    request: Request<Body>,
+    answering: &mut Answering,
+    arrived: Instant,
+) {
+    match ready.send(request).await {
+        Ok(response) => {
+            record(shared, Verdict::Ran, arrived);
+            work.relay(response, answering).await;
+        }
+        Err(fault) => {
+            work.shed = true;
+            refuse(shared, answering, broke_off(&fault), arrived).await;
         }
-        Err(refusal) => refuse(&shared, &mut answering, refusal, arrived).await,
     }
 }
 
@@ -262,12 +289,15 @@
     headers.remove("keep-alive");
 }
 
-fn to_backend(shared: &Shared, head: &Request<()>, receiving: Receiving) -> Request<Body> {
-    let body = if matches!(*head.method(), Method::GET | Method::HEAD) {
-        Empty::new().map_err(|never| match never {}).boxed()
-    } else {
-        stream(receiving)
-    };
+fn has_no_body(head: &Request<()>) -> bool {
+    matches!(*head.method(), Method::GET | Method::HEAD)
+}
+
+fn never(never: Infallible) -> std::io::Error {
+    match never {}
+}
+
+fn to_backend(shared: &Shared, head: &Request<()>, body: Body) -> Request<Body> {
     let mut request = Request::new(body);
     *request.method_mut() = head.method().clone();
     let path = head.uri().path_and_query().map_or("/", |path| path.as_str());
@@ -282,7 +312,7 @@
 }
 
 /// The request's body as it arrives; a slow backend server slows the caller.
-fn stream(mut receiving: Receiving) -> Body {
+fn stream_body(mut receiving: Receiving) -> Body {
     let (parts, received) = mpsc::channel(BODY_PARTS);
     tokio::spawn(async move {
         loop {
--- a/crates/nutmegkeel_node/src/agent/transport.rs
+++ b/crates/nutmegkeel_node/src/agent/transport.rs
@@ -45,6 +45,9 @@
     let server = server(certificates, key).map_err(Fault::Certificate)?;
     let signer = Arc::new(Signer::open(shared.keys.clone()));
     let mut config = EndpointConfig::new(signer);
+    // Callers may clear the fixed bit (RFC 9287) only if we say so. Balancers tell packets from
+    // frames by it, and one in two packets would be dropped as neither.
+    config.grease_quic_bit(false);
     let (keys, class, hop) = (shared.keys.clone(), shared.class_id, shared.core().hop());
     config.cid_generator(move || Box::new(Generator::open(keys.clone(), class, hop)));
     let socket = Arc::new(Socket::open(Arc::clone(shared)));
