--- /dev/null
+++ b/crates/nutmegkeel_core/tests/configuration.rs
@@ -0,0 +1,79 @@
+//! An operator's change on its way to every process.
+
+use nutmegkeel_core::class::Target;
+use nutmegkeel_core::configuration::{Book, Entry, Revision};
+use nutmegkeel_fake::fleet::{Fleet, address, balancer};
+use quickcheck::{Gen, QuickCheck};
+
+fn entry(revision: u64) -> Entry {
+    let target = Target { leave_within_ms: 1_000 + revision, ..Target::default() };
+    Entry { name: "intake".into(), revision: Revision(revision), target: Some(target) }
+}
+
+fn in_force(fleet: &Fleet, revision: u64) -> usize {
+    fleet.peers.values().filter(|peer| peer.book().revision() == Revision(revision)).count()
+}
+
+/// An operator's change is in force on one balancer and never on the others: the platform went
+/// down straight after it was accepted, and only the platform was asked.
+#[test]
+fn a_change_reaches_everybody_without_the_platform() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::open((0..40).map(balancer).collect(), seed);
+        fleet.run_for(8_000);
+        fleet.loss_percent = 10;
+
+        fleet.learn(address(7), entry(1));
+        fleet.run_for(3_000);
+
+        assert_eq!(in_force(&fleet, 1), 40, "seed {seed}");
+    }
+}
+
+/// A balancer that was frozen during a change wakes with the old target and must catch up.
+#[test]
+fn a_frozen_balancer_catches_up() {
+    let mut fleet = Fleet::open((0..10).map(balancer).collect(), 1);
+    fleet.run_for(8_000);
+    fleet.halted.insert(address(3));
+    fleet.learn(address(7), entry(1));
+    fleet.run_for(20_000);
+
+    fleet.halted.remove(&address(3));
+    fleet.run_for(5_000);
+
+    assert_eq!(in_force(&fleet, 1), 10);
+}
+
+/// A newcomer starts while the platform is down and serves without any target.
+#[test]
+fn a_newcomer_gets_the_configuration_from_its_peers() {
+    let mut fleet = Fleet::open((0..5).map(balancer).collect(), 1);
+    fleet.run_for(8_000);
+    fleet.learn(address(1), entry(9));
+    fleet.run_for(2_000);
+
+    fleet.start(balancer(20));
+    fleet.run_for(3_000);
+
+    assert_eq!(in_force(&fleet, 9), 6);
+}
+
+/// A target that was changed twice goes back to the first change: its message came late.
+fn never_reverts(revisions: Vec<u8>) -> bool {
+    let mut book = Book::default();
+    let mut greatest = 0;
+    revisions.iter().all(|revision| {
+        let revision = u64::from(*revision);
+        book.learn(entry(revision));
+        greatest = greatest.max(revision);
+        let expected = (greatest > 0).then(|| 1_000 + greatest);
+        book.target("intake").map(|target| target.leave_within_ms) == expected
+    })
+}
+
+#[test]
+fn entries_in_any_order_never_revert_a_target() {
+    let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(50, 3)).tests(500);
+    check.quickcheck(never_reverts as fn(Vec<u8>) -> bool);
+}
--- a/crates/nutmegkeel_core/tests/membership.rs
+++ b/crates/nutmegkeel_core/tests/membership.rs
@@ -1,9 +1,7 @@
 //! Membership under loss, islands, freezes, cuts and restarts.
 
-mod fixture;
-
-use fixture::{Fleet, address, agent, balancer};
 use nutmegkeel_core::member::{Instance, Record};
+use nutmegkeel_fake::fleet::{Fleet, address, agent, balancer};
 
 fn fleet_of(balancers: u16, agents: u16, seed: u64) -> Fleet {
     let balancers = (0..balancers).map(balancer);
--- /dev/null
+++ b/crates/nutmegkeel_core/tests/placement.rs
@@ -0,0 +1,120 @@
+//! Placement of new flows.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use nutmegkeel_core::load::Report;
+use nutmegkeel_core::member::Instance;
+use nutmegkeel_core::placement::{Candidate, Hop, Key, Pool, Rule};
+use nutmegkeel_fake::fleet::address;
+
+const RULE: Rule = Rule::LoadedRendezvous;
+
+fn pool(agents: u16) -> Pool {
+    let mut pool = Pool::default();
+    for number in 0..agents {
+        pool.insert(address(number), Candidate::new(Instance::new(1), 7, 2_000));
+    }
+    pool
+}
+
+fn placed(pool: &mut Pool, rule: Rule, flows: u64) -> BTreeMap<SocketAddr, usize> {
+    let mut counts = BTreeMap::new();
+    for flow in 0..flows {
+        let key = Key::of(&[&flow.to_be_bytes()]);
+        let choice = pool.place(key, rule, 1).expect("agents take flows");
+        *counts.entry(choice.first.address).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn balancers_with_the_same_view_decide_alike() {
+    let (mut one, mut other) = (pool(7), pool(7));
+
+    for flow in 0..500_u64 {
+        let key = Key::of(&[&flow.to_be_bytes()]);
+        assert_eq!(one.place(key, RULE, 3), other.place(key, RULE, 3));
+    }
+}
+
+#[test]
+fn the_next_choice_is_another_agent() {
+    let mut pool = pool(2);
+
+    let choice = pool.place(Key::new(1), RULE, 1).expect("agents take flows");
+
+    assert_ne!(Some(choice.first), choice.next);
+}
+
+#[test]
+fn one_agent_that_leaves_moves_only_its_own_flows() {
+    let mut whole = pool(7);
+    let mut reduced = pool(7);
+    reduced.remove(address(3));
+
+    for flow in 0..1_000_u64 {
+        let key = Key::of(&[&flow.to_be_bytes()]);
+        let before = whole.place(key, Rule::Rendezvous, 1).expect("agents take flows").first;
+        let after = reduced.place(key, Rule::Rendezvous, 1).expect("agents take flows").first;
+        assert!(before == after || before.address == address(3));
+    }
+}
+
+/// New flows go into the void: their agent's host died, and nobody has given it up yet.
+/// A suspect gets no new flow while another agent is trusted.
+#[test]
+fn a_suspect_gets_no_new_flow() {
+    let mut pool = pool(3);
+    let mut suspect = Candidate::new(Instance::new(1), 7, 2_000);
+    suspect.suspect = true;
+    pool.insert(address(1), suspect);
+
+    let counts = placed(&mut pool, RULE, 1_000);
+
+    assert_eq!(counts.get(&address(1)), None);
+}
+
+/// Every agent is suspect, so the observer is the likelier fault: flows must still be placed.
+#[test]
+fn all_suspect_is_as_good_as_none() {
+    let mut pool = Pool::default();
+    for number in 0..3 {
+        let mut suspect = Candidate::new(Instance::new(1), 7, 2_000);
+        suspect.suspect = true;
+        pool.insert(address(number), suspect);
+    }
+
+    assert_eq!(placed(&mut pool, RULE, 300).len(), 3);
+}
+
+/// Status checks hang at one desk while others are idle: a report of no load was old, and every
+/// balancer sent its new flows there until the next report. Own placements must count meanwhile.
+#[test]
+fn a_stale_report_of_no_load_attracts_no_herd() {
+    let mut pool = pool(7);
+    for number in 1..7 {
+        let hop = Hop { address: address(number), instance: Instance::new(1) };
+        pool.heard(hop, Report { connections: 100, busy: 0, queued: 0 });
+    }
+
+    let counts = placed(&mut pool, RULE, 2_000);
+
+    let herd = counts[&address(0)];
+    assert!(herd < 2_000 * 2 / 7, "{herd} of 2000 flows went to the idle agent");
+}
+
+/// A report of an earlier run says nothing about the run that replaced it.
+#[test]
+fn a_report_of_an_earlier_run_is_ignored() {
+    let mut pool = pool(1);
+    let later = Candidate::new(Instance::new(2), 7, 10);
+    pool.insert(address(0), later.clone());
+
+    let earlier = Hop { address: address(0), instance: Instance::new(1) };
+    pool.heard(earlier, Report { connections: 10, busy: 7, queued: 0 });
+
+    let mut fresh = Pool::default();
+    fresh.insert(address(0), later);
+    assert_eq!(format!("{pool:?}"), format!("{fresh:?}"));
+}
--- /dev/null
+++ b/crates/nutmegkeel_fake/src/store.rs
@@ -0,0 +1,119 @@
+//! A key-value service in memory that can be down, lose answers, or let a rival write first.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use nutmegkeel_platform::kv::{Committed, Fault, Lease, Pair, Store, Write};
+
+/// How one call goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It is answered.
+    Answered,
+    /// It does not reach the service.
+    NotSent,
+    /// It reaches the service, and the answer is lost.
+    AnswerLost,
+    /// It is lost on its way, and the client cannot tell.
+    CallLost,
+    /// A rival's value is written just before it.
+    AfterRival(String, Vec<u8>),
+}
+
+#[derive(Debug, Default)]
+struct State {
+    pairs: BTreeMap<String, Pair>,
+    revision: u64,
+    fates: Vec<Fate>,
+    writes: u64,
+}
+
+/// The fake. Calls meet the given fates in order, and all later ones are answered.
+#[derive(Debug, Default)]
+pub struct Memory {
+    state: Mutex<State>,
+}
+
+impl Memory {
+    /// An empty service whose next calls meet these fates.
+    #[must_use]
+    pub fn open(mut fates: Vec<Fate>) -> Self {
+        fates.reverse();
+        Self { state: Mutex::new(State { fates, ..State::default() }) }
+    }
+
+    /// Writes that took effect.
+    #[must_use]
+    pub fn writes(&self) -> u64 {
+        self.state().writes
+    }
+
+    /// Lets the next calls meet these fates.
+    pub fn set_fates(&self, mut fates: Vec<Fate>) {
+        fates.reverse();
+        self.state().fates = fates;
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn call<T>(&self, effect: impl FnOnce(&mut State) -> T) -> Result<T, Fault> {
+        let mut state = self.state();
+        let fate = state.fates.pop().unwrap_or(Fate::Answered);
+        match fate {
+            Fate::Answered => Ok(effect(&mut state)),
+            Fate::NotSent => Err(Fault::NotSent("fake".to_owned())),
+            Fate::CallLost => Err(Fault::Lost("fake".to_owned())),
+            Fate::AnswerLost => {
+                effect(&mut state);
+                Err(Fault::Lost("fake".to_owned()))
+            }
+            Fate::AfterRival(key, value) => {
+                state.put(key, value);
+                Ok(effect(&mut state))
+            }
+        }
+    }
+}
+
+impl State {
+    fn put(&mut self, key: String, value: Vec<u8>) {
+        self.revision += 1;
+        let pair = Pair { key: key.clone(), value, revision: self.revision };
+        self.pairs.insert(key, pair);
+    }
+
+    fn commit(&mut self, writes: &[Write]) -> Committed {
+        let held = |key: &str| self.pairs.get(key).map_or(0, |pair| pair.revision);
+        if writes.iter().any(|write| held(&write.key) != write.expected) {
+            return Committed::Differs;
+        }
+        for write in writes {
+            self.put(write.key.clone(), write.value.clone());
+        }
+        self.writes += 1;
+        Committed::Written(self.revision)
+    }
+}
+
+impl Store for Memory {
+    fn get(&self, key: &str) -> Result<Option<Pair>, Fault> {
+        self.call(|state| state.pairs.get(key).cloned())
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<Pair>, Fault> {
+        self.call(|state| {
+            let matching = state.pairs.values().filter(|pair| pair.key.starts_with(prefix));
+            matching.cloned().collect()
+        })
+    }
+
+    fn commit(&self, writes: &[Write]) -> Result<Committed, Fault> {
+        self.call(|state| state.commit(writes))
+    }
+
+    fn grant(&self, _seconds: u64) -> Result<Lease, Fault> {
+        self.call(|_| Lease(1))
+    }
+}
