--- a/crates/nutmegkeel_platform/src/classes.rs
+++ b/crates/nutmegkeel_platform/src/classes.rs
@@ -28,20 +28,31 @@
     now: impl Fn() -> Time,
     wait: impl Fn(u64),
 ) -> Action {
-    let key = format!("{PREFIX}{}", request.class);
+    let class = request.class.clone();
     let (mut change, mut action) = Change::begin(request, deadline);
-    loop {
-        let event = match action {
-            Action::Read => get(store, &key),
-            Action::ReadLater(millis) => {
-                wait(millis);
-                get(store, &key)
-            }
-            Action::Swap(expected, value) => swap(store, &key, expected, &value),
-            last => return last,
-        };
+    while let Some(event) = carry_out(store, &class, action.clone(), &wait) {
         action = change.handle(now(), event);
     }
+    action
+}
+
+/// Carries out one step of a change; none when the action is a final one.
+pub fn carry_out(
+    store: &dyn Store,
+    class: &str,
+    action: Action,
+    wait: impl Fn(u64),
+) -> Option<Event> {
+    let key = format!("{PREFIX}{class}");
+    match action {
+        Action::Read => Some(get(store, &key)),
+        Action::ReadLater(millis) => {
+            wait(millis);
+            Some(get(store, &key))
+        }
+        Action::Swap(expected, value) => Some(swap(store, &key, expected, &value)),
+        Action::Accepted(_) | Action::Conflict(_) | Action::NotRun | Action::MayHaveRun => None,
+    }
 }
 
 fn entry(pair: &Pair) -> Option<Entry> {
--- /dev/null
+++ b/crates/nutmegkeel_platform/tests/classes.rs
@@ -0,0 +1,196 @@
+//! An operator's change when answers are lost, the platform is down, or two operators race.
+
+use std::cell::Cell;
+
+use nutmegkeel_core::change::{Action, Change, Event, Request, Stored, Value};
+use nutmegkeel_core::class::Target;
+use nutmegkeel_core::clock::Time;
+use nutmegkeel_core::configuration::{Entry, Revision};
+use nutmegkeel_fake::store::{Fate, Memory};
+use nutmegkeel_platform::classes::{self, PREFIX};
+use nutmegkeel_platform::kv::Store;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const DEADLINE_MS: u64 = 5_000;
+
+fn target(leave_within_ms: u64) -> Target {
+    Target { leave_within_ms, ..Target::default() }
+}
+
+fn request(id: &str, leave_within_ms: u64, expected: Option<u64>) -> Request {
+    Request {
+        id: id.into(),
+        class: "intake".into(),
+        target: Some(target(leave_within_ms)),
+        expected: expected.map(Revision),
+    }
+}
+
+fn change(store: &Memory, request: Request) -> Action {
+    let clock = Cell::new(0);
+    let deadline = Time::from_millis(DEADLINE_MS);
+    let now = || Time::from_millis(clock.get());
+    classes::change(store, request, deadline, now, |millis| clock.set(clock.get() + millis))
+}
+
+fn stored(store: &Memory) -> Vec<Entry> {
+    store.set_fates(Vec::new());
+    classes::read(store).expect("the fake answers")
+}
+
+fn rival(leave_within_ms: u64) -> Fate {
+    let value = Value { target: Some(target(leave_within_ms)), changes: vec!["rival".into()] };
+    let value = serde_json::to_vec(&value).expect("a value is JSON");
+    Fate::AfterRival(format!("{PREFIX}intake"), value)
+}
+
+#[test]
+fn an_accepted_change_is_written() {
+    let store = Memory::default();
+
+    let ended = change(&store, request("a", 900, Some(0)));
+
+    assert!(matches!(ended, Action::Accepted(_)));
+    assert_eq!(stored(&store)[0].target, Some(target(900)));
+}
+
+/// An operator is told that the change failed and makes it again, over a colleague's change in
+/// between: the answer was lost after the write took effect. Its identity inside the value tells.
+#[test]
+fn a_lost_answer_is_resolved_and_written_once() {
+    let store = Memory::open(vec![Fate::Answered, Fate::AnswerLost]);
+
+    let ended = change(&store, request("a", 900, Some(0)));
+
+    assert!(matches!(ended, Action::Accepted(Entry { revision: Revision(1), .. })));
+    assert_eq!(store.writes(), 1);
+}
+
+/// Two operators change the same class; the later one silently undoes the earlier one's change.
+/// One must win, and the other must learn the revision that it lost to.
+#[test]
+fn of_two_racing_operators_one_gets_a_conflict() {
+    let store = Memory::open(vec![Fate::Answered, rival(700)]);
+
+    let ended = change(&store, request("a", 900, Some(0)));
+
+    assert_eq!(ended, Action::Conflict(Revision(1)));
+    assert_eq!(stored(&store)[0].target, Some(target(700)));
+}
+
+/// The answer was lost, and a colleague's change came on top before it was read back. The lost
+/// change did take effect, and what is in force now is the colleague's.
+#[test]
+fn a_lost_change_that_was_replaced_counts_as_accepted() {
+    let first = request("a", 900, Some(0));
+    let (mut state, _) = Change::begin(first, Time::from_millis(1_000));
+    let swap = state.handle(Time::ZERO, Event::Read(None));
+    assert!(matches!(swap, Action::Swap(Revision(0), _)));
+    state.handle(Time::ZERO, Event::Lost);
+    let replaced = Stored {
+        value: Value { target: Some(target(700)), changes: vec!["rival".into(), "a".into()] },
+        revision: Revision(2),
+    };
+
+    let ended = state.handle(Time::ZERO, Event::Read(Some(replaced)));
+
+    let Action::Accepted(entry) = ended else { panic!("{ended:?}") };
+    assert_eq!((entry.revision, entry.target), (Revision(2), Some(target(700))));
+}
+
+#[test]
+fn a_repeat_with_the_same_identity_changes_nothing() {
+    let store = Memory::default();
+    change(&store, request("a", 900, Some(0)));
+
+    let again = change(&store, request("a", 900, Some(0)));
+
+    assert!(matches!(again, Action::Accepted(Entry { revision: Revision(1), .. })));
+    assert_eq!(store.writes(), 1);
+}
+
+#[test]
+fn a_platform_that_stays_down_means_not_run() {
+    let store = Memory::open(vec![Fate::NotSent; 100]);
+
+    assert_eq!(change(&store, request("a", 900, Some(0))), Action::NotRun);
+}
+
+#[test]
+fn a_platform_that_goes_away_after_the_write_means_may_have_run() {
+    let mut fates = vec![Fate::Answered, Fate::AnswerLost];
+    fates.extend(vec![Fate::NotSent; 100]);
+    let store = Memory::open(fates);
+
+    assert_eq!(change(&store, request("a", 900, Some(0))), Action::MayHaveRun);
+}
+
+/// One step of one of two operators, and what befalls its call.
+#[derive(Clone, Debug)]
+struct Step {
+    operator: usize,
+    fate: Fate,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(source: &mut Gen) -> Self {
+        let fate = match u8::arbitrary(source) % 6 {
+            0 => Fate::NotSent,
+            1 => Fate::AnswerLost,
+            2 => Fate::CallLost,
+            _ => Fate::Answered,
+        };
+        Self { operator: usize::from(bool::arbitrary(source)), fate }
+    }
+}
+
+/// Two operators race for one class, their calls interleaved and befallen by anything. Whatever
+/// they are told is true: accepted means written, conflict and "not run" mean never written, and
+/// with the same expected revision at most one of them is accepted.
+fn verdicts_are_true(steps: Vec<Step>) -> bool {
+    let store = Memory::default();
+    let deadline = Time::from_millis(DEADLINE_MS);
+    let mut operators = ["a", "b"].map(|id| Change::begin(request(id, 900, Some(0)), deadline));
+    let mut now = Time::ZERO;
+    for step in steps {
+        now = now.after(100);
+        let (change, action) = &mut operators[step.operator];
+        if is_final(action) {
+            continue;
+        }
+        store.set_fates(vec![step.fate]);
+        let event = classes::carry_out(&store, "intake", action.clone(), |_| {});
+        if let Some(event) = event {
+            *action = change.handle(now, event);
+        }
+    }
+    let written = written_changes(&store);
+    let accepted = operators.iter().filter(|(_, action)| matches!(action, Action::Accepted(_)));
+    let at_most_one = accepted.count() <= 1;
+    let all_true = ["a", "b"].iter().zip(&operators).all(|(id, (_, action))| {
+        let is_written = written.iter().any(|change| &**change == *id);
+        match action {
+            Action::Accepted(_) => is_written,
+            Action::Conflict(_) | Action::NotRun => !is_written,
+            _ => true,
+        }
+    });
+    at_most_one && all_true
+}
+
+const fn is_final(action: &Action) -> bool {
+    !matches!(action, Action::Read | Action::ReadLater(_) | Action::Swap(..))
+}
+
+fn written_changes(store: &Memory) -> Vec<nutmegkeel_core::change::Id> {
+    store.set_fates(Vec::new());
+    let pair = store.get(&format!("{PREFIX}intake")).expect("the fake answers");
+    let value = pair.and_then(|pair| serde_json::from_slice::<Value>(&pair.value).ok());
+    value.map_or_else(Vec::new, |value| value.changes)
+}
+
+#[test]
+fn verdicts_stay_true_when_two_operators_race_and_calls_fail() {
+    let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(40, 5)).tests(5_000);
+    check.quickcheck(verdicts_are_true as fn(Vec<Step>) -> bool);
+}
