--- a/crates/nutmegkeel_core/src/agent.rs
+++ b/crates/nutmegkeel_core/src/agent.rs
@@ -95,7 +95,7 @@
     paths: Paths,
     openings: BTreeMap<Key, Time>,
     flows: u32,
-    requests: usize,
+    requests: BTreeMap<Id, Time>,
     seed: u64,
 }
 
@@ -112,7 +112,7 @@
             paths: Paths::default(),
             openings: BTreeMap::new(),
             flows: 0,
-            requests: 0,
+            requests: BTreeMap::new(),
             seed,
         }
     }
@@ -161,7 +161,7 @@
             Event::FlowOpened => self.count_flow(1),
             Event::FlowClosed => self.count_flow(-1),
             Event::Request(id, deadline) => self.request(now, id, deadline),
-            Event::Claim(id, name) => self.claim(now, id, name),
+            Event::Claim(id, name) => self.claim(id, name),
             Event::Written(outcomes) => self.written(now, &outcomes),
             Event::Finished(id, shed) => self.finished(now, id, shed),
             Event::Cancelled(id) => self.cancelled(now, id),
@@ -228,14 +228,16 @@
         }
         let decision = self.gate.arrive(now, id, deadline);
         if !matches!(decision, Some(Decision::Refuse(..))) {
-            self.requests += 1;
+            self.requests.insert(id, deadline);
         }
         decision.into_iter().map(Action::Decided).collect()
     }
 
-    fn claim(&mut self, now: Time, id: Id, name: Name) -> Vec<Action> {
+    fn claim(&mut self, id: Id, name: Name) -> Vec<Action> {
         let claim = Claim { name, owner: self.hop(), id };
-        self.ledger.ask(now, claim);
+        // A request that is over already must not run: its deadline lies at the origin.
+        let deadline = self.requests.get(&id).copied().unwrap_or_default();
+        self.ledger.ask(claim, deadline);
         self.write_group()
     }
 
@@ -251,22 +253,24 @@
     }
 
     fn finished(&mut self, now: Time, id: Id, shed: bool) -> Vec<Action> {
-        self.requests = self.requests.saturating_sub(1);
+        self.requests.remove(&id);
         let decisions = self.gate.finish(now, id, shed);
         self.decided(decisions)
     }
 
     fn cancelled(&mut self, now: Time, id: Id) -> Vec<Action> {
-        self.requests = self.requests.saturating_sub(1);
+        self.requests.remove(&id);
         self.ledger.forget(id);
         let decisions = self.gate.cancel(now, id);
         self.decided(decisions)
     }
 
     fn decided(&mut self, decisions: Vec<Decision>) -> Vec<Action> {
-        let refused =
-            decisions.iter().filter(|decision| matches!(decision, Decision::Refuse(..))).count();
-        self.requests = self.requests.saturating_sub(refused);
+        for decision in &decisions {
+            if let Decision::Refuse(id, ..) = decision {
+                self.requests.remove(id);
+            }
+        }
         decisions.into_iter().map(Action::Decided).collect()
     }
 
@@ -292,7 +296,7 @@
             Stage::Leaving(life) => now.since(life.since()) < LINGER_MS,
             _ => false,
         };
-        self.flows as usize + self.requests + usize::from(lingers)
+        self.flows as usize + self.requests.len() + usize::from(lingers)
     }
 
     fn move_on(&mut self, now: Time, step: impl FnOnce(Stage) -> Stage) -> Vec<Action> {
--- a/crates/nutmegkeel_core/src/claim.rs
+++ b/crates/nutmegkeel_core/src/claim.rs
@@ -13,9 +13,8 @@
 use crate::clock::Time;
 use crate::placement::Hop;
 
-/// How long a claim may be acted upon after it was asked for, in milliseconds.
-pub const USABLE_MS: u64 = 10_000;
-/// How long the platform keeps a claim, in milliseconds. Must exceed [`USABLE_MS`] by far.
+/// How long the platform keeps a claim at least, in milliseconds. A key is run at most once if its
+/// caller repeats it within this time less the longest deadline ([`crate::class::Target`]).
 pub const KEPT_MS: u64 = 3_600_000;
 /// Claims in one write at most; the usual bound of a transaction's operations is 128.
 pub const GROUP: usize = 64;
@@ -74,19 +73,19 @@
 pub struct Ledger {
     waiting: Vec<Claim>,
     in_flight: Vec<Claim>,
-    asked: BTreeMap<Id, Time>,
+    deadlines: BTreeMap<Id, Time>,
 }
 
 impl Ledger {
-    /// Asks for a claim. It goes out with the next group.
-    pub fn ask(&mut self, now: Time, claim: Claim) {
-        self.asked.insert(claim.id, now);
+    /// Asks for a claim of a request with this deadline. It goes out with the next group.
+    pub fn ask(&mut self, claim: Claim, deadline: Time) {
+        self.deadlines.insert(claim.id, deadline);
         self.waiting.push(claim);
     }
 
     /// The caller gave up on a request: forget that it wants to run.
     pub fn forget(&mut self, id: Id) {
-        self.asked.remove(&id);
+        self.deadlines.remove(&id);
         self.waiting.retain(|claim| claim.id != id);
     }
 
@@ -102,10 +101,11 @@
 
     /// The group in flight was answered, one outcome for each claim in order.
     ///
-    /// Guards against a holder that was paused while its claim lapsed: the agent's own clock is
-    /// read when it is about to act, and a claim older than [`USABLE_MS`] is not acted upon, long
-    /// before the platform forgets it after [`KEPT_MS`]. Without the guard a second request with
-    /// the same key could claim and run while the paused one wakes and runs too.
+    /// Guards against an agent that was paused while its claim, or an earlier one of the same key,
+    /// lapsed: the agent's own clock is read when it is about to act, and past the request's
+    /// deadline nothing is run. Deadlines are counted from the request's arrival and are far
+    /// shorter than [`KEPT_MS`]. Without the guard a second request with the same key could claim
+    /// and run while the paused one wakes and runs too; the model `at_most_once` shows both.
     pub fn written(&mut self, now: Time, outcomes: &[Outcome]) -> Vec<Settled> {
         let group = std::mem::take(&mut self.in_flight);
         group
@@ -116,9 +116,9 @@
     }
 
     fn settle(&mut self, now: Time, id: Id, outcome: Outcome) -> Option<Settled> {
-        let asked = self.asked.remove(&id)?;
+        let deadline = self.deadlines.remove(&id)?;
         Some(match outcome {
-            Outcome::Ours if now.since(asked) <= USABLE_MS => Settled::Run(id),
+            Outcome::Ours if now <= deadline => Settled::Run(id),
             Outcome::Ours | Outcome::Unknown | Outcome::NotWritten => Settled::NotRun(id),
             Outcome::Theirs => Settled::MayHaveRun(id),
         })
--- a/crates/nutmegkeel_core/src/class.rs
+++ b/crates/nutmegkeel_core/src/class.rs
@@ -28,6 +28,9 @@
     }
 }
 
+/// Longest deadline of a request, in milliseconds, whether the caller or the class states it.
+pub const MOST_DEADLINE_MS: u64 = 600_000;
+
 /// The targets of one class. Operators state these and nothing else (brief, "The product").
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -75,7 +78,7 @@
             ("imbalance_percent", u64::from(self.imbalance_percent), 101, 1_000),
             ("leave_within_ms", self.leave_within_ms, 500, 60_000),
             ("settle_within_ms", self.settle_within_ms, 1_000, 60_000),
-            ("deadline_ms", self.deadline_ms, 50, 600_000),
+            ("deadline_ms", self.deadline_ms, 50, MOST_DEADLINE_MS),
         ];
         bounds
             .into_iter()
--- a/crates/nutmegkeel_dev/src/lib.rs
+++ b/crates/nutmegkeel_dev/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod demo;
 pub mod measure;
+pub mod model;
 pub mod port;
 pub mod process;
 pub mod standin;
--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -5,24 +5,32 @@
 
 use bpaf::Parser;
 use nutmegkeel_dev::measure::Measurement;
-use nutmegkeel_dev::{demo, measure, standin};
+use nutmegkeel_dev::{demo, measure, model, standin};
 
 #[derive(Clone, Debug)]
 enum Command {
     Demo(demo::Options),
     Measure(Measurement),
+    Model,
     Platform(std::net::SocketAddr),
     Fabric(PathBuf),
     Backend(PathBuf),
 }
 
 fn main() -> ExitCode {
-    let commands =
-        bpaf::construct!([demo_command(), measure_command(), platform(), fabric(), backend()]);
+    let commands = bpaf::construct!([
+        demo_command(),
+        measure_command(),
+        model_command(),
+        platform(),
+        fabric(),
+        backend()
+    ]);
     let command = commands.to_options().descr("Demo, stand-ins and measurements").run();
     let ended = match command {
         Command::Demo(options) => demo::run(&options),
         Command::Measure(measurement) => measure::run(&measurement),
+        Command::Model => model::run(),
         Command::Platform(address) => standin::platform::spawn(address).map(|_handle| {
             loop {
                 std::thread::park();
@@ -55,11 +63,37 @@
 }
 
 fn measure_command() -> impl Parser<Command> {
-    bpaf::construct!([path_measurement()])
-        .map(Command::Measure)
+    let decided = |name, description, measurement: Measurement| {
+        bpaf::pure(measurement).to_options().descr(description).command(name)
+    };
+    let routing = decided("routing", "Placement against baselines", Measurement::Routing);
+    let limits = decided("limits", "Goodput under overload", Measurement::Limits);
+    let retries = decided("retries", "Runs beyond one, and cost", Measurement::Retries);
+    let membership = decided("membership", "Detection and traffic", Measurement::Membership);
+    let configuration = decided("configuration", "Spread of a change", Measurement::Configuration);
+    let leaving = decided("leaving", "Last new flow at a leaving agent", Measurement::Leaving);
+    let capacity = decided("capacity", "Slopes for docs/CAPACITY.md", Measurement::Capacity);
+    bpaf::construct!([
+        path_measurement(),
+        routing,
+        limits,
+        retries,
+        membership,
+        configuration,
+        leaving,
+        capacity
+    ])
+    .map(Command::Measure)
+    .to_options()
+    .descr("Measure one thing")
+    .command("measure")
+}
+
+fn model_command() -> impl Parser<Command> {
+    bpaf::pure(Command::Model)
         .to_options()
-        .descr("Measure one thing")
-        .command("measure")
+        .descr("Check the models of the core protocol with spin")
+        .command("model")
 }
 
 fn path_measurement() -> impl Parser<Measurement> {
--- /dev/null
+++ b/crates/nutmegkeel_dev/src/measure/membership.rs
@@ -0,0 +1,69 @@
+//! Time until a death is known to all, and control traffic, against the number of processes.
+
+use std::time::Instant;
+
+use nutmegkeel_fake::fleet::{Fleet, TICK_MS, address, agent, balancer};
+use serde_json::{Map, json};
+
+const SIZES: [u16; 4] = [50, 100, 200, 400];
+/// Time for a fleet to find itself, in milliseconds.
+const FORM_MS: u64 = 15_000;
+/// Length of the quiet time over which traffic is counted, in milliseconds.
+const QUIET_MS: u64 = 20_000;
+/// A death is known by then, or the measurement says that it is not, in milliseconds.
+const KNOWN_WITHIN_MS: u64 = 30_000;
+/// The aim: control traffic at 200 processes, bytes per second and process.
+const AIM_BYTES: f64 = 3_000.0;
+const SEED: u64 = 1;
+
+/// What a fleet of one size costs.
+pub(super) struct Cost {
+    pub(super) processes: u16,
+    pub(super) bytes_per_second: f64,
+    pub(super) cpu_percent: f64,
+    pub(super) known_after_ms: u64,
+}
+
+/// Runs the measurement; true when the aim was met.
+pub(super) fn run() -> bool {
+    println!("{:>9} {:>14} {:>10} {:>16}", "processes", "bytes/s each", "cpu %", "death known ms");
+    let mut line = Map::new();
+    let mut met = true;
+    for size in SIZES {
+        let cost = measure(size);
+        println!(
+            "{:>9} {:>14.0} {:>10.4} {:>16}",
+            cost.processes, cost.bytes_per_second, cost.cpu_percent, cost.known_after_ms
+        );
+        met &= size != 200 || cost.bytes_per_second < AIM_BYTES;
+        line.insert(
+            size.to_string(),
+            json!({"bytes_per_second": cost.bytes_per_second.round(),
+                "cpu_percent": cost.cpu_percent, "death_known_ms": cost.known_after_ms}),
+        );
+    }
+    super::print_line(line);
+    met
+}
+
+/// Forms a fleet, lets it be quiet, and kills one process.
+pub(super) fn measure(size: u16) -> Cost {
+    let balancers = size / 10;
+    let agents = (balancers..size).map(|number| agent(number, "intake"));
+    let mut fleet = Fleet::open((0..balancers).map(balancer).chain(agents).collect(), SEED);
+    fleet.run_for(FORM_MS);
+    fleet.bytes = 0;
+    let began = Instant::now();
+    fleet.run_for(QUIET_MS);
+    let process_seconds = f64::from(size) * QUIET_MS as f64 / 1_000.0;
+    let bytes_per_second = fleet.bytes as f64 / process_seconds;
+    let cpu_percent = 100.0 * began.elapsed().as_secs_f64() / process_seconds;
+
+    let killed = fleet.now;
+    fleet.halted.insert(address(size - 1));
+    while !fleet.agrees() && fleet.now.since(killed) < KNOWN_WITHIN_MS {
+        fleet.run_for(TICK_MS);
+    }
+    let known_after_ms = fleet.now.since(killed);
+    Cost { processes: size, bytes_per_second, cpu_percent, known_after_ms }
+}
--- /dev/null
+++ b/crates/nutmegkeel_dev/src/measure/routing.rs
@@ -0,0 +1,137 @@
+//! Imbalance of new flows against baselines, and openings that two balancers would place apart.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use nutmegkeel_core::load::Report;
+use nutmegkeel_core::member::Instance;
+use nutmegkeel_core::placement::{Candidate, Hop, Key, Pool, Rule};
+use nutmegkeel_fake::fleet::address;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Map, json};
+
+/// Sizes of the brief: seven targets of seven slots and 2,000 connections.
+const AGENTS: u16 = 7;
+const SLOTS: u32 = 7;
+const CONNECTIONS: u32 = 2_000;
+const BALANCERS: usize = 3;
+/// New flows per second.
+const RATE: u64 = 2_000;
+/// Mean life of a flow, in milliseconds.
+const LIFE_MS: u64 = 2_000;
+/// Length of a run and of its unmeasured beginning, in milliseconds.
+const LENGTH_MS: u64 = 20_000;
+const WARM_MS: u64 = 6_000;
+/// Time between two samples of the imbalance, in milliseconds.
+const SAMPLE_MS: u64 = 100;
+/// The aim: the busiest server over the mean.
+const AIM: f64 = 1.10;
+const SEED: u64 = 1;
+
+/// One way of placing flows.
+struct Way {
+    name: &'static str,
+    rule: Rule,
+    random: bool,
+    /// An agent whose reports say that it is idle, whatever it does.
+    liar: bool,
+}
+
+const WAYS: [Way; 6] = [
+    Way { name: "random", rule: Rule::Rendezvous, random: true, liar: false },
+    Way { name: "round robin", rule: Rule::RoundRobin, random: false, liar: false },
+    Way { name: "rendezvous", rule: Rule::Rendezvous, random: false, liar: false },
+    Way { name: "loaded rendezvous", rule: Rule::LoadedRendezvous, random: false, liar: false },
+    Way { name: "round robin, one lies", rule: Rule::RoundRobin, random: false, liar: true },
+    Way { name: "loaded, one lies", rule: Rule::LoadedRendezvous, random: false, liar: true },
+];
+
+struct Result {
+    mean: f64,
+    worst: f64,
+    apart: f64,
+}
+
+/// Runs the measurement; true when the aim was met.
+pub(super) fn run() -> bool {
+    println!("{:<24} {:>10} {:>10} {:>14}", "rule", "imbalance", "worst", "placed apart");
+    let mut line = Map::new();
+    let mut met = true;
+    for way in &WAYS {
+        let result = measure(way);
+        println!(
+            "{:<24} {:>10.3} {:>10.3} {:>13.1}%",
+            way.name, result.mean, result.worst, result.apart
+        );
+        if way.name == "loaded rendezvous" {
+            met = result.mean <= AIM;
+        }
+        line.insert(
+            way.name.replace([' ', ','], "_"),
+            json!({"imbalance": result.mean, "worst": result.worst, "apart_percent": result.apart}),
+        );
+    }
+    super::print_line(line);
+    met
+}
+
+fn pool() -> Pool {
+    let mut pool = Pool::default();
+    for number in 0..AGENTS {
+        pool.insert(address(number), Candidate::new(Instance::new(1), SLOTS, CONNECTIONS));
+    }
+    pool
+}
+
+fn measure(way: &Way) -> Result {
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let mut balancers: Vec<Pool> = (0..BALANCERS).map(|_| pool()).collect();
+    let mut open: BTreeMap<SocketAddr, u32> = (0..AGENTS).map(|n| (address(n), 0)).collect();
+    let mut ends: BTreeMap<u64, Vec<(SocketAddr, usize)>> = BTreeMap::new();
+    let mut samples = Vec::new();
+    let (mut placed, mut apart) = (0_u64, 0_u64);
+    for now in 0..LENGTH_MS {
+        for (agent, by) in ends.remove(&now).unwrap_or_default() {
+            *open.entry(agent).or_default() -= 1;
+            report(way, &mut balancers[by], agent, &open);
+        }
+        for _ in 0..RATE / 1_000 {
+            let key = Key::new(rng.random());
+            let by = rng.random_range(0..BALANCERS);
+            let count = u32::try_from(BALANCERS).unwrap_or(1);
+            let place = if way.random { Key::new(rng.random()) } else { key };
+            let other = balancers[(by + 1) % BALANCERS].clone().place(place, way.rule, count);
+            let Some(choice) = balancers[by].place(place, way.rule, count) else {
+                continue;
+            };
+            placed += 1;
+            apart += u64::from(other.map(|other| other.first) != Some(choice.first));
+            let agent = choice.first.address;
+            *open.entry(agent).or_default() += 1;
+            report(way, &mut balancers[by], agent, &open);
+            let life = rng.random_range(1..2 * LIFE_MS);
+            ends.entry(now + life).or_default().push((agent, by));
+        }
+        if now >= WARM_MS && now % SAMPLE_MS == 0 {
+            samples.push(imbalance(&open));
+        }
+    }
+    let mean = samples.iter().sum::<f64>() / samples.len() as f64;
+    let worst = samples.iter().copied().fold(0.0, f64::max);
+    Result { mean, worst, apart: 100.0 * apart as f64 / placed as f64 }
+}
+
+/// The agent's report rides on an answer to the balancer that carried the flow's packet.
+fn report(way: &Way, balancer: &mut Pool, agent: SocketAddr, open: &BTreeMap<SocketAddr, u32>) {
+    let lies = way.liar && agent == address(0);
+    let connections = if lies { 0 } else { open[&agent] };
+    let hop = Hop { address: agent, instance: Instance::new(1) };
+    balancer.heard(hop, Report { connections, busy: 0, queued: 0 });
+}
+
+fn imbalance(open: &BTreeMap<SocketAddr, u32>) -> f64 {
+    let most = open.values().copied().max().unwrap_or_default();
+    let mean = f64::from(open.values().sum::<u32>()) / open.len() as f64;
+    f64::from(most) / mean
+}
--- a/crates/nutmegkeel_platform/tests/claims.rs
+++ b/crates/nutmegkeel_platform/tests/claims.rs
@@ -1,7 +1,7 @@
 //! Claims of keyed requests when the platform loses answers, is down, or knows the key already.
 
 use nutmegkeel_core::admission::Id;
-use nutmegkeel_core::claim::{Claim, Ledger, Name, Outcome, Settled, USABLE_MS};
+use nutmegkeel_core::claim::{Claim, Ledger, Name, Outcome, Settled};
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::member::Instance;
 use nutmegkeel_core::placement::Hop;
@@ -9,6 +9,8 @@
 use nutmegkeel_fake::store::{Fate, Memory};
 use nutmegkeel_platform::claims::Writer;
 
+const DEADLINE: Time = Time::from_millis(5_000);
+
 fn claim(agent: u16, request: u64, key: &str) -> Claim {
     Claim {
         name: Name::of(&"intake".into(), key.as_bytes()),
@@ -78,7 +80,7 @@
     let store = Memory::open(vec![Fate::Answered, Fate::AnswerLost, Fate::CallLost]);
     let claim = claim(1, 1, "filing");
     let mut ledger = Ledger::default();
-    ledger.ask(Time::ZERO, claim);
+    ledger.ask(claim, DEADLINE);
     let group = ledger.group().expect("one claim waits");
 
     let outcomes = write(&store, &group);
@@ -100,20 +102,33 @@
 #[test]
 fn a_claim_that_was_held_too_long_is_not_acted_upon() {
     let mut ledger = Ledger::default();
-    ledger.ask(Time::ZERO, claim(1, 1, "filing"));
+    ledger.ask(claim(1, 1, "filing"), DEADLINE);
     ledger.group();
 
-    let settled = ledger.written(Time::from_millis(USABLE_MS + 1), &[Outcome::Ours]);
+    let settled = ledger.written(DEADLINE.after(1), &[Outcome::Ours]);
 
     assert_eq!(settled, [Settled::NotRun(Id(1))]);
 }
 
+/// A caller sends its filing again; the second request with the key finds the first one's claim
+/// and must be told that the filing may have run.
+#[test]
+fn a_key_claimed_before_is_not_run_again() {
+    let mut ledger = Ledger::default();
+    ledger.ask(claim(1, 1, "filing"), DEADLINE);
+    ledger.group();
+
+    let settled = ledger.written(Time::ZERO, &[Outcome::Theirs]);
+
+    assert_eq!(settled, [Settled::MayHaveRun(Id(1))]);
+}
+
 #[test]
 fn one_group_is_in_flight_at_a_time() {
     let mut ledger = Ledger::default();
-    ledger.ask(Time::ZERO, claim(1, 1, "one"));
+    ledger.ask(claim(1, 1, "one"), DEADLINE);
     assert!(ledger.group().is_some());
-    ledger.ask(Time::ZERO, claim(1, 2, "two"));
+    ledger.ask(claim(1, 2, "two"), DEADLINE);
 
     assert_eq!(ledger.group(), None);
     ledger.written(Time::ZERO, &[Outcome::Ours]);
@@ -124,7 +139,7 @@
 #[test]
 fn a_request_given_up_during_its_claim_does_not_run() {
     let mut ledger = Ledger::default();
-    ledger.ask(Time::ZERO, claim(1, 1, "filing"));
+    ledger.ask(claim(1, 1, "filing"), DEADLINE);
     ledger.group();
     ledger.forget(Id(1));
 
