--- a/crates/nutmegkeel_core/src/admission.rs
+++ b/crates/nutmegkeel_core/src/admission.rs
@@ -48,15 +48,11 @@
     ramp_percent: u64,
     running: BTreeMap<Id, Time>,
     queue: VecDeque<Waiting>,
-    mean_service_us: u64,
+    service: Service,
     rng: SmallRng,
 }
 
 impl Gate {
-    /// Weight of the newest sample in the mean service time: one eighth.
-    const MEAN_SHIFT: u32 = 3;
-    /// First guess of the service time, in microseconds.
-    const FIRST_MEAN_US: u64 = 20_000;
     /// A queue holds at most so many requests per slot.
     const QUEUE_PER_SLOT: usize = 16;
     /// The limit never falls below this share of the slots.
@@ -73,7 +69,7 @@
             ramp_percent: 100,
             running: BTreeMap::new(),
             queue: VecDeque::new(),
-            mean_service_us: Self::FIRST_MEAN_US,
+            service: Service::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -126,7 +122,7 @@
             self.limit_percent = (self.limit_percent / 2).max(Self::LEAST_PERCENT);
         } else {
             self.limit_percent = (self.limit_percent + Self::GROW_PERCENT).min(100);
-            self.learn(now.since(started));
+            self.service.learn(now.since(started));
         }
         self.pull(now)
     }
@@ -173,7 +169,7 @@
 
     /// A request that cannot finish any more gets its final answer now, not at its deadline.
     fn give_up_late(&mut self, now: Time) -> Vec<Decision> {
-        let service_ms = self.mean_service_us / 1_000;
+        let service_ms = self.service.most_us() / 1_000;
         let (late, waiting): (VecDeque<_>, VecDeque<_>) =
             self.queue.drain(..).partition(|waiting| now.after(service_ms) > waiting.deadline);
         self.queue = waiting;
@@ -187,16 +183,50 @@
 
     fn wait_us(&self, ahead: usize) -> u64 {
         let turns = (ahead as u64 + 1).div_ceil(self.limit() as u64);
-        turns * self.mean_service_us
+        turns * self.service.mean_us
     }
 
     fn expected_end(&self, now: Time, ahead: usize) -> Time {
-        now.after((self.wait_us(ahead) + self.mean_service_us) / 1_000)
+        now.after((self.wait_us(ahead) + self.service.most_us()) / 1_000)
+    }
+}
+
+/// Smoothed service time and its smoothed deviation, in microseconds, weighted as TCP weights its
+/// round trips (RFC 6298, section 2).
+#[derive(Debug)]
+struct Service {
+    mean_us: u64,
+    deviation_us: u64,
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Self { mean_us: Self::FIRST_MEAN_US, deviation_us: 0 }
+    }
+}
+
+impl Service {
+    /// First guess of the service time.
+    const FIRST_MEAN_US: u64 = 20_000;
+    /// Weight of the newest sample in the mean: one eighth.
+    const MEAN_SHIFT: u32 = 3;
+    /// Weight of the newest sample in the deviation: one quarter.
+    const DEVIATION_SHIFT: u32 = 2;
+
+    /// A time within which nearly every request is done. The mean alone is not enough: of the
+    /// requests that start with just the mean left, half miss their deadline and waste their slot.
+    const fn most_us(&self) -> u64 {
+        self.mean_us + 2 * self.deviation_us
     }
 
     fn learn(&mut self, sample_ms: u64) {
         let sample_us = sample_ms * 1_000;
-        let kept = self.mean_service_us - (self.mean_service_us >> Self::MEAN_SHIFT);
-        self.mean_service_us = kept + (sample_us >> Self::MEAN_SHIFT);
+        let off_us = sample_us.abs_diff(self.mean_us);
+        self.deviation_us = smooth(self.deviation_us, off_us, Self::DEVIATION_SHIFT);
+        self.mean_us = smooth(self.mean_us, sample_us, Self::MEAN_SHIFT);
     }
 }
+
+const fn smooth(old: u64, sample: u64, shift: u32) -> u64 {
+    old - (old >> shift) + (sample >> shift)
+}
--- a/crates/nutmegkeel_core/src/balancer.rs
+++ b/crates/nutmegkeel_core/src/balancer.rs
@@ -62,6 +62,7 @@
     peer: Peer,
     rule: Rule,
     pools: BTreeMap<class::Name, Pool>,
+    classes: BTreeMap<SocketAddr, class::Name>,
     unanswered: BTreeMap<SocketAddr, Time>,
     next_read: Time,
 }
@@ -74,6 +75,7 @@
             peer: Peer::open(me, pace, seed),
             rule,
             pools: BTreeMap::new(),
+            classes: BTreeMap::new(),
             unanswered: BTreeMap::new(),
             next_read: FIRST_READ,
         }
@@ -132,7 +134,8 @@
 
     fn heard(&mut self, now: Time, hop: Hop, report: Report) -> Vec<Action> {
         self.unanswered.remove(&hop.address);
-        for pool in self.pools.values_mut() {
+        let class = self.classes.get(&hop.address);
+        if let Some(pool) = class.and_then(|class| self.pools.get_mut(class)) {
             pool.heard(hop, report);
         }
         let actions = self.peer.heard(now, hop.address, hop.instance);
@@ -171,16 +174,8 @@
     /// Guards the platform's read rate: it grows with the number of failure domains, not with the
     /// fleet. Everybody else hears of changes from peers.
     fn reads_platform(&self) -> bool {
-        let me = self.peer.membership().me();
-        let before_me = self
-            .peer
-            .membership()
-            .living()
-            .filter(|rumor| rumor.record.role == Role::Balancer)
-            .filter(|rumor| rumor.health == Health::Alive && rumor.record.domain == me.domain)
-            .filter(|rumor| rumor.record.address < me.address)
-            .count();
-        before_me < READERS
+        let me = self.peer.membership().me().address;
+        self.peer.neighbours().range(..me).take(READERS).count() < READERS
     }
 
     fn leave(&mut self) -> Vec<Action> {
@@ -191,30 +186,39 @@
 
     fn follow(&mut self, actions: Vec<peer::Action>) -> Vec<Action> {
         for action in &actions {
-            if let peer::Action::Changed(rumor) = action {
-                self.note(rumor);
+            match action {
+                peer::Action::Changed(rumor) => self.note(rumor),
+                peer::Action::InForce(entry) => self.apply(entry),
+                _ => {}
             }
         }
         actions.into_iter().map(Action::Peer).collect()
     }
 
+    fn apply(&mut self, entry: &Entry) {
+        let target = entry.target.clone().unwrap_or_default();
+        self.pools.entry(entry.name.clone()).or_default().set_imbalance(target.imbalance_percent);
+    }
+
     fn note(&mut self, rumor: &Rumor) {
         let Some(capacity) = rumor.record.capacity() else {
             return;
         };
-        for (class, pool) in &mut self.pools {
-            if *class != capacity.class {
-                pool.remove(rumor.record.address);
-            }
+        let address = rumor.record.address;
+        if let Some(earlier) = self.classes.insert(address, capacity.class.clone())
+            && earlier != capacity.class
+            && let Some(pool) = self.pools.get_mut(&earlier)
+        {
+            pool.remove(address);
         }
         let pool = self.pools.entry(capacity.class.clone()).or_default();
         if rumor.health == Health::Dead || !rumor.record.phase.takes_new() {
-            self.unanswered.remove(&rumor.record.address);
-            return pool.remove(rumor.record.address);
+            self.unanswered.remove(&address);
+            return pool.remove(address);
         }
         let mut candidate =
             Candidate::new(rumor.record.instance, capacity.slots, capacity.connections);
         candidate.suspect = rumor.health == Health::Suspect;
-        pool.insert(rumor.record.address, candidate);
+        pool.insert(address, candidate);
     }
 }
--- a/crates/nutmegkeel_core/src/membership.rs
+++ b/crates/nutmegkeel_core/src/membership.rs
@@ -3,6 +3,7 @@
 //! The probing follows the idea of SWIM (Das, Gupta, Motivala 2002): a constant number of messages
 //! per process and second whatever the size, suspicion before death, refutation by the owner.
 
+mod beliefs;
 mod rumors;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -10,12 +11,13 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::seq::{IteratorRandom, SliceRandom};
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Time;
 use crate::life::Phase;
 use crate::member::{Health, Instance, Record, Role, Rumor};
+use beliefs::{Beliefs, fingerprint, is_living};
 use rumors::Rumors;
 
 /// Pace of the probes. All in milliseconds but the counts.
@@ -83,8 +85,10 @@
     Join(Record),
     /// My view differs: send me yours.
     Pull,
-    /// A part of the sender's view.
+    /// A part of the sender's view. Whoever lacks it pulls it too, so it is not passed on.
     View(Vec<Rumor>),
+    /// News to pass on.
+    News(Vec<Rumor>),
 }
 
 /// What probes and their answers carry.
@@ -115,14 +119,6 @@
     Superseded,
 }
 
-#[derive(Clone, Debug)]
-struct Belief {
-    rumor: Rumor,
-    since: Time,
-    /// Whether an own probe went unanswered since it became suspect.
-    failed: bool,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Outcome {
     at: Time,
@@ -142,7 +138,7 @@
 pub struct Membership {
     me: Record,
     pace: Pace,
-    beliefs: BTreeMap<SocketAddr, Belief>,
+    beliefs: Beliefs,
     pending: BTreeMap<u64, Pending>,
     outcomes: VecDeque<Outcome>,
     order: Vec<SocketAddr>,
@@ -164,7 +160,7 @@
         Self {
             me,
             pace,
-            beliefs: BTreeMap::new(),
+            beliefs: Beliefs::default(),
             pending: BTreeMap::new(),
             outcomes: VecDeque::new(),
             order: Vec::new(),
@@ -188,7 +184,7 @@
 
     /// All beliefs about others, the dead included.
     pub fn beliefs(&self) -> impl Iterator<Item = &Rumor> {
-        self.beliefs.values().map(|belief| &belief.rumor)
+        self.beliefs.rumors()
     }
 
     /// Others that are not given up.
@@ -210,10 +206,14 @@
     /// Word of a stop, sent to a few peers at once so that they need no suspicion.
     pub fn farewell(&mut self) -> Vec<Action> {
         const TOLD: usize = 4;
-        let peers: Vec<_> = self.living().map(|rumor| rumor.record.address).collect();
-        let told = peers.into_iter().choose_multiple(&mut self.rng, TOLD);
+        let told = self.some(TOLD);
         let me = self.rumor_of_self();
-        told.into_iter().map(|peer| Action::Send(peer, Message::View(vec![me.clone()]))).collect()
+        told.into_iter().map(|peer| Action::Send(peer, Message::News(vec![me.clone()]))).collect()
+    }
+
+    /// Up to `count` living others, drawn at random.
+    pub fn some(&mut self, count: usize) -> Vec<SocketAddr> {
+        self.beliefs.some(&mut self.rng, count, None)
     }
 
     /// Time passes: probes, suspicions, deaths.
@@ -226,7 +226,7 @@
         self.expire_probes(now, &mut actions);
         self.ask_suspects_again(now, &mut actions);
         self.give_up_suspects(now, &mut actions);
-        self.bury(now);
+        self.beliefs.bury(now, BURY_AFTER_MS);
         if now >= self.next_probe {
             let pause = if self.is_hasty(now) { HASTE_MS } else { self.pace.probe_every_ms };
             self.next_probe = now.after(pause);
@@ -260,6 +260,11 @@
             }
             Message::Pull => self.send_view(from, &mut actions),
             Message::View(rumors) => {
+                for rumor in rumors {
+                    self.learn_quietly(now, rumor, &mut actions);
+                }
+            }
+            Message::News(rumors) => {
                 for rumor in rumors {
                     self.learn(now, rumor, &mut actions);
                 }
@@ -271,14 +276,13 @@
     /// A process proved on the data path that it lives.
     pub fn heard(&mut self, now: Time, address: SocketAddr, instance: Instance) -> Vec<Action> {
         let mut actions = Vec::new();
-        if let Some(belief) = self.beliefs.get_mut(&address)
-            && belief.rumor.record.instance == instance
-            && belief.rumor.health == Health::Suspect
-        {
-            belief.rumor.health = Health::Alive;
-            belief.since = now;
-            belief.failed = false;
-            actions.push(Action::Changed(belief.rumor.clone()));
+        let refuted = self.beliefs.get(address).filter(|belief| {
+            belief.rumor.record.instance == instance && belief.rumor.health == Health::Suspect
+        });
+        if let Some(belief) = refuted {
+            let rumor = Rumor { health: Health::Alive, ..belief.rumor.clone() };
+            self.beliefs.set(now, rumor.clone());
+            actions.push(Action::Changed(rumor));
         }
         actions
     }
@@ -287,7 +291,7 @@
     pub fn doubt(&mut self, now: Time, address: SocketAddr) -> Vec<Action> {
         let mut actions = Vec::new();
         let asked = self.pending.values().any(|pending| pending.target == address);
-        if !asked && self.beliefs.get(&address).is_some_and(|belief| is_living(&belief.rumor)) {
+        if !asked && self.beliefs.get(address).is_some_and(|belief| is_living(&belief.rumor)) {
             self.ping(now, address, None, &mut actions);
         }
         actions
@@ -304,10 +308,7 @@
         }
         self.pending.clear();
         self.outcomes.clear();
-        for belief in self.beliefs.values_mut() {
-            belief.since = now;
-            belief.failed = false;
-        }
+        self.beliefs.start_over(now);
     }
 
     fn is_young(&self, now: Time) -> bool {
@@ -315,7 +316,7 @@
     }
 
     fn join(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let alone = self.living().next().is_none();
+        let alone = self.beliefs.living().is_empty();
         if alone && now >= self.next_join {
             self.next_join = now.after(JOIN_EVERY_MS);
             actions.push(Action::Join(Message::Join(self.me.clone())));
@@ -360,12 +361,7 @@
     }
 
     fn relay(&mut self, now: Time, number: u64, target: SocketAddr, actions: &mut Vec<Action>) {
-        let others: Vec<SocketAddr> = self
-            .living()
-            .map(|rumor| rumor.record.address)
-            .filter(|address| *address != target)
-            .collect();
-        let relays = others.into_iter().choose_multiple(&mut self.rng, self.pace.relays);
+        let relays = self.beliefs.some(&mut self.rng, self.pace.relays, Some(target));
         for relay in relays {
             let probe = self.probe(number);
             actions.push(Action::Send(relay, Message::Relay(probe, target)));
@@ -378,16 +374,14 @@
 
     fn suspect(&mut self, now: Time, target: SocketAddr, actions: &mut Vec<Action>) {
         self.note_outcome(now, false);
-        let Some(belief) = self.beliefs.get(&target) else {
+        let Some(belief) = self.beliefs.get(target) else {
             return;
         };
         if belief.rumor.health == Health::Alive {
             let rumor = Rumor { health: Health::Suspect, ..belief.rumor.clone() };
             self.learn(now, rumor, actions);
         }
-        if let Some(belief) = self.beliefs.get_mut(&target) {
-            belief.failed = true;
-        }
+        self.beliefs.note_failed(target);
     }
 
     fn note_outcome(&mut self, now: Time, answered: bool) {
@@ -408,15 +402,15 @@
         let recent = self.outcomes.iter().filter(|outcome| now.since(outcome.at) <= EVIDENCE_MS);
         let all = recent.clone().count();
         let failed = recent.filter(|outcome| !outcome.answered).count();
-        self.living().count() >= FEW && 2 * failed > all
+        self.beliefs.living().len() >= FEW && 2 * failed > all
     }
 
     /// Asks own suspects again while they have time left, so that one lost answer condemns nobody.
     fn ask_suspects_again(&mut self, now: Time, actions: &mut Vec<Action>) {
         let suspects: Vec<SocketAddr> = self
             .beliefs
-            .values()
-            .filter(|belief| belief.rumor.health == Health::Suspect && belief.failed)
+            .suspects()
+            .filter(|belief| belief.failed)
             .filter(|belief| now.since(belief.since) < self.pace.suspect_for_ms)
             .map(|belief| belief.rumor.record.address)
             .take(PER_TICK)
@@ -432,16 +426,15 @@
     /// many go silent at once and the last good view is the better one. Nobody is given up while
     /// most own probes fail, and while more than a third are silent nobody before `hold_for_ms`.
     fn give_up_suspects(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let silent = self.living().filter(|rumor| rumor.health == Health::Suspect).count();
+        let silent = self.beliefs.suspect_count();
         if silent == 0 {
             return;
         }
-        let many = silent >= FEW && silent * 3 > self.living().count();
+        let many = silent >= FEW && silent * 3 > self.beliefs.living().len();
         let wait = if many { self.pace.hold_for_ms } else { self.pace.suspect_for_ms };
-        let (own, hearsay): (Vec<&Belief>, Vec<&Belief>) = self
+        let (own, hearsay): (Vec<_>, Vec<_>) = self
             .beliefs
-            .values()
-            .filter(|belief| belief.rumor.health == Health::Suspect)
+            .suspects()
             .filter(|belief| now.since(belief.since) >= wait)
             .partition(|belief| belief.failed);
         let over: Vec<Rumor> = own
@@ -455,25 +448,20 @@
         }
         if !self.is_cut_off(now) {
             for rumor in over {
+                self.rumors.add(rumor.clone());
                 self.believe(now, rumor, actions);
             }
         }
     }
 
-    fn bury(&mut self, now: Time) {
-        self.beliefs.retain(|_, belief| {
-            is_living(&belief.rumor) || now.since(belief.since) < BURY_AFTER_MS
-        });
-    }
-
     /// Probes each other process once per round, in an order drawn anew for each round.
     fn probe_next(&mut self, now: Time, actions: &mut Vec<Action>) {
         if self.order.is_empty() {
-            self.order = self.living().map(|rumor| rumor.record.address).collect();
+            self.order = self.beliefs.living().to_vec();
             self.order.shuffle(&mut self.rng);
         }
         while let Some(target) = self.order.pop() {
-            if self.beliefs.get(&target).is_some_and(|belief| is_living(&belief.rumor)) {
+            if self.beliefs.get(target).is_some_and(|belief| is_living(&belief.rumor)) {
                 self.ping(now, target, None, actions);
                 return;
             }
@@ -508,7 +496,7 @@
 
     /// What the process at `address` must refute, if it is believed dead or suspect.
     fn grave_belief(&self, address: SocketAddr) -> Option<Rumor> {
-        let belief = self.beliefs.get(&address)?;
+        let belief = self.beliefs.get(address)?;
         (belief.rumor.health > Health::Alive).then(|| belief.rumor.clone())
     }
 
@@ -540,33 +528,44 @@
         }
     }
 
-    /// Takes in what others say.
+    /// Takes in what others say and passes it on if it is new.
+    fn learn(&mut self, now: Time, rumor: Rumor, actions: &mut Vec<Action>) {
+        let address = rumor.record.address;
+        if self.learn_quietly(now, rumor, actions)
+            && let Some(belief) = self.beliefs.get(address)
+        {
+            self.rumors.add(belief.rumor.clone());
+        }
+    }
+
+    /// Takes in what others say; true when it was new.
     ///
     /// Guards against flows that are reset on hearsay: a process that was cut off or frozen is
     /// dead to some and well to others. Their word makes it suspect here, which gives it the time
     /// to refute; only this process's own unanswered waiting makes it dead.
-    fn learn(&mut self, now: Time, rumor: Rumor, actions: &mut Vec<Action>) {
+    fn learn_quietly(&mut self, now: Time, rumor: Rumor, actions: &mut Vec<Action>) -> bool {
         if rumor.record.address == self.me.address {
-            return self.learn_of_self(&rumor, actions);
+            self.learn_of_self(&rumor, actions);
+            return false;
         }
-        let known = self.beliefs.get(&rumor.record.address).map(|belief| belief.rumor.clone());
+        let known = self.beliefs.get(rumor.record.address).map(|belief| belief.rumor.clone());
         if known.is_none() && !is_living(&rumor) {
-            return;
+            return false;
         }
         let heard_dead = rumor.health == Health::Dead;
         let rumor = if heard_dead { Rumor { health: Health::Suspect, ..rumor } } else { rumor };
-        if known.as_ref().is_none_or(|known| rumor.beats(known)) {
+        let is_new = known.as_ref().is_none_or(|known| rumor.beats(known));
+        if is_new {
             self.believe(now, rumor, actions);
         }
+        is_new
     }
 
     fn believe(&mut self, now: Time, rumor: Rumor, actions: &mut Vec<Action>) {
-        if let Some(known) = self.beliefs.get(&rumor.record.address) {
+        if let Some(known) = self.beliefs.get(rumor.record.address) {
             note_end(&known.rumor, &rumor, actions);
         }
-        let belief = Belief { rumor: rumor.clone(), since: now, failed: false };
-        self.beliefs.insert(rumor.record.address, belief);
-        self.rumors.add(rumor.clone());
+        self.beliefs.set(now, rumor.clone());
         actions.push(Action::Changed(rumor));
     }
 
@@ -604,30 +603,15 @@
         }
     }
 
-    /// Equal views have equal digests: the sum of one number per living record.
+    /// Digest of this view, the own record included.
     fn digest(&self) -> u64 {
-        let others = self.living().map(|rumor| fingerprint(&rumor.record));
-        others.fold(fingerprint(&self.me), u64::wrapping_add)
+        self.beliefs.digest().wrapping_add(fingerprint(&self.me))
     }
 }
 
-fn is_living(rumor: &Rumor) -> bool {
-    rumor.health != Health::Dead && rumor.record.phase != Phase::Gone
-}
-
 fn note_end(known: &Rumor, rumor: &Rumor, actions: &mut Vec<Action>) {
     let replaced = rumor.record.instance > known.record.instance;
     if is_living(known) && (replaced || !is_living(rumor)) {
         actions.push(Action::Gone(known.record.address, known.record.instance));
     }
 }
-
-fn fingerprint(record: &Record) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(record.address.to_string().as_bytes());
-    hasher.update(&record.instance.number().to_be_bytes());
-    hasher.update(&record.version.to_be_bytes());
-    let mut first = [0; 8];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_be_bytes(first)
-}
--- /dev/null
+++ b/crates/nutmegkeel_core/src/membership/beliefs.rs
@@ -0,0 +1,164 @@
+//! What one process believes of all others, with the counts and the digest kept up to date.
+//!
+//! Each change costs the logarithm of the number of processes and each tick nothing but what is
+//! suspect or dead: a walk over all beliefs would not fit a tick at 200,000 of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::clock::Time;
+use crate::life::Phase;
+use crate::member::{Health, Record, Rumor};
+
+/// The belief about one process.
+#[derive(Clone, Debug)]
+pub(super) struct Belief {
+    pub(super) rumor: Rumor,
+    pub(super) since: Time,
+    /// Whether an own probe went unanswered since it became suspect.
+    pub(super) failed: bool,
+    /// Index among the living.
+    place: usize,
+}
+
+/// All beliefs of one process.
+#[derive(Debug, Default)]
+pub(super) struct Beliefs {
+    known: BTreeMap<SocketAddr, Belief>,
+    living: Vec<SocketAddr>,
+    suspects: BTreeSet<SocketAddr>,
+    dead: BTreeSet<SocketAddr>,
+    digest: u64,
+}
+
+impl Beliefs {
+    pub(super) fn get(&self, address: SocketAddr) -> Option<&Belief> {
+        self.known.get(&address)
+    }
+
+    pub(super) fn rumors(&self) -> impl Iterator<Item = &Rumor> {
+        self.known.values().map(|belief| &belief.rumor)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    pub(super) fn living(&self) -> &[SocketAddr] {
+        &self.living
+    }
+
+    pub(super) fn suspects(&self) -> impl Iterator<Item = &Belief> {
+        self.suspects.iter().filter_map(|address| self.known.get(address))
+    }
+
+    pub(super) fn suspect_count(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Sum of one number per living record; views that are equal have equal digests.
+    pub(super) const fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Replaces the belief about a process.
+    pub(super) fn set(&mut self, now: Time, rumor: Rumor) {
+        let address = rumor.record.address;
+        self.remove(address);
+        let place = self.living.len();
+        if is_living(&rumor) {
+            self.living.push(address);
+            self.digest = self.digest.wrapping_add(fingerprint(&rumor.record));
+            if rumor.health == Health::Suspect {
+                self.suspects.insert(address);
+            }
+        } else {
+            self.dead.insert(address);
+        }
+        self.known.insert(address, Belief { rumor, since: now, failed: false, place });
+    }
+
+    pub(super) fn note_failed(&mut self, address: SocketAddr) {
+        if let Some(belief) = self.known.get_mut(&address) {
+            belief.failed = true;
+        }
+    }
+
+    /// Starts the waiting for all suspects over.
+    pub(super) fn start_over(&mut self, now: Time) {
+        for address in &self.suspects {
+            if let Some(belief) = self.known.get_mut(address) {
+                belief.since = now;
+                belief.failed = false;
+            }
+        }
+    }
+
+    /// Forgets the dead that have been dead for `millis`.
+    pub(super) fn bury(&mut self, now: Time, millis: u64) {
+        let known = &self.known;
+        let is_due = |address: &SocketAddr| {
+            known.get(address).is_none_or(|belief| now.since(belief.since) >= millis)
+        };
+        let due: Vec<SocketAddr> = self.dead.iter().copied().filter(is_due).collect();
+        for address in due {
+            self.remove(address);
+        }
+    }
+
+    /// Up to `count` different living processes other than `except`, drawn evenly.
+    pub(super) fn some(
+        &self,
+        rng: &mut SmallRng,
+        count: usize,
+        except: Option<SocketAddr>,
+    ) -> Vec<SocketAddr> {
+        const TRIES: usize = 4;
+        let mut drawn = BTreeSet::new();
+        if self.living.is_empty() {
+            return Vec::new();
+        }
+        for _ in 0..count * TRIES {
+            let address = self.living[rng.random_range(0..self.living.len())];
+            if Some(address) != except && drawn.len() < count {
+                drawn.insert(address);
+            }
+        }
+        drawn.into_iter().collect()
+    }
+
+    fn remove(&mut self, address: SocketAddr) {
+        let Some(belief) = self.known.remove(&address) else {
+            return;
+        };
+        self.suspects.remove(&address);
+        if self.dead.remove(&address) {
+            return;
+        }
+        self.digest = self.digest.wrapping_sub(fingerprint(&belief.rumor.record));
+        self.living.swap_remove(belief.place);
+        if let Some(moved) = self.living.get(belief.place).copied()
+            && let Some(moved) = self.known.get_mut(&moved)
+        {
+            moved.place = belief.place;
+        }
+    }
+}
+
+pub(super) fn is_living(rumor: &Rumor) -> bool {
+    rumor.health != Health::Dead && rumor.record.phase != Phase::Gone
+}
+
+/// A number that differs for each record and each version of it.
+pub(super) fn fingerprint(record: &Record) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(record.address.to_string().as_bytes());
+    hasher.update(&record.instance.number().to_be_bytes());
+    hasher.update(&record.version.to_be_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_be_bytes(first)
+}
--- a/crates/nutmegkeel_core/src/membership/rumors.rs
+++ b/crates/nutmegkeel_core/src/membership/rumors.rs
@@ -1,6 +1,6 @@
 //! Rumors waiting to be passed on, the least often told first.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use crate::member::Rumor;
@@ -15,6 +15,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Rumors {
     told: BTreeMap<SocketAddr, Told>,
+    order: BTreeSet<(u32, SocketAddr)>,
 }
 
 impl Rumors {
@@ -22,28 +23,37 @@
     const TIMES_PER_DIGIT: u32 = 3;
 
     pub(super) fn add(&mut self, rumor: Rumor) {
-        self.told.insert(rumor.record.address, Told { rumor, times: 0 });
+        self.put(Told { rumor, times: 0 });
     }
 
     /// Up to `count` rumors for one message, in a group of `known` processes.
     pub(super) fn take(&mut self, count: usize, known: usize) -> Vec<Rumor> {
         let digits = usize::BITS - known.leading_zeros();
         let most = Self::TIMES_PER_DIGIT * digits.max(1);
-        let mut waiting: Vec<(u32, SocketAddr)> =
-            self.told.iter().map(|(address, told)| (told.times, *address)).collect();
-        waiting.sort_unstable();
         let chosen: Vec<SocketAddr> =
-            waiting.into_iter().take(count).map(|(_, address)| address).collect();
+            self.order.iter().take(count).map(|(_, address)| *address).collect();
         chosen.into_iter().filter_map(|address| self.tell(address, most)).collect()
     }
 
     fn tell(&mut self, address: SocketAddr, most: u32) -> Option<Rumor> {
-        let told = self.told.get_mut(&address)?;
+        let mut told = self.told.remove(&address)?;
+        self.order.remove(&(told.times, address));
         told.times += 1;
         let rumor = told.rumor.clone();
-        if told.times >= most {
-            self.told.remove(&address);
+        if told.times < most {
+            self.put(told);
         }
         Some(rumor)
     }
+
+    fn put(&mut self, told: Told) {
+        let address = told.rumor.record.address;
+        self.order.insert((told.times, address));
+        if let Some(replaced) = self.told.insert(address, told) {
+            let kept = self.told.get(&address).map(|told| told.times);
+            if kept != Some(replaced.times) {
+                self.order.remove(&(replaced.times, address));
+            }
+        }
+    }
 }
--- a/crates/nutmegkeel_core/src/peer.rs
+++ b/crates/nutmegkeel_core/src/peer.rs
@@ -3,9 +3,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
-use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Time;
@@ -63,7 +60,7 @@
     membership: Membership,
     book: Book,
     balancers: BTreeSet<SocketAddr>,
-    rng: SmallRng,
+    neighbours: BTreeSet<SocketAddr>,
     next_fetch: Time,
 }
 
@@ -75,7 +72,7 @@
             membership: Membership::open(me, pace, seed),
             book: Book::default(),
             balancers: BTreeSet::new(),
-            rng: SmallRng::seed_from_u64(seed ^ 1),
+            neighbours: BTreeSet::new(),
             next_fetch: Time::ZERO,
         }
     }
@@ -103,6 +100,12 @@
         &self.balancers
     }
 
+    /// Those of [`Peer::balancers`] that are in this process's failure domain.
+    #[must_use]
+    pub const fn neighbours(&self) -> &BTreeSet<SocketAddr> {
+        &self.neighbours
+    }
+
     /// Time passes.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         let actions = self.membership.tick(now);
@@ -152,7 +155,7 @@
             entries.into_iter().filter(|entry| self.book.learn(entry.clone())).collect();
         let mut actions: Vec<Action> = new.iter().cloned().map(Action::InForce).collect();
         for part in new.chunks(ENTRIES) {
-            for peer in self.some_peers() {
+            for peer in self.membership.some(PUSHED_TO) {
                 let message = self.message(Body::Entries(part.to_vec()));
                 actions.push(Action::Send(peer, message));
             }
@@ -160,14 +163,6 @@
         actions
     }
 
-    fn some_peers(&mut self) -> Vec<SocketAddr> {
-        self.membership
-            .living()
-            .filter(|rumor| rumor.health == Health::Alive)
-            .map(|rumor| rumor.record.address)
-            .choose_multiple(&mut self.rng, PUSHED_TO)
-    }
-
     fn entries_for(&self, to: SocketAddr, since: Revision) -> Vec<Action> {
         self.book
             .newer(since)
@@ -193,10 +188,15 @@
         if rumor.record.role != Role::Balancer {
             return;
         }
-        if rumor.health != Health::Dead && rumor.record.phase.takes_new() {
-            self.balancers.insert(rumor.record.address);
-        } else {
-            self.balancers.remove(&rumor.record.address);
+        let address = rumor.record.address;
+        self.balancers.remove(&address);
+        self.neighbours.remove(&address);
+        if rumor.health == Health::Dead || !rumor.record.phase.takes_new() {
+            return;
+        }
+        self.balancers.insert(address);
+        if rumor.record.domain == self.membership.me().domain {
+            self.neighbours.insert(address);
         }
     }
 
--- a/crates/nutmegkeel_core/src/placement.rs
+++ b/crates/nutmegkeel_core/src/placement.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::class::Target;
 use crate::load::Report;
 use crate::member::Instance;
 
@@ -123,10 +124,19 @@
 }
 
 /// The agents of one class that take new flows, by address.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Pool {
     candidates: BTreeMap<SocketAddr, Candidate>,
     turn: usize,
+    tolerance_percent: u64,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        let mut pool = Self { candidates: BTreeMap::new(), turn: 0, tolerance_percent: 0 };
+        pool.set_imbalance(Target::default().imbalance_percent);
+        pool
+    }
 }
 
 impl Pool {
@@ -146,6 +156,14 @@
         self.candidates.remove(&address);
     }
 
+    /// Sets how uneven the spread may be, from the class's target.
+    ///
+    /// Within half of what the target allows, a flow stays with the first of its candidates, so
+    /// that balancers whose reports differ a little still decide alike.
+    pub fn set_imbalance(&mut self, percent: u32) {
+        self.tolerance_percent = u64::from(percent.saturating_sub(100)) / 2;
+    }
+
     /// Number of candidates.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -214,8 +232,9 @@
         else {
             return Some((first, Some(second)));
         };
-        let stay = (one.suspect, one.full(), one.pressure(balancers))
-            <= (two.suspect, two.full(), two.pressure(balancers));
+        let most = two.pressure(balancers) * (100 + self.tolerance_percent) / 100;
+        let stay =
+            (one.suspect, one.full(), one.pressure(balancers)) <= (two.suspect, two.full(), most);
         Some(if stay { (first, Some(second)) } else { (second, Some(first)) })
     }
 }
--- a/crates/nutmegkeel_core/tests/membership.rs
+++ b/crates/nutmegkeel_core/tests/membership.rs
@@ -74,6 +74,27 @@
     assert!(fleet.agrees());
 }
 
+/// A healthy agent's flows are reset: a balancer suspected it, was frozen before it heard the
+/// refutation, and on waking finds the suspicion long run out. It must wait anew first.
+#[test]
+fn a_suspicion_does_not_run_out_while_its_holder_is_frozen() {
+    let mut fleet = fleet_of(4, 16, 8);
+    fleet.run_for(8_000);
+    fleet.halted.insert(address(105));
+    while fleet.alive(address(0)).contains(&address(105)) {
+        fleet.run_for(50);
+    }
+
+    fleet.halted = [address(0)].into();
+    fleet.run_for(20_000);
+    fleet.gone.clear();
+    fleet.halted.clear();
+    fleet.run_for(10_000);
+
+    assert_eq!(fleet.gone, []);
+    assert!(fleet.agrees());
+}
+
 /// A whole failure domain's feeds are reset although its servers are well: the balancers in a
 /// domain that is cut off stop hearing from everybody else and give all of them up.
 /// The cut side must keep its last good view, and both sides agree again when the cut heals.
--- a/crates/nutmegkeel_core/tests/placement.rs
+++ b/crates/nutmegkeel_core/tests/placement.rs
@@ -75,6 +75,44 @@
     assert_eq!(counts.get(&address(1)), None);
 }
 
+/// Two agents of five are suspect and rank first for many flows; they must rank behind the others.
+#[test]
+fn suspects_rank_behind_the_trusted_whatever_the_rule() {
+    let mut pool = pool(5);
+    for number in [1, 2] {
+        let mut suspect = Candidate::new(Instance::new(1), 7, 2_000);
+        suspect.suspect = true;
+        pool.insert(address(number), suspect);
+    }
+
+    for rule in [Rule::Rendezvous, RULE] {
+        let counts = placed(&mut pool, rule, 1_000);
+        assert_eq!(
+            counts.keys().copied().collect::<Vec<_>>(),
+            [address(0), address(3), address(4)]
+        );
+    }
+}
+
+/// The two packets of one large opening come by two balancers, whose reports differ a little, and
+/// are placed apart: the handshake stalls until they are sent again. Within the tolerance of the
+/// class's target a flow stays with its first candidate.
+#[test]
+fn small_differences_of_load_place_no_opening_apart() {
+    let (mut one, mut other) = (pool(7), pool(7));
+    for number in 0..7 {
+        let hop = Hop { address: address(number), instance: Instance::new(1) };
+        let report = |connections| Report { connections, busy: 0, queued: 0 };
+        one.heard(hop, report(1_000 + u32::from(number)));
+        other.heard(hop, report(1_010 - u32::from(number)));
+    }
+
+    for flow in 0..50_u64 {
+        let key = Key::of(&[&flow.to_be_bytes()]);
+        assert_eq!(one.place(key, RULE, 1), other.place(key, RULE, 1));
+    }
+}
+
 /// Every agent is suspect, so the observer is the likelier fault: flows must still be placed.
 #[test]
 fn all_suspect_is_as_good_as_none() {
