--- a/crates/nutmegkeel/src/arguments.rs
+++ b/crates/nutmegkeel/src/arguments.rs
@@ -1,9 +1,12 @@
 //! The command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use bpaf::Parser;
 
+use crate::operator::{Access, Change};
+
 /// What the user asked for.
 #[derive(Clone, Debug)]
 pub(crate) enum Command {
@@ -13,15 +16,27 @@
     Agent(PathBuf),
     /// Check a settings file.
     CheckSettings(PathBuf),
+    /// Query: the classes in force.
+    ListClasses(Access),
+    /// Query: one class.
+    ShowClass(Access, String),
+    /// Command: change a class.
+    SetClass(Access, Change),
+    /// Query: all processes, or those of one class, as text or JSON.
+    Status(Access, Option<String>, bool),
+    /// Command: ask a process to leave.
+    Drain(Access, SocketAddr),
 }
 
 /// Parses the command line; prints help or the fault and exits when there is nothing to run.
 pub(crate) fn parse() -> Command {
-    let commands = bpaf::construct!([balancer(), agent(), check_settings()]);
+    let commands =
+        bpaf::construct!([balancer(), agent(), check_settings(), class(), status(), drain()]);
     commands
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Layer-4 load balancer: operators state targets per class of work")
+        .footer("Exit codes: 0 done, 2 wrong usage, 3 refused and not run, 4 may have run")
         .run()
 }
 
@@ -29,6 +44,12 @@
     bpaf::long("settings").help("Settings file, JSON").argument("FILE")
 }
 
+fn access() -> impl Parser<Access> {
+    let at = bpaf::long("at").help("Administration address of any balancer").argument("ADDRESS");
+    let token_file = bpaf::long("token-file").help("File that holds the token").argument("FILE");
+    bpaf::construct!(Access { at, token_file })
+}
+
 fn balancer() -> impl Parser<Command> {
     settings_file()
         .map(Command::Balancer)
@@ -55,3 +76,95 @@
         .footer("Example: nutmegkeel check-settings balancer.json")
         .command("check-settings")
 }
+
+fn class() -> impl Parser<Command> {
+    bpaf::construct!([list_classes(), show_class(), set_class()])
+        .to_options()
+        .descr("List, show or change classes of work")
+        .command("class")
+}
+
+fn list_classes() -> impl Parser<Command> {
+    access()
+        .map(Command::ListClasses)
+        .to_options()
+        .descr("List the classes in force")
+        .footer("Example: nutmegkeel class list --at 10.0.0.1:7002 --token-file token")
+        .command("list")
+}
+
+fn show_class() -> impl Parser<Command> {
+    let access = access();
+    let name = bpaf::positional("NAME");
+    bpaf::construct!(Command::ShowClass(access, name))
+        .to_options()
+        .descr("Show one class as JSON")
+        .footer("Example: nutmegkeel class show --at 10.0.0.1:7002 --token-file token intake")
+        .command("show")
+}
+
+fn set_class() -> impl Parser<Command> {
+    let access = access();
+    let change = change();
+    bpaf::construct!(Command::SetClass(access, change))
+        .to_options()
+        .descr("Change the targets of a class, or make a class; what is left out stays")
+        .footer(
+            "Example: nutmegkeel class set --at 10.0.0.1:7002 --token-file token \
+             --leave-within-ms 1500 intake",
+        )
+        .command("set")
+}
+
+fn change() -> impl Parser<Change> {
+    let imbalance_percent = bpaf::long("imbalance-percent")
+        .help("Busiest backend server over the mean, 101 to 1000 percent")
+        .argument("PERCENT")
+        .optional();
+    let leave_within_ms = bpaf::long("leave-within-ms")
+        .help("A leaving backend server stops taking calls within, 500 to 60000")
+        .argument("MS")
+        .optional();
+    let settle_within_ms = bpaf::long("settle-within-ms")
+        .help("A change is in force everywhere within, 1000 to 60000")
+        .argument("MS")
+        .optional();
+    let deadline_ms = bpaf::long("deadline-ms")
+        .help("Deadline of a request that states none, 50 to 600000")
+        .argument("MS")
+        .optional();
+    let id = bpaf::long("id")
+        .help("Identity of the change; give the same one to repeat a change that is in doubt")
+        .argument("ID")
+        .optional();
+    let name = bpaf::positional("NAME");
+    bpaf::construct!(Change {
+        imbalance_percent,
+        leave_within_ms,
+        settle_within_ms,
+        deadline_ms,
+        id,
+        name
+    })
+}
+
+fn status() -> impl Parser<Command> {
+    let access = access();
+    let class = bpaf::long("class").help("Only this class").argument("NAME").optional();
+    let json = bpaf::long("json").help("Print JSON").switch();
+    bpaf::construct!(Command::Status(access, class, json))
+        .to_options()
+        .descr("Show all processes, and where the newest configuration is in force")
+        .footer("Example: nutmegkeel status --at 10.0.0.1:7002 --token-file token --class intake")
+        .command("status")
+}
+
+fn drain() -> impl Parser<Command> {
+    let access = access();
+    let address = bpaf::positional("ADDRESS").help("Address for frames, as `status` shows it");
+    bpaf::construct!(Command::Drain(access, address))
+        .to_options()
+        .descr("Ask a process to leave: no new flows, open ones finish, then it ends")
+        .footer("Example: nutmegkeel drain --at 10.0.0.1:7002 --token-file token 10.0.3.7:7000")
+        .command("drain")
+}
--- a/crates/nutmegkeel/src/main.rs
+++ b/crates/nutmegkeel/src/main.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod logging;
+mod operator;
 mod run;
 
 use std::process::ExitCode;
@@ -14,6 +15,17 @@
         Command::Balancer(file) => run::balancer(&file),
         Command::Agent(file) => run::agent(&file),
         Command::CheckSettings(file) => run::check_settings(&file),
+        Command::ListClasses(access) => operator::list_classes(&access).map_err(Into::into),
+        Command::ShowClass(access, name) => {
+            operator::show_class(&access, &name).map_err(Into::into)
+        }
+        Command::SetClass(access, change) => {
+            operator::set_class(&access, change).map_err(Into::into)
+        }
+        Command::Status(access, class, json) => {
+            operator::status(&access, class.as_deref(), json).map_err(Into::into)
+        }
+        Command::Drain(access, address) => operator::drain(&access, address).map_err(Into::into),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/nutmegkeel/src/run.rs
+++ b/crates/nutmegkeel/src/run.rs
@@ -7,19 +7,22 @@
 use std::thread;
 use std::time::Duration;
 
+use nutmegkeel_core::verdict::Verdict;
 use nutmegkeel_node::settings::{self, Faults, Settings};
 use nutmegkeel_node::{agent, balancer, metric};
 use signal_hook::consts::{SIGINT, SIGTERM};
 
-use crate::logging;
+use crate::{logging, operator};
 
 /// Time between two looks at the signals.
 const WAKE: Duration = Duration::from_millis(50);
 
 /// Exit code for wrong usage: arguments or settings.
 const USAGE: u8 = 2;
-/// Exit code for a start that failed; nothing has run.
+/// Exit code for what was refused or failed before it had any effect.
 const NOT_RUN: u8 = 3;
+/// Exit code for a command that may have taken effect.
+const MAY_HAVE_RUN: u8 = 4;
 
 /// Why a command did not succeed.
 #[derive(Debug, thiserror::Error)]
@@ -39,6 +42,9 @@
     /// The metrics recorder could not be installed.
     #[error("metrics: {0}")]
     Metrics(#[from] metric::Fault),
+    /// An operator's command or query did not succeed.
+    #[error(transparent)]
+    Operator(#[from] operator::Fault),
     /// The signal handlers could not be installed.
     #[error("signals: {0}")]
     Signals(std::io::Error),
@@ -48,6 +54,7 @@
     pub(crate) fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
             Self::Settings(_) | Self::Role => USAGE,
+            Self::Operator(fault) if fault.verdict() == Verdict::MayHaveRun => MAY_HAVE_RUN,
             _ => NOT_RUN,
         })
     }
@@ -60,7 +67,7 @@
     logging::start();
     let stop = stop_signal()?;
     let handle = balancer::spawn(&settings, metric::install()?)?;
-    while !stop.load(Ordering::Relaxed) && !handle.is_superseded() {
+    while !stop.load(Ordering::Relaxed) && !handle.must_stop() {
         thread::sleep(WAKE);
     }
     handle.leave();
--- a/crates/nutmegkeel_core/src/agent.rs
+++ b/crates/nutmegkeel_core/src/agent.rs
@@ -165,10 +165,7 @@
             Event::Written(outcomes) => self.written(now, &outcomes),
             Event::Finished(id, shed) => self.finished(now, id, shed),
             Event::Cancelled(id) => self.cancelled(now, id),
-            Event::Message(from, message) => {
-                let actions = self.peer.receive(now, from, message);
-                wrap(actions)
-            }
+            Event::Message(from, message) => self.receive(now, from, message),
             Event::Tick => self.tick(now),
         }
     }
@@ -187,6 +184,16 @@
         actions
     }
 
+    fn receive(&mut self, now: Time, from: SocketAddr, message: Message) -> Vec<Action> {
+        let received = self.peer.receive(now, from, message);
+        let drains = received.contains(&peer::Action::Drain);
+        let mut actions = wrap(received);
+        if drains {
+            actions.extend(self.leave(now));
+        }
+        actions
+    }
+
     /// Decides at the last hop, whatever the balancers have heard.
     ///
     /// Guards against new work at a leaving backend server, and against a flow that is opened
--- a/crates/nutmegkeel_core/src/balancer.rs
+++ b/crates/nutmegkeel_core/src/balancer.rs
@@ -39,6 +39,8 @@
     Accepted(Entry),
     /// Time passes; about every 50 ms.
     Tick,
+    /// An operator wants this run of another process to leave.
+    Drain(Hop),
     /// Stop in a planned way.
     Leave,
 }
@@ -117,6 +119,9 @@
                 self.follow(actions)
             }
             Event::Tick => self.tick(now),
+            Event::Drain(hop) => {
+                vec![Action::Peer(self.peer.ask_to_leave(hop.address, hop.instance))]
+            }
             Event::Leave => self.leave(),
         }
     }
--- a/crates/nutmegkeel_core/src/peer.rs
+++ b/crates/nutmegkeel_core/src/peer.rs
@@ -1,6 +1,6 @@
 //! What every process does with its peers: membership, and the configuration that rides along.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -35,6 +35,8 @@
     Fetch(Revision),
     /// Entries of the configuration.
     Entries(Vec<Entry>),
+    /// An operator wants this run of the receiver to leave.
+    Drain(Instance),
 }
 
 /// What the driver does for a peer.
@@ -52,6 +54,8 @@
     InForce(Entry),
     /// A later run has this process's address: it must stop.
     Superseded,
+    /// An operator wants this process to leave.
+    Drain,
 }
 
 /// One process among its peers.
@@ -61,6 +65,7 @@
     book: Book,
     balancers: BTreeSet<SocketAddr>,
     neighbours: BTreeSet<SocketAddr>,
+    revisions: BTreeMap<SocketAddr, Revision>,
     next_fetch: Time,
 }
 
@@ -73,6 +78,7 @@
             book: Book::default(),
             balancers: BTreeSet::new(),
             neighbours: BTreeSet::new(),
+            revisions: BTreeMap::new(),
             next_fetch: Time::ZERO,
         }
     }
@@ -106,6 +112,18 @@
         &self.neighbours
     }
 
+    /// The configuration revision that another balancer told last, if it told one.
+    #[must_use]
+    pub fn revision_of(&self, balancer: SocketAddr) -> Option<Revision> {
+        self.revisions.get(&balancer).copied()
+    }
+
+    /// Asks a run of another process to leave.
+    #[must_use]
+    pub fn ask_to_leave(&self, address: SocketAddr, instance: Instance) -> Action {
+        Action::Send(address, self.message(Body::Drain(instance)))
+    }
+
     /// Time passes.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         let actions = self.membership.tick(now);
@@ -121,7 +139,15 @@
             }
             Body::Fetch(since) => self.entries_for(from, since),
             Body::Entries(entries) => self.learn(entries),
+            // A drain that was meant for an earlier run at this address concerns nobody here.
+            Body::Drain(instance) if instance == self.membership.me().instance => {
+                vec![Action::Drain]
+            }
+            Body::Drain(_) => Vec::new(),
         };
+        if self.balancers.contains(&from) {
+            self.revisions.insert(from, message.revision);
+        }
         if message.revision > self.book.revision() && now >= self.next_fetch {
             self.next_fetch = now.after(FETCH_EVERY_MS);
             let fetch = Body::Fetch(self.book.revision());
@@ -190,6 +216,7 @@
         }
         let address = rumor.record.address;
         self.balancers.remove(&address);
+        self.revisions.remove(&address);
         self.neighbours.remove(&address);
         if rumor.health == Health::Dead || !rumor.record.phase.takes_new() {
             return;
--- a/crates/nutmegkeel_core/tests/membership.rs
+++ b/crates/nutmegkeel_core/tests/membership.rs
@@ -81,11 +81,17 @@
     let mut fleet = fleet_of(4, 16, 8);
     fleet.run_for(8_000);
     fleet.halted.insert(address(105));
-    while fleet.alive(address(0)).contains(&address(105)) {
-        fleet.run_for(50);
-    }
-
-    fleet.halted = [address(0)].into();
+    let observer = loop {
+        // The first to suspect it met the silence itself.
+        let others = fleet.peers.keys().filter(|peer| **peer != address(105));
+        let suspects = others.copied().find(|peer| !fleet.alive(*peer).contains(&address(105)));
+        match suspects {
+            Some(observer) => break observer,
+            None => fleet.run_for(50),
+        }
+    };
+
+    fleet.halted = [observer].into();
     fleet.run_for(20_000);
     fleet.gone.clear();
     fleet.halted.clear();
--- a/crates/nutmegkeel_dev/src/demo.rs
+++ b/crates/nutmegkeel_dev/src/demo.rs
@@ -47,6 +47,21 @@
     let drained = bench.drain_server_with_open_feed()?;
     println!("{:>6.1}s draining {drained}, which holds the feed", began.elapsed().as_secs_f64());
 
+    pause(began, step * 5);
+    println!(
+        "{:>6.1}s an operator changes intake; the platform goes down",
+        began.elapsed().as_secs_f64()
+    );
+    let settled = bench.change_class_then_lose_platform()?;
+    println!(
+        "{:>6.1}s in force on all balancers after {} ms",
+        began.elapsed().as_secs_f64(),
+        settled.as_millis()
+    );
+    pause(began, step * 6);
+    println!("{:>6.1}s the platform is back", began.elapsed().as_secs_f64());
+    bench.set_platform("up")?;
+
     let results = calls.end(&runtime);
     println!("{:>6.1}s callers are done", began.elapsed().as_secs_f64());
     let drained_ended = bench.agent_ended(&drained);
@@ -55,7 +70,8 @@
     println!("the stopped balancer ended by itself: {stopped_ended}");
     let records = bench.records();
     let counters = bench.counters();
-    let passed = report::print(&results, &records, &counters) && drained_ended && stopped_ended;
+    let passed =
+        report::print(&results, &records, &counters, settled) && drained_ended && stopped_ended;
     if options.keep {
         println!("{}\npress Enter to stop everything", bench.directions());
         std::io::stdin().read_line(&mut String::new())?;
--- a/crates/nutmegkeel_dev/src/demo/bench.rs
+++ b/crates/nutmegkeel_dev/src/demo/bench.rs
@@ -7,7 +7,7 @@
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
 use std::process::Command;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rustls::pki_types::CertificateDer;
 use serde_json::{Value, json};
@@ -33,6 +33,8 @@
 const CONNECTIONS: u32 = 2_000;
 /// Time that a short request takes at a backend server, in milliseconds.
 const SERVICE_MS: u64 = 3;
+/// A change is in force everywhere by then (brief, "within seconds").
+const SETTLE_WITHIN: Duration = Duration::from_secs(10);
 /// A planned end takes no longer.
 const END_WITHIN: Duration = Duration::from_secs(15);
 
@@ -60,6 +62,7 @@
 pub(crate) struct Bench {
     directory: PathBuf,
     product: PathBuf,
+    platform: String,
     certificate: CertificateDer<'static>,
     classes: Vec<Class>,
     balancers: Vec<Balancer>,
@@ -120,6 +123,7 @@
         let mut bench = Self {
             directory,
             product,
+            platform: shared.platform.clone(),
             certificate: der,
             classes,
             balancers,
@@ -219,17 +223,69 @@
         sums
     }
 
+    /// Changes a class by the product's own command, takes the platform away at once, and returns
+    /// how long it took until every running balancer says that the change is in force.
+    pub(crate) fn change_class_then_lose_platform(&mut self) -> io::Result<Duration> {
+        let running: Vec<SocketAddr> = self.running_balancers();
+        let first = *running.first().ok_or_else(|| io::Error::other("no balancer runs"))?;
+        let began = Instant::now();
+        let set = ["class", "set", "--leave-within-ms", "1500", "intake"];
+        let said = self.operate(first, &set)?;
+        self.set_platform("down")?;
+        println!("        {}", said.trim());
+        while began.elapsed() < SETTLE_WITHIN {
+            let shown = running.iter().map(|at| self.operate(*at, &["class", "show", "intake"]));
+            let shown: Vec<String> = shown.collect::<io::Result<_>>()?;
+            if shown.iter().all(|text| text.contains("\"leave_within_ms\": 1500")) {
+                return Ok(began.elapsed());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        Err(io::Error::other("the change is not in force everywhere"))
+    }
+
+    /// Changes how the platform stand-in behaves.
+    pub(crate) fn set_platform(&self, mode: &str) -> io::Result<()> {
+        let url = format!("{}/control", self.platform);
+        ureq::post(url).send_json(mode).map(drop).map_err(io::Error::other)
+    }
+
+    fn running_balancers(&mut self) -> Vec<SocketAddr> {
+        let mut running = Vec::new();
+        for balancer in &mut self.balancers {
+            if balancer.process.as_mut().is_some_and(Process::is_running) {
+                running.push(balancer.administration);
+            }
+        }
+        running
+    }
+
+    /// Runs one of the product's commands against a balancer and returns what it printed.
+    fn operate(&self, at: SocketAddr, words: &[&str]) -> io::Result<String> {
+        let at = at.to_string();
+        let token_file = text(&self.directory.join("token"));
+        let (command, rest) = words.split_at(2);
+        let ran = Command::new(&self.product)
+            .args(command)
+            .args(["--at", &at, "--token-file", &token_file])
+            .args(rest)
+            .output()?;
+        if !ran.status.success() {
+            let said = String::from_utf8_lossy(&ran.stderr).into_owned();
+            return Err(io::Error::other(format!("{}: {said}", words.join(" "))));
+        }
+        Ok(String::from_utf8_lossy(&ran.stdout).into_owned())
+    }
+
     /// How to reach what runs, for somebody who wants to try commands on it.
     pub(crate) fn directions(&self) -> String {
-        let mut lines = vec![format!("token file: {}", self.directory.join("token").display())];
-        for (index, balancer) in self.balancers.iter().enumerate() {
-            lines.push(format!(
-                "balancer {}: administration at {}",
-                index + 1,
-                balancer.administration
-            ));
-        }
-        lines.join("\n")
+        let token = self.directory.join("token");
+        let running = self.balancers.iter().filter(|balancer| balancer.process.is_some());
+        let lines = running.map(|balancer| {
+            let (product, at) = (self.product.display(), balancer.administration);
+            format!("{product} status --at {at} --token-file {}", token.display())
+        });
+        lines.collect::<Vec<_>>().join("\n")
     }
 
     fn start_server(&mut self, tool: &Path, shared: &Shared, index: usize) -> io::Result<()> {
--- a/crates/nutmegkeel_dev/src/demo/report.rs
+++ b/crates/nutmegkeel_dev/src/demo/report.rs
@@ -1,6 +1,7 @@
 //! The demo's table and its last JSON line.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde_json::json;
 
@@ -21,6 +22,7 @@
     results: &Results,
     records: &[Records],
     counters: &BTreeMap<String, f64>,
+    settled: Duration,
 ) -> bool {
     println!(
         "\n{:<8} {:>6} {:>8} {:>7} {:>6} {:>9} {:>6} {:>5} {:>5} {:>9} {:>8} {:>8} {:>8} {:>8}",
@@ -83,6 +85,7 @@
     let dropped: BTreeMap<&String, &f64> =
         counters.iter().filter(|(name, _)| name.starts_with("nutmegkeel_dropped")).collect();
     line.insert("dropped".to_owned(), json!(dropped));
+    line.insert("change_in_force_ms".to_owned(), json!(settled.as_millis()));
     line.insert("passed".to_owned(), passed.into());
     println!("{}", serde_json::Value::Object(line));
     passed
--- a/crates/nutmegkeel_node/src/agent/shared.rs
+++ b/crates/nutmegkeel_node/src/agent/shared.rs
@@ -207,7 +207,7 @@
                 info!(event = "class_in_force", class = &*entry.name, revision = entry.revision.0;
                     "class in force");
             }
-            peer::Action::Changed(_) | peer::Action::Gone(..) => {}
+            peer::Action::Changed(_) | peer::Action::Gone(..) | peer::Action::Drain => {}
         }
     }
 
--- a/crates/nutmegkeel_node/src/balancer.rs
+++ b/crates/nutmegkeel_node/src/balancer.rs
@@ -17,6 +17,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use nutmegkeel_core::balancer::{Action, Balancer as Core, Event};
 use nutmegkeel_core::class;
+use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::life::Phase;
 use nutmegkeel_core::member::{Instance, Record, Role};
 use nutmegkeel_core::membership::Pace;
@@ -63,7 +64,7 @@
     last_packet_ms: AtomicU64,
     leaving: AtomicBool,
     stopped: AtomicBool,
-    pub(crate) platform: etcd::Client,
+    platform: etcd::Client,
 }
 
 /// A running balancer.
@@ -107,7 +108,7 @@
     };
     let address = settings.administration;
     let administration =
-        crate::administration::spawn(address, settings.token.clone(), Arc::clone(&shared))
+        crate::administration::spawn(address, &settings.token, Arc::clone(&shared))
             .map_err(|error| Fault::Bind { field: "administration", address, error })?;
     for desk in shared.desks.values() {
         let (shared, desk) = (Arc::clone(&shared), Arc::clone(desk));
@@ -144,10 +145,10 @@
         info!(event = "balancer_stopped"; "balancer stopped");
     }
 
-    /// Whether a later run took this process's address, so that it has to stop.
+    /// Whether it has to stop: an operator drains it, or a later run took its address.
     #[must_use]
-    pub fn is_superseded(&self) -> bool {
-        self.shared.stopped.load(Ordering::Relaxed)
+    pub fn must_stop(&self) -> bool {
+        self.shared.leaving.load(Ordering::Relaxed) || self.shared.stopped.load(Ordering::Relaxed)
     }
 }
 
@@ -157,6 +158,14 @@
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub(crate) const fn platform(&self) -> &etcd::Client {
+        &self.platform
+    }
+
     /// Takes an event to the core and carries out what it decides.
     pub(crate) fn handle(&self, event: Event) {
         let actions = self.core().handle(self.clock.now(), event);
@@ -189,6 +198,10 @@
                 info!(event = "class_in_force", class = &*entry.name, revision = entry.revision.0;
                     "class in force");
             }
+            peer::Action::Drain => {
+                info!(event = "balancer_drained"; "an operator wants this balancer to leave");
+                self.leaving.store(true, Ordering::Relaxed);
+            }
             peer::Action::Changed(rumor) => {
                 info!(event = "peer_changed", peer:display = rumor.record.address,
                     health:? = rumor.health, phase:? = rumor.record.phase; "peer changed");
