--- a/crates/nutmegkeel_dev/src/demo/bench.rs
+++ b/crates/nutmegkeel_dev/src/demo/bench.rs
@@ -9,6 +9,7 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
+use nutmegkeel_wire::key::Ring;
 use rustls::pki_types::CertificateDer;
 use serde_json::{Value, json};
 
@@ -54,6 +55,8 @@
 
 struct Balancer {
     file: PathBuf,
+    desk: SocketAddr,
+    frames: SocketAddr,
     administration: SocketAddr,
     process: Option<Process>,
 }
@@ -154,6 +157,21 @@
         balancers + 2 * self.servers.len() + self.surroundings.len()
     }
 
+    /// The keys of all processes.
+    pub(crate) fn keys(&self) -> io::Result<Ring> {
+        let text = fs::read_to_string(self.directory.join("keys.json"))?;
+        let keys: Value = serde_json::from_str(&text)?;
+        let key = keys["accepted"]["1"].as_str().unwrap_or_default().to_owned();
+        Ring::open(&BTreeMap::from([(1, key)]), 1).map_err(io::Error::other)
+    }
+
+    /// First class address, frame address and process number of a balancer.
+    pub(crate) fn balancer(&self, index: usize) -> io::Result<(SocketAddr, SocketAddr, u32)> {
+        let balancer = &self.balancers[index];
+        let process = balancer.process.as_ref().ok_or_else(|| io::Error::other("not started"))?;
+        Ok((balancer.desk, balancer.frames, process.id()))
+    }
+
     /// Number of processes that are the product's own.
     pub(crate) fn product_processes(&self) -> usize {
         self.processes() - self.servers.len() - self.surroundings.len()
@@ -343,7 +361,13 @@
             "listen": listen, "token": token,
         });
         let file = write_json(directory, &format!("balancer-{}.json", index + 1), &settings)?;
-        balancers.push(Balancer { file, administration: ports[2], process: None });
+        balancers.push(Balancer {
+            file,
+            desk: desks[0],
+            frames: ports[0],
+            administration: ports[2],
+            process: None,
+        });
         listed.push(fabric::Balancer { web: ports[1], desks });
     }
     Ok((balancers, listed))
--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -1,5 +1,6 @@
 //! The developers' tool: `cargo dev demo`, and the stand-ins as processes.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -12,9 +13,10 @@
     Demo(demo::Options),
     Measure(Measurement),
     Model,
-    Platform(std::net::SocketAddr),
+    Platform(SocketAddr),
     Fabric(PathBuf),
     Backend(PathBuf),
+    Relay(SocketAddr, SocketAddr),
 }
 
 fn main() -> ExitCode {
@@ -24,7 +26,8 @@
         model_command(),
         platform(),
         fabric(),
-        backend()
+        backend(),
+        relay()
     ]);
     let command = commands.to_options().descr("Demo, stand-ins and measurements").run();
     let ended = match command {
@@ -37,6 +40,7 @@
             }
         }),
         Command::Fabric(file) => standin::fabric::run(&file).map(|()| true),
+        Command::Relay(from, to) => standin::relay::run(from, to).map(|()| true),
         Command::Backend(file) => standin::backend::run(&file).map(|()| true),
     };
     match ended {
@@ -66,6 +70,7 @@
     let decided = |name, description, measurement: Measurement| {
         bpaf::pure(measurement).to_options().descr(description).command(name)
     };
+    let forward = decided("forward", "What a balancer spends on a packet", Measurement::Forward);
     let routing = decided("routing", "Placement against baselines", Measurement::Routing);
     let limits = decided("limits", "Goodput under overload", Measurement::Limits);
     let retries = decided("retries", "Runs beyond one, and cost", Measurement::Retries);
@@ -75,6 +80,7 @@
     let capacity = decided("capacity", "Slopes for docs/CAPACITY.md", Measurement::Capacity);
     bpaf::construct!([
         path_measurement(),
+        forward,
         routing,
         limits,
         retries,
@@ -130,3 +136,12 @@
         .descr("Stand-in for a backend server")
         .command("backend")
 }
+
+fn relay() -> impl Parser<Command> {
+    let from = bpaf::positional("FROM");
+    let to = bpaf::positional("TO");
+    bpaf::construct!(Command::Relay(from, to))
+        .to_options()
+        .descr("Plain UDP relay, a baseline")
+        .command("relay")
+}
--- a/crates/nutmegkeel_dev/src/measure.rs
+++ b/crates/nutmegkeel_dev/src/measure.rs
@@ -1,10 +1,11 @@
 //! Measurements: each prints a table and, last, one JSON line.
 //!
-//! All but `path` drive the core in-process over small fakes; for a seed they print the same
+//! All but `path` and `forward` drive the core in-process over small fakes; for a seed they print the same
 //! figures on every run, but for processor times.
 
 pub mod capacity;
 pub mod configuration;
+pub mod forward;
 pub mod leaving;
 pub mod limits;
 pub mod membership;
@@ -21,6 +22,8 @@
 pub enum Measurement {
     /// What the system adds to a call; so many flows.
     Path(u64),
+    /// What a balancer spends on a packet.
+    Forward,
     /// Placement of new flows against baselines.
     Routing,
     /// Goodput under overload against no limit.
@@ -44,6 +47,7 @@
 pub fn run(measurement: &Measurement) -> io::Result<bool> {
     Ok(match measurement {
         Measurement::Path(flows) => path::run(*flows)?,
+        Measurement::Forward => forward::run()?,
         Measurement::Routing => routing::run(),
         Measurement::Limits => limits::run(),
         Measurement::Retries => retries::run(),
--- a/crates/nutmegkeel_dev/src/standin.rs
+++ b/crates/nutmegkeel_dev/src/standin.rs
@@ -3,3 +3,4 @@
 pub mod backend;
 pub mod fabric;
 pub mod platform;
+pub mod relay;
