--- a/crates/nutmegkeel_dev/src/caller.rs
+++ b/crates/nutmegkeel_dev/src/caller.rs
@@ -169,6 +169,11 @@
         Ok(answer)
     }
 
+    /// Returns when the flow is over, whatever ended it.
+    pub async fn ended(&self) {
+        self.connection.closed().await;
+    }
+
     /// Ends the flow.
     pub fn close(self) {
         self.connection.close(0x100_u32.into(), b"");
--- a/crates/nutmegkeel_dev/src/demo/bench.rs
+++ b/crates/nutmegkeel_dev/src/demo/bench.rs
@@ -215,6 +215,14 @@
         Ok(server.name.clone())
     }
 
+    /// Kills the agent of the server called `name` and returns that name.
+    pub(crate) fn kill_agent(&mut self, name: &str) -> io::Result<String> {
+        let server = self.servers.iter_mut().find(|server| server.name == name);
+        let server = server.ok_or_else(|| io::Error::other("there is no such server"))?;
+        server.agent.kill();
+        Ok(server.name.clone())
+    }
+
     pub(crate) fn agent_ended(&mut self, name: &str) -> bool {
         let server = self.servers.iter_mut().find(|server| server.name == name);
         server.is_some_and(|server| server.agent.ended_within(END_WITHIN))
--- a/crates/nutmegkeel_dev/src/demo/calls.rs
+++ b/crates/nutmegkeel_dev/src/demo/calls.rs
@@ -12,7 +12,8 @@
 use tokio::runtime::Runtime;
 use tokio::task::JoinSet;
 
-use super::bench::{CLASSES, Class};
+use super::bench::CLASSES;
+pub(crate) use super::bench::Class;
 use crate::body;
 use crate::caller::{Answer, Call, Caller, Fault, Flow};
 use crate::standin::backend::line;
--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -71,6 +71,7 @@
         bpaf::pure(measurement).to_options().descr(description).command(name)
     };
     let forward = decided("forward", "What a balancer spends on a packet", Measurement::Forward);
+    let silence = decided("silence", "Callers of a killed agent", Measurement::Silence);
     let routing = decided("routing", "Placement against baselines", Measurement::Routing);
     let limits = decided("limits", "Goodput under overload", Measurement::Limits);
     let retries = decided("retries", "Runs beyond one, and cost", Measurement::Retries);
@@ -81,6 +82,7 @@
     bpaf::construct!([
         path_measurement(),
         forward,
+        silence,
         routing,
         limits,
         retries,
--- a/crates/nutmegkeel_dev/src/measure.rs
+++ b/crates/nutmegkeel_dev/src/measure.rs
@@ -1,6 +1,6 @@
 //! Measurements: each prints a table and, last, one JSON line.
 //!
-//! All but `path` and `forward` drive the core in-process over small fakes; for a seed they print the same
+//! All but `path`, `forward` and `silence` drive the core in-process over small fakes; for a seed they print the same
 //! figures on every run, but for processor times.
 
 pub mod capacity;
@@ -12,6 +12,7 @@
 pub mod path;
 pub mod retries;
 pub mod routing;
+pub mod silence;
 
 use std::io;
 
@@ -24,6 +25,8 @@
     Path(u64),
     /// What a balancer spends on a packet.
     Forward,
+    /// How long callers of a killed agent hear nothing.
+    Silence,
     /// Placement of new flows against baselines.
     Routing,
     /// Goodput under overload against no limit.
@@ -48,6 +51,7 @@
     Ok(match measurement {
         Measurement::Path(flows) => path::run(*flows)?,
         Measurement::Forward => forward::run()?,
+        Measurement::Silence => silence::run()?,
         Measurement::Routing => routing::run(),
         Measurement::Limits => limits::run(),
         Measurement::Retries => retries::run(),
--- a/crates/nutmegkeel_node/src/agent/transport.rs
+++ b/crates/nutmegkeel_node/src/agent/transport.rs
@@ -23,10 +23,13 @@
 
 /// Application protocol of HTTP/3 (RFC 9114, section 3.1).
 const HTTP3: &[u8] = b"h3";
-/// A flow on which nothing arrives for so long is over.
-const IDLE: VarInt = VarInt::from_u32(30_000);
-/// Quiet flows are kept open by a packet this often.
-const KEEP_ALIVE: Duration = Duration::from_secs(5);
+/// A flow on which nothing arrives for so long is over, at both ends (RFC 9000, section 10.1).
+///
+/// Guards against a feed that stays silent after its agent died: a caller that only listens sends
+/// nothing that a balancer could answer with a reset, so this timeout is all that tells it.
+const IDLE: VarInt = VarInt::from_u32(10_000);
+/// Quiet flows are kept open by a packet this often; three may be lost before the flow ends.
+const KEEP_ALIVE: Duration = Duration::from_secs(3);
 /// Requests in progress on one flow at most.
 const STREAMS: VarInt = VarInt::from_u32(64);
 /// Bytes that a caller may send ahead on one request; bounds memory per flow.
