--- a/crates/nutmegkeel_core/src/membership.rs
+++ b/crates/nutmegkeel_core/src/membership.rs
@@ -63,6 +63,9 @@
 const EVIDENCE_MS: u64 = 3_000;
 /// Suspects probed out of turn in one tick at most; bounds the traffic of a mass failure.
 const PER_TICK: usize = 2;
+/// In a fleet of at most so many everybody asks a suspect at once. In a larger one that would be a
+/// flood upon a process that may only be slow, so word of a suspicion is checked when it runs out.
+const SMALL: usize = 500;
 /// With fewer others than this there is no evidence to be had.
 const FEW: usize = 3;
 /// Time between two attempts to join, in milliseconds.
@@ -405,12 +408,14 @@
         self.beliefs.living().len() >= FEW && 2 * failed > all
     }
 
-    /// Asks own suspects again while they have time left, so that one lost answer condemns nobody.
+    /// Asks suspects again while they have time left, so that one lost answer condemns nobody and,
+    /// in a small fleet, so that word of a suspicion is checked while the time runs.
     fn ask_suspects_again(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let small = self.beliefs.living().len() <= SMALL;
         let suspects: Vec<SocketAddr> = self
             .beliefs
             .suspects()
-            .filter(|belief| belief.failed)
+            .filter(|belief| belief.failed || small)
             .filter(|belief| now.since(belief.since) < self.pace.suspect_for_ms)
             .map(|belief| belief.rumor.record.address)
             .take(PER_TICK)
