--- a/crates/nutmegkeel_dev/src/lib.rs
+++ b/crates/nutmegkeel_dev/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod model;
 pub mod port;
 pub mod process;
+pub mod soak;
 pub mod standin;
--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -6,13 +6,14 @@
 
 use bpaf::Parser;
 use nutmegkeel_dev::measure::Measurement;
-use nutmegkeel_dev::{demo, measure, model, standin};
+use nutmegkeel_dev::{demo, measure, model, soak, standin};
 
 #[derive(Clone, Debug)]
 enum Command {
     Demo(demo::Options),
     Measure(Measurement),
     Model,
+    Soak(u64, u64),
     Platform(SocketAddr),
     Fabric(PathBuf),
     Backend(PathBuf),
@@ -24,6 +25,7 @@
         demo_command(),
         measure_command(),
         model_command(),
+        soak_command(),
         platform(),
         fabric(),
         backend(),
@@ -34,6 +36,7 @@
         Command::Demo(options) => demo::run(&options),
         Command::Measure(measurement) => measure::run(&measurement),
         Command::Model => model::run(),
+        Command::Soak(seed, minutes) => Ok(soak::run(seed, minutes)),
         Command::Platform(address) => standin::platform::spawn(address).map(|_handle| {
             loop {
                 std::thread::park();
@@ -104,6 +107,15 @@
         .command("model")
 }
 
+fn soak_command() -> impl Parser<Command> {
+    let seed = bpaf::long("seed").help("First seed").argument("SEED").fallback(1);
+    let minutes = bpaf::long("minutes").help("How long").argument("MINUTES").fallback(1);
+    bpaf::construct!(Command::Soak(seed, minutes))
+        .to_options()
+        .descr("Random runs of the core under faults")
+        .command("soak")
+}
+
 fn path_measurement() -> impl Parser<Measurement> {
     bpaf::long("flows")
         .help("Flows to open, one after the other")
