--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -92,7 +92,8 @@
         membership,
         configuration,
         leaving,
-        capacity
+        capacity,
+        capacity_point()
     ])
     .map(Command::Measure)
     .to_options()
@@ -116,6 +117,19 @@
         .command("soak")
 }
 
+fn capacity_point() -> impl Parser<Measurement> {
+    let name = bpaf::positional::<String>("KIND");
+    let count = bpaf::positional::<u32>("COUNT");
+    bpaf::construct!(name, count)
+        .parse(|(name, count)| {
+            measure::capacity::Point::of(&name, count).ok_or("allowed: members, agents, classes")
+        })
+        .map(Measurement::CapacityPoint)
+        .to_options()
+        .descr("One point of the slopes, in this process")
+        .command("capacity-point")
+}
+
 fn path_measurement() -> impl Parser<Measurement> {
     bpaf::long("flows")
         .help("Flows to open, one after the other")
--- a/crates/nutmegkeel_dev/src/measure.rs
+++ b/crates/nutmegkeel_dev/src/measure.rs
@@ -41,6 +41,8 @@
     Leaving,
     /// Slopes for docs/CAPACITY.md.
     Capacity,
+    /// One point of them.
+    CapacityPoint(capacity::Point),
 }
 
 /// Runs a measurement; true when its aim was met.
@@ -58,7 +60,8 @@
         Measurement::Membership => membership::run(),
         Measurement::Configuration => configuration::run(),
         Measurement::Leaving => leaving::run(),
-        Measurement::Capacity => capacity::run(),
+        Measurement::Capacity => capacity::run()?,
+        Measurement::CapacityPoint(point) => capacity::run_point(*point),
     })
 }
 
--- a/crates/nutmegkeel_dev/src/measure/capacity.rs
+++ b/crates/nutmegkeel_dev/src/measure/capacity.rs
@@ -1,6 +1,8 @@
 //! Slopes for docs/CAPACITY.md: what one process spends against the number of what it knows.
 
 use std::hint::black_box;
+use std::io;
+use std::process::Command;
 use std::time::Instant;
 
 use nutmegkeel_core::class::Target;
@@ -24,22 +26,62 @@
 /// Placements over which the cost of one is taken.
 const PLACEMENTS: u64 = 2_000;
 
+/// One point of a slope, measured in a process of its own so that its memory starts empty.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Point {
+    /// So many members known to one process.
+    Members(u32),
+    /// So many agents in one class.
+    Agents(u32),
+    /// So many classes.
+    Classes(u32),
+}
+
+impl Point {
+    /// The point called `name`, such as `members`.
+    #[must_use]
+    pub fn of(name: &str, count: u32) -> Option<Self> {
+        match name {
+            "members" => Some(Self::Members(count)),
+            "agents" => Some(Self::Agents(count)),
+            "classes" => Some(Self::Classes(count)),
+            _ => None,
+        }
+    }
+}
+
 /// Runs the measurement; it has no aim of its own.
-pub(super) fn run() -> bool {
+///
+/// # Errors
+/// When a point's process cannot be started.
+pub(super) fn run() -> io::Result<bool> {
     let mut line = Map::new();
-    println!("{:>9} {:>16} {:>18} {:>16}", "members", "bytes each", "tick us", "learn us each");
-    for members in MEMBERS {
-        line.insert(format!("members_{members}"), of_members(members));
-    }
-    println!("{:>9} {:>16}", "agents", "place us");
-    for agents in AGENTS {
-        line.insert(format!("agents_{agents}"), of_agents(agents));
-    }
-    println!("{:>9} {:>16} {:>18}", "classes", "bytes each", "learn us each");
-    for classes in CLASSES {
-        line.insert(format!("classes_{classes}"), of_classes(classes));
+    for (name, counts) in [("members", MEMBERS), ("agents", AGENTS), ("classes", CLASSES)] {
+        for count in counts {
+            let figures = in_own_process(name, count)?;
+            println!("{name:<8} {count:>8} {figures}");
+            line.insert(format!("{name}_{count}"), figures);
+        }
     }
     super::print_line(line);
+    Ok(true)
+}
+
+fn in_own_process(name: &str, count: u32) -> io::Result<Value> {
+    let output = Command::new(std::env::current_exe()?)
+        .args(["measure", "capacity-point", name, &count.to_string()])
+        .output()?;
+    Ok(serde_json::from_slice(&output.stdout)?)
+}
+
+/// Measures one point and prints its figures as JSON.
+pub(super) fn run_point(point: Point) -> bool {
+    let figures = match point {
+        Point::Members(count) => of_members(count),
+        Point::Agents(count) => of_agents(count),
+        Point::Classes(count) => of_classes(count),
+    };
+    println!("{figures}");
     true
 }
 
@@ -47,20 +89,18 @@
     let before = resident_bytes();
     let mut membership = Membership::open(balancer(0), Pace::default(), 1);
     let began = Instant::now();
-    let view: Vec<Rumor> = (1..=members).map(rumor).collect();
-    for part in view.chunks(NEWS) {
-        let message = Message::View(part.to_vec());
-        membership.receive(Time::ZERO, balancer(1).address, message);
+    for first in (1..=members).step_by(NEWS) {
+        let last = members.min(first + NEWS as u32 - 1);
+        let view = (first..=last).map(rumor).collect();
+        membership.receive(Time::ZERO, balancer(1).address, Message::View(view));
     }
     let learn_us = micros_each(began, u64::from(members));
-    drop(view);
     let bytes = resident_bytes().saturating_sub(before) / u64::from(members);
     let began = Instant::now();
     for tick in 0..TICKS {
         black_box(membership.tick(Time::from_millis(tick * 50)));
     }
     let tick_us = micros_each(began, TICKS);
-    println!("{members:>9} {bytes:>16} {tick_us:>18.1} {learn_us:>16.2}");
     json!({"bytes_each": bytes, "tick_us": tick_us, "learn_us": learn_us})
 }
 
@@ -72,18 +112,19 @@
 }
 
 fn of_agents(agents: u32) -> Value {
+    let before = resident_bytes();
     let mut pool = Pool::default();
     for number in 0..agents {
         let address = rumor(number).record.address;
         pool.insert(address, Candidate::new(Instance::new(1), 7, 2_000));
     }
+    let bytes = resident_bytes().saturating_sub(before) / u64::from(agents);
     let began = Instant::now();
     for flow in 0..PLACEMENTS {
         black_box(pool.place(Key::new(flow * 0x9e37), Rule::LoadedRendezvous, 3));
     }
     let place_us = micros_each(began, PLACEMENTS);
-    println!("{agents:>9} {place_us:>16.2}");
-    json!({"place_us": place_us})
+    json!({"place_us": place_us, "bytes_each": bytes})
 }
 
 fn of_classes(classes: u32) -> Value {
@@ -97,7 +138,6 @@
     }
     let learn_us = micros_each(began, u64::from(classes));
     let bytes = resident_bytes().saturating_sub(before) / u64::from(classes);
-    println!("{classes:>9} {bytes:>16} {learn_us:>18.2}");
     json!({"bytes_each": bytes, "learn_us": learn_us})
 }
 
