--- a/crates/nutmegkeel_core/src/membership.rs
+++ b/crates/nutmegkeel_core/src/membership.rs
@@ -5,6 +5,7 @@
 
 mod beliefs;
 mod rumors;
+mod suspicion;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -58,16 +59,7 @@
 /// A gap between two ticks above this means that this process was paused, in milliseconds.
 const PAUSED_MS: u64 = 1_000;
 /// Time between two probes while a probe of this process went unanswered shortly before.
-const HASTE_MS: u64 = 100;
-/// Outcomes of probes count so long as evidence of being cut off, in milliseconds.
-const EVIDENCE_MS: u64 = 3_000;
-/// Suspects probed out of turn in one tick at most; bounds the traffic of a mass failure.
-const PER_TICK: usize = 2;
-/// In a fleet of at most so many everybody asks a suspect at once. In a larger one that would be a
-/// flood upon a process that may only be slow, so word of a suspicion is checked when it runs out.
-const SMALL: usize = 500;
-/// With fewer others than this there is no evidence to be had.
-const FEW: usize = 3;
+const HASTE_MS: u64 = 50;
 /// Time between two attempts to join, in milliseconds.
 const JOIN_EVERY_MS: u64 = 500;
 /// A process is young for so long and meets a random balancer as often as it would join.
@@ -124,15 +116,25 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Outcome {
-    at: Time,
+    sent: Time,
     answered: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Pending {
-    target: SocketAddr,
+    errand: Errand,
+    sent: Time,
     until: Time,
     relayed: bool,
+}
+
+/// Whom a probe goes to, and why.
+#[derive(Clone, Copy, Debug)]
+struct Errand {
+    target: SocketAddr,
+    /// Whether it goes to whoever's turn it is, and so tells something of the whole fleet.
+    in_turn: bool,
+    /// Who asked for it, and under which number.
     asked_by: Option<(SocketAddr, u64)>,
 }
 
@@ -253,7 +255,7 @@
             Message::Relay(probe, target) => {
                 let asked_by = Some((from, probe.number));
                 self.take_in(now, probe, &mut actions);
-                self.ping(now, target, asked_by, &mut actions);
+                self.ping(now, Errand { target, in_turn: false, asked_by }, &mut actions);
             }
             Message::Join(record) => {
                 let newcomer = record.address;
@@ -293,9 +295,10 @@
     /// The data path met silence: probe this process now instead of when its turn comes.
     pub fn doubt(&mut self, now: Time, address: SocketAddr) -> Vec<Action> {
         let mut actions = Vec::new();
-        let asked = self.pending.values().any(|pending| pending.target == address);
+        let asked = self.pending.values().any(|pending| pending.errand.target == address);
         if !asked && self.beliefs.get(address).is_some_and(|belief| is_living(&belief.rumor)) {
-            self.ping(now, address, None, &mut actions);
+            let errand = Errand { target: address, in_turn: false, asked_by: None };
+            self.ping(now, errand, &mut actions);
         }
         actions
     }
@@ -344,123 +347,6 @@
         actions.push(Action::Join(Message::Ping(probe)));
     }
 
-    fn expire_probes(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let expired: Vec<(u64, Pending)> = self
-            .pending
-            .iter()
-            .filter(|(_, pending)| now >= pending.until)
-            .map(|(number, pending)| (*number, *pending))
-            .collect();
-        for (number, pending) in expired {
-            if pending.asked_by.is_some() {
-                self.pending.remove(&number);
-            } else if pending.relayed {
-                self.pending.remove(&number);
-                self.suspect(now, pending.target, actions);
-            } else {
-                self.relay(now, number, pending.target, actions);
-            }
-        }
-    }
-
-    fn relay(&mut self, now: Time, number: u64, target: SocketAddr, actions: &mut Vec<Action>) {
-        let relays = self.beliefs.some(&mut self.rng, self.pace.relays, Some(target));
-        for relay in relays {
-            let probe = self.probe(number);
-            actions.push(Action::Send(relay, Message::Relay(probe, target)));
-        }
-        if let Some(pending) = self.pending.get_mut(&number) {
-            pending.relayed = true;
-            pending.until = now.after(2 * self.pace.answer_within_ms);
-        }
-    }
-
-    fn suspect(&mut self, now: Time, target: SocketAddr, actions: &mut Vec<Action>) {
-        self.note_outcome(now, false);
-        let Some(belief) = self.beliefs.get(target) else {
-            return;
-        };
-        if belief.rumor.health == Health::Alive {
-            let rumor = Rumor { health: Health::Suspect, ..belief.rumor.clone() };
-            self.learn(now, rumor, actions);
-        }
-        self.beliefs.note_failed(target);
-    }
-
-    fn note_outcome(&mut self, now: Time, answered: bool) {
-        self.outcomes.push_back(Outcome { at: now, answered });
-        while self.outcomes.front().is_some_and(|first| now.since(first.at) > EVIDENCE_MS) {
-            self.outcomes.pop_front();
-        }
-    }
-
-    /// Whether an own probe went unanswered so recently that more evidence is wanted quickly.
-    fn is_hasty(&self, now: Time) -> bool {
-        let window = self.pace.suspect_for_ms;
-        self.outcomes.iter().any(|outcome| !outcome.answered && now.since(outcome.at) <= window)
-    }
-
-    /// Whether most of this process's recent probes went unanswered.
-    fn is_cut_off(&self, now: Time) -> bool {
-        let recent = self.outcomes.iter().filter(|outcome| now.since(outcome.at) <= EVIDENCE_MS);
-        let all = recent.clone().count();
-        let failed = recent.filter(|outcome| !outcome.answered).count();
-        self.beliefs.living().len() >= FEW && 2 * failed > all
-    }
-
-    /// Asks suspects again while they have time left, so that one lost answer condemns nobody and,
-    /// in a small fleet, so that word of a suspicion is checked while the time runs.
-    fn ask_suspects_again(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let small = self.beliefs.living().len() <= SMALL;
-        let suspects: Vec<SocketAddr> = self
-            .beliefs
-            .suspects()
-            .filter(|belief| belief.failed || small)
-            .filter(|belief| now.since(belief.since) < self.pace.suspect_for_ms)
-            .map(|belief| belief.rumor.record.address)
-            .take(PER_TICK)
-            .collect();
-        for address in suspects {
-            actions.extend(self.doubt(now, address));
-        }
-    }
-
-    /// Gives up suspects whose time is over and whose silence this process met itself.
-    ///
-    /// Guards against a mass removal when the observer or its failure domain is cut off: then very
-    /// many go silent at once and the last good view is the better one. Nobody is given up while
-    /// most own probes fail, and while more than a third are silent nobody before `hold_for_ms`.
-    fn give_up_suspects(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let silent = self.beliefs.suspect_count();
-        if silent == 0 {
-            return;
-        }
-        let many = silent >= FEW && silent * 3 > self.beliefs.living().len();
-        let wait = if many { self.pace.hold_for_ms } else { self.pace.suspect_for_ms };
-        let (own, hearsay): (Vec<_>, Vec<_>) = self
-            .beliefs
-            .suspects()
-            .filter(|belief| now.since(belief.since) >= wait)
-            .partition(|belief| belief.failed);
-        let over: Vec<Rumor> = own
-            .into_iter()
-            .map(|belief| Rumor { health: Health::Dead, ..belief.rumor.clone() })
-            .collect();
-        let unsure: Vec<SocketAddr> =
-            hearsay.iter().map(|belief| belief.rumor.record.address).take(PER_TICK).collect();
-        for address in unsure {
-            actions.extend(self.doubt(now, address));
-        }
-        if self.is_cut_off(now) {
-            // What went unanswered while this process was cut off proves nothing once it is not.
-            return self.beliefs.start_over(now);
-        }
-        for rumor in over {
-            self.rumors.add(rumor.clone());
-            self.believe(now, rumor, actions);
-        }
-    }
-
     /// Probes each other process once per round, in an order drawn anew for each round.
     fn probe_next(&mut self, now: Time, actions: &mut Vec<Action>) {
         if self.order.is_empty() {
@@ -469,23 +355,20 @@
         }
         while let Some(target) = self.order.pop() {
             if self.beliefs.get(target).is_some_and(|belief| is_living(&belief.rumor)) {
-                self.ping(now, target, None, actions);
+                let errand = Errand { target, in_turn: true, asked_by: None };
+                self.ping(now, errand, actions);
                 return;
             }
         }
     }
 
-    fn ping(
-        &mut self,
-        now: Time,
-        target: SocketAddr,
-        asked_by: Option<(SocketAddr, u64)>,
-        actions: &mut Vec<Action>,
-    ) {
+    fn ping(&mut self, now: Time, errand: Errand, actions: &mut Vec<Action>) {
         self.next_number += 1;
         let number = self.next_number;
         let until = now.after(self.pace.answer_within_ms);
-        self.pending.insert(number, Pending { target, until, relayed: false, asked_by });
+        let pending = Pending { errand, sent: now, until, relayed: false };
+        self.pending.insert(number, pending);
+        let target = errand.target;
         let mut probe = self.probe(number);
         probe.news.extend(self.grave_belief(target));
         actions.push(Action::Send(target, Message::Ping(probe)));
@@ -511,8 +394,8 @@
         let Some(pending) = self.pending.remove(&probe.number) else {
             return self.take_in(now, probe, actions);
         };
-        self.note_outcome(now, true);
-        if let Some((asker, number)) = pending.asked_by {
+        self.note_outcome(now, &pending, true);
+        if let Some((asker, number)) = pending.errand.asked_by {
             let passed_on = Probe { number, ..probe.clone() };
             actions.push(Action::Send(asker, Message::Ack(passed_on)));
         }
--- /dev/null
+++ b/crates/nutmegkeel_core/src/membership/suspicion.rs
@@ -0,0 +1,153 @@
+//! From an unanswered probe to a death: repeats through others, suspicion, evidence, giving up.
+
+use std::net::SocketAddr;
+
+use super::{Action, Membership, Message, Outcome, Pending};
+use crate::clock::Time;
+use crate::member::{Health, Rumor};
+
+/// Outcomes of probes are kept so long as evidence of being cut off, in milliseconds.
+const EVIDENCE_MS: u64 = 10_000;
+/// Suspects probed out of turn in one tick at most; bounds the traffic of a mass failure.
+const PER_TICK: usize = 2;
+/// In a fleet of at most so many everybody asks a suspect at once. In a larger one that would be a
+/// flood upon a process that may only be slow, so word of a suspicion is checked when it runs out.
+const SMALL: usize = 500;
+/// With fewer others than this there is no evidence to be had.
+const FEW: usize = 3;
+
+impl Membership {
+    pub(super) fn expire_probes(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let expired: Vec<(u64, Pending)> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| now >= pending.until)
+            .map(|(number, pending)| (*number, *pending))
+            .collect();
+        for (number, pending) in expired {
+            if pending.errand.asked_by.is_some() {
+                self.pending.remove(&number);
+            } else if pending.relayed {
+                self.pending.remove(&number);
+                self.note_outcome(now, &pending, false);
+                self.suspect(now, pending.errand.target, actions);
+            } else {
+                self.relay(now, number, pending.errand.target, actions);
+            }
+        }
+    }
+
+    fn relay(&mut self, now: Time, number: u64, target: SocketAddr, actions: &mut Vec<Action>) {
+        let relays = self.beliefs.some(&mut self.rng, self.pace.relays, Some(target));
+        for relay in relays {
+            let probe = self.probe(number);
+            actions.push(Action::Send(relay, Message::Relay(probe, target)));
+        }
+        if let Some(pending) = self.pending.get_mut(&number) {
+            pending.relayed = true;
+            pending.until = now.after(2 * self.pace.answer_within_ms);
+        }
+    }
+
+    pub(super) fn suspect(&mut self, now: Time, target: SocketAddr, actions: &mut Vec<Action>) {
+        let Some(belief) = self.beliefs.get(target) else {
+            return;
+        };
+        if belief.rumor.health == Health::Alive {
+            let rumor = Rumor { health: Health::Suspect, ..belief.rumor.clone() };
+            self.learn(now, rumor, actions);
+        }
+        self.beliefs.note_failed(target);
+    }
+
+    pub(super) fn note_outcome(&mut self, now: Time, pending: &Pending, answered: bool) {
+        if pending.errand.in_turn {
+            self.outcomes.push_back(Outcome { sent: pending.sent, answered });
+        }
+        let oldest = EVIDENCE_MS + self.judged_after_ms();
+        while self.outcomes.front().is_some_and(|first| now.since(first.sent) > oldest) {
+            self.outcomes.pop_front();
+        }
+    }
+
+    /// Time from sending a probe until it has surely been answered or judged unanswered.
+    const fn judged_after_ms(&self) -> u64 {
+        3 * self.pace.answer_within_ms
+    }
+
+    /// Whether an own probe went unanswered so recently that more evidence is wanted quickly.
+    pub(super) fn is_hasty(&self, now: Time) -> bool {
+        let window = self.pace.suspect_for_ms + self.judged_after_ms();
+        self.outcomes.iter().any(|outcome| !outcome.answered && now.since(outcome.sent) <= window)
+    }
+
+    /// Whether more than one in `parts` of the probes sent within `window_ms` went unanswered.
+    ///
+    /// Only probes old enough to have been judged count. Answers come at once and silence shows
+    /// late, so counting all of them would make a process that was just cut off look well.
+    fn fails_more_than_one_in(&self, parts: usize, now: Time, window_ms: u64) -> bool {
+        let youngest = self.judged_after_ms();
+        let judged = self.outcomes.iter().filter(|outcome| {
+            let age = now.since(outcome.sent);
+            age >= youngest && age <= youngest + window_ms
+        });
+        let all = judged.clone().count();
+        let failed = judged.filter(|outcome| !outcome.answered).count();
+        self.beliefs.living().len() >= FEW && parts * failed > all
+    }
+
+    /// Asks suspects again while they have time left, so that one lost answer condemns nobody and,
+    /// in a small fleet, so that word of a suspicion is checked while the time runs.
+    pub(super) fn ask_suspects_again(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let small = self.beliefs.living().len() <= SMALL;
+        let suspects: Vec<SocketAddr> = self
+            .beliefs
+            .suspects()
+            .filter(|belief| belief.failed || small)
+            .filter(|belief| now.since(belief.since) < self.pace.hold_for_ms)
+            .map(|belief| belief.rumor.record.address)
+            .take(PER_TICK)
+            .collect();
+        for address in suspects {
+            actions.extend(self.doubt(now, address));
+        }
+    }
+
+    /// Gives up suspects whose time is over and whose silence this process met itself.
+    ///
+    /// Guards against a mass removal when the observer or its failure domain is cut off: then very
+    /// many go silent at once and the last good view is the better one. While more than a third of
+    /// the others are silent, or of the own probes fail, nobody is given up before `hold_for_ms`,
+    /// which brings evidence enough; and nobody at all while most own probes fail.
+    pub(super) fn give_up_suspects(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let silent = self.beliefs.suspect_count();
+        if silent == 0 {
+            return;
+        }
+        if self.fails_more_than_one_in(2, now, EVIDENCE_MS) {
+            // What went unanswered while this process was cut off proves nothing once it is not.
+            return self.beliefs.start_over(now);
+        }
+        let many = silent >= FEW && silent * 3 > self.beliefs.living().len();
+        let doubtful = self.fails_more_than_one_in(3, now, self.pace.suspect_for_ms);
+        let wait = if many || doubtful { self.pace.hold_for_ms } else { self.pace.suspect_for_ms };
+        let (own, hearsay): (Vec<_>, Vec<_>) = self
+            .beliefs
+            .suspects()
+            .filter(|belief| now.since(belief.since) >= wait)
+            .partition(|belief| belief.failed);
+        let over: Vec<Rumor> = own
+            .into_iter()
+            .map(|belief| Rumor { health: Health::Dead, ..belief.rumor.clone() })
+            .collect();
+        let unsure: Vec<SocketAddr> =
+            hearsay.iter().map(|belief| belief.rumor.record.address).take(PER_TICK).collect();
+        for address in unsure {
+            actions.extend(self.doubt(now, address));
+        }
+        for rumor in over {
+            self.rumors.add(rumor.clone());
+            self.believe(now, rumor, actions);
+        }
+    }
+}
--- a/crates/nutmegkeel_node/src/agent.rs
+++ b/crates/nutmegkeel_node/src/agent.rs
@@ -22,6 +22,7 @@
 use nutmegkeel_core::life::Phase;
 use nutmegkeel_platform::etcd;
 
+use crate::address;
 use crate::clock::Clock;
 use crate::settings;
 use crate::web::{self, Answer, Call};
@@ -43,15 +44,8 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
     /// An address could not be bound.
-    #[error("field `{field}`: cannot bind {address}: {error}")]
-    Bind {
-        /// The settings field.
-        field: &'static str,
-        /// The address.
-        address: SocketAddr,
-        /// What the machine said.
-        error: io::Error,
-    },
+    #[error(transparent)]
+    Bind(#[from] address::Fault),
     /// The certificate or its key cannot be used.
     #[error("fields `certificate` and `private_key`: {0}")]
     Certificate(String),
@@ -100,11 +94,7 @@
         },
         _ => Answer::new(404, "there are POST /announce, POST /drain, /health and /metrics\n"),
     };
-    let web = web::spawn(address, Box::new(handler)).map_err(|error| Fault::Bind {
-        field: "web",
-        address,
-        error,
-    })?;
+    let web = web::spawn(address, Box::new(handler)).map_err(address::Fault::of("web", address))?;
     Ok(Waiting { settings, notices, web })
 }
 
--- a/crates/nutmegkeel_node/src/agent/shared.rs
+++ b/crates/nutmegkeel_node/src/agent/shared.rs
@@ -24,6 +24,7 @@
 
 use super::Fault;
 use super::announcement::Announcement;
+use crate::address;
 use crate::clock::Clock;
 use crate::metric;
 use crate::settings;
@@ -109,7 +110,7 @@
         socket.set_nonblocking(true)?;
         UdpSocket::from_std(socket)
     });
-    bound.map_err(|error| Fault::Bind { field: "frames", address, error })
+    Ok(bound.map_err(address::Fault::of("frames", address))?)
 }
 
 impl Shared {
--- a/crates/nutmegkeel_node/src/balancer.rs
+++ b/crates/nutmegkeel_node/src/balancer.rs
@@ -27,6 +27,7 @@
 use nutmegkeel_wire::frame::{self, Header};
 use nutmegkeel_wire::key::Ring;
 
+use crate::address;
 use crate::clock::Clock;
 use crate::metric;
 use crate::settings;
@@ -78,15 +79,8 @@
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
     /// An address could not be bound.
-    #[error("field `{field}`: cannot bind {address}: {error}")]
-    Bind {
-        /// The settings field.
-        field: &'static str,
-        /// The address.
-        address: SocketAddr,
-        /// What the machine said.
-        error: io::Error,
-    },
+    #[error(transparent)]
+    Bind(#[from] address::Fault),
     /// A thread could not be started.
     #[error("cannot start a thread: {0}")]
     Thread(io::Error),
@@ -104,12 +98,12 @@
         let shared = Arc::clone(&shared);
         let address = settings.common.web;
         web::spawn(address, Box::new(move |call| answer(&shared, &metrics, call)))
-            .map_err(|error| Fault::Bind { field: "web", address, error })?
+            .map_err(address::Fault::of("web", address))?
     };
     let address = settings.administration;
     let administration =
         crate::administration::spawn(address, &settings.token, Arc::clone(&shared))
-            .map_err(|error| Fault::Bind { field: "administration", address, error })?;
+            .map_err(address::Fault::of("administration", address))?;
     for desk in shared.desks.values() {
         let (shared, desk) = (Arc::clone(&shared), Arc::clone(desk));
         start("desk", move || forward::from_callers(&shared, &desk))?;
@@ -280,7 +274,7 @@
         socket.set_read_timeout(Some(WAKE))?;
         Ok(socket)
     });
-    bound.map_err(|error| Fault::Bind { field, address, error })
+    Ok(bound.map_err(address::Fault::of(field, address))?)
 }
 
 fn start(name: &str, body: impl FnOnce() + Send + 'static) -> Result<(), Fault> {
--- a/crates/nutmegkeel_node/src/lib.rs
+++ b/crates/nutmegkeel_node/src/lib.rs
@@ -1,5 +1,6 @@
 //! The running balancer and agent: sockets, threads and clocks around the decisions of the core.
 
+pub mod address;
 pub mod administration;
 pub mod agent;
 pub mod balancer;
