--- a/crates/nutmegkeel_core/src/agent.rs
+++ b/crates/nutmegkeel_core/src/agent.rs
@@ -15,6 +15,7 @@
 use crate::peer::{self, Message, Peer};
 use crate::placement::{Hop, Key};
 use crate::reply::Paths;
+use crate::retry::Budget;
 
 /// How long the key of an accepted flow is remembered for repeats of its opening, in milliseconds.
 const OPENING_MS: u64 = 10_000;
@@ -92,6 +93,7 @@
     capacity: Capacity,
     gate: Gate,
     ledger: Ledger,
+    retries: Budget,
     paths: Paths,
     openings: BTreeMap<Key, Time>,
     flows: u32,
@@ -109,6 +111,7 @@
             gate: Gate::open(capacity.slots, seed),
             capacity,
             ledger: Ledger::default(),
+            retries: Budget::open(),
             paths: Paths::default(),
             openings: BTreeMap::new(),
             flows: 0,
@@ -152,6 +155,11 @@
         self.paths.way(now, caller, self.peer.balancers())
     }
 
+    /// Takes one retry of an idempotent request out of the budget; false when none is left.
+    pub fn spend_retry(&mut self) -> bool {
+        self.retries.spend()
+    }
+
     /// Takes in one event.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
         match event {
@@ -233,6 +241,7 @@
             let refused = Decision::Refuse(id, Reason::Unavailable, COME_BACK_MS);
             return vec![Action::Decided(refused)];
         }
+        self.retries.earn();
         let decision = self.gate.arrive(now, id, deadline);
         if !matches!(decision, Some(Decision::Refuse(..))) {
             self.requests.insert(id, deadline);
--- a/crates/nutmegkeel_core/tests/agent.rs
+++ b/crates/nutmegkeel_core/tests/agent.rs
@@ -108,6 +108,23 @@
     assert_eq!(agent.phase(), Phase::Gone);
 }
 
+/// A backend server that breaks off every request is hit twice as hard by the system's retries.
+/// They are bounded to a tenth of the requests.
+#[test]
+fn retries_are_bounded_to_a_tenth_of_the_requests() {
+    let mut agent = serving(2_000);
+    while agent.spend_retry() {}
+
+    let mut retries = 0;
+    for id in 0..1_000 {
+        agent.handle(at(3_000), Event::Request(Id(id), at(60_000)));
+        agent.handle(at(3_000), Event::Finished(Id(id), true));
+        retries += u32::from(agent.spend_retry());
+    }
+
+    assert_eq!(retries, 100);
+}
+
 /// A cancelled request keeps its slot, and after seven of them the desk answers nobody.
 #[test]
 fn cancelled_requests_give_their_slots_back() {
--- a/crates/nutmegkeel_node/src/agent/request.rs
+++ b/crates/nutmegkeel_node/src/agent/request.rs
@@ -83,13 +83,14 @@
     let mut work = Work::open(Arc::clone(&shared), &head);
     match work.prepare(&head).await {
         Ok(ready) if has_no_body(&head) => {
-            let request = to_backend(&shared, &head, Empty::new().map_err(never).boxed());
-            send(&shared, work, ready, request, &mut answering, arrived).await;
+            let sent = send_idempotent(&shared, &head, ready).await;
+            pass_on(&shared, work, sent, &mut answering, arrived).await;
             end_receiving(&mut receiving);
         }
         Ok(ready) => {
             let request = to_backend(&shared, &head, stream_body(receiving));
-            send(&shared, work, ready, request, &mut answering, arrived).await;
+            let sent = ready.send(request).await;
+            pass_on(&shared, work, sent, &mut answering, arrived).await;
         }
         Err(refusal) => {
             refuse(&shared, &mut answering, refusal, arrived).await;
@@ -106,15 +107,30 @@
     receiving.stop_sending(Code::H3_NO_ERROR);
 }
 
-async fn send(
+/// Sends a request that may run twice, and once more if the backend server broke off before it
+/// answered and the budget for retries allows it.
+async fn send_idempotent(
     shared: &Shared,
-    mut work: Work,
+    head: &Request<()>,
     ready: Ready,
-    request: Request<Body>,
+) -> Result<Response<Incoming>, backend::Fault> {
+    let request = || to_backend(shared, head, Empty::new().map_err(never).boxed());
+    let first = ready.send(request()).await;
+    if first.is_ok() || !shared.core().spend_retry() {
+        return first;
+    }
+    backend::connect(shared.backend).await?.send(request()).await
+}
+
+/// Passes the backend server's answer on, or says that there is none.
+async fn pass_on(
+    shared: &Shared,
+    mut work: Work,
+    sent: Result<Response<Incoming>, backend::Fault>,
     answering: &mut Answering,
     arrived: Instant,
 ) {
-    match ready.send(request).await {
+    match sent {
         Ok(response) => {
             record(shared, Verdict::Ran, arrived);
             work.relay(response, answering).await;
