--- a/crates/nutmegkeel_core/src/membership.rs
+++ b/crates/nutmegkeel_core/src/membership.rs
@@ -233,7 +233,7 @@
         self.give_up_suspects(now, &mut actions);
         self.beliefs.bury(now, BURY_AFTER_MS);
         if now >= self.next_probe {
-            let pause = if self.is_hasty(now) { HASTE_MS } else { self.pace.probe_every_ms };
+            let pause = if self.is_hasty() { HASTE_MS } else { self.pace.probe_every_ms };
             self.next_probe = now.after(pause);
             self.probe_next(now, &mut actions);
         }
--- a/crates/nutmegkeel_core/src/membership/beliefs.rs
+++ b/crates/nutmegkeel_core/src/membership/beliefs.rs
@@ -18,8 +18,8 @@
 pub(super) struct Belief {
     pub(super) rumor: Rumor,
     pub(super) since: Time,
-    /// Whether an own probe went unanswered since it became suspect.
-    pub(super) failed: bool,
+    /// When the first own probe that went unanswered since it became suspect was sent.
+    pub(super) failed: Option<Time>,
     /// Index among the living.
     place: usize,
 }
@@ -78,12 +78,12 @@
         } else {
             self.dead.insert(address);
         }
-        self.known.insert(address, Belief { rumor, since: now, failed: false, place });
+        self.known.insert(address, Belief { rumor, since: now, failed: None, place });
     }
 
-    pub(super) fn note_failed(&mut self, address: SocketAddr) {
+    pub(super) fn note_failed(&mut self, address: SocketAddr, sent: Time) {
         if let Some(belief) = self.known.get_mut(&address) {
-            belief.failed = true;
+            belief.failed.get_or_insert(sent);
         }
     }
 
@@ -92,7 +92,7 @@
         for address in &self.suspects {
             if let Some(belief) = self.known.get_mut(address) {
                 belief.since = now;
-                belief.failed = false;
+                belief.failed = None;
             }
         }
     }
--- a/crates/nutmegkeel_core/src/membership/suspicion.rs
+++ b/crates/nutmegkeel_core/src/membership/suspicion.rs
@@ -2,12 +2,17 @@
 
 use std::net::SocketAddr;
 
+use super::beliefs::Belief;
 use super::{Action, Membership, Message, Outcome, Pending};
 use crate::clock::Time;
 use crate::member::{Health, Rumor};
 
 /// Outcomes of probes are kept so long as evidence of being cut off, in milliseconds.
 const EVIDENCE_MS: u64 = 10_000;
+/// So many probes are enough evidence to be sure of one's own connection ...
+const ENOUGH: usize = 16;
+/// ... if at most one in so many of them went unanswered.
+const SURE_PARTS: usize = 4;
 /// Suspects probed out of turn in one tick at most; bounds the traffic of a mass failure.
 const PER_TICK: usize = 2;
 /// In a fleet of at most so many everybody asks a suspect at once. In a larger one that would be a
@@ -16,6 +21,13 @@
 /// With fewer others than this there is no evidence to be had.
 const FEW: usize = 3;
 
+/// How a number of probes went.
+#[derive(Clone, Copy, Debug)]
+struct Evidence {
+    all: usize,
+    failed: usize,
+}
+
 impl Membership {
     pub(super) fn expire_probes(&mut self, now: Time, actions: &mut Vec<Action>) {
         let expired: Vec<(u64, Pending)> = self
@@ -30,7 +42,7 @@
             } else if pending.relayed {
                 self.pending.remove(&number);
                 self.note_outcome(now, &pending, false);
-                self.suspect(now, pending.errand.target, actions);
+                self.suspect(now, &pending, actions);
             } else {
                 self.relay(now, number, pending.errand.target, actions);
             }
@@ -49,7 +61,8 @@
         }
     }
 
-    pub(super) fn suspect(&mut self, now: Time, target: SocketAddr, actions: &mut Vec<Action>) {
+    fn suspect(&mut self, now: Time, pending: &Pending, actions: &mut Vec<Action>) {
+        let target = pending.errand.target;
         let Some(belief) = self.beliefs.get(target) else {
             return;
         };
@@ -57,7 +70,7 @@
             let rumor = Rumor { health: Health::Suspect, ..belief.rumor.clone() };
             self.learn(now, rumor, actions);
         }
-        self.beliefs.note_failed(target);
+        self.beliefs.note_failed(target, pending.sent);
     }
 
     pub(super) fn note_outcome(&mut self, now: Time, pending: &Pending, answered: bool) {
@@ -75,25 +88,41 @@
         3 * self.pace.answer_within_ms
     }
 
-    /// Whether an own probe went unanswered so recently that more evidence is wanted quickly.
-    pub(super) fn is_hasty(&self, now: Time) -> bool {
-        let window = self.pace.suspect_for_ms + self.judged_after_ms();
-        self.outcomes.iter().any(|outcome| !outcome.answered && now.since(outcome.sent) <= window)
+    /// Whether an own probe went unanswered, so that more evidence is wanted quickly.
+    pub(super) fn is_hasty(&self) -> bool {
+        self.beliefs.suspects().any(|belief| belief.failed.is_some())
     }
 
-    /// Whether more than one in `parts` of the probes sent within `window_ms` went unanswered.
+    /// How the probes went that were sent since `since` and are old enough to have been judged.
     ///
-    /// Only probes old enough to have been judged count. Answers come at once and silence shows
-    /// late, so counting all of them would make a process that was just cut off look well.
-    fn fails_more_than_one_in(&self, parts: usize, now: Time, window_ms: u64) -> bool {
+    /// Answers come at once and silence shows late, so counting younger ones would make a process
+    /// that was just cut off look well.
+    fn evidence(&self, now: Time, since: Time) -> Evidence {
         let youngest = self.judged_after_ms();
-        let judged = self.outcomes.iter().filter(|outcome| {
-            let age = now.since(outcome.sent);
-            age >= youngest && age <= youngest + window_ms
-        });
+        let judged = self
+            .outcomes
+            .iter()
+            .filter(|outcome| outcome.sent >= since && now.since(outcome.sent) >= youngest);
         let all = judged.clone().count();
-        let failed = judged.filter(|outcome| !outcome.answered).count();
-        self.beliefs.living().len() >= FEW && parts * failed > all
+        Evidence { all, failed: judged.filter(|outcome| !outcome.answered).count() }
+    }
+
+    /// Whether this process met the silence of a suspect itself and is surely well connected.
+    fn is_sure(&self, now: Time, belief: &Belief) -> bool {
+        let Some(failed) = belief.failed else {
+            return false;
+        };
+        if self.beliefs.living().len() < FEW {
+            return true;
+        }
+        let evidence = self.evidence(now, failed);
+        evidence.all >= ENOUGH && evidence.failed * SURE_PARTS <= evidence.all
+    }
+
+    /// Whether most probes over a long time went unanswered.
+    fn is_cut_off(&self, now: Time) -> bool {
+        let evidence = self.evidence(now, Time::ZERO);
+        self.beliefs.living().len() >= FEW && 2 * evidence.failed > evidence.all
     }
 
     /// Asks suspects again while they have time left, so that one lost answer condemns nobody and,
@@ -103,7 +132,7 @@
         let suspects: Vec<SocketAddr> = self
             .beliefs
             .suspects()
-            .filter(|belief| belief.failed || small)
+            .filter(|belief| belief.failed.is_some() || small)
             .filter(|belief| now.since(belief.since) < self.pace.hold_for_ms)
             .map(|belief| belief.rumor.record.address)
             .take(PER_TICK)
@@ -116,32 +145,33 @@
     /// Gives up suspects whose time is over and whose silence this process met itself.
     ///
     /// Guards against a mass removal when the observer or its failure domain is cut off: then very
-    /// many go silent at once and the last good view is the better one. While more than a third of
-    /// the others are silent, or of the own probes fail, nobody is given up before `hold_for_ms`,
-    /// which brings evidence enough; and nobody at all while most own probes fail.
+    /// many go silent at once and the last good view is the better one. A suspect is given up soon
+    /// only if enough other probes sent since its own went unanswered were answered and at most a
+    /// third of all are silent; otherwise after `hold_for_ms`; and nobody while most probes fail.
     pub(super) fn give_up_suspects(&mut self, now: Time, actions: &mut Vec<Action>) {
         let silent = self.beliefs.suspect_count();
         if silent == 0 {
             return;
         }
-        if self.fails_more_than_one_in(2, now, EVIDENCE_MS) {
+        if self.is_cut_off(now) {
             // What went unanswered while this process was cut off proves nothing once it is not.
             return self.beliefs.start_over(now);
         }
         let many = silent >= FEW && silent * 3 > self.beliefs.living().len();
-        let doubtful = self.fails_more_than_one_in(3, now, self.pace.suspect_for_ms);
-        let wait = if many || doubtful { self.pace.hold_for_ms } else { self.pace.suspect_for_ms };
-        let (own, hearsay): (Vec<_>, Vec<_>) = self
+        let waited = |belief: &&Belief, millis| now.since(belief.since) >= millis;
+        let over: Vec<Rumor> = self
             .beliefs
             .suspects()
-            .filter(|belief| now.since(belief.since) >= wait)
-            .partition(|belief| belief.failed);
-        let over: Vec<Rumor> = own
-            .into_iter()
+            .filter(|belief| waited(belief, self.pace.suspect_for_ms) && belief.failed.is_some())
+            .filter(|belief| {
+                waited(belief, self.pace.hold_for_ms) || (!many && self.is_sure(now, belief))
+            })
             .map(|belief| Rumor { health: Health::Dead, ..belief.rumor.clone() })
             .collect();
+        let hearsay = self.beliefs.suspects().filter(|belief| belief.failed.is_none());
+        let hearsay = hearsay.filter(|belief| waited(belief, self.pace.suspect_for_ms));
         let unsure: Vec<SocketAddr> =
-            hearsay.iter().map(|belief| belief.rumor.record.address).take(PER_TICK).collect();
+            hearsay.map(|belief| belief.rumor.record.address).take(PER_TICK).collect();
         for address in unsure {
             actions.extend(self.doubt(now, address));
         }
