--- a/crates/nutmegkeel_core/src/membership.rs
+++ b/crates/nutmegkeel_core/src/membership.rs
@@ -295,8 +295,9 @@
     /// The data path met silence: probe this process now instead of when its turn comes.
     pub fn doubt(&mut self, now: Time, address: SocketAddr) -> Vec<Action> {
         let mut actions = Vec::new();
-        let asked = self.pending.values().any(|pending| pending.errand.target == address);
-        if !asked && self.beliefs.get(address).is_some_and(|belief| is_living(&belief.rumor)) {
+        if !self.is_asked(address)
+            && self.beliefs.get(address).is_some_and(|belief| is_living(&belief.rumor))
+        {
             let errand = Errand { target: address, in_turn: false, asked_by: None };
             self.ping(now, errand, &mut actions);
         }
--- a/crates/nutmegkeel_core/src/membership/suspicion.rs
+++ b/crates/nutmegkeel_core/src/membership/suspicion.rs
@@ -88,6 +88,11 @@
         3 * self.pace.answer_within_ms
     }
 
+    /// Whether a probe of the process at `address` is on its way.
+    pub(super) fn is_asked(&self, address: SocketAddr) -> bool {
+        self.pending.values().any(|pending| pending.errand.target == address)
+    }
+
     /// Whether an own probe went unanswered, so that more evidence is wanted quickly.
     pub(super) fn is_hasty(&self) -> bool {
         self.beliefs.suspects().any(|belief| belief.failed.is_some())
@@ -135,6 +140,7 @@
             .filter(|belief| belief.failed.is_some() || small)
             .filter(|belief| now.since(belief.since) < self.pace.hold_for_ms)
             .map(|belief| belief.rumor.record.address)
+            .filter(|address| !self.is_asked(*address))
             .take(PER_TICK)
             .collect();
         for address in suspects {
@@ -170,8 +176,11 @@
             .collect();
         let hearsay = self.beliefs.suspects().filter(|belief| belief.failed.is_none());
         let hearsay = hearsay.filter(|belief| waited(belief, self.pace.suspect_for_ms));
-        let unsure: Vec<SocketAddr> =
-            hearsay.map(|belief| belief.rumor.record.address).take(PER_TICK).collect();
+        let unsure: Vec<SocketAddr> = hearsay
+            .map(|belief| belief.rumor.record.address)
+            .filter(|address| !self.is_asked(*address))
+            .take(PER_TICK)
+            .collect();
         for address in unsure {
             actions.extend(self.doubt(now, address));
         }
--- a/crates/nutmegkeel_core/tests/membership.rs
+++ b/crates/nutmegkeel_core/tests/membership.rs
@@ -1,5 +1,7 @@
 //! Membership under loss, islands, freezes, cuts and restarts.
 
+use std::collections::BTreeSet;
+
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::member::{Health, Instance, Record, Rumor};
 use nutmegkeel_core::membership::{Action, Membership, Message, Pace};
@@ -123,6 +125,30 @@
     assert!(fleet.agrees());
 }
 
+/// A healthy suspect is given up though it would answer: two dead ones before it, which are asked
+/// already, take the two places of every tick, and it is never asked again.
+#[test]
+fn suspects_that_are_asked_already_keep_no_other_from_being_asked() {
+    let alive = |number| Rumor { record: agent(number, "intake"), health: Health::Alive };
+    let suspect = |number| Rumor { health: Health::Suspect, ..alive(number) };
+    let mut membership = Membership::open(balancer(0), Pace::default(), 1);
+    let view = (1..6).map(alive).collect();
+    membership.receive(Time::ZERO, address(9), Message::News(view));
+    let suspects = (1..4).map(suspect).collect();
+    membership.receive(Time::ZERO, address(9), Message::News(suspects));
+
+    let mut asked = BTreeSet::new();
+    for tick in 1..4 {
+        for action in membership.tick(Time::from_millis(tick * 50)) {
+            if let Action::Send(to, Message::Ping(_)) = action {
+                asked.insert(to);
+            }
+        }
+    }
+
+    assert!(asked.is_superset(&(1..4).map(address).collect()), "{asked:?}");
+}
+
 /// A healthy agent's flows are reset by a balancer that only heard of its death from another one,
 /// which was cut off from it. Word of a death makes suspect and no more.
 #[test]
