--- a/crates/nutmegkeel_core/src/membership.rs
+++ b/crates/nutmegkeel_core/src/membership.rs
@@ -60,6 +60,8 @@
 const PAUSED_MS: u64 = 1_000;
 /// Time between two probes while a probe of this process went unanswered shortly before.
 const HASTE_MS: u64 = 50;
+/// Probes sent together in haste: evidence must be there before callers' next retransmission.
+const HASTY_PROBES: usize = 2;
 /// Time between two attempts to join, in milliseconds.
 const JOIN_EVERY_MS: u64 = 500;
 /// A process is young for so long and meets a random balancer as often as it would join.
@@ -233,9 +235,7 @@
         self.give_up_suspects(now, &mut actions);
         self.beliefs.bury(now, BURY_AFTER_MS);
         if now >= self.next_probe {
-            let pause = if self.is_hasty() { HASTE_MS } else { self.pace.probe_every_ms };
-            self.next_probe = now.after(pause);
-            self.probe_next(now, &mut actions);
+            self.probe_in_turn(now, &mut actions);
         }
         actions
     }
@@ -348,6 +348,16 @@
         actions.push(Action::Join(Message::Ping(probe)));
     }
 
+    fn probe_in_turn(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let hasty = self.is_hasty();
+        let (count, pause) =
+            if hasty { (HASTY_PROBES, HASTE_MS) } else { (1, self.pace.probe_every_ms) };
+        self.next_probe = now.after(pause);
+        for _ in 0..count {
+            self.probe_next(now, actions);
+        }
+    }
+
     /// Probes each other process once per round, in an order drawn anew for each round.
     fn probe_next(&mut self, now: Time, actions: &mut Vec<Action>) {
         if self.order.is_empty() {
--- a/crates/nutmegkeel_core/src/membership/suspicion.rs
+++ b/crates/nutmegkeel_core/src/membership/suspicion.rs
@@ -93,9 +93,11 @@
         self.pending.values().any(|pending| pending.errand.target == address)
     }
 
-    /// Whether an own probe went unanswered, so that more evidence is wanted quickly.
+    /// Whether more evidence is wanted quickly: an own probe went unanswered or, in a small fleet,
+    /// somebody is suspect at all.
     pub(super) fn is_hasty(&self) -> bool {
-        self.beliefs.suspects().any(|belief| belief.failed.is_some())
+        let small = self.beliefs.living().len() <= SMALL;
+        self.beliefs.suspects().any(|belief| small || belief.failed.is_some())
     }
 
     /// How the probes went that were sent since `since` and are old enough to have been judged.
