--- a/crates/nutmegkeel_core/src/lib.rs
+++ b/crates/nutmegkeel_core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod class;
 pub mod clock;
 pub mod configuration;
+pub mod ended;
 pub mod life;
 pub mod load;
 pub mod member;
--- a/crates/nutmegkeel_core/src/member.rs
+++ b/crates/nutmegkeel_core/src/member.rs
@@ -112,6 +112,12 @@
 }
 
 impl Rumor {
+    /// Whether the process is neither given up nor at its end.
+    #[must_use]
+    pub fn is_living(&self) -> bool {
+        self.health != Health::Dead && self.record.phase != Phase::Gone
+    }
+
     /// Whether this rumor tells more than `known` of the same address.
     ///
     /// A later run beats an earlier one, a later version of the owner's word beats any belief
--- a/crates/nutmegkeel_core/src/membership.rs
+++ b/crates/nutmegkeel_core/src/membership.rs
@@ -18,7 +18,7 @@
 use crate::clock::Time;
 use crate::life::Phase;
 use crate::member::{Health, Instance, Record, Role, Rumor};
-use beliefs::{Beliefs, fingerprint, is_living};
+use beliefs::{Beliefs, fingerprint};
 use rumors::Rumors;
 
 /// Pace of the probes. All in milliseconds but the counts.
@@ -196,7 +196,7 @@
 
     /// Others that are not given up.
     pub fn living(&self) -> impl Iterator<Item = &Rumor> {
-        self.beliefs().filter(|rumor| is_living(rumor))
+        self.beliefs().filter(|rumor| rumor.is_living())
     }
 
     /// Changes this process's word about itself.
@@ -296,7 +296,7 @@
     pub fn doubt(&mut self, now: Time, address: SocketAddr) -> Vec<Action> {
         let mut actions = Vec::new();
         if !self.is_asked(address)
-            && self.beliefs.get(address).is_some_and(|belief| is_living(&belief.rumor))
+            && self.beliefs.get(address).is_some_and(|belief| belief.rumor.is_living())
         {
             let errand = Errand { target: address, in_turn: false, asked_by: None };
             self.ping(now, errand, &mut actions);
@@ -365,7 +365,7 @@
             self.order.shuffle(&mut self.rng);
         }
         while let Some(target) = self.order.pop() {
-            if self.beliefs.get(target).is_some_and(|belief| is_living(&belief.rumor)) {
+            if self.beliefs.get(target).is_some_and(|belief| belief.rumor.is_living()) {
                 let errand = Errand { target, in_turn: true, asked_by: None };
                 self.ping(now, errand, actions);
                 return;
@@ -450,7 +450,7 @@
             return false;
         }
         let known = self.beliefs.get(rumor.record.address).map(|belief| belief.rumor.clone());
-        if known.is_none() && !is_living(&rumor) {
+        if known.is_none() && !rumor.is_living() {
             return false;
         }
         let heard_dead = rumor.health == Health::Dead;
@@ -512,7 +512,7 @@
 
 fn note_end(known: &Rumor, rumor: &Rumor, actions: &mut Vec<Action>) {
     let replaced = rumor.record.instance > known.record.instance;
-    if is_living(known) && (replaced || !is_living(rumor)) {
+    if known.is_living() && (replaced || !rumor.is_living()) {
         actions.push(Action::Gone(known.record.address, known.record.instance));
     }
 }
--- a/crates/nutmegkeel_core/src/membership/beliefs.rs
+++ b/crates/nutmegkeel_core/src/membership/beliefs.rs
@@ -10,7 +10,6 @@
 use rand::rngs::SmallRng;
 
 use crate::clock::Time;
-use crate::life::Phase;
 use crate::member::{Health, Record, Rumor};
 
 /// The belief about one process.
@@ -69,7 +68,7 @@
         let address = rumor.record.address;
         self.remove(address);
         let place = self.living.len();
-        if is_living(&rumor) {
+        if rumor.is_living() {
             self.living.push(address);
             self.digest = self.digest.wrapping_add(fingerprint(&rumor.record));
             if rumor.health == Health::Suspect {
@@ -148,10 +147,6 @@
     }
 }
 
-pub(super) fn is_living(rumor: &Rumor) -> bool {
-    rumor.health != Health::Dead && rumor.record.phase != Phase::Gone
-}
-
 /// A number that differs for each record and each version of it.
 pub(super) fn fingerprint(record: &Record) -> u64 {
     let mut hasher = blake3::Hasher::new();
--- a/crates/nutmegkeel_node/src/agent/request.rs
+++ b/crates/nutmegkeel_node/src/agent/request.rs
@@ -142,13 +142,23 @@
     }
 }
 
+/// How far the core has come with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// It waits for a slot.
+    Waiting,
+    /// It holds a slot.
+    Started,
+    /// The core counts it no longer.
+    Over,
+}
+
 /// A request that the core counts until it is dropped.
 struct Work {
     shared: Arc<Shared>,
     id: Id,
     told: Option<oneshot::Receiver<Go>>,
-    started: bool,
-    refused: bool,
+    stage: Stage,
     shed: bool,
 }
 
@@ -158,7 +168,7 @@
         let told = shared.wait(id);
         let allowed = deadline_ms(&shared, head.headers());
         shared.handle(Event::Request(id, shared.now().after(allowed)));
-        Self { shared, id, told: Some(told), started: false, refused: false, shed: false }
+        Self { shared, id, told: Some(told), stage: Stage::Waiting, shed: false }
     }
 
     /// Waits for a slot, connects, and claims the key if there is one.
@@ -184,13 +194,13 @@
         let began = Instant::now();
         match self.told().await {
             Go::Start => {
-                self.started = true;
+                self.stage = Stage::Started;
                 histogram!(metric::WAIT_SECONDS, "class" => self.shared.class.to_string())
                     .record(began.elapsed().as_secs_f64());
                 Ok(())
             }
             Go::Refuse(reason, after_ms) => {
-                self.refused = true;
+                self.stage = Stage::Over;
                 Err(Refusal::of(reason, after_ms))
             }
             Go::Run | Go::Unclaimed | Go::ClaimedBefore => Err(Refusal::not_run("lost\n", SOON_MS)),
@@ -252,9 +262,8 @@
     }
 
     fn finish(&mut self) {
-        if self.started {
-            self.started = false;
-            self.refused = true;
+        if self.stage == Stage::Started {
+            self.stage = Stage::Over;
             self.shared.handle(Event::Finished(self.id, self.shed));
         }
     }
@@ -265,10 +274,10 @@
     /// held this was dropped.
     fn drop(&mut self) {
         self.shared.stop_waiting(self.id);
-        if self.started {
-            self.finish();
-        } else if !self.refused {
-            self.shared.handle(Event::Cancelled(self.id));
+        match self.stage {
+            Stage::Waiting => self.shared.handle(Event::Cancelled(self.id)),
+            Stage::Started => self.finish(),
+            Stage::Over => {}
         }
     }
 }
--- a/crates/nutmegkeel_node/src/balancer.rs
+++ b/crates/nutmegkeel_node/src/balancer.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Sender, channel};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockWriteGuard};
 use std::thread;
 use std::time::Duration;
 
@@ -18,6 +18,7 @@
 use nutmegkeel_core::balancer::{Action, Balancer as Core, Event};
 use nutmegkeel_core::class;
 use nutmegkeel_core::clock::Time;
+use nutmegkeel_core::ended::Ended;
 use nutmegkeel_core::life::Phase;
 use nutmegkeel_core::member::{Instance, Record, Role};
 use nutmegkeel_core::membership::Pace;
@@ -60,7 +61,7 @@
     own: SocketAddr,
     join: SocketAddr,
     desks: BTreeMap<class::Id, Arc<Desk>>,
-    gone: RwLock<BTreeMap<SocketAddr, Instance>>,
+    ended: RwLock<Ended>,
     reads: Sender<()>,
     last_packet_ms: AtomicU64,
     leaving: AtomicBool,
@@ -183,7 +184,7 @@
         match action {
             peer::Action::Send(to, message) => self.send(to, message),
             peer::Action::Join(message) => self.send(self.join, message),
-            peer::Action::Gone(address, instance) => self.note_gone(address, instance),
+            peer::Action::Gone(address, instance) => self.ended_mut().note_gone(address, instance),
             peer::Action::Superseded => {
                 info!(event = "balancer_superseded"; "a later run has this address");
                 self.stopped.store(true, Ordering::Relaxed);
@@ -199,20 +200,20 @@
             peer::Action::Changed(rumor) => {
                 info!(event = "peer_changed", peer:display = rumor.record.address,
                     health:? = rumor.health, phase:? = rumor.record.phase; "peer changed");
+                if rumor.is_living() {
+                    self.ended_mut().note_living(rumor.record.address, rumor.record.instance);
+                }
             }
         }
     }
 
-    fn note_gone(&self, address: SocketAddr, instance: Instance) {
-        let mut gone = self.gone.write().unwrap_or_else(PoisonError::into_inner);
-        let latest = gone.entry(address).or_insert(instance);
-        *latest = instance.max(*latest);
+    fn ended_mut(&self) -> RwLockWriteGuard<'_, Ended> {
+        self.ended.write().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether this run of the agent at `address` is known to be over.
     fn is_gone(&self, address: SocketAddr, instance: Instance) -> bool {
-        let gone = self.gone.read().unwrap_or_else(PoisonError::into_inner);
-        gone.get(&address).is_some_and(|latest| instance <= *latest)
+        self.ended.read().unwrap_or_else(PoisonError::into_inner).is_gone(address, instance)
     }
 
     fn send(&self, to: SocketAddr, message: peer::Message) {
@@ -260,7 +261,7 @@
         own,
         join: common.join,
         desks,
-        gone: RwLock::new(BTreeMap::new()),
+        ended: RwLock::new(Ended::default()),
         reads,
         last_packet_ms: AtomicU64::new(0),
         leaving: AtomicBool::new(false),
