--- a/crates/nutmegkeel/src/arguments.rs
+++ b/crates/nutmegkeel/src/arguments.rs
@@ -14,6 +14,12 @@
     Balancer(PathBuf),
     /// Run an agent.
     Agent(PathBuf),
+    /// Run a balancer on the users' platform.
+    PlatformBalancer,
+    /// Run an agent on the users' platform.
+    PlatformAgent,
+    /// Check the settings file that the platform wrote.
+    CheckPlatformSettings,
     /// Check a settings file.
     CheckSettings(PathBuf),
     /// Query: the classes in force.
@@ -30,8 +36,15 @@
 
 /// Parses the command line; prints help or the fault and exits when there is nothing to run.
 pub(crate) fn parse() -> Command {
-    let commands =
-        bpaf::construct!([balancer(), agent(), check_settings(), class(), status(), drain()]);
+    let commands = bpaf::construct!([
+        balancer(),
+        agent(),
+        check_settings(),
+        platform(),
+        class(),
+        status(),
+        drain()
+    ]);
     commands
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
@@ -77,6 +90,26 @@
         .command("check-settings")
 }
 
+fn platform() -> impl Parser<Command> {
+    let balancer = bpaf::pure(Command::PlatformBalancer)
+        .to_options()
+        .descr("Run a balancer for flows without a routing token")
+        .command("balancer");
+    let agent = bpaf::pure(Command::PlatformAgent)
+        .to_options()
+        .descr("Run the agent of such flows beside a backend server")
+        .command("agent");
+    let check_settings = bpaf::pure(Command::CheckPlatformSettings)
+        .to_options()
+        .descr("Check the settings file that the platform wrote")
+        .command("check-settings");
+    bpaf::construct!([balancer, agent, check_settings])
+        .to_options()
+        .descr("Run on the users' platform, with the settings file that it writes")
+        .footer("Example: nutmegkeel platform balancer")
+        .command("platform")
+}
+
 fn class() -> impl Parser<Command> {
     bpaf::construct!([list_classes(), show_class(), set_class()])
         .to_options()
--- a/crates/nutmegkeel/src/logging.rs
+++ b/crates/nutmegkeel/src/logging.rs
@@ -1,4 +1,4 @@
-//! Structured logs: one JSON object per line on standard error.
+//! Structured logs: one JSON object per line on standard output.
 
 use log::LevelFilter;
 use log4rs::append::console::{ConsoleAppender, Target};
@@ -6,12 +6,12 @@
 use log4rs::encode::json::JsonEncoder;
 
 /// Name of the one appender.
-const APPENDER: &str = "stderr";
+const APPENDER: &str = "stdout";
 
 /// Starts logging; a process that cannot log still serves, and says so.
 pub(crate) fn start() {
     let appender = ConsoleAppender::builder()
-        .target(Target::Stderr)
+        .target(Target::Stdout)
         .encoder(Box::new(JsonEncoder::new()))
         .build();
     let config = Config::builder()
--- a/crates/nutmegkeel/src/main.rs
+++ b/crates/nutmegkeel/src/main.rs
@@ -14,6 +14,9 @@
     let ended = match command {
         Command::Balancer(file) => run::balancer(&file),
         Command::Agent(file) => run::agent(&file),
+        Command::PlatformBalancer => run::platform_balancer(),
+        Command::PlatformAgent => run::platform_agent(),
+        Command::CheckPlatformSettings => run::check_platform_settings(),
         Command::CheckSettings(file) => run::check_settings(&file),
         Command::ListClasses(access) => operator::list_classes(&access).map_err(Into::into),
         Command::ShowClass(access, name) => {
--- a/crates/nutmegkeel/src/run.rs
+++ b/crates/nutmegkeel/src/run.rs
@@ -9,8 +9,9 @@
 
 use nutmegkeel_core::verdict::Verdict;
 use nutmegkeel_node::settings::{self, Faults, Settings};
-use nutmegkeel_node::{agent, balancer, metric};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use nutmegkeel_node::{agent, balancer, l4, metric};
+use nutmegkeel_platform::settings as platform_settings;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use crate::{logging, operator};
 
@@ -39,6 +40,12 @@
     /// The agent could not start.
     #[error(transparent)]
     Agent(#[from] agent::Fault),
+    /// The platform's settings file is wrong.
+    #[error(transparent)]
+    PlatformSettings(#[from] platform_settings::Fault),
+    /// A role on the platform could not start.
+    #[error(transparent)]
+    Platform(#[from] l4::Fault),
     /// The metrics recorder could not be installed.
     #[error("metrics: {0}")]
     Metrics(#[from] metric::Fault),
@@ -53,7 +60,7 @@
 impl Fault {
     pub(crate) fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
-            Self::Settings(_) | Self::Role => USAGE,
+            Self::Settings(_) | Self::PlatformSettings(_) | Self::Role => USAGE,
             Self::Operator(fault) if fault.verdict() == Verdict::MayHaveRun => MAY_HAVE_RUN,
             _ => NOT_RUN,
         })
@@ -95,6 +102,39 @@
     Ok(())
 }
 
+pub(crate) fn platform_balancer() -> Result<(), Fault> {
+    let path = platform_settings::path();
+    let settings = platform_settings::open(&path)?;
+    logging::start();
+    let signals = Signals::open()?;
+    let mut handle = l4::balancer::spawn(&settings, path, metric::install()?)?;
+    while !signals.stops() {
+        handle.tick(signals.take_reload());
+    }
+    handle.leave();
+    Ok(())
+}
+
+pub(crate) fn platform_agent() -> Result<(), Fault> {
+    let path = platform_settings::path();
+    let settings = platform_settings::open(&path)?;
+    logging::start();
+    let signals = Signals::open()?;
+    let mut handle = l4::agent::spawn(&settings, path, metric::install()?)?;
+    while !signals.stops() {
+        handle.tick(signals.take_reload());
+    }
+    handle.leave();
+    Ok(())
+}
+
+pub(crate) fn check_platform_settings() -> Result<(), Fault> {
+    let path = platform_settings::path();
+    platform_settings::open(&path)?;
+    println!("{}: no faults", path.display());
+    Ok(())
+}
+
 pub(crate) fn check_settings(file: &Path) -> Result<(), Fault> {
     settings::open(file)?;
     println!("{}: no faults", file.display());
@@ -108,3 +148,25 @@
     }
     Ok(stop)
 }
+
+/// What signals asked for.
+struct Signals {
+    stop: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
+}
+
+impl Signals {
+    fn open() -> Result<Self, Fault> {
+        let reload = Arc::new(AtomicBool::new(false));
+        signal_hook::flag::register(SIGHUP, Arc::clone(&reload)).map_err(Fault::Signals)?;
+        Ok(Self { stop: stop_signal()?, reload })
+    }
+
+    fn stops(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+
+    fn take_reload(&self) -> bool {
+        self.reload.swap(false, Ordering::Relaxed)
+    }
+}
--- a/crates/nutmegkeel_core/src/admission.rs
+++ b/crates/nutmegkeel_core/src/admission.rs
@@ -48,7 +48,7 @@
     ramp_percent: u64,
     running: BTreeMap<Id, Time>,
     queue: VecDeque<Waiting>,
-    service: Service,
+    service: Pace,
     rng: SmallRng,
 }
 
@@ -69,7 +69,7 @@
             ramp_percent: 100,
             running: BTreeMap::new(),
             queue: VecDeque::new(),
-            service: Service::default(),
+            service: Pace::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -194,18 +194,18 @@
 /// Smoothed service time and its smoothed deviation, in microseconds, weighted as TCP weights its
 /// round trips (RFC 6298, section 2).
 #[derive(Debug)]
-struct Service {
+pub(crate) struct Pace {
     mean_us: u64,
     deviation_us: u64,
 }
 
-impl Default for Service {
+impl Default for Pace {
     fn default() -> Self {
         Self { mean_us: Self::FIRST_MEAN_US, deviation_us: 0 }
     }
 }
 
-impl Service {
+impl Pace {
     /// First guess of the service time.
     const FIRST_MEAN_US: u64 = 20_000;
     /// Weight of the newest sample in the mean: one eighth.
@@ -215,11 +215,11 @@
 
     /// A time within which nearly every request is done. The mean alone is not enough: of the
     /// requests that start with just the mean left, half miss their deadline and waste their slot.
-    const fn most_us(&self) -> u64 {
+    pub(crate) const fn most_us(&self) -> u64 {
         self.mean_us + 2 * self.deviation_us
     }
 
-    fn learn(&mut self, sample_ms: u64) {
+    pub(crate) fn learn(&mut self, sample_ms: u64) {
         let sample_us = sample_ms * 1_000;
         let off_us = sample_us.abs_diff(self.mean_us);
         self.deviation_us = smooth(self.deviation_us, off_us, Self::DEVIATION_SHIFT);
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -0,0 +1,18 @@
+//! Flows whose packets carry no routing token: only addresses, ports and sequence numbers.
+//!
+//! A balancer finds the agent of such a flow in its own cache or by asking agents in an order that
+//! every balancer computes alike; the agent has the last word, because it alone sees what its
+//! backend server accepted. Nobody holds a table of all flows.
+
+pub mod agent;
+pub mod balancer;
+pub mod cache;
+pub mod flow;
+pub mod health;
+pub mod message;
+pub mod note;
+pub mod placement;
+pub mod roster;
+pub mod route;
+pub mod server;
+pub mod table;
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -0,0 +1,454 @@
+//! Decisions of an agent for flows without a routing token.
+//!
+//! The agent sees every packet to and from its backend server. It knows which flows the server
+//! holds, and after its own restart lets the server say so: a packet of a flow that the server does
+//! not hold comes back.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use super::flow::{Flow, Head};
+use super::health::{ANNOUNCE_MS, FORGET_MS};
+use super::message::{Announcement, Insistence, Load, Message, Reason, Roster, State};
+use super::note::{Cause, Note, ServerChange};
+use super::roster::Book;
+use super::route::Service;
+use super::server::{Beside, Heard, Heartbeat, Server};
+use super::table::{Held, Probes, Stage, Table};
+use crate::admission::Pace;
+use crate::clock::Time;
+
+/// Pause between two ticks, in milliseconds.
+pub const TICK_MS: u64 = 100;
+
+/// A backend server that left all openings unanswered for so long takes no more: it answers within a
+/// millisecond, and the client's first copy, 200 ms after the opening, can then go elsewhere.
+const UNRESPONSIVE_MS: u64 = 150;
+
+/// A flow whose backend server has sent something within this time was not cut off by a restart that
+/// a heartbeat tells of now: the heartbeat of a new incarnation comes with its start.
+const ALIVE_MS: u64 = 1_000;
+
+/// What happens to an agent.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A balancer sent an opening.
+    Open {
+        /// The balancer.
+        from: Ipv4Addr,
+        /// The packet.
+        head: Head,
+        /// Service that the flow belongs to.
+        service: Service,
+        /// How to weigh it.
+        insistence: Insistence,
+    },
+    /// A balancer sent another packet of a client.
+    Carry {
+        /// The balancer.
+        from: Ipv4Addr,
+        /// The packet.
+        head: Head,
+        /// Whether the balancer knows that the flow is here.
+        known: bool,
+    },
+    /// The backend server sent a packet to a client.
+    FromServer(Head),
+    /// The backend server handed a client's packet back.
+    Bounced(Head),
+    /// The backend server sent a heartbeat.
+    Heartbeat(Heartbeat),
+    /// The backend server said that it ends.
+    Deregistered(Arc<str>),
+    /// A balancer spoke.
+    Roster(Ipv4Addr, Roster),
+    /// The store's list of balancers was read.
+    Listed(Vec<Ipv4Addr>),
+    /// The process was told to stop.
+    Leave,
+    /// Time passed.
+    Tick,
+}
+
+/// What the shell must do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Hand the packet at hand to the backend server, with this number in it.
+    ToServer(u32),
+    /// Send the packet at hand to the client.
+    ToClient,
+    /// Send a message with the packet at hand behind it.
+    Return(Ipv4Addr, Message),
+    /// Send a message.
+    Send(Ipv4Addr, Message),
+    /// Send a reset to the client.
+    Reset {
+        /// The flow.
+        flow: Flow,
+        /// Sequence number for it.
+        seq: u32,
+    },
+    /// Write a line.
+    Note(Note),
+}
+
+/// What the agent tells of itself, fixed at start.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// When the process started, Unix milliseconds.
+    pub incarnation: u64,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Pause between two heartbeats of the backend server, in milliseconds.
+    pub heartbeat_ms: u64,
+}
+
+/// The agent.
+#[derive(Debug)]
+pub struct Agent {
+    identity: Identity,
+    started: Time,
+    beside: Beside,
+    balancers: Book,
+    table: Table,
+    probes: Probes,
+    pace: Pace,
+    unanswered_since: Option<Time>,
+    unresponsive: bool,
+    leaving: bool,
+    number: u64,
+    announced: Time,
+}
+
+impl Agent {
+    /// An agent that knows nothing yet but its seeds.
+    #[must_use]
+    pub fn open(now: Time, identity: Identity, seeds: &[Ipv4Addr]) -> Self {
+        let mut balancers = Book::default();
+        for seed in seeds {
+            balancers.heard(now, *seed);
+        }
+        Self {
+            beside: Beside::open(identity.heartbeat_ms),
+            identity,
+            started: now,
+            balancers,
+            table: Table::default(),
+            probes: Probes::default(),
+            pace: Pace::default(),
+            unanswered_since: None,
+            unresponsive: false,
+            leaving: false,
+            number: 0,
+            announced: Time::ZERO,
+        }
+    }
+
+    /// Its load now.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        self.table.load()
+    }
+
+    /// Whether it takes new flows.
+    #[must_use]
+    pub fn state(&self) -> State {
+        match self.beside.server() {
+            None if self.leaving => State::Gone,
+            _ if self.leaving => State::Restarting,
+            Some(server) if !server.draining && !self.unresponsive => State::Ready,
+            _ => State::Closed,
+        }
+    }
+
+    /// Number of balancers known.
+    #[must_use]
+    pub fn balancers(&self) -> usize {
+        self.balancers.len()
+    }
+
+    /// Takes in an event.
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
+        match event {
+            Event::Open { from, head, service, insistence } => {
+                self.open_flow(now, from, &head, service, insistence)
+            }
+            Event::Carry { from, head, known } => self.carry(now, from, &head, known),
+            Event::FromServer(head) => self.from_server(now, &head),
+            Event::Bounced(head) => self.bounced(now, &head),
+            Event::Heartbeat(beat) => self.heartbeat(now, &beat),
+            Event::Deregistered(id) => self.deregistered(now, &id),
+            Event::Roster(from, roster) => self.roster(now, from, &roster),
+            Event::Listed(balancers) => self.listed(now, &balancers),
+            Event::Leave => self.leave(now),
+            Event::Tick => self.tick(now),
+        }
+    }
+
+    fn open_flow(
+        &mut self,
+        now: Time,
+        from: Ipv4Addr,
+        head: &Head,
+        service: Service,
+        insistence: Insistence,
+    ) -> Vec<Action> {
+        let is_copy = self.table.get(&head.flow).is_some_and(|held| held.opened_with == head.seq);
+        if let Some(reason) = self.refusal(service, insistence, is_copy) {
+            return vec![self.decline(from, reason)];
+        }
+        self.unanswered_since.get_or_insert(now);
+        let tag = self.probes.insert(now, head.flow, from);
+        if is_copy {
+            return vec![Action::ToServer(tag)];
+        }
+        self.table.open(now, head);
+        let note = Note::Accepted { flow: head.flow, load: self.load() };
+        vec![Action::ToServer(tag), Action::Note(note)]
+    }
+
+    /// Why an opening is not taken. What the agent sees itself goes before what a balancer believed:
+    /// a server that leaves takes nothing from the moment its heartbeat says so, and one of another
+    /// service, at an address used again, never sees the packet.
+    fn refusal(&self, service: Service, insistence: Insistence, is_copy: bool) -> Option<Reason> {
+        let Some(server) = self.beside.server() else {
+            return Some(Reason::Leaving);
+        };
+        if server.service != service {
+            return Some(Reason::WrongService);
+        }
+        if self.state() != State::Ready {
+            return Some(Reason::Leaving);
+        }
+        if is_copy {
+            return None;
+        }
+        let busy = u64::from(self.load().busy);
+        let slots = u64::from(server.slots.max(1));
+        match insistence {
+            Insistence::IfIdle if busy >= slots => Some(Reason::Busy),
+            Insistence::IfWithin(limit_ms)
+                if self.expected_ms(busy, slots) > u64::from(limit_ms) =>
+            {
+                Some(Reason::Late)
+            }
+            _ => None,
+        }
+    }
+
+    /// Expected time from now to the answer of one more request: turns of the slots, each as long as
+    /// nearly every request.
+    fn expected_ms(&self, busy: u64, slots: u64) -> u64 {
+        (busy + 1).div_ceil(slots) * self.pace.most_us() / 1_000
+    }
+
+    fn carry(&mut self, now: Time, from: Ipv4Addr, head: &Head, known: bool) -> Vec<Action> {
+        let flow = head.flow;
+        if self.table.takes(now, head) {
+            self.table.from_client(now, head);
+            let mut actions = vec![Action::ToServer(0)];
+            if !known {
+                actions.push(Action::Send(from, Message::Holds { flow, load: self.load() }));
+            }
+            return actions;
+        }
+        if self.beside.server().is_none() || self.is_certain(now) || self.probes.denied(now, &flow)
+        {
+            return vec![self.decline(from, Reason::NotHeld)];
+        }
+        vec![Action::ToServer(self.probes.ask(now, flow, from))]
+    }
+
+    /// Whether every flow that the backend server holds passed this process: it saw the server's
+    /// first heartbeat, or has run for longer than a flow lives.
+    fn is_certain(&self, now: Time) -> bool {
+        let from_start = self.beside.server().is_some_and(|server| server.seen_from_start);
+        from_start || now.since(self.started) > FORGET_MS
+    }
+
+    fn from_server(&mut self, now: Time, head: &Head) -> Vec<Action> {
+        self.unanswered_since = None;
+        let mut actions = vec![Action::ToClient];
+        actions.extend(self.responsive(now));
+        if self.table.get(&head.flow).is_none() && !head.flags.rst {
+            self.table.adopt(now, head);
+            actions.push(Action::Note(Note::Adopted { flow: head.flow }));
+        }
+        if let Some(waited_ms) = self.table.from_server(now, head) {
+            self.pace.learn(waited_ms);
+        }
+        if let Some(balancer) = self.probes.answered(&head.flow) {
+            let message = Message::Holds { flow: head.flow, load: self.load() };
+            actions.push(Action::Send(balancer, message));
+        }
+        actions
+    }
+
+    fn bounced(&mut self, now: Time, head: &Head) -> Vec<Action> {
+        self.unanswered_since = None;
+        let mut actions = self.responsive(now);
+        let probe = self.probes.take(head.tag);
+        if let Some(from) = probe.filter(|_| head.opens()) {
+            self.table.remove(&head.flow);
+            actions.push(self.decline(from, Reason::Full));
+            return actions;
+        }
+        if let Some(from) = probe {
+            self.probes.deny(now, head.flow);
+            actions.push(self.decline(from, Reason::NotHeld));
+            return actions;
+        }
+        // Only an open flow's packet carries no probe: the server held the flow and has lost it.
+        if let Some(held) = self.table.remove(&head.flow)
+            && held.stage == Stage::Open
+            && !held.is_over()
+        {
+            actions.extend(reset(head.flow, &held, Cause::ServerRestarted));
+        }
+        actions
+    }
+
+    fn heartbeat(&mut self, now: Time, beat: &Heartbeat) -> Vec<Action> {
+        let heard = self.beside.heartbeat(now, beat);
+        let mut actions = Vec::new();
+        match heard {
+            Heard::Stale => return actions,
+            Heard::Same => {}
+            Heard::Draining => actions.push(self.changed(ServerChange::Draining)),
+            Heard::Started => {
+                let ended = self.table.take_silent(now, ALIVE_MS);
+                for (flow, held) in ended {
+                    actions.extend(reset(flow, &held, Cause::ServerRestarted));
+                }
+                actions.push(self.changed(ServerChange::Started));
+            }
+        }
+        // A server that sends heartbeats is worth another try.
+        self.unanswered_since = None;
+        actions.extend(self.responsive(now));
+        if heard != Heard::Same {
+            actions.extend(self.announce(now));
+        }
+        actions
+    }
+
+    fn deregistered(&mut self, now: Time, id: &str) -> Vec<Action> {
+        if !self.beside.deregistered(id) {
+            return Vec::new();
+        }
+        let change = ServerChange::Ended;
+        let mut actions = vec![Action::Note(Note::Server { id: id.into(), change })];
+        actions.extend(self.announce(now));
+        actions
+    }
+
+    fn roster(&mut self, now: Time, from: Ipv4Addr, roster: &Roster) -> Vec<Action> {
+        if roster.leaving {
+            self.balancers.remove(from);
+            return vec![Action::Note(Note::Balancer { balancer: from, known: false })];
+        }
+        self.listed(now, &roster.balancers)
+    }
+
+    fn listed(&mut self, now: Time, balancers: &[Ipv4Addr]) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for balancer in balancers {
+            if self.balancers.heard(now, *balancer) {
+                actions.push(Action::Note(Note::Balancer { balancer: *balancer, known: true }));
+                actions.push(Action::Send(*balancer, self.announcement()));
+            }
+        }
+        actions
+    }
+
+    fn leave(&mut self, now: Time) -> Vec<Action> {
+        self.leaving = true;
+        self.announce(now)
+    }
+
+    fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = self.judge_server(now);
+        self.table.expire(now);
+        self.probes.expire(now);
+        self.balancers.expire(now);
+        if now.since(self.announced) >= ANNOUNCE_MS {
+            actions.extend(self.announce(now));
+        }
+        actions
+    }
+
+    /// Notices a backend server that stopped answering, first to spare it new flows, and once its
+    /// heartbeats are missing too, to tell its clients: they would wait for their own timeouts.
+    fn judge_server(&mut self, now: Time) -> Vec<Action> {
+        let Some(since) = self.unanswered_since else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        if !self.unresponsive && now.since(since) > UNRESPONSIVE_MS {
+            self.unresponsive = true;
+            actions.push(self.changed(ServerChange::Unresponsive));
+            actions.extend(self.announce(now));
+        }
+        if self.unresponsive && self.beside.is_overdue(now) {
+            let ended = self.table.take_silent(now, ALIVE_MS);
+            if !ended.is_empty() {
+                actions.push(self.changed(ServerChange::Dead));
+            }
+            for (flow, held) in ended {
+                actions.extend(reset(flow, &held, Cause::ServerDead));
+            }
+        }
+        actions
+    }
+
+    fn responsive(&mut self, now: Time) -> Vec<Action> {
+        if !self.unresponsive {
+            return Vec::new();
+        }
+        self.unresponsive = false;
+        let mut actions = vec![self.changed(ServerChange::Responsive)];
+        actions.extend(self.announce(now));
+        actions
+    }
+
+    fn changed(&self, change: ServerChange) -> Action {
+        let id = self.beside.server().map_or_else(|| "".into(), |server| Arc::clone(&server.id));
+        Action::Note(Note::Server { id, change })
+    }
+
+    fn announce(&mut self, now: Time) -> Vec<Action> {
+        self.announced = now;
+        self.number += 1;
+        let word = self.announcement_at(now);
+        self.balancers.iter().map(|balancer| Action::Send(balancer, word.clone())).collect()
+    }
+
+    fn announcement(&self) -> Message {
+        self.announcement_at(self.announced)
+    }
+
+    fn announcement_at(&self, now: Time) -> Message {
+        let server = self.beside.server();
+        let is_cold = |server: &Server| now < server.warm_at;
+        Message::Announce(Announcement {
+            incarnation: self.identity.incarnation,
+            number: self.number,
+            domain: Arc::clone(&self.identity.domain),
+            service: server.map(|server| server.service),
+            slots: server.map_or(0, |server| server.slots),
+            cold: server.is_some_and(is_cold),
+            state: self.state(),
+            load: self.load(),
+            balancers: self.balancers.digest(),
+        })
+    }
+
+    fn decline(&self, to: Ipv4Addr, reason: Reason) -> Action {
+        Action::Return(to, Message::Declined { reason, load: self.load() })
+    }
+}
+
+fn reset(flow: Flow, held: &Held, cause: Cause) -> [Action; 2] {
+    let note = Note::Reset { flow, cause, asked: 0, version: 0 };
+    [Action::Reset { flow, seq: held.client_ack }, Action::Note(note)]
+}
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -0,0 +1,525 @@
+//! Decisions of a balancer for flows without a routing token.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use super::cache::{Cache, Entry, Place};
+use super::flow::{Flow, Head};
+use super::health::Health;
+use super::message::{Announcement, Insistence, Load, Message, Reason, Roster};
+use super::note::{Cause, Note};
+use super::placement::{Change, Pool};
+use super::roster::Book;
+use super::route::{Route, Service, Table};
+use crate::clock::Time;
+
+/// Pause between two ticks, in milliseconds. Gossip goes out with each.
+pub const TICK_MS: u64 = 500;
+
+/// Peers told in one tick. With 21 balancers each hears of all within three ticks.
+const PEERS_PER_TICK: usize = 8;
+
+/// A balancer that started less than so long ago may not have heard of every agent: two
+/// announcements and the time in which agents hear of it.
+const SETTLE_MS: u64 = 2_000;
+
+/// A gap between two events longer than this means that the process stood still: announcements
+/// alone come more often.
+const STANDSTILL_MS: u64 = 1_000;
+
+/// Agents asked for a free slot before one is asked to let the flow wait. Each costs a round trip of
+/// 2 ms; at 80% load of two slots a second question finds a free slot three times in ten.
+const IDLE_TRIES: usize = 2;
+
+/// Agents asked for one opening at most.
+const OPEN_TRIES: usize = 8;
+
+/// Balancers that others still speak of within this time are passed on.
+const SPOKEN_OF_MS: u64 = 5_000;
+
+/// What happens to a balancer.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A client's packet came from the fabric.
+    Client(Head),
+    /// An agent handed a client's packet back.
+    Declined {
+        /// The agent.
+        from: Ipv4Addr,
+        /// The packet.
+        head: Head,
+        /// Why.
+        reason: Reason,
+        /// Load of the agent.
+        load: Load,
+    },
+    /// An agent said that it holds a flow.
+    Holds {
+        /// The agent.
+        from: Ipv4Addr,
+        /// The flow.
+        flow: Flow,
+        /// Load of the agent.
+        load: Load,
+    },
+    /// An agent spoke about itself.
+    Announced(Ipv4Addr, Announcement),
+    /// Another balancer spoke.
+    Roster(Ipv4Addr, Roster),
+    /// The store's list of balancers was read.
+    Listed(Vec<Ipv4Addr>),
+    /// A configuration was read.
+    Configured(Table),
+    /// The process was told to stop.
+    Leave,
+    /// Time passed.
+    Tick,
+}
+
+/// What the shell must do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message with the packet at hand behind it.
+    Forward(Ipv4Addr, Message),
+    /// Send a message.
+    Send(Ipv4Addr, Message),
+    /// Send a reset to the client.
+    Reset {
+        /// The flow.
+        flow: Flow,
+        /// Sequence number for it.
+        seq: u32,
+    },
+    /// A peer has a newer configuration: fetch it there.
+    Fetch(Ipv4Addr),
+    /// Write a line.
+    Note(Note),
+}
+
+/// The balancer.
+#[derive(Debug)]
+pub struct Balancer {
+    own: Ipv4Addr,
+    domain: Arc<str>,
+    table: Table,
+    pool: Pool,
+    cache: Cache,
+    peers: Book,
+    started: Time,
+    last: Time,
+    turn: usize,
+    leaving: bool,
+}
+
+impl Balancer {
+    /// A balancer that knows nothing yet but its seeds.
+    #[must_use]
+    pub fn open(now: Time, own: Ipv4Addr, domain: Arc<str>, seeds: &[Ipv4Addr]) -> Self {
+        let mut peers = Book::default();
+        for seed in seeds.iter().filter(|seed| **seed != own) {
+            peers.heard(now, *seed);
+        }
+        Self {
+            own,
+            domain,
+            table: Table::default(),
+            pool: Pool::default(),
+            cache: Cache::default(),
+            peers,
+            started: now,
+            last: now,
+            turn: 0,
+            leaving: false,
+        }
+    }
+
+    /// Whether the fabric should send packets here.
+    #[must_use]
+    pub fn is_ready(&self, now: Time) -> bool {
+        !self.leaving && self.table.version > 0 && !self.pool.is_cut_off(now)
+    }
+
+    /// Version of the configuration in force; zero while there is none.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.table.version
+    }
+
+    /// Balancers known besides this one.
+    #[must_use]
+    pub fn peers(&self) -> Vec<Ipv4Addr> {
+        self.peers.iter().collect()
+    }
+
+    /// Number of agents known.
+    #[must_use]
+    pub fn agents(&self) -> usize {
+        self.pool.len()
+    }
+
+    /// Number of flows in the cache.
+    #[must_use]
+    pub fn cached(&self) -> usize {
+        self.cache.len()
+    }
+
+    /// Takes in an event.
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
+        self.notice_standstill(now);
+        match event {
+            Event::Client(head) => self.client(now, &head),
+            Event::Declined { from, head, reason, load } => {
+                self.declined(now, from, &head, reason, load)
+            }
+            Event::Holds { from, flow, load } => self.holds(now, from, flow, load),
+            Event::Announced(from, word) => self.announced(now, from, word),
+            Event::Roster(from, roster) => self.roster(now, from, &roster),
+            Event::Listed(balancers) => self.listed(now, &balancers),
+            Event::Configured(table) => self.configured(table),
+            Event::Leave => self.leave(now),
+            Event::Tick => self.tick(now),
+        }
+    }
+
+    /// Guards against taking all agents for dead after this process stood still: it could not hear
+    /// their announcements, and would reset their flows. The time that passed counts for nobody.
+    fn notice_standstill(&mut self, now: Time) {
+        let gap = now.since(self.last);
+        if gap > STANDSTILL_MS {
+            self.pool.forgive(gap);
+        }
+        self.last = now;
+    }
+
+    fn client(&mut self, now: Time, head: &Head) -> Vec<Action> {
+        if self.table.version == 0 {
+            return vec![dropped(head.flow, Cause::NoConfiguration)];
+        }
+        let Some(route) = self.table.routes.get(&head.flow.service).cloned() else {
+            self.cache.remove(&head.flow);
+            return self.reset(head, Cause::NoRoute, 0);
+        };
+        if !head.opens() {
+            return self.carry(now, head, &route);
+        }
+        let is_copy = head.ack > 0;
+        if !is_copy {
+            self.cache.remove(&head.flow);
+        }
+        self.opening(now, head, &route)
+    }
+
+    /// The copies of an opening go where the first went, or two backend servers would accept it;
+    /// unless that agent fell silent, or the route has moved since.
+    fn opening(&mut self, now: Time, head: &Head, route: &Route) -> Vec<Action> {
+        let Some(service) = route.service(&head.flow) else {
+            return self.reset(head, Cause::NoAgent, 0);
+        };
+        let entry = self.cache.entry(now, head.flow);
+        if let Some(agent) = entry.place.as_ref().map(Place::agent)
+            && self.pool.health(now, agent) == Some(Health::Fresh)
+            && self.pool.service(agent) == Some(service)
+        {
+            return vec![forward_open(agent, service, route, None)];
+        }
+        self.place(now, head, service, route)
+    }
+
+    fn place(&mut self, now: Time, head: &Head, service: Service, route: &Route) -> Vec<Action> {
+        let entry = self.cache.entry(now, head.flow);
+        let key = head.flow.key();
+        let tries = entry.declined.len();
+        let for_idle = tries < IDLE_TRIES;
+        let excluded: Vec<Ipv4Addr> = entry
+            .declined
+            .iter()
+            .filter(|(_, reason)| for_idle || *reason != Reason::Busy)
+            .map(|(agent, _)| *agent)
+            .collect();
+        let choice = (tries < OPEN_TRIES)
+            .then(|| self.pool.choose(now, key, service, route.kind, &self.domain, &excluded))
+            .flatten();
+        let Some(choice) = choice else {
+            return self.refuse(now, head, tries);
+        };
+        entry.place = Some(Place::Placed(choice.agent));
+        self.pool.placed(choice.agent);
+        let alone = self.pool.open_agents(now, service) <= excluded.len() + 1;
+        let insistence = (for_idle && !alone).then_some(Insistence::IfIdle);
+        let note =
+            Note::Placed { flow: head.flow, choice, attempt: tries, version: self.table.version };
+        vec![forward_open(choice.agent, service, route, insistence), Action::Note(note)]
+    }
+
+    /// No agent takes the opening. The client learns it at once, unless this balancer may simply not
+    /// have heard of an agent yet: then the client's next copy gets another chance.
+    fn refuse(&mut self, now: Time, head: &Head, tries: usize) -> Vec<Action> {
+        let settled = now.since(self.started) > SETTLE_MS && self.pool.is_conclusive(now);
+        if tries == 0 && !settled && head.ack < 2 {
+            return vec![dropped(head.flow, Cause::NoAgent)];
+        }
+        self.cache.remove(&head.flow);
+        let cause = if tries == 0 { Cause::NoAgent } else { Cause::AllDeclined };
+        self.reset(head, cause, tries)
+    }
+
+    fn carry(&mut self, now: Time, head: &Head, route: &Route) -> Vec<Action> {
+        let entry = self.cache.entry(now, head.flow);
+        if entry.is_stale(now) {
+            entry.restart(now);
+        }
+        if entry.is_overdue(now) {
+            pass_over(entry);
+        }
+        match entry.place.clone() {
+            Some(Place::Asked(agent)) => vec![carry_to(agent, false)],
+            Some(Place::Placed(agent) | Place::Held(agent)) => {
+                self.carry_known(now, head, route, agent)
+            }
+            None => self.search(now, head, route),
+        }
+    }
+
+    fn carry_known(
+        &mut self,
+        now: Time,
+        head: &Head,
+        route: &Route,
+        agent: Ipv4Addr,
+    ) -> Vec<Action> {
+        match self.pool.health(now, agent) {
+            Some(Health::Fresh | Health::Late | Health::Restarting) => vec![carry_to(agent, true)],
+            Some(Health::Silent) if !self.pool.is_cut_off(now) => {
+                self.cache.remove(&head.flow);
+                self.reset(head, Cause::AgentDead, 0)
+            }
+            Some(Health::Silent) => vec![carry_to(agent, true)],
+            None => {
+                self.cache.entry(now, head.flow).restart(now);
+                self.search(now, head, route)
+            }
+        }
+    }
+
+    /// Asks the next agent. One whose process is being replaced is asked last: the others can be
+    /// ruled out meanwhile, and what is left must be there.
+    fn search(&mut self, now: Time, head: &Head, route: &Route) -> Vec<Action> {
+        let services: Vec<_> = route.shares.iter().map(|share| share.service).collect();
+        let order = self.pool.search(head.flow.key(), &services, &self.domain);
+        let entry = self.cache.entry(now, head.flow);
+        let asked = |agent: &Ipv4Addr| entry.declined.iter().any(|(known, _)| known == agent);
+        let next = order
+            .into_iter()
+            .filter(|agent| !asked(agent))
+            .filter_map(|agent| Some((self.pool.health(now, agent)?, agent)))
+            .filter(|(health, _)| *health != Health::Silent)
+            .min_by_key(|(health, _)| *health == Health::Restarting);
+        let Some((_, agent)) = next else {
+            return self.not_found(now, head);
+        };
+        entry.place = Some(Place::Asked(agent));
+        entry.asked = now;
+        vec![carry_to(agent, false)]
+    }
+
+    fn not_found(&mut self, now: Time, head: &Head) -> Vec<Action> {
+        let entry = self.cache.entry(now, head.flow);
+        let asked = entry.declined.len();
+        let certain = !entry.passed_over
+            && asked > 0
+            && self.pool.is_conclusive(now)
+            && now.since(self.started) > SETTLE_MS;
+        if certain {
+            self.reset(head, Cause::NotHeld, asked)
+        } else {
+            vec![dropped(head.flow, Cause::Undecided)]
+        }
+    }
+
+    fn declined(
+        &mut self,
+        now: Time,
+        from: Ipv4Addr,
+        head: &Head,
+        reason: Reason,
+        load: Load,
+    ) -> Vec<Action> {
+        self.pool.heard(now, from, load);
+        if reason == Reason::Leaving {
+            self.pool.closed(from);
+        }
+        let Some(route) = self.table.routes.get(&head.flow.service).cloned() else {
+            return self.reset(head, Cause::NoRoute, 0);
+        };
+        let entry = self.cache.entry(now, head.flow);
+        let current = entry.place.as_ref().map(Place::agent);
+        if current.is_none_or(|agent| agent == from) {
+            entry.place = None;
+            note_declined(entry, from, reason);
+        }
+        let note = Action::Note(Note::Declined { flow: head.flow, agent: from, reason, load });
+        let mut actions = match (current, head.opens()) {
+            (Some(agent), true) if agent != from => Vec::new(),
+            (Some(agent), false) if agent != from => vec![carry_to(agent, false)],
+            (_, true) => self.opening(now, head, &route),
+            (_, false) => self.search(now, head, &route),
+        };
+        actions.push(note);
+        actions
+    }
+
+    fn holds(&mut self, now: Time, from: Ipv4Addr, flow: Flow, load: Load) -> Vec<Action> {
+        self.pool.heard(now, from, load);
+        let entry = self.cache.entry(now, flow);
+        let news = entry.place != Some(Place::Held(from));
+        let asked = entry.declined.len();
+        entry.place = Some(Place::Held(from));
+        entry.declined.clear();
+        entry.passed_over = false;
+        if news { vec![Action::Note(Note::Found { flow, agent: from, asked })] } else { Vec::new() }
+    }
+
+    fn announced(&mut self, now: Time, from: Ipv4Addr, word: Announcement) -> Vec<Action> {
+        let digest = word.balancers;
+        let change = self.pool.announced(now, from, word);
+        let mut actions = Vec::new();
+        if digest != self.digest(now) {
+            actions.push(Action::Send(from, self.own_roster(now)));
+        }
+        if !matches!(change, Change::None | Change::Stale) {
+            actions.push(Action::Note(Note::Agent { agent: from, change }));
+        }
+        actions
+    }
+
+    fn roster(&mut self, now: Time, from: Ipv4Addr, roster: &Roster) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if roster.leaving {
+            self.peers.remove(from);
+            actions.push(Action::Note(Note::Balancer { balancer: from, known: false }));
+            return actions;
+        }
+        for balancer in roster.balancers.iter().filter(|balancer| **balancer != self.own) {
+            // Only a balancer's own word keeps it: others would repeat a dead one to each other.
+            let news = *balancer == from || !self.peers.iter().any(|known| known == *balancer);
+            if news && self.peers.heard(now, *balancer) {
+                actions.push(Action::Note(Note::Balancer { balancer: *balancer, known: true }));
+                actions.push(Action::Send(*balancer, self.own_roster(now)));
+            }
+        }
+        if roster.version > self.table.version {
+            actions.push(Action::Fetch(from));
+        }
+        actions
+    }
+
+    fn listed(&mut self, now: Time, balancers: &[Ipv4Addr]) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for balancer in balancers.iter().filter(|balancer| **balancer != self.own) {
+            if !self.peers.iter().any(|known| known == *balancer) {
+                self.peers.heard(now, *balancer);
+                actions.push(Action::Note(Note::Balancer { balancer: *balancer, known: true }));
+                actions.push(Action::Send(*balancer, self.own_roster(now)));
+            }
+        }
+        actions
+    }
+
+    /// Guards against a configuration that comes late over a slow way: one that is older than what
+    /// is in force would bring dropped routes back.
+    fn configured(&mut self, table: Table) -> Vec<Action> {
+        if table.version <= self.table.version {
+            return Vec::new();
+        }
+        let note = Note::InForce { version: table.version, routes: table.routes.len() };
+        self.table = table;
+        vec![Action::Note(note)]
+    }
+
+    fn leave(&mut self, now: Time) -> Vec<Action> {
+        self.leaving = true;
+        let roster = self.own_roster(now);
+        self.peers.iter().map(|peer| Action::Send(peer, roster.clone())).collect()
+    }
+
+    fn tick(&mut self, now: Time) -> Vec<Action> {
+        self.cache.expire(now);
+        self.pool.forget(now);
+        self.peers.expire(now);
+        if self.leaving {
+            return Vec::new();
+        }
+        let roster = self.own_roster(now);
+        let peers = self.peers();
+        let told = peers.iter().cycle().skip(self.turn).take(PEERS_PER_TICK.min(peers.len()));
+        let actions = told.map(|peer| Action::Send(*peer, roster.clone())).collect();
+        self.turn = (self.turn + PEERS_PER_TICK).checked_rem(peers.len()).unwrap_or(0);
+        actions
+    }
+
+    fn known(&self, now: Time) -> Vec<Ipv4Addr> {
+        let mut balancers = self.peers.heard_within(now, SPOKEN_OF_MS);
+        if !self.leaving {
+            balancers.push(self.own);
+        }
+        balancers.sort_unstable();
+        balancers
+    }
+
+    fn digest(&self, now: Time) -> u64 {
+        super::roster::digest(self.known(now).into_iter())
+    }
+
+    fn own_roster(&self, now: Time) -> Message {
+        Message::Roster(Roster {
+            version: self.table.version,
+            balancers: self.known(now),
+            leaving: self.leaving,
+        })
+    }
+
+    /// A reset, unless the packet is one itself. Its number is the client's own acknowledgement
+    /// number, or the client would not take the reset for one of this flow.
+    fn reset(&self, head: &Head, cause: Cause, asked: usize) -> Vec<Action> {
+        if head.flags.rst {
+            return Vec::new();
+        }
+        let note = Note::Reset { flow: head.flow, cause, asked, version: self.table.version };
+        vec![Action::Reset { flow: head.flow, seq: head.ack }, Action::Note(note)]
+    }
+}
+
+fn dropped(flow: Flow, cause: Cause) -> Action {
+    Action::Note(Note::Dropped { flow, cause })
+}
+
+fn carry_to(agent: Ipv4Addr, known: bool) -> Action {
+    Action::Forward(agent, Message::Carry { known })
+}
+
+fn forward_open(
+    agent: Ipv4Addr,
+    service: Service,
+    route: &Route,
+    insistence: Option<Insistence>,
+) -> Action {
+    let deadline = u32::try_from(route.deadline_ms).unwrap_or(u32::MAX);
+    let insistence = insistence.unwrap_or(Insistence::IfWithin(deadline));
+    Action::Forward(agent, Message::Open { service, insistence })
+}
+
+fn note_declined(entry: &mut Entry, agent: Ipv4Addr, reason: Reason) {
+    if let Some(known) = entry.declined.iter_mut().find(|(known, _)| *known == agent) {
+        known.1 = reason;
+    } else {
+        entry.declined.push((agent, reason));
+    }
+}
+
+/// Goes on without an agent that has not answered: it may be dead, and the flow elsewhere.
+fn pass_over(entry: &mut Entry) {
+    if let Some(place) = entry.place.take() {
+        note_declined(entry, place.agent(), Reason::NotHeld);
+        entry.passed_over = true;
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/cache.rs
@@ -0,0 +1,136 @@
+//! What one balancer remembers of flows: where they are, or how far the search for them has come.
+//! A cache only: an entry that is lost costs one search.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use super::flow::Flow;
+use super::message::Reason;
+use crate::clock::Time;
+
+/// Entries at most. At 23,000 open flows for a balancer of the size planned for, this leaves room
+/// for flows of others after a change of the fabric's choice, in about 15 MB.
+pub const LARGEST: usize = 100_000;
+
+/// An entry unused for so long is dropped: no flow lives longer.
+const UNUSED_MS: u64 = 60_000;
+
+/// A search that found nobody is begun anew after this: agents may have appeared.
+const SEARCH_MS: u64 = 1_000;
+
+/// An agent that has not answered a search for so long is passed over: a round trip between failure
+/// domains is 3 ms, and a small host that is busy may take some tens more.
+pub const ANSWER_MS: u64 = 60;
+
+/// Where a flow is, as far as this balancer knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// An opening was sent there.
+    Placed(Ipv4Addr),
+    /// The agent said that it holds the flow.
+    Held(Ipv4Addr),
+    /// The agent was asked and has not answered.
+    Asked(Ipv4Addr),
+}
+
+impl Place {
+    /// The agent that packets of the flow go to.
+    #[must_use]
+    pub const fn agent(&self) -> Ipv4Addr {
+        match self {
+            Self::Placed(agent) | Self::Held(agent) | Self::Asked(agent) => *agent,
+        }
+    }
+}
+
+/// What is remembered of one flow.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Where it is.
+    pub place: Option<Place>,
+    /// Agents that declined it, and why.
+    pub declined: Vec<(Ipv4Addr, Reason)>,
+    /// Whether an agent was passed over without an answer: it may hold the flow.
+    pub passed_over: bool,
+    /// When the present search or placement began.
+    pub began: Time,
+    /// When the agent of `place` was asked.
+    pub asked: Time,
+    /// Last use.
+    pub used: Time,
+}
+
+impl Entry {
+    const fn new(now: Time) -> Self {
+        Self {
+            place: None,
+            declined: Vec::new(),
+            passed_over: false,
+            began: now,
+            asked: now,
+            used: now,
+        }
+    }
+
+    /// Begins the search anew.
+    pub fn restart(&mut self, now: Time) {
+        *self = Self::new(now);
+    }
+
+    /// Whether the search ended without a finding so long ago that it is worth another.
+    #[must_use]
+    pub fn is_stale(&self, now: Time) -> bool {
+        self.place.is_none() && now.since(self.began) > SEARCH_MS
+    }
+
+    /// Whether the agent asked last is overdue.
+    #[must_use]
+    pub fn is_overdue(&self, now: Time) -> bool {
+        matches!(self.place, Some(Place::Asked(_))) && now.since(self.asked) > ANSWER_MS
+    }
+}
+
+/// The entries by flow.
+#[derive(Debug, Default)]
+pub struct Cache {
+    entries: BTreeMap<Flow, Entry>,
+}
+
+impl Cache {
+    /// The entry of a flow, made if there is none.
+    pub fn entry(&mut self, now: Time, flow: Flow) -> &mut Entry {
+        if self.entries.len() >= LARGEST && !self.entries.contains_key(&flow) {
+            self.entries.pop_first();
+        }
+        let entry = self.entries.entry(flow).or_insert_with(|| Entry::new(now));
+        entry.used = now;
+        entry
+    }
+
+    /// The entry of a flow, if there is one.
+    pub fn get_mut(&mut self, flow: &Flow) -> Option<&mut Entry> {
+        self.entries.get_mut(flow)
+    }
+
+    /// Forgets a flow.
+    pub fn remove(&mut self, flow: &Flow) {
+        self.entries.remove(flow);
+    }
+
+    /// Drops what has not been used for long.
+    pub fn expire(&mut self, now: Time) {
+        self.entries.retain(|_, entry| now.since(entry.used) < UNUSED_MS);
+    }
+
+    /// Number of flows remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -0,0 +1,143 @@
+//! Messages between balancers and agents. The first two carry a packet of a client behind them, and
+//! so does a refusal: the balancer keeps no packets.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::flow::Flow;
+use super::route::Service;
+
+/// A message; what follows it in the datagram is the packet it speaks of, unchanged.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Balancer to agent: take this opening.
+    Open {
+        /// Service that the route names; the agent refuses if its backend server is of another.
+        service: Service,
+        /// How urgently the flow needs this agent.
+        insistence: Insistence,
+    },
+    /// Balancer to agent: a packet of an open flow.
+    Carry {
+        /// Whether the balancer knows that the agent holds the flow; if not, the agent says so.
+        known: bool,
+    },
+    /// Agent to balancer: not taken, try the next; the packet comes back behind this.
+    Declined {
+        /// Why.
+        reason: Reason,
+        /// Load of the agent at that moment.
+        load: Load,
+    },
+    /// Agent to balancer: this flow is here.
+    Holds {
+        /// The flow.
+        flow: Flow,
+        /// Load of the agent at that moment.
+        load: Load,
+    },
+    /// Agent to each balancer, about itself.
+    Announce(Announcement),
+    /// Balancer to agents and balancers: who the balancers are, and which configuration it has.
+    Roster(Roster),
+}
+
+/// How an agent should weigh an opening.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Insistence {
+    /// Take it if a slot is free now; another agent will be asked otherwise.
+    IfIdle,
+    /// Take it unless its answer would be later than this many milliseconds from now.
+    IfWithin(u32),
+}
+
+/// Why an agent did not take a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// It does not hold the flow.
+    NotHeld,
+    /// Its backend server is of another service, or there is none.
+    WrongService,
+    /// Its backend server is leaving or stopped answering, or the agent itself is leaving.
+    Leaving,
+    /// All slots are taken now.
+    Busy,
+    /// It could not be served in time.
+    Late,
+    /// The backend server turned the opening away.
+    Full,
+}
+
+impl Reason {
+    /// Word for logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotHeld => "not_held",
+            Self::WrongService => "wrong_service",
+            Self::Leaving => "leaving",
+            Self::Busy => "busy",
+            Self::Late => "late",
+            Self::Full => "full",
+        }
+    }
+}
+
+/// What an agent counts itself, from the packets that pass it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests whose answer has not begun, and openings not yet followed by a request.
+    pub busy: u16,
+    /// Open flows.
+    pub flows: u16,
+}
+
+/// Whether an agent takes new flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// Takes new flows.
+    Ready,
+    /// Has no backend server that takes flows: not announced yet, draining, unresponsive or gone.
+    Closed,
+    /// The agent process itself is being replaced; its backend server keeps its flows.
+    Restarting,
+    /// The backend server has ended, and the agent ends with it.
+    Gone,
+}
+
+/// An agent's word about itself. A later one replaces an earlier one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// When the agent process started, Unix milliseconds: orders announcements of two processes
+    /// that had the same address.
+    pub incarnation: u64,
+    /// Count of announcements by this process: orders them.
+    pub number: u64,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Service of its backend server.
+    pub service: Option<Service>,
+    /// Requests that the backend server works on at once.
+    pub slots: u16,
+    /// Whether the backend server is still slow after its start.
+    pub cold: bool,
+    /// Whether it takes new flows.
+    pub state: State,
+    /// Its load.
+    pub load: Load,
+    /// Digest of the balancers it knows; a balancer that knows others answers with its roster.
+    pub balancers: u64,
+}
+
+/// A balancer's word about itself and its peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster {
+    /// Version of the configuration that it has in force; zero while it has none.
+    pub version: u64,
+    /// Addresses of all balancers it knows, its own among them.
+    pub balancers: Vec<Ipv4Addr>,
+    /// Whether the sender is about to stop.
+    pub leaving: bool,
+}
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/note.rs
@@ -0,0 +1,166 @@
+//! What a decision rested on, for the logs: one note for each decision that touches a flow or
+//! changes what the process believes.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use super::flow::Flow;
+use super::message::{Load, Reason};
+use super::placement::{Change, Choice};
+
+/// A decision and its inputs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// A balancer sent an opening to an agent.
+    Placed {
+        /// The flow.
+        flow: Flow,
+        /// The agent, its load and that load's age.
+        choice: Choice,
+        /// Agents that declined it before.
+        attempt: usize,
+        /// Version of the configuration that named the service.
+        version: u64,
+    },
+    /// An agent declined a packet of a flow.
+    Declined {
+        /// The flow.
+        flow: Flow,
+        /// The agent.
+        agent: Ipv4Addr,
+        /// Why.
+        reason: Reason,
+        /// Load of the agent.
+        load: Load,
+    },
+    /// A balancer found the agent of a flow that it did not know.
+    Found {
+        /// The flow.
+        flow: Flow,
+        /// The agent that holds it.
+        agent: Ipv4Addr,
+        /// Agents that were asked before.
+        asked: usize,
+    },
+    /// A reset was sent to the client.
+    Reset {
+        /// The flow.
+        flow: Flow,
+        /// Why.
+        cause: Cause,
+        /// Agents that declined it.
+        asked: usize,
+        /// Version of the configuration in force, at a balancer.
+        version: u64,
+    },
+    /// A packet was dropped in silence, and the client will send it again.
+    Dropped {
+        /// The flow.
+        flow: Flow,
+        /// Why.
+        cause: Cause,
+    },
+    /// A balancer's view of an agent changed.
+    Agent {
+        /// The agent.
+        agent: Ipv4Addr,
+        /// How.
+        change: Change,
+    },
+    /// An agent has not been heard of for too long.
+    AgentSilent {
+        /// The agent.
+        agent: Ipv4Addr,
+    },
+    /// A configuration came into force.
+    InForce {
+        /// Its version.
+        version: u64,
+        /// Number of its routes.
+        routes: usize,
+    },
+    /// A balancer became known or unknown.
+    Balancer {
+        /// The balancer.
+        balancer: Ipv4Addr,
+        /// Whether it is known now.
+        known: bool,
+    },
+    /// An agent took an opening.
+    Accepted {
+        /// The flow.
+        flow: Flow,
+        /// Load of the agent, this flow included.
+        load: Load,
+    },
+    /// An agent learnt from its backend server that it holds a flow.
+    Adopted {
+        /// The flow.
+        flow: Flow,
+    },
+    /// The backend server beside an agent changed.
+    Server {
+        /// Its incarnation.
+        id: Arc<str>,
+        /// How.
+        change: ServerChange,
+    },
+}
+
+/// How the backend server beside an agent changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerChange {
+    /// A new incarnation runs.
+    Started,
+    /// It takes no more flows.
+    Draining,
+    /// It said that it ends.
+    Ended,
+    /// It does not answer openings.
+    Unresponsive,
+    /// It answers again.
+    Responsive,
+    /// It neither answers nor sends heartbeats; its flows are gone.
+    Dead,
+}
+
+/// Why a client got a reset, or nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// No route names the address.
+    NoRoute,
+    /// No agent takes flows of the service.
+    NoAgent,
+    /// Every agent that was asked declined.
+    AllDeclined,
+    /// The flow's agent is dead.
+    AgentDead,
+    /// No agent holds the flow.
+    NotHeld,
+    /// No agent is known to hold the flow, but one that may hold it has not answered.
+    Undecided,
+    /// The backend server no longer holds the flow.
+    ServerRestarted,
+    /// The backend server is dead.
+    ServerDead,
+}
+
+impl Cause {
+    /// Word for logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoRoute => "no_route",
+            Self::NoAgent => "no_agent",
+            Self::AllDeclined => "all_declined",
+            Self::AgentDead => "agent_dead",
+            Self::NotHeld => "not_held",
+            Self::Undecided => "undecided",
+            Self::ServerRestarted => "server_restarted",
+            Self::ServerDead => "server_dead",
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -0,0 +1,318 @@
+//! Which agent a new flow goes to, and in which order agents are asked for a flow.
+//!
+//! Every balancer of a failure domain computes the same order for a flow, so that a packet which
+//! reaches another balancer than the opening did finds its agent among the first ones asked.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use super::health::{FORGET_MS, Health};
+use super::message::{Announcement, Load, State};
+use super::route::{Kind, Service};
+use crate::clock::Time;
+use crate::placement::{Key, mix};
+
+/// Agents of the client's own failure domain that a new flow chooses from. Two would leave one bad
+/// choice in four at 80% load; with more, a search asks more agents before it meets the right one.
+const NEAR: usize = 3;
+
+/// Agents of other failure domains that a new flow chooses from besides.
+const FAR: usize = 2;
+
+/// Part of its slots that a cold backend server is worth, in percent: it works 1.6 times as long.
+const COLD_PERCENT: u64 = 60;
+
+/// How one more request or flow weighs at a choice, in thousandths of a slot.
+#[derive(Clone, Copy, Debug)]
+struct Weights {
+    busy: u64,
+    flow: u64,
+    far: u64,
+}
+
+impl Weights {
+    /// Short flows follow what is in progress now. Long ones follow the number of flows: each brings
+    /// about one request of 50 ms a second for as long as it lives, whatever is in progress now.
+    /// Crossing a failure domain costs bytes: a download is 20 times as large as other answers.
+    const fn of(kind: Kind) -> Self {
+        match kind {
+            Kind::Idempotent => Self { busy: 250, flow: 250, far: 150 },
+            Kind::Once => Self { busy: 1_000, flow: 50, far: 150 },
+            Kind::Download => Self { busy: 1_000, flow: 50, far: 1_500 },
+        }
+    }
+}
+
+/// What a balancer knows of one agent.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    announcement: Announcement,
+    heard: Time,
+    load_heard: Time,
+    load: Load,
+    placed_since: u16,
+}
+
+impl Candidate {
+    fn health(&self, now: Time) -> Health {
+        Health::of(now.since(self.heard), self.announcement.state == State::Restarting)
+    }
+
+    fn takes(&self, now: Time, service: Service) -> bool {
+        self.announcement.service == Some(service)
+            && self.announcement.state == State::Ready
+            && self.health(now) == Health::Fresh
+    }
+
+    /// Expected load with one more flow, in thousandths of its slots. What was placed since the last
+    /// report counts as if it were in progress, or all flows between two reports would go one way.
+    fn pressure(&self, weights: Weights, domain: &str) -> u64 {
+        let percent = if self.announcement.cold { COLD_PERCENT } else { 100 };
+        let slots = (u64::from(self.announcement.slots) * percent).max(100);
+        let busy = u64::from(self.load.busy) + u64::from(self.placed_since) + 1;
+        let flows = u64::from(self.load.flows) + u64::from(self.placed_since);
+        let far = if *self.announcement.domain == *domain { 0 } else { weights.far };
+        (busy * weights.busy + flows * weights.flow) * 100 / slots + far
+    }
+}
+
+/// An agent chosen for a new flow, with what the choice rested on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The agent.
+    pub agent: Ipv4Addr,
+    /// Its load as last heard.
+    pub load: Load,
+    /// Age of that load, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// What an announcement changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing that decisions rest on.
+    None,
+    /// A new agent, or a new process at its address.
+    Appeared,
+    /// The agent takes new flows now.
+    Opened,
+    /// The agent takes no new flows any more.
+    Closed,
+    /// The announcement is older than what is known.
+    Stale,
+}
+
+/// The agents that a balancer knows, by address.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    agents: BTreeMap<Ipv4Addr, Candidate>,
+}
+
+impl Pool {
+    /// Takes in an agent's word about itself.
+    pub fn announced(&mut self, now: Time, from: Ipv4Addr, word: Announcement) -> Change {
+        let change = match self.agents.get(&from) {
+            None => Change::Appeared,
+            Some(known) => change(&known.announcement, &word),
+        };
+        if word.state == State::Gone {
+            self.agents.remove(&from);
+            return Change::Closed;
+        }
+        if change != Change::Stale {
+            let load = word.load;
+            let candidate = Candidate {
+                announcement: word,
+                heard: now,
+                load_heard: now,
+                load,
+                placed_since: 0,
+            };
+            self.agents.insert(from, candidate);
+        }
+        change
+    }
+
+    /// Takes in the load that an agent sent with an answer.
+    pub fn heard(&mut self, now: Time, from: Ipv4Addr, load: Load) {
+        if let Some(candidate) = self.agents.get_mut(&from) {
+            candidate.heard = now;
+            candidate.load_heard = now;
+            candidate.load = load;
+            candidate.placed_since = 0;
+        }
+    }
+
+    /// Notes a flow that was sent there.
+    pub fn placed(&mut self, agent: Ipv4Addr) {
+        if let Some(candidate) = self.agents.get_mut(&agent) {
+            candidate.placed_since = candidate.placed_since.saturating_add(1);
+        }
+    }
+
+    /// An agent that refused because its backend server leaves gets no more openings until it
+    /// announces itself again.
+    pub fn closed(&mut self, agent: Ipv4Addr) {
+        if let Some(candidate) = self.agents.get_mut(&agent)
+            && candidate.announcement.state == State::Ready
+        {
+            candidate.announcement.state = State::Closed;
+        }
+    }
+
+    /// The health of an agent; none if it is not known.
+    #[must_use]
+    pub fn health(&self, now: Time, agent: Ipv4Addr) -> Option<Health> {
+        self.agents.get(&agent).map(|candidate| candidate.health(now))
+    }
+
+    /// Service of an agent's backend server, as last announced.
+    #[must_use]
+    pub fn service(&self, agent: Ipv4Addr) -> Option<Service> {
+        self.agents.get(&agent)?.announcement.service
+    }
+
+    /// Agents that take new flows of a service now.
+    #[must_use]
+    pub fn open_agents(&self, now: Time, service: Service) -> usize {
+        self.agents.values().filter(|candidate| candidate.takes(now, service)).count()
+    }
+
+    /// Whether less than half of the agents heard of within a minute are heard of now. Then it is
+    /// likelier that this process is cut off than that they all died at once.
+    #[must_use]
+    pub fn is_cut_off(&self, now: Time) -> bool {
+        let fresh =
+            self.agents.values().filter(|candidate| candidate.health(now) <= Health::Late).count();
+        fresh * 2 < self.agents.len() || self.agents.is_empty()
+    }
+
+    /// Whether the health of every remembered agent is known well enough to say that what none of
+    /// them holds does not exist.
+    #[must_use]
+    pub fn is_conclusive(&self, now: Time) -> bool {
+        self.agents.values().all(|candidate| candidate.health(now) == Health::Fresh)
+    }
+
+    /// Number of agents known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.agents.len()
+    }
+
+    /// Whether no agent is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.agents.is_empty()
+    }
+
+    /// Forgets agents that are gone for longer than any flow lives.
+    pub fn forget(&mut self, now: Time) {
+        self.agents.retain(|_, candidate| now.since(candidate.heard) < FORGET_MS);
+    }
+
+    /// Shifts all waiting by a span in which this process stood still: it could not have heard.
+    pub fn forgive(&mut self, span_ms: u64) {
+        for candidate in self.agents.values_mut() {
+            candidate.heard = candidate.heard.after(span_ms);
+        }
+    }
+
+    /// The best agent for a new flow among the first of its order, without those in `tried`; when
+    /// all of these were tried, the best of all others.
+    #[must_use]
+    pub fn choose(
+        &self,
+        now: Time,
+        key: Key,
+        service: Service,
+        kind: Kind,
+        domain: &str,
+        tried: &[Ipv4Addr],
+    ) -> Option<Choice> {
+        let order = self.order(key, domain, |candidate| candidate.takes(now, service));
+        let near = order.iter().filter(|ranked| ranked.0.near).take(NEAR);
+        let far = order.iter().filter(|ranked| !ranked.0.near).take(FAR);
+        let untried = |ranked: &&(Rank, Ipv4Addr)| !tried.contains(&ranked.1);
+        let first = self.least(near.chain(far).filter(untried), kind, domain);
+        let agent = first.or_else(|| self.least(order.iter().filter(untried), kind, domain))?;
+        self.choice(now, agent)
+    }
+
+    /// All agents in the order in which they are asked for a flow: those of the given services
+    /// first, then the others, because a route may have moved since the flow was opened.
+    #[must_use]
+    pub fn search(&self, key: Key, services: &[Service], domain: &str) -> Vec<Ipv4Addr> {
+        let likely = |candidate: &Candidate| {
+            candidate.announcement.service.is_some_and(|service| services.contains(&service))
+        };
+        let mut order = self.order(key, domain, likely);
+        order.extend(self.order(key, domain, |candidate| !likely(candidate)));
+        order.into_iter().map(|ranked| ranked.1).collect()
+    }
+
+    fn choice(&self, now: Time, agent: Ipv4Addr) -> Option<Choice> {
+        let candidate = self.agents.get(&agent)?;
+        Some(Choice { agent, load: candidate.load, age_ms: now.since(candidate.load_heard) })
+    }
+
+    fn least<'a>(
+        &self,
+        order: impl Iterator<Item = &'a (Rank, Ipv4Addr)>,
+        kind: Kind,
+        domain: &str,
+    ) -> Option<Ipv4Addr> {
+        let weights = Weights::of(kind);
+        order
+            .filter_map(|(_, agent)| {
+                Some((self.agents.get(agent)?.pressure(weights, domain), agent))
+            })
+            .min_by_key(|(pressure, _)| *pressure)
+            .map(|(_, agent)| *agent)
+    }
+
+    fn order(
+        &self,
+        key: Key,
+        domain: &str,
+        keep: impl Fn(&Candidate) -> bool,
+    ) -> Vec<(Rank, Ipv4Addr)> {
+        let mut order: Vec<(Rank, Ipv4Addr)> = self
+            .agents
+            .iter()
+            .filter(|(_, candidate)| keep(candidate))
+            .map(|(agent, candidate)| (Rank::of(key, *agent, candidate, domain), *agent))
+            .collect();
+        order.sort_unstable_by(|one, two| two.cmp(one));
+        order
+    }
+}
+
+/// Order of an agent for one key: the client's own failure domain first, then the higher hash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    near: bool,
+    weight: u64,
+}
+
+impl Rank {
+    fn of(key: Key, agent: Ipv4Addr, candidate: &Candidate, domain: &str) -> Self {
+        let near = *candidate.announcement.domain == *domain;
+        Self { near, weight: mix(key.number() ^ mix(u64::from(agent.to_bits()))) }
+    }
+}
+
+fn change(known: &Announcement, word: &Announcement) -> Change {
+    if (word.incarnation, word.number) < (known.incarnation, known.number) {
+        return Change::Stale;
+    }
+    if word.incarnation != known.incarnation {
+        return Change::Appeared;
+    }
+    let opens = |word: &Announcement| word.state == State::Ready;
+    match (opens(known), opens(word)) {
+        (false, true) => Change::Opened,
+        (true, false) => Change::Closed,
+        _ => Change::None,
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -0,0 +1,331 @@
+//! The flows that an agent's backend server holds, and packets sent to it to find out.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use super::flow::{Flow, Head, follows};
+use super::health::FORGET_MS;
+use super::message::Load;
+use crate::clock::Time;
+
+/// An opening that is not followed up within this time came to nothing: clients give an opening up
+/// after 1.4 s.
+const OPENING_MS: u64 = 1_500;
+
+/// A flow that has ended is remembered for so long, because its last packets may come again: both
+/// ends send them again for at most this time.
+const ENDED_MS: u64 = 5_000;
+
+/// A request counts as in progress no longer than this: clients give up sooner.
+const REQUEST_MS: u64 = 10_000;
+
+/// A client's first acknowledgement lies at most this far behind the server's opening number.
+const FIRST_ACK_REACH: u32 = 1 << 17;
+
+/// A packet whose data ends at most this far behind what came before brings something new.
+const DATA_REACH: u32 = 1 << 30;
+
+/// A probe is over after this: the server answers within a millisecond.
+const PROBE_MS: u64 = 1_000;
+
+/// How long the server's word that it does not hold a flow is remembered. Guards against handing
+/// it the packets of a flow whose own agent is away for a moment, again and again.
+const DENIED_MS: u64 = 10_000;
+
+/// How far a flow has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// The opening went to the server; the number that the server answered with, if it did.
+    Opening(Option<u32>),
+    /// The client's packets reached the server, or the server sent data.
+    Open,
+}
+
+/// One flow.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// How far it has come.
+    pub stage: Stage,
+    /// Sequence number of the client's opening.
+    pub opened_with: u32,
+    /// The client's last acknowledgement number.
+    pub client_ack: u32,
+    client_next: Option<u32>,
+    used: Time,
+    server_heard: Time,
+    request_since: Option<Time>,
+    client_fin: bool,
+    server_fin: bool,
+    ended: Option<Time>,
+}
+
+impl Held {
+    const fn new(now: Time, stage: Stage) -> Self {
+        Self {
+            stage,
+            opened_with: 0,
+            client_ack: 0,
+            client_next: None,
+            used: now,
+            server_heard: now,
+            request_since: None,
+            client_fin: false,
+            server_fin: false,
+            ended: None,
+        }
+    }
+
+    /// Whether both ends, or a reset, ended it.
+    #[must_use]
+    pub const fn is_over(&self) -> bool {
+        self.ended.is_some()
+    }
+
+    const fn weight(&self) -> Weight {
+        if self.is_over() {
+            return Weight { busy: 0, open: 0 };
+        }
+        Weight { busy: self.request_since.is_some() as usize, open: 1 }
+    }
+
+    fn note_end(&mut self, now: Time, reset: bool) {
+        if reset || (self.client_fin && self.server_fin) {
+            self.ended.get_or_insert(now);
+            self.request_since = None;
+        }
+    }
+
+    fn is_expired(&self, now: Time) -> bool {
+        let idle = now.since(self.used);
+        match (self.stage, self.ended) {
+            (_, Some(ended)) => now.since(ended) > ENDED_MS,
+            (Stage::Opening(_), None) => idle > OPENING_MS,
+            (Stage::Open, None) => idle > FORGET_MS,
+        }
+    }
+}
+
+/// The flows by their ends.
+#[derive(Debug, Default)]
+pub struct Table {
+    flows: BTreeMap<Flow, Held>,
+    load: Weight,
+}
+
+impl Table {
+    /// Requests in progress and open flows.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            busy: u16::try_from(self.load.busy).unwrap_or(u16::MAX),
+            flows: u16::try_from(self.load.open).unwrap_or(u16::MAX),
+        }
+    }
+
+    /// A flow, if it is known.
+    #[must_use]
+    pub fn get(&self, flow: &Flow) -> Option<&Held> {
+        self.flows.get(flow)
+    }
+
+    /// Notes an opening that goes to the server. It counts as a request from now on: the request
+    /// follows within a round trip, and until then nothing else would show it.
+    pub fn open(&mut self, now: Time, head: &Head) {
+        let mut held = Held::new(now, Stage::Opening(None));
+        held.opened_with = head.seq;
+        held.request_since = Some(now);
+        self.insert(head.flow, held);
+    }
+
+    /// Notes a flow that this process learns of by a packet of the server.
+    pub fn adopt(&mut self, now: Time, head: &Head) {
+        let stage = if head.flags.syn { Stage::Opening(Some(head.seq)) } else { Stage::Open };
+        self.insert(head.flow, Held::new(now, stage));
+    }
+
+    /// Forgets a flow.
+    pub fn remove(&mut self, flow: &Flow) -> Option<Held> {
+        let held = self.flows.remove(flow)?;
+        self.count(held.weight(), Weight::default());
+        Some(held)
+    }
+
+    /// Whether a client's packet belongs to a flow that the server holds. Of two servers that both
+    /// accepted an opening, the flow is at the one whose number the client acknowledges.
+    #[must_use]
+    pub fn takes(&self, now: Time, head: &Head) -> bool {
+        let Some(held) = self.flows.get(&head.flow) else {
+            return false;
+        };
+        match held.stage {
+            Stage::Open => !held.is_expired(now),
+            Stage::Opening(Some(number)) => follows(head.ack, number, FIRST_ACK_REACH),
+            Stage::Opening(None) => false,
+        }
+    }
+
+    /// Notes a client's packet that goes to the server.
+    pub fn from_client(&mut self, now: Time, head: &Head) {
+        self.update(head.flow, |held| {
+            held.stage = Stage::Open;
+            held.used = now;
+            held.client_ack = head.ack;
+            let is_new =
+                held.client_next.is_none_or(|next| follows(head.next_seq(), next, DATA_REACH));
+            if head.len > 0 && is_new {
+                held.client_next = Some(head.next_seq());
+                held.request_since.get_or_insert(now);
+            }
+            held.client_fin |= head.flags.fin;
+            held.note_end(now, head.flags.rst);
+        });
+    }
+
+    /// Notes a server's packet; if it begins the answer to a request, says after how many
+    /// milliseconds.
+    pub fn from_server(&mut self, now: Time, head: &Head) -> Option<u64> {
+        let mut waited = None;
+        self.update(head.flow, |held| {
+            held.used = now;
+            held.server_heard = now;
+            if head.flags.syn && matches!(held.stage, Stage::Opening(_)) {
+                held.stage = Stage::Opening(Some(head.seq));
+            }
+            if head.len > 0 {
+                waited = held.request_since.take().map(|since| now.since(since));
+            }
+            held.server_fin |= head.flags.fin;
+            held.note_end(now, head.flags.rst);
+        });
+        waited
+    }
+
+    /// Takes out the open flows whose server has sent nothing for `silent_ms`.
+    pub fn take_silent(&mut self, now: Time, silent_ms: u64) -> Vec<(Flow, Held)> {
+        let is_silent = |held: &Held| {
+            held.stage == Stage::Open && !held.is_over() && now.since(held.server_heard) > silent_ms
+        };
+        let silent: Vec<Flow> =
+            self.flows.iter().filter(|(_, held)| is_silent(held)).map(|(flow, _)| *flow).collect();
+        silent.into_iter().filter_map(|flow| Some((flow, self.remove(&flow)?))).collect()
+    }
+
+    /// Drops what is over, and requests that no client waits for any more.
+    pub fn expire(&mut self, now: Time) {
+        let lapsed = |since: Time| now.since(since) > REQUEST_MS;
+        let mut load = Weight::default();
+        self.flows.retain(|_, held| {
+            held.request_since = held.request_since.filter(|since| !lapsed(*since));
+            let kept = !held.is_expired(now);
+            if kept {
+                load = load.plus(held.weight());
+            }
+            kept
+        });
+        self.load = load;
+    }
+
+    fn insert(&mut self, flow: Flow, held: Held) {
+        let after = held.weight();
+        let before = self.flows.insert(flow, held).map(|old| old.weight()).unwrap_or_default();
+        self.count(before, after);
+    }
+
+    fn update(&mut self, flow: Flow, change: impl FnOnce(&mut Held)) {
+        let Some(held) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        let before = held.weight();
+        change(held);
+        let after = held.weight();
+        self.count(before, after);
+    }
+
+    fn count(&mut self, before: Weight, after: Weight) {
+        self.load = self.load.plus(after).minus(before);
+    }
+}
+
+/// What flows add to the load.
+#[derive(Clone, Copy, Debug, Default)]
+struct Weight {
+    busy: usize,
+    open: usize,
+}
+
+impl Weight {
+    const fn plus(self, other: Self) -> Self {
+        Self { busy: self.busy + other.busy, open: self.open + other.open }
+    }
+
+    const fn minus(self, other: Self) -> Self {
+        Self { busy: self.busy - other.busy, open: self.open - other.open }
+    }
+}
+
+/// Packets on their way to the server, by the number written into them.
+#[derive(Debug, Default)]
+pub struct Probes {
+    sent: BTreeMap<u32, Probe>,
+    asked: BTreeMap<Flow, Ipv4Addr>,
+    last: u32,
+    denied: BTreeMap<Flow, Time>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    flow: Flow,
+    from: Ipv4Addr,
+    at: Time,
+}
+
+impl Probes {
+    /// Notes a packet of a balancer; returns the number to write into it, which is never zero.
+    pub fn insert(&mut self, now: Time, flow: Flow, from: Ipv4Addr) -> u32 {
+        self.last = self.last.wrapping_add(1).max(1);
+        self.sent.insert(self.last, Probe { flow, from, at: now });
+        self.last
+    }
+
+    /// Like [`Self::insert`], for a balancer that wants to know whether the server holds the flow.
+    pub fn ask(&mut self, now: Time, flow: Flow, from: Ipv4Addr) -> u32 {
+        self.asked.insert(flow, from);
+        self.insert(now, flow, from)
+    }
+
+    /// The balancer that sent the packet with this number.
+    pub fn take(&mut self, number: u32) -> Option<Ipv4Addr> {
+        let probe = self.sent.remove(&number)?;
+        self.asked.remove(&probe.flow);
+        Some(probe.from)
+    }
+
+    /// The balancer that asked for a flow which the server has shown to hold.
+    pub fn answered(&mut self, flow: &Flow) -> Option<Ipv4Addr> {
+        self.asked.remove(flow)
+    }
+
+    /// Notes that the server does not hold a flow.
+    pub fn deny(&mut self, now: Time, flow: Flow) {
+        self.denied.insert(flow, now);
+    }
+
+    /// Whether the server said lately that it does not hold the flow.
+    #[must_use]
+    pub fn denied(&self, now: Time, flow: &Flow) -> bool {
+        self.denied.get(flow).is_some_and(|at| now.since(*at) <= DENIED_MS)
+    }
+
+    /// Drops what is over.
+    pub fn expire(&mut self, now: Time) {
+        let asked = &mut self.asked;
+        self.sent.retain(|_, probe| {
+            let kept = now.since(probe.at) <= PROBE_MS;
+            if !kept {
+                asked.remove(&probe.flow);
+            }
+            kept
+        });
+        self.denied.retain(|_, at| now.since(*at) <= DENIED_MS);
+    }
+}
--- a/crates/nutmegkeel_core/src/lib.rs
+++ b/crates/nutmegkeel_core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod clock;
 pub mod configuration;
 pub mod ended;
+pub mod l4;
 pub mod life;
 pub mod load;
 pub mod member;
--- a/crates/nutmegkeel_core/src/placement.rs
+++ b/crates/nutmegkeel_core/src/placement.rs
@@ -35,6 +35,12 @@
     pub const fn new(number: u64) -> Self {
         Self(number)
     }
+
+    /// The key as a number, spread evenly.
+    #[must_use]
+    pub const fn number(self) -> u64 {
+        self.0
+    }
 }
 
 /// Where a packet goes: a process and the run of it that must take it.
@@ -262,7 +268,7 @@
 }
 
 /// Spreads the bits of a number that is not secret (the finaliser of the `SplitMix64` generator).
-const fn mix(mut z: u64) -> u64 {
+pub(crate) const fn mix(mut z: u64) -> u64 {
     z = z.wrapping_add(0x9e37_79b9_7f4a_7c15);
     z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/nutmegkeel_dev/src/measure/retries.rs
+++ b/crates/nutmegkeel_dev/src/measure/retries.rs
@@ -9,7 +9,7 @@
 use nutmegkeel_core::placement::Hop;
 use nutmegkeel_fake::fleet::address;
 use nutmegkeel_fake::store::{Fate, Memory};
-use nutmegkeel_platform::claims::Writer;
+use nutmegkeel_store::claims::Writer;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Map, json};
--- a/crates/nutmegkeel_dev/src/process.rs
+++ b/crates/nutmegkeel_dev/src/process.rs
@@ -33,7 +33,7 @@
 }
 
 impl Process {
-    /// Starts a program; its standard error goes to `log`.
+    /// Starts a program; its output goes to `log`.
     ///
     /// # Errors
     /// When the program cannot be started.
@@ -43,11 +43,12 @@
         arguments: &[&str],
         log: &Path,
     ) -> std::io::Result<Self> {
+        let log = std::fs::File::create(log)?;
         let child = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(std::fs::File::create(log)?)
+            .stdout(log.try_clone()?)
+            .stderr(log)
             .spawn()?;
         Ok(Self { name: name.to_owned(), child })
     }
--- a/crates/nutmegkeel_fake/src/store.rs
+++ b/crates/nutmegkeel_fake/src/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use nutmegkeel_platform::kv::{Committed, Fault, Lease, Pair, Store, Write};
+use nutmegkeel_store::kv::{Committed, Fault, Lease, Pair, Store, Write};
 
 /// How one call goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/nutmegkeel_node/src/administration.rs
+++ b/crates/nutmegkeel_node/src/administration.rs
@@ -18,7 +18,7 @@
 use nutmegkeel_core::member::Rumor;
 use nutmegkeel_core::placement::Hop;
 use nutmegkeel_core::verdict::Verdict;
-use nutmegkeel_platform::classes;
+use nutmegkeel_store::classes;
 use tokio::runtime::Runtime;
 use tower_http::validate_request::{ValidateRequest, ValidateRequestHeaderLayer};
 
--- a/crates/nutmegkeel_node/src/agent.rs
+++ b/crates/nutmegkeel_node/src/agent.rs
@@ -20,7 +20,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use nutmegkeel_core::agent::Event;
 use nutmegkeel_core::life::Phase;
-use nutmegkeel_platform::etcd;
+use nutmegkeel_store::etcd;
 
 use crate::address;
 use crate::clock::Clock;
--- a/crates/nutmegkeel_node/src/agent/claims.rs
+++ b/crates/nutmegkeel_node/src/agent/claims.rs
@@ -1,8 +1,8 @@
 //! Writes groups of claims to the platform, on a thread of its own because the client blocks.
 
 use nutmegkeel_core::agent::Event;
-use nutmegkeel_platform::claims::Writer;
-use nutmegkeel_platform::kv::Store;
+use nutmegkeel_store::claims::Writer;
+use nutmegkeel_store::kv::Store;
 
 use super::shared::Shared;
 
--- a/crates/nutmegkeel_node/src/balancer.rs
+++ b/crates/nutmegkeel_node/src/balancer.rs
@@ -24,7 +24,7 @@
 use nutmegkeel_core::membership::Pace;
 use nutmegkeel_core::peer;
 use nutmegkeel_core::placement::Rule;
-use nutmegkeel_platform::etcd;
+use nutmegkeel_store::etcd;
 use nutmegkeel_wire::frame::{self, Header};
 use nutmegkeel_wire::key::Ring;
 
--- a/crates/nutmegkeel_node/src/balancer/platform.rs
+++ b/crates/nutmegkeel_node/src/balancer/platform.rs
@@ -5,7 +5,7 @@
 use log::info;
 use metrics::counter;
 use nutmegkeel_core::balancer::Event;
-use nutmegkeel_platform::classes;
+use nutmegkeel_store::classes;
 
 use super::Shared;
 use crate::metric;
--- /dev/null
+++ b/crates/nutmegkeel_node/src/l4.rs
@@ -0,0 +1,35 @@
+//! Running balancer and agent for flows without a routing token, on the users' platform.
+
+pub mod agent;
+pub mod balancer;
+mod configuration;
+mod journal;
+mod link;
+mod membership;
+mod reload;
+
+use std::io;
+use std::net::SocketAddrV4;
+
+use thiserror::Error;
+
+/// Why a role could not start.
+#[derive(Debug, Error)]
+pub enum Fault {
+    /// An address could not be bound.
+    #[error("{what} at {address}: {error}")]
+    Bind {
+        /// What it is for.
+        what: &'static str,
+        /// The address.
+        address: SocketAddrV4,
+        /// Why.
+        error: io::Error,
+    },
+    /// The settings lack what the role needs.
+    #[error("settings: field `{0}` is missing; this role needs it")]
+    Missing(&'static str),
+    /// A thread could not be started.
+    #[error("thread: {0}")]
+    Thread(#[from] io::Error),
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -0,0 +1,240 @@
+//! A running agent: packets between balancers, the backend server beside it, and clients.
+
+use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use log::info;
+use metrics::{counter, gauge};
+use metrics_exporter_prometheus::PrometheusHandle;
+use nutmegkeel_core::l4::agent::{Action, Agent, Event, Identity, TICK_MS};
+use nutmegkeel_core::l4::flow::Direction;
+use nutmegkeel_core::l4::message::Message;
+use nutmegkeel_platform::settings::Settings;
+use nutmegkeel_platform::{control, packet};
+use nutmegkeel_wire::l4 as wire;
+
+use super::journal::Journal;
+use super::link::{self, Link};
+use super::reload::Reload;
+use super::{Fault, membership};
+use crate::clock::Clock;
+use crate::metric;
+use crate::web::{self, Answer, Call};
+
+/// A leaving agent serves so long before it ends: balancers hear at once that it leaves, and what
+/// they sent before is on its way for a few milliseconds.
+const LAST: Duration = Duration::from_millis(200);
+
+struct Shared {
+    core: Mutex<Agent>,
+    clock: Clock,
+    /// Where the backend server sends its packets, and ours to it come from.
+    beside: Arc<UdpSocket>,
+    server: SocketAddrV4,
+    /// Port at which clients take packets.
+    client_port: u16,
+    link: Link,
+    journal: Journal,
+}
+
+/// A running agent.
+pub struct Handle {
+    shared: Arc<Shared>,
+    reload: Reload,
+    _control: web::Handle,
+    _peers: web::Handle,
+}
+
+/// Starts an agent.
+///
+/// # Errors
+/// When the settings lack a field, an address cannot be bound or a thread cannot be started.
+pub fn spawn(
+    settings: &Settings,
+    path: std::path::PathBuf,
+    metrics: PrometheusHandle,
+) -> Result<Handle, Fault> {
+    let clock = Clock::open();
+    let now = clock.now();
+    let identity = Identity {
+        incarnation: now.millis(),
+        domain: Arc::clone(&settings.domain),
+        heartbeat_ms: settings.heartbeat_ms,
+    };
+    let from_server = settings.from_server.ok_or(Fault::Missing("outbound"))?;
+    let shared = Arc::new(Shared {
+        core: Mutex::new(Agent::open(now, identity, &settings.seeds)),
+        clock,
+        beside: Arc::new(link::bind("the backend server's packets", from_server)?),
+        server: settings.server.ok_or(Fault::Missing("app"))?,
+        client_port: settings.packets.port(),
+        link: Link::bind(settings.messages)?,
+        journal: Journal::spawn()?,
+    });
+    spawn_readers(&shared)?;
+    let listed = Arc::clone(&shared);
+    membership::spawn(settings, clock, None, move |balancers| {
+        listed.handle(Event::Listed(balancers), &mut []);
+    })?;
+    let control = spawn_control(&shared, settings.control.ok_or(Fault::Missing("control"))?)?;
+    let peers = spawn_metrics(settings.messages, metrics)?;
+    info!(event = "started", role = "agent", settings:? = settings; "agent runs");
+    Ok(Handle {
+        shared,
+        reload: Reload::open(path, settings.clone(), now),
+        _control: control,
+        _peers: peers,
+    })
+}
+
+impl Handle {
+    /// Lets a tick pass.
+    pub fn tick(&mut self, reload_signalled: bool) {
+        thread::sleep(Duration::from_millis(TICK_MS));
+        let now = self.shared.clock.now();
+        if let Some(settings) = self.reload.look(now, reload_signalled) {
+            self.shared.handle(Event::Listed(settings.seeds), &mut []);
+        }
+        self.shared.handle(Event::Tick, &mut []);
+        let load = self.shared.core().load();
+        gauge!(metric::FLOWS).set(f64::from(load.flows));
+        gauge!(metric::BUSY).set(f64::from(load.busy));
+    }
+
+    /// Tells the balancers, serves what is on its way, and returns.
+    pub fn leave(self) {
+        info!(event = "leaving", role = "agent"; "told to stop");
+        self.shared.handle(Event::Leave, &mut []);
+        thread::sleep(LAST);
+        info!(event = "stopped", role = "agent"; "agent ends");
+    }
+}
+
+fn spawn_readers(shared: &Arc<Shared>) -> Result<(), Fault> {
+    let beside = Arc::clone(shared);
+    link::spawn_reader("server", Arc::clone(&shared.beside), move |bytes, _| {
+        beside.from_server(bytes);
+    })?;
+    let messages = Arc::clone(shared);
+    link::spawn_reader("messages", shared.link.socket(), move |bytes, from| {
+        messages.message(bytes, from);
+    })?;
+    Ok(())
+}
+
+fn spawn_control(shared: &Arc<Shared>, address: SocketAddrV4) -> Result<web::Handle, Fault> {
+    let shared = Arc::clone(shared);
+    let answer = move |call: &Call| match control::decode(&call.path, &call.body) {
+        Ok(control::Call::Heartbeat(beat)) => {
+            shared.handle(Event::Heartbeat(beat), &mut []);
+            Answer::new(200, control::EMPTY)
+        }
+        Ok(control::Call::Deregister(id)) => {
+            shared.handle(Event::Deregistered(id), &mut []);
+            Answer::new(200, control::EMPTY)
+        }
+        Err(fault @ control::Fault::Path(_)) => Answer::new(404, fault.to_string()),
+        Err(fault) => Answer::new(400, fault.to_string()),
+    };
+    web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
+        what: "heartbeats",
+        address,
+        error,
+    })
+}
+
+fn spawn_metrics(address: SocketAddrV4, metrics: PrometheusHandle) -> Result<web::Handle, Fault> {
+    let answer = move |call: &Call| match call.path.as_str() {
+        metric::PATH => Answer::new(200, metrics.render()),
+        _ => Answer::new(404, ""),
+    };
+    web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
+        what: "metrics",
+        address,
+        error,
+    })
+}
+
+impl Shared {
+    fn core(&self) -> MutexGuard<'_, Agent> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn from_server(&self, bytes: &mut [u8]) {
+        let Ok(head) = packet::decode(bytes, Direction::ToClient) else {
+            link::drop_datagram("packet");
+            return;
+        };
+        if head.flags.bounced {
+            packet::restore(bytes);
+            self.handle(Event::Bounced(head), bytes);
+        } else {
+            counter!(metric::PACKETS_OUT).increment(1);
+            self.handle(Event::FromServer(head), bytes);
+        }
+    }
+
+    fn message(&self, bytes: &mut [u8], from: Ipv4Addr) {
+        let Ok((message, packet)) = wire::decode(bytes) else {
+            link::drop_datagram("message");
+            return;
+        };
+        let at = bytes.len() - packet.len();
+        let event = match message {
+            Message::Roster(roster) => Event::Roster(from, roster),
+            Message::Open { service, insistence } => {
+                let Ok(head) = packet::decode(packet, Direction::ToService) else {
+                    link::drop_datagram("packet");
+                    return;
+                };
+                Event::Open { from, head, service, insistence }
+            }
+            Message::Carry { known } => {
+                let Ok(head) = packet::decode(packet, Direction::ToService) else {
+                    link::drop_datagram("packet");
+                    return;
+                };
+                Event::Carry { from, head, known }
+            }
+            Message::Declined { .. } | Message::Holds { .. } | Message::Announce(_) => {
+                link::drop_datagram("message");
+                return;
+            }
+        };
+        self.handle(event, &mut bytes[at..]);
+    }
+
+    fn handle(&self, event: Event, packet: &mut [u8]) {
+        let now = self.clock.now();
+        let actions = self.core().handle(now, event);
+        for action in actions {
+            match action {
+                Action::ToServer(tag) => {
+                    packet::set_tag(packet, tag);
+                    link::send(&self.beside, packet, self.server);
+                }
+                Action::ToClient => self.to_client(packet),
+                Action::Return(to, message) => {
+                    packet::restore(packet);
+                    self.link.send(to, &message, packet);
+                }
+                Action::Send(to, message) => self.link.send(to, &message, &[]),
+                Action::Reset { flow, seq } => {
+                    counter!(metric::RESETS).increment(1);
+                    let client = SocketAddrV4::new(*flow.client.ip(), self.client_port);
+                    link::send(&self.beside, &packet::reset(&flow, seq), client);
+                }
+                Action::Note(note) => self.journal.note(now, note),
+            }
+        }
+    }
+
+    fn to_client(&self, packet: &[u8]) {
+        if let Ok(head) = packet::decode(packet, Direction::ToClient) {
+            let client = SocketAddrV4::new(*head.flow.client.ip(), self.client_port);
+            link::send(&self.beside, packet, client);
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -0,0 +1,280 @@
+//! A running balancer: clients' packets in, messages to agents out.
+
+use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use log::info;
+use metrics::{counter, gauge};
+use metrics_exporter_prometheus::PrometheusHandle;
+use nutmegkeel_core::clock::Time;
+use nutmegkeel_core::l4::balancer::{Action, Balancer, Event, TICK_MS};
+use nutmegkeel_core::l4::flow::Direction;
+use nutmegkeel_core::l4::message::Message;
+use nutmegkeel_core::l4::route::Table;
+use nutmegkeel_platform::settings::Settings;
+use nutmegkeel_platform::{control, packet};
+use nutmegkeel_wire::l4 as wire;
+
+use super::configuration::{self, Fetcher, Source};
+use super::journal::Journal;
+use super::link::{self, Link};
+use super::reload::Reload;
+use super::{Fault, membership};
+use crate::clock::Clock;
+use crate::metric;
+use crate::web::{self, Answer, Call};
+
+/// The platform takes a process out of rotation after two failed checks, half a second apart; the
+/// third half covers a check that was under way.
+const ROTATION_MS: u64 = 1_500;
+
+/// A leaving balancer that has had no packet for so long has done its work.
+const QUIET_MS: u64 = 400;
+
+/// Part of the grace period that is kept back for ending, in milliseconds.
+const RESERVE_MS: u64 = 1_000;
+
+struct Shared {
+    core: Mutex<Balancer>,
+    clock: Clock,
+    clients: Arc<UdpSocket>,
+    /// Port at which clients take packets.
+    client_port: u16,
+    link: Link,
+    journal: Journal,
+    last_packet: Mutex<Time>,
+}
+
+/// A running balancer.
+pub struct Handle {
+    shared: Arc<Shared>,
+    reload: Reload,
+    grace_ms: u64,
+    _readiness: web::Handle,
+    _peers: web::Handle,
+}
+
+/// Starts a balancer.
+///
+/// # Errors
+/// When an address cannot be bound or a thread cannot be started.
+pub fn spawn(
+    settings: &Settings,
+    path: std::path::PathBuf,
+    metrics: PrometheusHandle,
+) -> Result<Handle, Fault> {
+    let clock = Clock::open();
+    let now = clock.now();
+    let core = Balancer::open(now, settings.ip, Arc::clone(&settings.domain), &settings.seeds);
+    let shared = Arc::new(Shared {
+        core: Mutex::new(core),
+        clock,
+        clients: Arc::new(link::bind("clients' packets", settings.packets)?),
+        client_port: settings.packets.port(),
+        link: Link::bind(settings.messages)?,
+        journal: Journal::spawn()?,
+        last_packet: Mutex::new(now),
+    });
+    let source = Source::default();
+    let fetcher = spawn_configuration(&shared, settings, &source)?;
+    spawn_readers(&shared, fetcher)?;
+    spawn_membership(&shared, settings)?;
+    let readiness = spawn_readiness(&shared, settings.readiness)?;
+    let peers = spawn_peers(&shared, settings.messages, source, metrics)?;
+    info!(event = "started", role = "balancer", settings:? = settings; "balancer runs");
+    Ok(Handle {
+        shared,
+        reload: Reload::open(path, settings.clone(), now),
+        grace_ms: settings.grace_ms,
+        _readiness: readiness,
+        _peers: peers,
+    })
+}
+
+impl Handle {
+    /// Lets a tick pass.
+    pub fn tick(&mut self, reload_signalled: bool) {
+        thread::sleep(Duration::from_millis(TICK_MS));
+        let now = self.shared.clock.now();
+        if let Some(settings) = self.reload.look(now, reload_signalled) {
+            self.shared.handle(Event::Listed(settings.seeds), &[]);
+        }
+        self.shared.handle(Event::Tick, &[]);
+        self.shared.gauges();
+    }
+
+    /// Leaves the rotation, goes on carrying packets until none come, and returns.
+    pub fn leave(self) {
+        let begun = self.shared.clock.now();
+        info!(event = "leaving", role = "balancer"; "told to stop");
+        self.shared.handle(Event::Leave, &[]);
+        let limit = self.grace_ms.saturating_sub(RESERVE_MS);
+        loop {
+            thread::sleep(Duration::from_millis(QUIET_MS / 2));
+            let now = self.shared.clock.now();
+            let quiet = now.since(*lock(&self.shared.last_packet)) > QUIET_MS;
+            let passed = now.since(begun);
+            if passed > limit || (passed > ROTATION_MS && quiet) {
+                info!(event = "stopped", role = "balancer", after_ms = passed; "balancer ends");
+                return;
+            }
+        }
+    }
+}
+
+fn spawn_configuration(
+    shared: &Arc<Shared>,
+    settings: &Settings,
+    source: &Source,
+) -> Result<Fetcher, Fault> {
+    let configured = |shared: &Arc<Shared>| {
+        let shared = Arc::clone(shared);
+        move |table: Table| shared.handle(Event::Configured(table), &[])
+    };
+    configuration::spawn_watch(settings.store, source.clone(), configured(shared))?;
+    let port = settings.messages.port();
+    Ok(Fetcher::spawn(port, source.clone(), configured(shared))?)
+}
+
+fn spawn_readers(shared: &Arc<Shared>, fetcher: Fetcher) -> Result<(), Fault> {
+    let clients = Arc::clone(shared);
+    link::spawn_reader("clients", Arc::clone(&shared.clients), move |bytes, _| {
+        clients.client(bytes);
+    })?;
+    let messages = Arc::clone(shared);
+    link::spawn_reader("messages", shared.link.socket(), move |bytes, from| {
+        messages.message(bytes, from, &fetcher);
+    })?;
+    Ok(())
+}
+
+fn spawn_membership(shared: &Arc<Shared>, settings: &Settings) -> Result<(), Fault> {
+    let registration = membership::registration(settings);
+    let listed = Arc::clone(shared);
+    membership::spawn(settings, shared.clock, Some(registration), move |balancers| {
+        listed.handle(Event::Listed(balancers), &[]);
+    })?;
+    Ok(())
+}
+
+fn spawn_readiness(shared: &Arc<Shared>, address: SocketAddrV4) -> Result<web::Handle, Fault> {
+    let shared = Arc::clone(shared);
+    let answer = move |call: &Call| match call.path.as_str() {
+        control::READINESS if shared.is_ready() => Answer::new(200, ""),
+        control::READINESS => Answer::new(503, ""),
+        _ => Answer::new(404, ""),
+    };
+    web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
+        what: "readiness",
+        address,
+        error,
+    })
+}
+
+/// Serves other balancers, and whoever reads the metrics.
+fn spawn_peers(
+    shared: &Arc<Shared>,
+    address: SocketAddrV4,
+    source: Source,
+    metrics: PrometheusHandle,
+) -> Result<web::Handle, Fault> {
+    let shared = Arc::clone(shared);
+    let answer = move |call: &Call| match call.path.as_str() {
+        configuration::PATH if shared.core().version() > 0 => Answer::new(200, &*source.text()),
+        metric::PATH => Answer::new(200, metrics.render()),
+        _ => Answer::new(404, ""),
+    };
+    web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
+        what: "balancers' calls",
+        address,
+        error,
+    })
+}
+
+impl Shared {
+    fn core(&self) -> MutexGuard<'_, Balancer> {
+        lock(&self.core)
+    }
+
+    fn is_ready(&self) -> bool {
+        let now = self.clock.now();
+        self.core().is_ready(now)
+    }
+
+    fn client(&self, bytes: &[u8]) {
+        *lock(&self.last_packet) = self.clock.now();
+        match packet::decode(bytes, Direction::ToService) {
+            Ok(head) if !head.flags.bounced => {
+                counter!(metric::PACKETS_IN).increment(1);
+                self.handle(Event::Client(head), bytes);
+            }
+            _ => link::drop_datagram("packet"),
+        }
+    }
+
+    fn message(&self, bytes: &mut [u8], from: Ipv4Addr, fetcher: &Fetcher) {
+        let Ok((message, packet)) = wire::decode(bytes) else {
+            link::drop_datagram("message");
+            return;
+        };
+        let event = match message {
+            Message::Declined { reason, load } => {
+                let Ok(head) = packet::decode(packet, Direction::ToService) else {
+                    link::drop_datagram("packet");
+                    return;
+                };
+                Event::Declined { from, head, reason, load }
+            }
+            Message::Holds { flow, load } => Event::Holds { from, flow, load },
+            Message::Announce(word) => Event::Announced(from, word),
+            Message::Roster(roster) => Event::Roster(from, roster),
+            Message::Open { .. } | Message::Carry { .. } => {
+                link::drop_datagram("message");
+                return;
+            }
+        };
+        let fetch = self.handle_fetching(event, packet);
+        fetch.into_iter().for_each(|from| fetcher.fetch(from));
+    }
+
+    fn handle(&self, event: Event, packet: &[u8]) {
+        // Only word of other balancers asks for a fetch, and that goes the other way.
+        self.handle_fetching(event, packet);
+    }
+
+    fn handle_fetching(&self, event: Event, packet: &[u8]) -> Option<Ipv4Addr> {
+        let now = self.clock.now();
+        let actions = self.core().handle(now, event);
+        let mut fetch = None;
+        for action in actions {
+            match action {
+                Action::Forward(to, message) => self.link.send(to, &message, packet),
+                Action::Send(to, message) => self.link.send(to, &message, &[]),
+                Action::Reset { flow, seq } => {
+                    counter!(metric::RESETS).increment(1);
+                    let client = SocketAddrV4::new(*flow.client.ip(), self.client_port);
+                    link::send(&self.clients, &packet::reset(&flow, seq), client);
+                }
+                Action::Fetch(from) => fetch = Some(from),
+                Action::Note(note) => self.journal.note(now, note),
+            }
+        }
+        fetch
+    }
+
+    fn gauges(&self) {
+        let core = self.core();
+        #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
+        gauge!(metric::FLOWS).set(core.cached() as f64);
+        #[expect(clippy::cast_precision_loss, reason = "versions stay far below 2^52")]
+        gauge!(metric::CONFIGURATION).set(core.version() as f64);
+        #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
+        gauge!(metric::AGENTS).set(core.agents() as f64);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/l4/configuration.rs
@@ -0,0 +1,152 @@
+//! Brings the operator's configuration from the store, or from another balancer, into force.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use log::{info, warn};
+use nutmegkeel_core::l4::route::Table;
+use nutmegkeel_platform::configuration;
+use nutmegkeel_platform::store::Client;
+use nutmegkeel_store::kv::{Fault, Pair, Registry, Store, Watched};
+
+use super::membership::note_reachable;
+
+/// Path at which a balancer hands its configuration to others.
+pub(super) const PATH: &str = "/configuration";
+
+/// Longest wait of one watch. A connection that went silent is noticed this much and the client's
+/// timeout later.
+const WAIT: Duration = Duration::from_secs(5);
+
+/// Pause before the next try when the store does not answer.
+const RETRY: Duration = Duration::from_millis(300);
+
+/// A balancer answers within a few milliseconds; one that does not is asked again when it speaks.
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The configuration as it was written, for balancers that ask.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Source {
+    text: Arc<Mutex<(u64, Arc<str>)>>,
+}
+
+impl Source {
+    /// The newest text.
+    pub(super) fn text(&self) -> Arc<str> {
+        Arc::clone(&self.text.lock().unwrap_or_else(PoisonError::into_inner).1)
+    }
+
+    /// Takes in a text; returns its routes. One that cannot be read changes nothing.
+    fn take(&self, bytes: &[u8]) -> Option<Table> {
+        let decoded = match configuration::decode(bytes) {
+            Ok(decoded) => decoded,
+            Err(fault) => {
+                warn!(event = "configuration_unreadable", fault:% = fault; "kept the one in force");
+                return None;
+            }
+        };
+        for fault in &decoded.faults {
+            warn!(event = "route_left_out", fault:% = fault; "route not understood");
+        }
+        let mut text = self.text.lock().unwrap_or_else(PoisonError::into_inner);
+        if decoded.table.version > text.0 {
+            *text = (decoded.table.version, String::from_utf8_lossy(bytes).into());
+        }
+        Some(decoded.table)
+    }
+}
+
+/// Watches the store and hands every configuration to `configured`.
+///
+/// # Errors
+/// When the thread cannot be started.
+pub(super) fn spawn_watch(
+    store: SocketAddrV4,
+    source: Source,
+    configured: impl Fn(Table) + Send + 'static,
+) -> io::Result<()> {
+    let store = Client::open(store);
+    thread::Builder::new().name("configuration".to_owned()).spawn(move || {
+        let mut reachable = true;
+        let mut after = None;
+        loop {
+            let outcome = next(&store, after).map(|(until, pairs)| {
+                after = until;
+                let tables = pairs.iter().filter(|pair| pair.key == configuration::KEY);
+                tables.filter_map(|pair| source.take(&pair.value)).for_each(&configured);
+            });
+            let failed = outcome.is_err();
+            note_reachable(&mut reachable, outcome);
+            if failed || after.is_none() {
+                thread::sleep(RETRY);
+            }
+        }
+    })?;
+    Ok(())
+}
+
+/// What comes behind revision `after`, and the revision to go on from.
+fn next(store: &Client, after: Option<u64>) -> Result<(Option<u64>, Vec<Pair>), Fault> {
+    let Some(after) = after else {
+        let pair = store.get(configuration::KEY)?;
+        let revision = pair.as_ref().map(|pair| pair.revision);
+        return Ok((revision, pair.into_iter().collect()));
+    };
+    match store.watch(configuration::KEY, after, WAIT)? {
+        Watched::Until(until, pairs) => Ok((Some(until), pairs)),
+        Watched::Forgotten => next(store, None),
+    }
+}
+
+/// Fetches configurations from other balancers on request.
+#[derive(Clone, Debug)]
+pub(super) struct Fetcher {
+    requests: SyncSender<Ipv4Addr>,
+}
+
+impl Fetcher {
+    /// Starts the thread; `port` is where balancers answer.
+    ///
+    /// # Errors
+    /// When the thread cannot be started.
+    pub(super) fn spawn(
+        port: u16,
+        source: Source,
+        configured: impl Fn(Table) + Send + 'static,
+    ) -> io::Result<Self> {
+        let (requests, wanted) = sync_channel(1);
+        thread::Builder::new().name("fetch".to_owned()).spawn(move || {
+            fetch_all(&wanted, port, &source, &configured);
+        })?;
+        Ok(Self { requests })
+    }
+
+    /// Asks for a fetch; one that is under way serves for this one too, since whoever has something
+    /// newer says so again.
+    pub(super) fn fetch(&self, from: Ipv4Addr) {
+        let _ = self.requests.try_send(from);
+    }
+}
+
+fn fetch_all(wanted: &Receiver<Ipv4Addr>, port: u16, source: &Source, configured: &impl Fn(Table)) {
+    let config = ureq::Agent::config_builder().timeout_global(Some(PEER_TIMEOUT)).build();
+    let http = ureq::Agent::new_with_config(config);
+    while let Ok(from) = wanted.recv() {
+        let url = format!("http://{}{PATH}", SocketAddrV4::new(from, port));
+        let fetched = http.get(&url).call().and_then(|mut answer| answer.body_mut().read_to_vec());
+        match fetched {
+            Ok(bytes) => {
+                info!(event = "configuration_fetched", from:% = from; "from a balancer");
+                source.take(&bytes).into_iter().for_each(configured);
+            }
+            Err(error) => {
+                info!(event = "fetch_failed", from:% = from, fault:% = error;
+                    "balancer did not hand its configuration over");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/l4/journal.rs
@@ -0,0 +1,183 @@
+//! Log lines of decisions: a bounded queue to one writer, and a budget for each kind of line.
+//!
+//! Deciding threads never wait for the output: what does not fit is counted and left out.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+use log::{info, warn};
+use metrics::counter;
+use nutmegkeel_core::clock::Time;
+use nutmegkeel_core::l4::note::Note;
+
+use crate::metric;
+
+/// Lines that may wait for the writer. At the budgets below, some seconds' worth.
+const QUEUE: usize = 256;
+
+/// Lines a second of what happens with every flow.
+const USUAL: u32 = 20;
+
+/// Lines a second of what goes wrong with a flow, or changes what the process believes.
+const UNUSUAL: u32 = 50;
+
+/// Writes notes of decisions.
+#[derive(Clone, Debug)]
+pub(super) struct Journal {
+    queue: SyncSender<Entry>,
+    budgets: Arc<Mutex<Budgets>>,
+}
+
+#[derive(Debug)]
+enum Entry {
+    Note(Note),
+    LeftOut(&'static str, u32),
+}
+
+/// Lines written and left out in the present second, by kind.
+#[derive(Debug, Default)]
+struct Budgets {
+    second: u64,
+    kinds: BTreeMap<&'static str, Spent>,
+}
+
+#[derive(Debug, Default)]
+struct Spent {
+    written: u32,
+    left_out: u32,
+}
+
+impl Journal {
+    /// Starts the writer.
+    ///
+    /// # Errors
+    /// When its thread cannot be started.
+    pub(super) fn spawn() -> io::Result<Self> {
+        let (queue, entries) = sync_channel(QUEUE);
+        thread::Builder::new().name("journal".to_owned()).spawn(move || write_all(&entries))?;
+        Ok(Self { queue, budgets: Arc::default() })
+    }
+
+    /// Writes a note if its kind's budget allows.
+    pub(super) fn note(&self, now: Time, note: Note) {
+        let (kind, limit) = kind(&note);
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        for (kind, left_out) in budgets.turn(now.millis() / 1_000) {
+            self.push(Entry::LeftOut(kind, left_out));
+        }
+        if budgets.spend(kind, limit) {
+            self.push(Entry::Note(note));
+        }
+    }
+
+    fn push(&self, entry: Entry) {
+        if self.queue.try_send(entry).is_err() {
+            counter!(metric::LINES_LEFT_OUT, "reason" => "queue").increment(1);
+        }
+    }
+}
+
+impl Budgets {
+    /// Begins a new second if it is one; returns what the last one left out.
+    fn turn(&mut self, second: u64) -> Vec<(&'static str, u32)> {
+        if second == self.second {
+            return Vec::new();
+        }
+        self.second = second;
+        let spent = std::mem::take(&mut self.kinds);
+        let left_out = spent.into_iter().map(|(kind, spent)| (kind, spent.left_out));
+        left_out.filter(|(_, count)| *count > 0).collect()
+    }
+
+    fn spend(&mut self, kind: &'static str, limit: u32) -> bool {
+        let spent = self.kinds.entry(kind).or_default();
+        let fits = spent.written < limit;
+        if fits {
+            spent.written += 1;
+        } else {
+            spent.left_out += 1;
+            counter!(metric::LINES_LEFT_OUT, "reason" => "budget").increment(1);
+        }
+        fits
+    }
+}
+
+/// The kind of a note, and its lines a second at most.
+const fn kind(note: &Note) -> (&'static str, u32) {
+    match note {
+        Note::Placed { .. } => ("placed", USUAL),
+        Note::Accepted { .. } => ("accepted", USUAL),
+        Note::Found { .. } => ("found", USUAL),
+        Note::Adopted { .. } => ("adopted", USUAL),
+        Note::Declined { .. } => ("declined", USUAL),
+        Note::Reset { .. } => ("reset", UNUSUAL),
+        Note::Dropped { .. } => ("dropped", USUAL),
+        Note::Agent { .. } | Note::AgentSilent { .. } => ("agent", UNUSUAL),
+        Note::InForce { .. } => ("in_force", UNUSUAL),
+        Note::Balancer { .. } => ("balancer", UNUSUAL),
+        Note::Server { .. } => ("server", UNUSUAL),
+    }
+}
+
+fn write_all(entries: &Receiver<Entry>) {
+    while let Ok(entry) = entries.recv() {
+        match entry {
+            Entry::Note(note) => write(&note),
+            Entry::LeftOut(kind, count) => {
+                info!(event = "lines_left_out", kind = kind, count = count; "over the budget");
+            }
+        }
+    }
+}
+
+fn write(note: &Note) {
+    match note {
+        Note::Placed { flow, choice, attempt, version } => {
+            info!(event = "placed", flow:% = flow, agent:% = choice.agent,
+                busy = choice.load.busy, flows = choice.load.flows, load_age_ms = choice.age_ms,
+                attempt = attempt, configuration = version; "opening sent to an agent");
+        }
+        Note::Declined { flow, agent, reason, load } => {
+            info!(event = "declined", flow:% = flow, agent:% = agent, reason = reason.name(),
+                busy = load.busy, flows = load.flows; "agent handed a packet back");
+        }
+        Note::Found { flow, agent, asked } => {
+            info!(event = "found", flow:% = flow, agent:% = agent, asked = asked;
+                "agent of an open flow found");
+        }
+        Note::Reset { flow, cause, asked, version } => {
+            warn!(event = "reset", flow:% = flow, cause = cause.name(), asked = asked,
+                configuration = version; "reset sent to the client");
+        }
+        Note::Dropped { flow, cause } => {
+            info!(event = "dropped", flow:% = flow, cause = cause.name();
+                "packet dropped, the client sends it again");
+        }
+        Note::Agent { agent, change } => {
+            info!(event = "agent", agent:% = agent, change:? = change; "agent changed");
+        }
+        Note::AgentSilent { agent } => {
+            warn!(event = "agent_silent", agent:% = agent; "agent is not heard of");
+        }
+        Note::InForce { version, routes } => {
+            info!(event = "in_force", configuration = version, routes = routes;
+                "configuration in force");
+        }
+        Note::Balancer { balancer, known } => {
+            info!(event = "balancer", balancer:% = balancer, known = known; "balancer changed");
+        }
+        Note::Accepted { flow, load } => {
+            info!(event = "accepted", flow:% = flow, busy = load.busy, flows = load.flows;
+                "opening handed to the backend server");
+        }
+        Note::Adopted { flow } => {
+            info!(event = "adopted", flow:% = flow; "backend server holds the flow");
+        }
+        Note::Server { id, change } => {
+            info!(event = "server", id = &**id, change:? = change; "backend server changed");
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/l4/link.rs
@@ -0,0 +1,91 @@
+//! The sockets of a role: datagrams in and out, with what goes wrong counted.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
+use std::sync::Arc;
+use std::thread;
+
+use metrics::counter;
+use nutmegkeel_core::l4::message::Message;
+use nutmegkeel_wire::l4 as wire;
+
+use super::Fault;
+use crate::metric;
+
+/// Binds a UDP socket.
+///
+/// # Errors
+/// Names the address and what it is for.
+pub(super) fn bind(what: &'static str, address: SocketAddrV4) -> Result<UdpSocket, Fault> {
+    UdpSocket::bind(address).map_err(|error| Fault::Bind { what, address, error })
+}
+
+/// Runs `handle` for every datagram of a socket, on a thread of its own.
+///
+/// # Errors
+/// When the thread cannot be started.
+pub(super) fn spawn_reader(
+    name: &str,
+    socket: Arc<UdpSocket>,
+    mut handle: impl FnMut(&mut [u8], Ipv4Addr) + Send + 'static,
+) -> io::Result<()> {
+    thread::Builder::new().name(name.to_owned()).spawn(move || {
+        let mut buffer = [0; wire::LONGEST];
+        loop {
+            match socket.recv_from(&mut buffer) {
+                Ok((length, std::net::SocketAddr::V4(from))) => {
+                    handle(&mut buffer[..length], *from.ip());
+                }
+                Ok(_) => drop_datagram("address"),
+                // A datagram that an earlier send provoked was refused; the socket works on.
+                Err(_) => drop_datagram("receive"),
+            }
+        }
+    })?;
+    Ok(())
+}
+
+/// The socket between processes of ours.
+#[derive(Clone, Debug)]
+pub(super) struct Link {
+    socket: Arc<UdpSocket>,
+    port: u16,
+}
+
+impl Link {
+    /// Binds the address for messages; its port is the same on all hosts.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub(super) fn bind(address: SocketAddrV4) -> Result<Self, Fault> {
+        let socket = bind("messages", address)?;
+        Ok(Self { socket: Arc::new(socket), port: address.port() })
+    }
+
+    /// The socket, to read from.
+    pub(super) fn socket(&self) -> Arc<UdpSocket> {
+        Arc::clone(&self.socket)
+    }
+
+    /// Sends a message and the packet behind it.
+    pub(super) fn send(&self, to: Ipv4Addr, message: &Message, packet: &[u8]) {
+        let mut buffer = Vec::with_capacity(wire::LONGEST);
+        wire::encode(message, packet, &mut buffer);
+        if packet.is_empty() {
+            counter!(metric::CONTROL_BYTES).increment(buffer.len() as u64);
+        }
+        send(&self.socket, &buffer, SocketAddrV4::new(to, self.port));
+    }
+}
+
+/// Sends a datagram. One that cannot be sent is lost like any other: its sender sends it again.
+pub(super) fn send(socket: &UdpSocket, bytes: &[u8], to: SocketAddrV4) {
+    if socket.send_to(bytes, to).is_err() {
+        drop_datagram("send");
+    }
+}
+
+/// Counts a datagram that was dropped.
+pub(super) fn drop_datagram(reason: &'static str) {
+    counter!(metric::DROPPED, "reason" => reason).increment(1);
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/src/l4/reload.rs
@@ -0,0 +1,60 @@
+//! Notices that the settings file changed, with or without a signal.
+
+use std::path::PathBuf;
+
+use log::{info, warn};
+use nutmegkeel_core::clock::Time;
+use nutmegkeel_platform::settings::{self, Settings};
+
+/// Pause between two looks at the file, in milliseconds: it may change without a signal.
+const LOOK_MS: u64 = 2_000;
+
+/// The settings in force and the file they came from.
+#[derive(Debug)]
+pub(super) struct Reload {
+    path: PathBuf,
+    in_force: Settings,
+    refused: Option<String>,
+    looked: Time,
+}
+
+impl Reload {
+    /// Watches the file of these settings.
+    pub(super) const fn open(path: PathBuf, in_force: Settings, now: Time) -> Self {
+        Self { path, in_force, refused: None, looked: now }
+    }
+
+    /// Looks at the file if a signal or the time calls for it. Returns settings that differ from
+    /// those in force. A file that is wrong is named once and changes nothing.
+    pub(super) fn look(&mut self, now: Time, signalled: bool) -> Option<Settings> {
+        if !signalled && now.since(self.looked) < LOOK_MS {
+            return None;
+        }
+        self.looked = now;
+        match settings::open(&self.path) {
+            Ok(read) => self.take(read),
+            Err(fault) => {
+                self.refuse(fault.to_string());
+                None
+            }
+        }
+    }
+
+    fn take(&mut self, read: Settings) -> Option<Settings> {
+        self.refused = None;
+        if read == self.in_force {
+            return None;
+        }
+        let rebinds = Settings { seeds: read.seeds.clone(), ..self.in_force.clone() } != read;
+        info!(event = "reloaded", restart_needed = rebinds; "settings file changed");
+        self.in_force = read.clone();
+        Some(read)
+    }
+
+    fn refuse(&mut self, fault: String) {
+        if self.refused.as_ref() != Some(&fault) {
+            warn!(event = "reload_refused", fault = fault.as_str(); "kept the settings in force");
+            self.refused = Some(fault);
+        }
+    }
+}
--- a/crates/nutmegkeel_node/src/lib.rs
+++ b/crates/nutmegkeel_node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod agent;
 pub mod balancer;
 pub mod clock;
+pub mod l4;
 pub mod metric;
 pub mod settings;
 mod web;
--- a/crates/nutmegkeel_node/src/metric.rs
+++ b/crates/nutmegkeel_node/src/metric.rs
@@ -32,6 +32,18 @@
 /// Failed calls to the platform.
 pub const PLATFORM_FAILURES: &str = "nutmegkeel_platform_failures_total";
 
+/// Version of the configuration in force at a balancer.
+pub const CONFIGURATION: &str = "nutmegkeel_configuration_version";
+/// Agents that a balancer knows.
+pub const AGENTS: &str = "nutmegkeel_agents";
+/// Requests in progress at an agent, openings included.
+pub const BUSY: &str = "nutmegkeel_busy";
+/// Log lines that were left out, by reason.
+pub const LINES_LEFT_OUT: &str = "nutmegkeel_log_lines_left_out_total";
+
+/// Path at which a process serves its metrics.
+pub const PATH: &str = "/metrics";
+
 /// Bounds of the histograms' buckets, in seconds.
 const BUCKETS: [f64; 14] =
     [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 60.0];
--- a/crates/nutmegkeel_platform/src/kv.rs
+++ b/crates/nutmegkeel_store/src/kv.rs
@@ -1,5 +1,7 @@
 //! What the system needs of a key-value service.
 
+use std::time::Duration;
+
 use nutmegkeel_core::verdict::Verdict;
 
 /// A key, its value and the revision of its last write.
@@ -87,3 +89,42 @@
     /// When the platform does not answer.
     fn grant(&self, seconds: u64) -> Result<Lease, Fault>;
 }
+
+/// How the renewal of a lease ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kept {
+    /// The lease runs anew.
+    Renewed,
+    /// The lease has ended, and its keys are gone.
+    Ended,
+}
+
+/// What a watch saw.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Watched {
+    /// What was written up to this revision; nothing if the wait passed first.
+    Until(u64, Vec<Pair>),
+    /// The service no longer knows what came behind the given revision; read anew.
+    Forgotten,
+}
+
+/// A service in which processes register, and which tells of changes.
+pub trait Registry: Store {
+    /// Like [`Store::list`], but the answer may be seconds old and costs little.
+    ///
+    /// # Errors
+    /// When the service does not answer.
+    fn list_recent(&self, prefix: &str) -> Result<Vec<Pair>, Fault>;
+
+    /// Renews a lease.
+    ///
+    /// # Errors
+    /// When the service does not answer.
+    fn keep(&self, lease: Lease) -> Result<Kept, Fault>;
+
+    /// Waits at most `wait` for a write behind revision `after` to a key with this prefix.
+    ///
+    /// # Errors
+    /// When the service does not answer.
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Watched, Fault>;
+}
--- a/crates/nutmegkeel_platform/src/lib.rs
+++ b/crates/nutmegkeel_store/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod classes;
 pub mod etcd;
 pub mod kv;
+pub mod registration;
--- a/crates/nutmegkeel_platform/tests/claims.rs
+++ b/crates/nutmegkeel_store/tests/claims.rs
@@ -7,7 +7,7 @@
 use nutmegkeel_core::placement::Hop;
 use nutmegkeel_fake::fleet::address;
 use nutmegkeel_fake::store::{Fate, Memory};
-use nutmegkeel_platform::claims::Writer;
+use nutmegkeel_store::claims::Writer;
 
 const DEADLINE: Time = Time::from_millis(5_000);
 
--- a/crates/nutmegkeel_platform/tests/classes.rs
+++ b/crates/nutmegkeel_store/tests/classes.rs
@@ -7,8 +7,8 @@
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::configuration::{Entry, Revision};
 use nutmegkeel_fake::store::{Fate, Memory};
-use nutmegkeel_platform::classes::{self, PREFIX};
-use nutmegkeel_platform::kv::Store;
+use nutmegkeel_store::classes::{self, PREFIX};
+use nutmegkeel_store::kv::Store;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 const DEADLINE_MS: u64 = 5_000;
--- a/crates/nutmegkeel_wire/src/lib.rs
+++ b/crates/nutmegkeel_wire/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod cid;
 pub mod frame;
 pub mod key;
+pub mod l4;
 pub mod packet;
 pub mod reset;
