--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -14,7 +14,7 @@
 use super::roster::Book;
 use super::route::Service;
 use super::server::{Beside, Heard, Heartbeat, Server};
-use super::table::{Held, Probes, Stage, Table};
+use super::table::{Answered, Held, Probes, Stage, Table};
 use crate::admission::Pace;
 use crate::clock::Time;
 
@@ -29,6 +29,9 @@
 /// a heartbeat tells of now: the heartbeat of a new incarnation comes with its start.
 const ALIVE_MS: u64 = 1_000;
 
+/// An agent that has heard nothing for so many heartbeats stands beside no server.
+const UNHEARD_HEARTBEATS: u64 = 3;
+
 /// What happens to an agent.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -255,8 +258,7 @@
             }
             return actions;
         }
-        if self.beside.server().is_none() || self.is_certain(now) || self.probes.denied(now, &flow)
-        {
+        if self.is_certain(now) || self.probes.denied(now, &flow) {
             return vec![self.decline(from, Reason::NotHeld)];
         }
         vec![Action::ToServer(self.probes.ask(now, flow, from))]
@@ -277,10 +279,17 @@
     }
 
     /// Whether every flow that the backend server holds passed this process: it saw the server's
-    /// first heartbeat, or has run for longer than a flow lives.
+    /// first heartbeat, or has run for longer than a flow lives. Without a server there are no flows,
+    /// once one would have sent a heartbeat: a process that has just started may stand beside a
+    /// server that holds flows since before.
     fn is_certain(&self, now: Time) -> bool {
-        let from_start = self.beside.server().is_some_and(|server| server.seen_from_start);
-        from_start || now.since(self.started) > FORGET_MS
+        let age_ms = now.since(self.started);
+        match self.beside.server() {
+            Some(server) => server.seen_from_start || age_ms > FORGET_MS,
+            None => {
+                self.beside.has_ended() || age_ms > UNHEARD_HEARTBEATS * self.identity.heartbeat_ms
+            }
+        }
     }
 
     fn from_server(&mut self, now: Time, head: &Head) -> Vec<Action> {
@@ -291,8 +300,8 @@
             self.table.adopt(now, head);
             actions.push(Action::Note(Note::Adopted { flow: head.flow }));
         }
-        if let Some(waited_ms) = self.table.from_server(now, head) {
-            self.pace.learn(waited_ms);
+        if let Some(answered) = self.table.from_server(now, head) {
+            self.learn(answered);
         }
         if let Some(balancer) = self.probes.answered(&head.flow) {
             let message = Message::Holds { flow: head.flow, load: self.load() };
@@ -301,6 +310,15 @@
         actions
     }
 
+    /// Learns the time of a request that found a slot free. The others waited at the server: counted
+    /// as service time, a short burst would make the agent refuse what it could serve in time.
+    fn learn(&mut self, answered: Answered) {
+        let slots = self.beside.server().map_or(0, |server| usize::from(server.slots));
+        if answered.behind < slots {
+            self.pace.learn(answered.after_ms);
+        }
+    }
+
     fn bounced(&mut self, now: Time, head: &Head) -> Vec<Action> {
         self.unanswered_since = None;
         let mut actions = self.responsive(now);
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -20,9 +20,13 @@
 const PEERS_PER_TICK: usize = 8;
 
 /// A balancer that has heard of no new agent for so long has heard of all: two announcements of each
-/// and some delay. After a loss of power this is the time until clients of lost flows are told.
+/// and some delay, so that one may be lost.
 const SETTLE_MS: u64 = 2 * ANNOUNCE_MS + 100;
 
+/// The same when all agents have just started: no flow has lived long enough to be lost by a mistake,
+/// and clients of lost flows wait to be told.
+const SETTLE_YOUNG_MS: u64 = ANNOUNCE_MS + 100;
+
 /// A gap between two events longer than this means that the process stood still: announcements
 /// alone come more often.
 const STANDSTILL_MS: u64 = 1_000;
@@ -251,19 +255,21 @@
             return Vec::new();
         }
         if entry.is_overdue(now) {
-            // Only a packet of the client can find out there: its next copy goes on.
-            pass_over(entry);
-            entry.undecided = false;
-            return Vec::new();
+            self.pass_over(now, flow);
+        }
+        if self.cache.entry(now, flow).is_stale(now) {
+            self.cache.entry(now, flow).restart(now);
         }
         if let Some(agent) = self.next_to_ask(now, flow, &route) {
             return vec![Action::Send(agent, Message::Locate { flow })];
         }
         let entry = self.cache.entry(now, flow);
         let (seq, asked) = (entry.client_ack, entry.declined.len());
-        let certain = !entry.passed_over && asked > 0;
+        if entry.passed_over || asked == 0 {
+            return Vec::new();
+        }
         entry.undecided = false;
-        if certain { self.reset_flow(flow, seq, Cause::NotHeld, asked) } else { Vec::new() }
+        self.reset_flow(flow, seq, Cause::NotHeld, asked)
     }
 
     fn absent(&mut self, now: Time, from: Ipv4Addr, flow: Flow, load: Load) -> Vec<Action> {
@@ -312,6 +318,7 @@
     }
 
     fn place(&mut self, now: Time, head: &Head, service: Service, route: &Route) -> Vec<Action> {
+        let is_growing = self.is_growing(now);
         let entry = self.cache.entry(now, head.flow);
         let key = head.flow.key();
         let tries = entry.declined.len();
@@ -328,6 +335,11 @@
         let Some(choice) = choice else {
             return self.refuse(now, head, tries);
         };
+        if !for_idle && head.ack < 2 && is_growing {
+            // Guards against one backend server that gets all flows because it was back first: the
+            // others appear within a few hundred milliseconds, and the client sends a copy by then.
+            return vec![dropped(head.flow, Cause::AllBusy)];
+        }
         entry.place = Some(Place::Placed(choice.agent));
         self.pool.placed(choice.agent);
         let alone = self.pool.open_agents(now, service) <= excluded.len() + 1;
@@ -356,9 +368,9 @@
             entry.restart(now);
         }
         if entry.is_overdue(now) {
-            pass_over(entry);
+            self.pass_over(now, head.flow);
         }
-        match entry.place.clone() {
+        match self.cache.entry(now, head.flow).place.clone() {
             Some(Place::Asked(agent)) => vec![carry_to(agent, false)],
             Some(Place::Placed(agent) | Place::Held(agent)) => {
                 self.carry_known(now, head, route, agent)
@@ -406,13 +418,22 @@
             .into_iter()
             .filter(|agent| !asked(agent))
             .filter_map(|agent| Some((self.pool.health(now, agent)?, agent)))
-            .filter(|(health, _)| *health != Health::Silent)
+            .filter(|(_, agent)| self.pool.may_hold(now, *agent))
             .min_by_key(|(health, _)| *health == Health::Restarting)?;
         entry.place = Some(Place::Asked(agent));
         entry.asked = now;
         Some(agent)
     }
 
+    /// Goes on without an agent that has not answered: it may be dead, and the flow elsewhere.
+    fn pass_over(&mut self, now: Time, flow: Flow) {
+        let entry = self.cache.entry(now, flow);
+        if let Some(place) = entry.place.take() {
+            note_declined(entry, place.agent(), Reason::NotHeld);
+            entry.passed_over |= self.pool.may_hold(now, place.agent());
+        }
+    }
+
     fn not_found(&mut self, now: Time, head: &Head) -> Vec<Action> {
         let entry = self.cache.entry(now, head.flow);
         let asked = entry.declined.len();
@@ -425,9 +446,15 @@
         }
     }
 
+    /// Whether agents are still appearing.
+    fn is_growing(&self, now: Time) -> bool {
+        let span = if self.pool.is_young() { SETTLE_YOUNG_MS } else { SETTLE_MS };
+        now.since(self.grown) <= span
+    }
+
     /// Whether every agent that may hold a flow is known and can be asked.
     fn is_settled(&self, now: Time) -> bool {
-        now.since(self.grown) > SETTLE_MS && self.pool.is_conclusive(now)
+        !self.is_growing(now) && self.pool.is_conclusive(now)
     }
 
     fn declined(
@@ -616,11 +643,3 @@
         entry.declined.push((agent, reason));
     }
 }
-
-/// Goes on without an agent that has not answered: it may be dead, and the flow elsewhere.
-fn pass_over(entry: &mut Entry) {
-    if let Some(place) = entry.place.take() {
-        note_declined(entry, place.agent(), Reason::NotHeld);
-        entry.passed_over = true;
-    }
-}
--- a/crates/nutmegkeel_core/src/l4/note.rs
+++ b/crates/nutmegkeel_core/src/l4/note.rs
@@ -133,6 +133,8 @@
     NoRoute,
     /// No agent takes flows of the service.
     NoAgent,
+    /// The agents known so far have no free slot, and more are appearing.
+    AllBusy,
     /// Every agent that was asked declined.
     AllDeclined,
     /// The flow's agent is dead.
@@ -155,6 +157,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NoRoute => "no_route",
             Self::NoAgent => "no_agent",
+            Self::AllBusy => "all_busy",
             Self::AllDeclined => "all_declined",
             Self::AgentDead => "agent_dead",
             Self::NotHeld => "not_held",
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -22,6 +22,9 @@
 /// Part of its slots that a cold backend server is worth, in percent: it works 1.6 times as long.
 const COLD_PERCENT: u64 = 60;
 
+/// An agent that has announced itself no more often than this has started within about three seconds.
+const YOUNG: u64 = 10;
+
 /// How one more request or flow weighs at a choice, in thousandths of a slot.
 #[derive(Clone, Copy, Debug)]
 struct Weights {
@@ -60,6 +63,15 @@
         Health::of(now.since(self.heard), self.announcement.state == State::Restarting)
     }
 
+    /// Whether it may hold flows: it can be asked, or is away for a moment beside a backend server.
+    fn may_hold(&self, now: Time) -> bool {
+        match self.health(now) {
+            Health::Fresh => true,
+            Health::Late | Health::Restarting => self.announcement.service.is_some(),
+            Health::Silent => false,
+        }
+    }
+
     fn takes(&self, now: Time, service: Service) -> bool {
         self.announcement.service == Some(service)
             && self.announcement.state == State::Ready
@@ -203,14 +215,27 @@
         fresh * 2 < self.agents.len() || self.agents.is_empty()
     }
 
-    /// Whether what no agent holds does not exist. An agent that is late or restarting may hold it.
-    /// One that fell silent without notice is dead or cut off, and its flows are lost either way;
+    /// Whether what no agent holds does not exist. An agent that is late or restarting may hold it,
+    /// if it ever spoke of a backend server. One that fell silent without notice is dead or cut off, and its flows are lost either way;
     /// unless it is this process that is cut off.
     #[must_use]
     pub fn is_conclusive(&self, now: Time) -> bool {
-        let undecided = |health| matches!(health, Health::Late | Health::Restarting);
-        !self.is_cut_off(now)
-            && !self.agents.values().any(|candidate| undecided(candidate.health(now)))
+        let undecided = |candidate: &Candidate| {
+            candidate.may_hold(now) && candidate.health(now) != Health::Fresh
+        };
+        !self.is_cut_off(now) && !self.agents.values().any(undecided)
+    }
+
+    /// Whether every agent known has started only lately, as after a loss of power.
+    #[must_use]
+    pub fn is_young(&self) -> bool {
+        self.agents.values().all(|candidate| candidate.announcement.number <= YOUNG)
+    }
+
+    /// Whether an agent may hold flows.
+    #[must_use]
+    pub fn may_hold(&self, now: Time, agent: Ipv4Addr) -> bool {
+        self.agents.get(&agent).is_some_and(|candidate| candidate.may_hold(now))
     }
 
     /// Number of agents known.
--- a/crates/nutmegkeel_core/src/l4/server.rs
+++ b/crates/nutmegkeel_core/src/l4/server.rs
@@ -120,6 +120,12 @@
         ends
     }
 
+    /// Whether the last server said that it ended.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.server.is_none() && !self.retired.is_empty()
+    }
+
     /// Whether heartbeats are missing.
     #[must_use]
     pub fn is_overdue(&self, now: Time) -> bool {
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -54,6 +54,8 @@
     used: Time,
     server_heard: Time,
     request_since: Option<Time>,
+    /// Requests that were in progress when this one came.
+    request_behind: usize,
     client_fin: bool,
     server_fin: bool,
     ended: Option<Time>,
@@ -69,6 +71,7 @@
             used: now,
             server_heard: now,
             request_since: None,
+            request_behind: 0,
             client_fin: false,
             server_fin: false,
             ended: None,
@@ -134,6 +137,7 @@
         let mut held = Held::new(now, Stage::Opening(None));
         held.opened_with = head.seq;
         held.request_since = Some(now);
+        held.request_behind = self.load.busy;
         self.insert(head.flow, held);
     }
 
@@ -166,6 +170,7 @@
 
     /// Notes a client's packet that goes to the server.
     pub fn from_client(&mut self, now: Time, head: &Head) {
+        let behind = self.load.busy;
         self.update(head.flow, |held| {
             held.stage = Stage::Open;
             held.used = now;
@@ -174,16 +179,18 @@
                 held.client_next.is_none_or(|next| follows(head.next_seq(), next, DATA_REACH));
             if head.len > 0 && is_new {
                 held.client_next = Some(head.next_seq());
-                held.request_since.get_or_insert(now);
+                if held.request_since.is_none() {
+                    held.request_since = Some(now);
+                    held.request_behind = behind;
+                }
             }
             held.client_fin |= head.flags.fin;
             held.note_end(now, head.flags.rst);
         });
     }
 
-    /// Notes a server's packet; if it begins the answer to a request, says after how many
-    /// milliseconds.
-    pub fn from_server(&mut self, now: Time, head: &Head) -> Option<u64> {
+    /// Notes a server's packet; if it begins the answer to a request, says how long that took.
+    pub fn from_server(&mut self, now: Time, head: &Head) -> Option<Answered> {
         let mut waited = None;
         self.update(head.flow, |held| {
             held.used = now;
@@ -192,7 +199,9 @@
                 held.stage = Stage::Opening(Some(head.seq));
             }
             if head.len > 0 {
-                waited = held.request_since.take().map(|since| now.since(since));
+                let behind = held.request_behind;
+                let since = held.request_since.take();
+                waited = since.map(|since| Answered { after_ms: now.since(since), behind });
             }
             held.server_fin |= head.flags.fin;
             held.note_end(now, head.flags.rst);
@@ -246,6 +255,15 @@
     }
 }
 
+/// A request whose answer begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answered {
+    /// Time since the request, in milliseconds.
+    pub after_ms: u64,
+    /// Requests that were in progress when it came.
+    pub behind: usize,
+}
+
 /// What flows add to the load.
 #[derive(Clone, Copy, Debug, Default)]
 struct Weight {
