--- a/crates/nutmegkeel_core/src/clock.rs
+++ b/crates/nutmegkeel_core/src/clock.rs
@@ -28,6 +28,12 @@
         Self(self.0.saturating_add(millis))
     }
 
+    /// The time `millis` milliseconds earlier, the origin at the earliest.
+    #[must_use]
+    pub const fn before(self, millis: u64) -> Self {
+        Self(self.0.saturating_sub(millis))
+    }
+
     /// Milliseconds from `earlier` to this time; zero when `earlier` lies ahead.
     #[must_use]
     pub const fn since(self, earlier: Self) -> u64 {
--- a/crates/nutmegkeel_core/src/l4.rs
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -16,3 +16,4 @@
 pub mod route;
 pub mod server;
 pub mod table;
+pub mod waiting;
--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -7,7 +7,7 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-use super::flow::{Flow, Head};
+use super::flow::{Flow, Head, Packet};
 use super::health::{ANNOUNCE_MS, FORGET_MS};
 use super::message::{Announcement, Insistence, Load, Message, Reason, Roster, State};
 use super::note::{Cause, Note, ServerChange};
@@ -15,6 +15,7 @@
 use super::route::Service;
 use super::server::{Beside, Heard, Heartbeat, Server};
 use super::table::{Answered, Held, Probes, Stage, Table};
+use super::waiting::{Queue, Waiting};
 use crate::admission::Pace;
 use crate::clock::Time;
 
@@ -45,6 +46,10 @@
         service: Service,
         /// How to weigh it.
         insistence: Insistence,
+        /// How long it has waited elsewhere, in milliseconds.
+        waited_ms: u32,
+        /// Its bytes, to keep if it must wait.
+        packet: Packet,
     },
     /// A balancer sent another packet of a client.
     Carry {
@@ -80,6 +85,10 @@
 pub enum Action {
     /// Hand the packet at hand to the backend server, with this number in it.
     ToServer(u32),
+    /// Hand a packet that waited to the backend server, with this number in it.
+    ReleaseToServer(Packet, u32),
+    /// Send a message with a packet that waited behind it.
+    ReleaseTo(Ipv4Addr, Message, Packet),
     /// Send the packet at hand to the client.
     ToClient,
     /// Send a message with the packet at hand behind it.
@@ -117,6 +126,7 @@
     balancers: Book,
     table: Table,
     probes: Probes,
+    waiting: Queue,
     pace: Pace,
     unanswered_since: Option<Time>,
     unresponsive: bool,
@@ -140,6 +150,7 @@
             balancers,
             table: Table::default(),
             probes: Probes::default(),
+            waiting: Queue::default(),
             pace: Pace::default(),
             unanswered_since: None,
             unresponsive: false,
@@ -152,7 +163,9 @@
     /// Its load now.
     #[must_use]
     pub fn load(&self) -> Load {
-        self.table.load()
+        let load = self.table.load();
+        let waiting = u16::try_from(self.waiting.len()).unwrap_or(u16::MAX);
+        Load { busy: load.busy.saturating_add(waiting), ..load }
     }
 
     /// Whether it takes new flows.
@@ -174,9 +187,17 @@
 
     /// Takes in an event.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
+        let mut actions = self.take_in(now, event);
+        actions.extend(self.release(now));
+        actions
+    }
+
+    fn take_in(&mut self, now: Time, event: Event) -> Vec<Action> {
         match event {
-            Event::Open { from, head, service, insistence } => {
-                self.open_flow(now, from, &head, service, insistence)
+            Event::Open { from, head, service, insistence, waited_ms, packet } => {
+                let since = now.before(u64::from(waited_ms));
+                let opening = Waiting { flow: head.flow, seq: head.seq, from, since, packet };
+                self.open_flow(now, opening, service, insistence)
             }
             Event::Carry { from, head, known } => self.carry(now, from, &head, known),
             Event::Locate(from, flow) => self.locate(now, from, flow),
@@ -194,23 +215,74 @@
     fn open_flow(
         &mut self,
         now: Time,
-        from: Ipv4Addr,
-        head: &Head,
+        opening: Waiting,
         service: Service,
         insistence: Insistence,
     ) -> Vec<Action> {
-        let is_copy = self.table.get(&head.flow).is_some_and(|held| held.opened_with == head.seq);
+        if self.waiting.contains(&opening.flow) {
+            return Vec::new();
+        }
+        let known = self.table.get(&opening.flow);
+        let is_copy = known.is_some_and(|held| held.opened_with == opening.seq);
         if let Some(reason) = self.refusal(service, insistence, is_copy) {
-            return vec![self.decline(from, reason)];
+            return vec![self.decline(opening.from, reason)];
         }
-        self.unanswered_since.get_or_insert(now);
-        let tag = self.probes.insert(now, head.flow, from);
         if is_copy {
-            return vec![Action::ToServer(tag)];
+            return vec![self.to_server(now, opening.flow, opening.from)];
         }
-        self.table.open(now, head);
-        let note = Note::Accepted { flow: head.flow, load: self.load() };
-        vec![Action::ToServer(tag), Action::Note(note)]
+        if matches!(insistence, Insistence::IfWithin(_)) && self.is_saturated() {
+            self.waiting.push(opening);
+            return Vec::new();
+        }
+        let action = self.to_server(now, opening.flow, opening.from);
+        self.table.open(now, opening.flow, opening.seq);
+        vec![action, self.accepted(opening.flow)]
+    }
+
+    /// Whether the backend server has no slot left, and one request waits there to take the next.
+    fn is_saturated(&self) -> bool {
+        let slots = self.beside.server().map_or(0, |server| server.slots);
+        self.table.load().busy > slots
+    }
+
+    fn to_server(&mut self, now: Time, flow: Flow, from: Ipv4Addr) -> Action {
+        self.unanswered_since.get_or_insert(now);
+        Action::ToServer(self.probes.insert(now, flow, from))
+    }
+
+    fn accepted(&self, flow: Flow) -> Action {
+        Action::Note(Note::Accepted { flow, load: self.load() })
+    }
+
+    /// Lets openings that wait go on: to the server as slots come free, back to their balancers when
+    /// the server takes no more or they have waited too long.
+    fn release(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.waiting.is_empty() {
+            return actions;
+        }
+        if self.state() != State::Ready {
+            let all = self.waiting.take_all();
+            actions.extend(all.into_iter().map(|opening| self.hand_back(opening, Reason::Leaving)));
+            return actions;
+        }
+        let late = self.waiting.take_late(now);
+        actions.extend(late.into_iter().map(|opening| self.hand_back(opening, Reason::Late)));
+        while !self.is_saturated()
+            && let Some(opening) = self.waiting.pop(now)
+        {
+            self.unanswered_since.get_or_insert(now);
+            let tag = self.probes.insert(now, opening.flow, opening.from);
+            self.table.open(now, opening.flow, opening.seq);
+            actions.push(Action::ReleaseToServer(opening.packet, tag));
+            actions.push(self.accepted(opening.flow));
+        }
+        actions
+    }
+
+    fn hand_back(&self, opening: Waiting, reason: Reason) -> Action {
+        let message = Message::Declined { reason, load: self.load() };
+        Action::ReleaseTo(opening.from, message, opening.packet)
     }
 
     /// Why an opening is not taken. What the agent sees itself goes before what a balancer believed:
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -10,7 +10,8 @@
 use super::note::{Cause, Note};
 use super::placement::{Change, Pool};
 use super::roster::Book;
-use super::route::{Route, Service, Table};
+use super::route::{Kind, Route, Service, Table};
+use super::waiting::LONGEST_MS;
 use crate::clock::Time;
 
 /// Pause between two ticks, in milliseconds. Gossip goes out with each.
@@ -312,7 +313,8 @@
             && self.pool.health(now, agent) == Some(Health::Fresh)
             && self.pool.service(agent) == Some(service)
         {
-            return vec![forward_open(agent, service, route, None)];
+            let waited_ms = now.since(entry.began);
+            return vec![forward_open(agent, service, route, None, waited_ms)];
         }
         self.place(now, head, service, route)
     }
@@ -329,7 +331,8 @@
             .filter(|(_, reason)| for_idle || *reason != Reason::Busy)
             .map(|(agent, _)| *agent)
             .collect();
-        let choice = (tries < OPEN_TRIES)
+        let waited_ms = now.since(entry.began);
+        let choice = (tries < OPEN_TRIES && waited_ms <= LONGEST_MS)
             .then(|| self.pool.choose(now, key, service, route.kind, &self.domain, &excluded))
             .flatten();
         let Some(choice) = choice else {
@@ -346,7 +349,7 @@
         let insistence = (for_idle && !alone).then_some(Insistence::IfIdle);
         let note =
             Note::Placed { flow: head.flow, choice, attempt: tries, version: self.table.version };
-        vec![forward_open(choice.agent, service, route, insistence), Action::Note(note)]
+        vec![forward_open(choice.agent, service, route, insistence, waited_ms), Action::Note(note)]
     }
 
     /// No agent takes the opening. The client learns it at once, unless this balancer may simply not
@@ -630,10 +633,15 @@
     service: Service,
     route: &Route,
     insistence: Option<Insistence>,
+    waited_ms: u64,
 ) -> Action {
     let deadline = u32::try_from(route.deadline_ms).unwrap_or(u32::MAX);
-    let insistence = insistence.unwrap_or(Insistence::IfWithin(deadline));
-    Action::Forward(agent, Message::Open { service, insistence })
+    let insistence = insistence.unwrap_or(match route.kind {
+        Kind::Once => Insistence::OnceWithin(deadline),
+        Kind::Idempotent | Kind::Download => Insistence::IfWithin(deadline),
+    });
+    let waited_ms = u32::try_from(waited_ms).unwrap_or(u32::MAX);
+    Action::Forward(agent, Message::Open { service, insistence, waited_ms })
 }
 
 fn note_declined(entry: &mut Entry, agent: Ipv4Addr, reason: Reason) {
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -18,6 +18,8 @@
         service: Service,
         /// How urgently the flow needs this agent.
         insistence: Insistence,
+        /// How long the opening has waited elsewhere, in milliseconds.
+        waited_ms: u32,
     },
     /// Balancer to agent: a packet of an open flow.
     Carry {
@@ -61,8 +63,12 @@
 pub enum Insistence {
     /// Take it if a slot is free now; another agent will be asked otherwise.
     IfIdle,
-    /// Take it unless its answer would be later than this many milliseconds from now.
+    /// Take it unless its answer would be later than this many milliseconds from now. It may wait
+    /// for a slot.
     IfWithin(u32),
+    /// Like the above for work that must not run twice: it does not wait behind other openings,
+    /// because its client may not simply try again.
+    OnceWithin(u32),
 }
 
 /// Why an agent did not take a packet.
@@ -100,7 +106,8 @@
 /// What an agent counts itself, from the packets that pass it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
-    /// Requests whose answer has not begun, and openings not yet followed by a request.
+    /// Requests whose answer has not begun, openings not yet followed by a request, and openings that
+    /// wait for a slot.
     pub busy: u16,
     /// Open flows.
     pub flows: u16,
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -12,6 +12,10 @@
 /// after 1.4 s.
 const OPENING_MS: u64 = 1_500;
 
+/// An accepted opening counts as a request in progress for so long: the request follows within a
+/// round trip, or the client has gone.
+const FOLLOW_UP_MS: u64 = 250;
+
 /// A flow that has ended is remembered for so long, because its last packets may come again: both
 /// ends send them again for at most this time.
 const ENDED_MS: u64 = 5_000;
@@ -133,12 +137,12 @@
 
     /// Notes an opening that goes to the server. It counts as a request from now on: the request
     /// follows within a round trip, and until then nothing else would show it.
-    pub fn open(&mut self, now: Time, head: &Head) {
+    pub fn open(&mut self, now: Time, flow: Flow, seq: u32) {
         let mut held = Held::new(now, Stage::Opening(None));
-        held.opened_with = head.seq;
+        held.opened_with = seq;
         held.request_since = Some(now);
         held.request_behind = self.load.busy;
-        self.insert(head.flow, held);
+        self.insert(flow, held);
     }
 
     /// Notes a flow that this process learns of by a packet of the server.
@@ -221,10 +225,11 @@
 
     /// Drops what is over, and requests that no client waits for any more.
     pub fn expire(&mut self, now: Time) {
-        let lapsed = |since: Time| now.since(since) > REQUEST_MS;
+        let limit = |held: &Held| if held.stage == Stage::Open { REQUEST_MS } else { FOLLOW_UP_MS };
         let mut load = Weight::default();
         self.flows.retain(|_, held| {
-            held.request_since = held.request_since.filter(|since| !lapsed(*since));
+            let limit_ms = limit(held);
+            held.request_since = held.request_since.filter(|since| now.since(*since) <= limit_ms);
             let kept = !held.is_expired(now);
             if kept {
                 load = load.plus(held.weight());
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -9,7 +9,7 @@
 use metrics::{counter, gauge};
 use metrics_exporter_prometheus::PrometheusHandle;
 use nutmegkeel_core::l4::agent::{Action, Agent, Event, Identity, TICK_MS};
-use nutmegkeel_core::l4::flow::Direction;
+use nutmegkeel_core::l4::flow::{Direction, Packet};
 use nutmegkeel_core::l4::message::Message;
 use nutmegkeel_platform::settings::Settings;
 use nutmegkeel_platform::{control, packet};
@@ -184,12 +184,19 @@
         let at = bytes.len() - packet.len();
         let event = match message {
             Message::Roster(roster) => Event::Roster(from, roster),
-            Message::Open { service, insistence } => {
+            Message::Open { service, insistence, waited_ms } => {
                 let Ok(head) = packet::decode(packet, Direction::ToService) else {
                     link::drop_datagram("packet");
                     return;
                 };
-                Event::Open { from, head, service, insistence }
+                Event::Open {
+                    from,
+                    head,
+                    service,
+                    insistence,
+                    waited_ms,
+                    packet: Packet(packet.to_vec()),
+                }
             }
             Message::Carry { known } => {
                 let Ok(head) = packet::decode(packet, Direction::ToService) else {
@@ -219,6 +226,11 @@
                     packet::set_tag(packet, tag);
                     link::send(&self.beside, packet, self.server);
                 }
+                Action::ReleaseToServer(mut waited, tag) => {
+                    packet::set_tag(&mut waited.0, tag);
+                    link::send(&self.beside, &waited.0, self.server);
+                }
+                Action::ReleaseTo(to, message, waited) => self.link.send(to, &message, &waited.0),
                 Action::ToClient => self.to_client(packet),
                 Action::Return(to, message) => {
                     packet::restore(packet);
