--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -396,8 +396,7 @@
         let mut actions = self.responsive(now);
         let probe = self.probes.take(head.tag);
         if let Some(from) = probe.filter(|_| head.opens()) {
-            self.table.remove(&head.flow);
-            actions.push(self.decline(from, Reason::Full));
+            actions.extend(self.turned_away(from, head));
             return actions;
         }
         if let Some(from) = probe {
@@ -415,6 +414,19 @@
         actions
     }
 
+    /// The server turned an opening away. Guards against forgetting a flow whose first opening it
+    /// took and whose copy it turned away, being full by then: the client would be told that nobody
+    /// holds its open flow.
+    fn turned_away(&mut self, from: Ipv4Addr, head: &Head) -> Option<Action> {
+        match self.table.get(&head.flow)?.stage {
+            Stage::Opening(None) => {
+                self.table.remove(&head.flow);
+                Some(self.decline(from, Reason::Full))
+            }
+            Stage::Opening(Some(_)) | Stage::Open => None,
+        }
+    }
+
     fn heartbeat(&mut self, now: Time, beat: &Heartbeat) -> Vec<Action> {
         let heard = self.beside.heartbeat(now, beat);
         let mut actions = Vec::new();
@@ -422,7 +434,8 @@
             Heard::Stale => return actions,
             Heard::Same => {}
             Heard::Draining => actions.push(self.changed(ServerChange::Draining)),
-            Heard::Started => {
+            Heard::First => actions.push(self.changed(ServerChange::Started)),
+            Heard::Replaced => {
                 let ended = self.table.take_silent(now, ALIVE_MS);
                 for (flow, held) in ended {
                     actions.extend(reset(flow, &held, Cause::ServerRestarted));
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -43,6 +43,11 @@
 /// Agents asked for one opening at most.
 const OPEN_TRIES: usize = 8;
 
+/// Number of a reset that refuses an opening. A client takes any number while its flow is not open.
+/// One that opened the flow elsewhere meanwhile, by a copy that took another way, ignores this one:
+/// it is not near the numbers of its flow but in one of 28,000 cases.
+const REFUSAL_SEQ: u32 = 0x8000_0000;
+
 /// Balancers that others still speak of within this time are passed on.
 const SPOKEN_OF_MS: u64 = 5_000;
 
@@ -232,7 +237,7 @@
         }
         for agent in self.pool.newly_silent(now) {
             actions.push(Action::Note(Note::AgentSilent { agent }));
-            for (flow, seq) in self.cache.at(agent) {
+            for (flow, seq) in self.cache.held_by(agent) {
                 self.cache.remove(&flow);
                 actions.extend(self.reset_flow(flow, seq, Cause::AgentDead, 0));
             }
@@ -375,14 +380,29 @@
         }
         match self.cache.entry(now, head.flow).place.clone() {
             Some(Place::Asked(agent)) => vec![carry_to(agent, false)],
-            Some(Place::Placed(agent) | Place::Held(agent)) => {
-                self.carry_known(now, head, route, agent)
-            }
+            Some(Place::Placed(agent)) => self.carry_placed(now, head, route, agent),
+            Some(Place::Held(agent)) => self.carry_held(now, head, route, agent),
             None => self.search(now, head, route),
         }
     }
 
-    fn carry_known(
+    /// The opening was sent there, but a copy of it may have opened the flow elsewhere by way of
+    /// another balancer: the agent must say that it holds the flow.
+    fn carry_placed(
+        &mut self,
+        now: Time,
+        head: &Head,
+        route: &Route,
+        agent: Ipv4Addr,
+    ) -> Vec<Action> {
+        if matches!(self.pool.health(now, agent), Some(Health::Fresh | Health::Late)) {
+            return vec![carry_to(agent, false)];
+        }
+        self.cache.entry(now, head.flow).restart(now);
+        self.search(now, head, route)
+    }
+
+    fn carry_held(
         &mut self,
         now: Time,
         head: &Head,
@@ -611,7 +631,8 @@
         if head.flags.rst {
             return Vec::new();
         }
-        self.reset_flow(head.flow, head.ack, cause, asked)
+        let seq = if head.opens() { REFUSAL_SEQ } else { head.ack };
+        self.reset_flow(head.flow, seq, cause, asked)
     }
 
     fn reset_flow(&self, flow: Flow, seq: u32, cause: Cause, asked: usize) -> Vec<Action> {
--- a/crates/nutmegkeel_core/src/l4/cache.rs
+++ b/crates/nutmegkeel_core/src/l4/cache.rs
@@ -134,11 +134,10 @@
         self.entries.iter().filter(|(_, entry)| entry.undecided).map(|(flow, _)| *flow).collect()
     }
 
-    /// Flows at an agent, with the clients' last acknowledgement numbers.
+    /// Flows that an agent said it holds, with the clients' last acknowledgement numbers.
     #[must_use]
-    pub fn at(&self, agent: Ipv4Addr) -> Vec<(Flow, u32)> {
-        let there =
-            |entry: &Entry| entry.place.as_ref().is_some_and(|place| place.agent() == agent);
+    pub fn held_by(&self, agent: Ipv4Addr) -> Vec<(Flow, u32)> {
+        let there = |entry: &Entry| entry.place == Some(Place::Held(agent));
         let entries = self.entries.iter().filter(|(_, entry)| there(entry));
         entries.map(|(flow, entry)| (*flow, entry.client_ack)).collect()
     }
--- a/crates/nutmegkeel_core/src/l4/server.rs
+++ b/crates/nutmegkeel_core/src/l4/server.rs
@@ -34,8 +34,10 @@
 /// What a heartbeat told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Heard {
+    /// The first heartbeat that this process hears. The server may hold flows since before.
+    First,
     /// A new incarnation; flows of the one before are gone.
-    Started,
+    Replaced,
     /// It takes no more flows from now on.
     Draining,
     /// Nothing new.
@@ -94,6 +96,11 @@
         if !self.may_replace(now, beat) {
             return Heard::Stale;
         }
+        let heard = if self.retired.is_empty() && self.server.is_none() {
+            Heard::First
+        } else {
+            Heard::Replaced
+        };
         if let Some(old) = self.server.take() {
             self.retire(&old);
         }
@@ -108,7 +115,7 @@
             heard: now,
             seen_from_start: beat.seq <= 1,
         });
-        Heard::Started
+        heard
     }
 
     /// The incarnation said that it ends; true if it was the one that runs.
