--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -436,7 +436,9 @@
         let services: Vec<_> = route.shares.iter().map(|share| share.service).collect();
         let order = self.pool.search(flow.key(), &services, &self.domain);
         let entry = self.cache.entry(now, flow);
-        let asked = |agent: &Ipv4Addr| entry.declined.iter().any(|(known, _)| known == agent);
+        // Who refused the opening may have taken a later copy of it, so only an answer to this
+        // question counts.
+        let asked = |agent: &Ipv4Addr| entry.declined.contains(&(*agent, Reason::NotHeld));
         let (_, agent) = order
             .into_iter()
             .filter(|agent| !asked(agent))
--- /dev/null
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -0,0 +1,341 @@
+use nutmegkeel_core::l4::agent::{Action, Agent, Event};
+use nutmegkeel_core::l4::flow::{Flow, Packet};
+use nutmegkeel_core::l4::message::{Insistence, Load, Message, Reason, State};
+use nutmegkeel_core::l4::route::Service;
+
+use crate::fixture::{
+    BALANCER, accepted, agent, at, bounced, data, desk, flow, heartbeat, opening,
+};
+
+const WAITS: Insistence = Insistence::IfWithin(2_500);
+
+fn open(flow: Flow, copies: u32, insistence: Insistence) -> Event {
+    Event::Open {
+        from: BALANCER,
+        head: opening(flow, copies),
+        service: desk(),
+        insistence,
+        waited_ms: 0,
+        packet: Packet(vec![7]),
+    }
+}
+
+/// An agent beside a server that it has known since the server's start.
+fn serving() -> Agent {
+    let mut agent = agent();
+    agent.handle(at(0), Event::Heartbeat(heartbeat("a", 1)));
+    agent
+}
+
+/// Opens a flow at the server and has its first request in progress.
+fn request(agent: &mut Agent, now_ms: u64, flow: Flow) {
+    agent.handle(at(now_ms), open(flow, 0, WAITS));
+    agent.handle(at(now_ms), Event::FromServer(accepted(flow, 500)));
+    let head = data(flow, 1_001, 501);
+    agent.handle(at(now_ms), Event::Carry { from: BALANCER, head, known: false });
+}
+
+fn to_server(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::ToServer(_)))
+}
+
+fn released(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::ReleaseToServer(..)))
+}
+
+fn tag(actions: &[Action]) -> u32 {
+    let tags = actions.iter().filter_map(|action| match action {
+        Action::ToServer(tag) => Some(*tag),
+        _ => None,
+    });
+    tags.last().expect("a packet went to the server")
+}
+
+fn refusal(actions: &[Action]) -> Option<Reason> {
+    actions.iter().find_map(|action| match action {
+        Action::Return(_, Message::Declined { reason, .. }) => Some(*reason),
+        _ => None,
+    })
+}
+
+fn resets(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Reset { .. }))
+}
+
+#[test]
+fn a_draining_server_gets_no_opening_from_that_moment() {
+    let mut agent = serving();
+    let mut beat = heartbeat("a", 2);
+    beat.draining = true;
+    agent.handle(at(1_000), Event::Heartbeat(beat));
+
+    let fresh = agent.handle(at(1_001), open(flow(1), 0, WAITS));
+
+    assert_eq!(refusal(&fresh), Some(Reason::Leaving));
+    assert_eq!(agent.state(), State::Closed);
+}
+
+#[test]
+fn open_flows_of_a_draining_server_go_on() {
+    let mut agent = serving();
+    request(&mut agent, 500, flow(1));
+    let mut beat = heartbeat("a", 2);
+    beat.draining = true;
+    agent.handle(at(1_000), Event::Heartbeat(beat));
+
+    let head = data(flow(1), 1_101, 600);
+    let actions = agent.handle(at(1_100), Event::Carry { from: BALANCER, head, known: true });
+
+    assert!(to_server(&actions), "{actions:?}");
+}
+
+/// A filing reaches the records vault: an address was used again by another service, and a balancer
+/// still believes the old one is there. The agent knows its server and never hands the opening over.
+#[test]
+fn an_opening_for_another_service_never_reaches_the_server() {
+    let mut agent = serving();
+    let wrong = Event::Open {
+        from: BALANCER,
+        head: opening(flow(1), 0),
+        service: Service::named("vault"),
+        insistence: WAITS,
+        waited_ms: 0,
+        packet: Packet::default(),
+    };
+
+    let actions = agent.handle(at(10), wrong);
+
+    assert_eq!(refusal(&actions), Some(Reason::WrongService));
+    assert!(!to_server(&actions));
+}
+
+#[test]
+fn of_two_servers_that_accepted_the_flow_is_at_the_one_acknowledged() {
+    let mut agent = serving();
+    agent.handle(at(10), open(flow(1), 0, WAITS));
+    agent.handle(at(11), Event::FromServer(accepted(flow(1), 500)));
+    let of_another = data(flow(1), 1_001, 900_000);
+
+    let other =
+        agent.handle(at(12), Event::Carry { from: BALANCER, head: of_another, known: false });
+    let head = data(flow(1), 1_001, 501);
+    let ours = agent.handle(at(13), Event::Carry { from: BALANCER, head, known: false });
+
+    assert_eq!(refusal(&other), Some(Reason::NotHeld));
+    assert!(to_server(&ours), "{ours:?}");
+}
+
+/// A feed is told that nobody holds it while its server serves. The agent's process was replaced, and
+/// before the server's next heartbeat it took itself for an agent without a server.
+#[test]
+fn a_restarted_agent_asks_its_server_before_the_first_heartbeat() {
+    let mut agent = agent();
+    let head = data(flow(1), 1_001, 501);
+
+    let actions = agent.handle(at(100), Event::Carry { from: BALANCER, head, known: false });
+
+    assert_eq!(refusal(&actions), None);
+    assert_ne!(tag(&actions), 0);
+}
+
+#[test]
+fn a_packet_that_bounces_goes_back_to_the_balancer_that_asked() {
+    let mut agent = agent();
+    let head = data(flow(1), 1_001, 501);
+    let asked = agent.handle(at(100), Event::Carry { from: BALANCER, head, known: false });
+
+    let actions = agent.handle(at(101), Event::Bounced(bounced(head, tag(&asked))));
+
+    assert_eq!(refusal(&actions), Some(Reason::NotHeld));
+}
+
+#[test]
+fn a_server_that_is_asked_once_and_denies_is_not_asked_again() {
+    let mut agent = agent();
+    let head = data(flow(1), 1_001, 501);
+    let asked = agent.handle(at(100), Event::Carry { from: BALANCER, head, known: false });
+    agent.handle(at(101), Event::Bounced(bounced(head, tag(&asked))));
+
+    let again = agent.handle(at(300), Event::Carry { from: BALANCER, head, known: false });
+
+    assert!(!to_server(&again), "{again:?}");
+}
+
+#[test]
+fn a_flow_that_the_server_shows_to_hold_is_announced_to_who_asked() {
+    let mut agent = agent();
+    let head = data(flow(1), 1_001, 501);
+    agent.handle(at(100), Event::Carry { from: BALANCER, head, known: false });
+
+    let mut answer = accepted(flow(1), 501);
+    answer.flags.syn = false;
+    let actions = agent.handle(at(101), Event::FromServer(answer));
+
+    let tells = |action: &Action| {
+        matches!(action, Action::Send(to, Message::Holds { flow: held, .. })
+            if *to == BALANCER && *held == flow(1))
+    };
+    assert!(actions.iter().any(tells), "{actions:?}");
+}
+
+/// Feeds break off after their agent's process was replaced: the first heartbeat that the new
+/// process hears looked like a new server, and flows that were quiet for a second were reset.
+#[test]
+fn the_first_heartbeat_after_a_restart_resets_nothing() {
+    let mut agent = agent();
+    let mut quiet = accepted(flow(1), 501);
+    quiet.flags.syn = false;
+    agent.handle(at(100), Event::FromServer(quiet));
+
+    let actions = agent.handle(at(1_200), Event::Heartbeat(heartbeat("a", 9)));
+
+    assert!(!resets(&actions), "{actions:?}");
+}
+
+#[test]
+fn flows_of_a_replaced_server_are_reset() {
+    let mut agent = serving();
+    request(&mut agent, 100, flow(1));
+
+    let actions = agent.handle(at(1_500), Event::Heartbeat(heartbeat("b", 1)));
+
+    assert!(resets(&actions), "{actions:?}");
+}
+
+/// A client's flow is open, and a late copy of its opening finds the server full. The server hands
+/// the copy back, and the agent took that for the end of the flow.
+#[test]
+fn a_bounced_copy_of_an_opening_does_not_end_the_flow() {
+    let mut agent = serving();
+    request(&mut agent, 100, flow(1));
+    let copy = agent.handle(at(300), open(flow(1), 1, WAITS));
+
+    agent.handle(at(301), Event::Bounced(bounced(opening(flow(1), 1), tag(&copy))));
+
+    let head = data(flow(1), 1_101, 600);
+    let actions = agent.handle(at(302), Event::Carry { from: BALANCER, head, known: true });
+    assert!(to_server(&actions), "{actions:?}");
+}
+
+#[test]
+fn a_server_that_leaves_openings_unanswered_gets_no_more() {
+    let mut agent = serving();
+    agent.handle(at(1_000), open(flow(1), 0, WAITS));
+
+    agent.handle(at(1_200), Event::Tick);
+    let actions = agent.handle(at(1_201), open(flow(1), 1, WAITS));
+
+    assert_eq!(refusal(&actions), Some(Reason::Leaving));
+}
+
+/// A feed hangs until its client's own timeout because its server died: the client has sent its
+/// request and waits. Openings stay unanswered and heartbeats are missing.
+#[test]
+fn clients_of_a_dead_server_are_told() {
+    let mut agent = serving();
+    request(&mut agent, 100, flow(1));
+    agent.handle(at(500), open(flow(2), 0, WAITS));
+    agent.handle(at(700), Event::Tick);
+
+    let actions = agent.handle(at(3_200), Event::Tick);
+
+    let told = Action::Reset { flow: flow(1), seq: 501 };
+    assert!(actions.contains(&told), "{actions:?}");
+}
+
+#[test]
+fn an_idle_slot_is_all_that_counts_for_the_first_tries() {
+    let mut agent = serving();
+    for port in 1..=4 {
+        request(&mut agent, 100, flow(port));
+    }
+
+    let actions = agent.handle(at(101), open(flow(9), 0, Insistence::IfIdle));
+
+    assert_eq!(refusal(&actions), Some(Reason::Busy));
+}
+
+#[test]
+fn the_answer_frees_the_slot() {
+    let mut agent = serving();
+    request(&mut agent, 100, flow(1));
+    let busy = agent.load();
+
+    let mut answer = data(flow(1), 501, 1_101);
+    answer.len = 600;
+    agent.handle(at(150), Event::FromServer(answer));
+
+    assert_eq!(busy, Load { busy: 1, flows: 1 });
+    assert_eq!(agent.load(), Load { busy: 0, flows: 1 });
+}
+
+#[test]
+fn an_opening_waits_for_a_slot_and_then_goes_on() {
+    let mut agent = serving();
+    for port in 1..=8 {
+        request(&mut agent, 100, flow(port));
+    }
+    let waits = agent.handle(at(101), open(flow(9), 0, WAITS));
+    let mut last = waits.clone();
+    for port in 1..=8 {
+        let mut answer = data(flow(port), 501, 1_101);
+        answer.len = 600;
+        last = agent.handle(at(150), Event::FromServer(answer));
+        if released(&last) {
+            break;
+        }
+    }
+
+    assert!(!to_server(&waits), "{waits:?}");
+    assert!(released(&last), "{last:?}");
+}
+
+#[test]
+fn openings_that_wait_are_handed_back_when_the_server_leaves() {
+    let mut agent = serving();
+    for port in 1..=8 {
+        request(&mut agent, 100, flow(port));
+    }
+    agent.handle(at(101), open(flow(9), 0, WAITS));
+    let mut beat = heartbeat("a", 2);
+    beat.draining = true;
+
+    let actions = agent.handle(at(102), Event::Heartbeat(beat));
+
+    let handed_back = |action: &Action| {
+        matches!(action, Action::ReleaseTo(to, Message::Declined { reason, .. }, Packet(bytes))
+            if *to == BALANCER && *reason == Reason::Leaving && *bytes == [7])
+    };
+    assert!(actions.iter().any(handed_back), "{actions:?}");
+}
+
+#[test]
+fn what_must_run_once_does_not_wait_behind_others() {
+    let mut agent = serving();
+    for port in 1..=8 {
+        request(&mut agent, 100, flow(port));
+    }
+
+    let actions = agent.handle(at(101), open(flow(9), 0, Insistence::OnceWithin(3_000)));
+
+    assert!(to_server(&actions), "{actions:?}");
+}
+
+#[test]
+fn an_agent_whose_server_ended_says_that_it_is_gone() {
+    let mut agent = serving();
+    agent.handle(at(100), Event::Deregistered("a".into()));
+
+    agent.handle(at(200), Event::Leave);
+
+    assert_eq!(agent.state(), State::Gone);
+}
+
+#[test]
+fn an_agent_that_leaves_its_server_behind_restarts() {
+    let mut agent = serving();
+
+    agent.handle(at(200), Event::Leave);
+
+    assert_eq!(agent.state(), State::Restarting);
+}
--- /dev/null
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -0,0 +1,272 @@
+use nutmegkeel_core::l4::balancer::{Action, Event};
+use nutmegkeel_core::l4::message::{Insistence, Load, Message, Reason, Roster, State};
+use nutmegkeel_core::l4::route::Service;
+
+use crate::fixture::{
+    BALANCER, PORT, announce, at, balancer, data, desk, flow, forwarded, host, opening, resets,
+    table, word,
+};
+
+fn declined(from: u8, head: nutmegkeel_core::l4::flow::Head, reason: Reason) -> Event {
+    Event::Declined { from: host(from), head, reason, load: Load::default() }
+}
+
+#[test]
+fn copies_of_an_opening_go_where_the_first_went() {
+    let mut balancer = balancer(&[1, 2, 3, 4, 5]);
+    let first = forwarded(&balancer.handle(at(3_000), Event::Client(opening(flow(1), 0))));
+
+    let copy = forwarded(&balancer.handle(at(3_200), Event::Client(opening(flow(1), 1))));
+
+    assert!(first.is_some());
+    assert_eq!(copy, first);
+}
+
+#[test]
+fn a_copy_goes_elsewhere_when_the_first_agent_fell_silent() {
+    let mut balancer = balancer(&[1, 2, 3]);
+    let first = forwarded(&balancer.handle(at(3_000), Event::Client(opening(flow(1), 0))));
+    let others: Vec<u8> = [1, 2, 3].into_iter().filter(|n| Some(host(*n)) != first).collect();
+    announce(&mut balancer, &others, 3_300, 3_800);
+
+    let copy = forwarded(&balancer.handle(at(3_800), Event::Client(opening(flow(1), 2))));
+
+    assert!(copy.is_some());
+    assert_ne!(copy, first);
+}
+
+/// A feed breaks off with a reset while its backend server serves. Two agents refused its opening
+/// for want of a slot, one of them took it when asked again, and a copy that another agent took moved
+/// the balancer's note there. The search for the flow then left out whoever had refused the opening.
+#[test]
+fn an_agent_that_refused_an_opening_is_asked_for_the_flow() {
+    let mut balancer = balancer(&[1, 2]);
+    let head = opening(flow(1), 0);
+    balancer.handle(at(3_000), Event::Client(head));
+    balancer.handle(at(3_001), declined(1, head, Reason::Busy));
+    balancer.handle(at(3_002), declined(2, head, Reason::Busy));
+
+    let packet = data(flow(1), 1_001, 500);
+    let mut asked = vec![forwarded(&balancer.handle(at(3_010), Event::Client(packet)))];
+    for _ in 0..2 {
+        let Some(Some(agent)) = asked.last().copied() else { break };
+        let number = agent.octets()[3];
+        let actions = balancer.handle(at(3_012), declined(number, packet, Reason::NotHeld));
+        asked.push(forwarded(&actions));
+    }
+
+    assert!(asked.contains(&Some(host(1))), "{asked:?}");
+    assert!(asked.contains(&Some(host(2))), "{asked:?}");
+}
+
+#[test]
+fn a_flow_that_no_agent_holds_is_reset() {
+    let mut balancer = balancer(&[1, 2]);
+    let packet = data(flow(1), 1_001, 500);
+    let first = forwarded(&balancer.handle(at(3_000), Event::Client(packet)));
+    let (one, two) = if first == Some(host(1)) { (1, 2) } else { (2, 1) };
+    balancer.handle(at(3_002), declined(one, packet, Reason::NotHeld));
+
+    let actions = balancer.handle(at(3_004), declined(two, packet, Reason::NotHeld));
+
+    assert!(actions.contains(&Action::Reset { flow: flow(1), seq: 500 }), "{actions:?}");
+}
+
+/// A feed breaks off with a reset during a planned restart. Its agent's process is being replaced, a
+/// balancer that does not know the flow asks all others, and nobody else holds it.
+#[test]
+fn a_flow_is_not_reset_while_an_agent_restarts() {
+    let mut balancer = balancer(&[1, 2]);
+    let restarting = word(9_000, State::Restarting, Load::default());
+    balancer.handle(at(3_000), Event::Announced(host(2), restarting));
+    announce(&mut balancer, &[1], 3_300, 4_500);
+    let packet = data(flow(1), 1_001, 500);
+    balancer.handle(at(4_500), Event::Client(packet));
+
+    let actions = balancer.handle(at(4_502), declined(1, packet, Reason::NotHeld));
+
+    assert!(!resets(&actions), "{actions:?}");
+}
+
+/// A feed hangs until its client's own timeout although its agent is dead: the client has sent its
+/// request and waits, so nothing of it arrives that could be answered with a reset.
+#[test]
+fn clients_of_a_dead_agent_are_told_without_asking() {
+    let mut balancer = balancer(&[1, 2, 3]);
+    let packet = data(flow(1), 1_001, 500);
+    balancer.handle(at(3_000), Event::Client(packet));
+    let holds = Event::Holds { from: host(1), flow: flow(1), load: Load::default() };
+    balancer.handle(at(3_001), holds);
+    announce(&mut balancer, &[2, 3], 3_300, 4_800);
+
+    let actions = balancer.handle(at(5_100), Event::Tick);
+
+    assert!(actions.contains(&Action::Reset { flow: flow(1), seq: 500 }), "{actions:?}");
+}
+
+/// Feeds of healthy servers break off when another host dies. Their balancer was just asking the
+/// dead agent for them, and took the answer that never came for the flow's place.
+#[test]
+fn a_flow_that_was_only_asked_for_at_a_dead_agent_is_kept() {
+    let mut balancer = balancer(&[1, 2, 3]);
+    let packet = data(flow(1), 1_001, 500);
+    let asked = forwarded(&balancer.handle(at(3_000), Event::Client(packet)));
+    let alive: Vec<u8> = [1, 2, 3].into_iter().filter(|n| Some(host(*n)) != asked).collect();
+    announce(&mut balancer, &alive, 3_300, 4_800);
+
+    let actions = balancer.handle(at(5_100), Event::Tick);
+
+    assert!(!resets(&actions), "{actions:?}");
+}
+
+/// All feeds of a balancer break off after its host stood still for three seconds: it has heard no
+/// announcement, and takes every agent for dead.
+#[test]
+fn a_balancer_that_stood_still_takes_nobody_for_dead() {
+    let mut balancer = balancer(&[1, 2, 3]);
+    let holds = Event::Holds { from: host(1), flow: flow(1), load: Load::default() };
+    balancer.handle(at(3_001), holds);
+
+    let actions = balancer.handle(at(6_500), Event::Client(data(flow(1), 1_001, 500)));
+
+    assert_eq!(forwarded(&actions), Some(host(1)));
+    assert!(!resets(&actions), "{actions:?}");
+}
+
+/// After a loss of power a client waits for the answer on a flow that no longer exists. Its packet
+/// came while agents were still appearing, and its next copy comes 1.6 s later. The balancer tells it
+/// as soon as all agents have answered.
+#[test]
+fn a_client_that_waits_is_told_once_the_agents_are_known() {
+    let mut balancer = balancer(&[]);
+    announce(&mut balancer, &[1], 3_000, 3_000);
+    let packet = data(flow(1), 1_001, 500);
+    balancer.handle(at(3_100), Event::Client(packet));
+    let early = balancer.handle(at(3_102), declined(1, packet, Reason::NotHeld));
+    announce(&mut balancer, &[1], 3_300, 3_600);
+
+    let late = balancer.handle(at(3_800), Event::Tick);
+
+    assert!(!resets(&early), "{early:?}");
+    assert!(late.contains(&Action::Reset { flow: flow(1), seq: 500 }), "{late:?}");
+}
+
+#[test]
+fn an_opening_asks_for_an_idle_slot_twice_and_then_insists() {
+    let mut balancer = balancer(&[1, 2, 3, 4]);
+    let head = opening(flow(1), 0);
+    let mut actions = balancer.handle(at(3_000), Event::Client(head));
+    let mut insistences = Vec::new();
+    for step in 0..3 {
+        let (agent, insistence) = actions
+            .iter()
+            .find_map(|action| match action {
+                Action::Forward(agent, Message::Open { insistence, .. }) => {
+                    Some((*agent, *insistence))
+                }
+                _ => None,
+            })
+            .expect("an agent is asked");
+        insistences.push(insistence);
+        let event = declined(agent.octets()[3], head, Reason::Busy);
+        actions = balancer.handle(at(3_001 + step), event);
+    }
+
+    let expected = [Insistence::IfIdle, Insistence::IfIdle, Insistence::IfWithin(2_500)];
+    assert_eq!(insistences, expected);
+}
+
+/// Openings that waited at one agent until their clients gave up were passed on to the next, which
+/// gave its slots to clients that had gone: the system stayed overloaded long after a burst.
+#[test]
+fn an_opening_is_not_passed_on_when_its_client_has_given_up() {
+    let mut balancer = balancer(&[1, 2, 3]);
+    let head = opening(flow(1), 0);
+    let first = forwarded(&balancer.handle(at(3_000), Event::Client(head)));
+    announce(&mut balancer, &[1, 2, 3], 3_300, 4_200);
+
+    let number = first.expect("it is placed").octets()[3];
+    let actions = balancer.handle(at(4_200), declined(number, head, Reason::Late));
+
+    assert_eq!(forwarded(&actions), None);
+    assert!(resets(&actions), "{actions:?}");
+}
+
+/// A client whose copy of an opening was accepted elsewhere loses that flow, because the balancer of
+/// the first copy refuses it with a number that the open flow accepts.
+#[test]
+fn a_refused_opening_is_reset_with_a_number_that_no_open_flow_has() {
+    let mut balancer = balancer(&[1]);
+    let head = opening(flow(1), 0);
+    balancer.handle(at(3_000), Event::Client(head));
+
+    let actions = balancer.handle(at(3_001), declined(1, head, Reason::Full));
+
+    assert!(actions.contains(&Action::Reset { flow: flow(1), seq: 0x8000_0000 }), "{actions:?}");
+}
+
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let mut balancer = balancer(&[1]);
+    balancer.handle(at(3_000), Event::Configured(table(5, &[])));
+
+    balancer.handle(at(3_001), Event::Configured(table(4, &[(PORT, desk())])));
+    let actions = balancer.handle(at(3_002), Event::Client(opening(flow(1), 0)));
+
+    assert_eq!(balancer.version(), 5);
+    assert!(resets(&actions), "{actions:?}");
+}
+
+#[test]
+fn a_copy_of_an_opening_follows_its_route_to_another_service() {
+    let vault = Service::named("vault");
+    let mut balancer = balancer(&[1, 2]);
+    balancer.handle(at(3_000), Event::Client(opening(flow(1), 0)));
+    balancer.handle(at(3_100), Event::Configured(table(2, &[(PORT, vault)])));
+    let mut other = word(9_000, State::Ready, Load::default());
+    other.service = Some(vault);
+    balancer.handle(at(3_101), Event::Announced(host(3), other));
+
+    let actions = balancer.handle(at(3_200), Event::Client(opening(flow(1), 1)));
+
+    assert_eq!(forwarded(&actions), Some(host(3)));
+}
+
+#[test]
+fn a_peer_with_a_newer_configuration_is_asked_for_it() {
+    let mut balancer = balancer(&[1]);
+    let peer = host(77);
+    let roster = Roster { version: 9, balancers: vec![peer], leaving: false };
+
+    let actions = balancer.handle(at(3_000), Event::Roster(peer, roster));
+
+    assert!(actions.contains(&Action::Fetch(peer)), "{actions:?}");
+}
+
+#[test]
+fn a_leaving_balancer_is_not_ready_and_says_so() {
+    let mut balancer = balancer(&[1]);
+    let peer = host(77);
+    let roster = Roster { version: 1, balancers: vec![peer], leaving: false };
+    balancer.handle(at(3_000), Event::Roster(peer, roster));
+    let before = balancer.is_ready(at(3_001));
+
+    let actions = balancer.handle(at(3_001), Event::Leave);
+
+    assert!(before);
+    assert!(!balancer.is_ready(at(3_002)));
+    let tells = |action: &Action| {
+        matches!(action, Action::Send(to, Message::Roster(roster))
+            if *to == peer && roster.leaving && !roster.balancers.contains(&BALANCER))
+    };
+    assert!(actions.iter().any(tells), "{actions:?}");
+}
+
+#[test]
+fn a_balancer_that_hears_of_few_agents_is_not_ready() {
+    let mut balancer = balancer(&[1, 2, 3, 4]);
+
+    announce(&mut balancer, &[1], 3_300, 6_000);
+
+    assert!(!balancer.is_ready(at(6_000)));
+}
--- /dev/null
+++ b/crates/nutmegkeel_core/tests/l4/fixture.rs
@@ -0,0 +1,132 @@
+//! What the tests are made of.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use nutmegkeel_core::clock::Time;
+use nutmegkeel_core::l4::agent::{Agent, Identity};
+use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
+use nutmegkeel_core::l4::flow::{Flags, Flow, Head};
+use nutmegkeel_core::l4::message::{Announcement, Load, State};
+use nutmegkeel_core::l4::route::{Kind, Route, Service, Share, Table};
+use nutmegkeel_core::l4::server::Heartbeat;
+
+pub(crate) const DOMAIN: &str = "osu";
+pub(crate) const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
+pub(crate) const PORT: u16 = 443;
+
+pub(crate) fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+pub(crate) fn host(number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 1, number)
+}
+
+pub(crate) fn flow(port: u16) -> Flow {
+    Flow {
+        client: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), port),
+        service: service_address(PORT),
+    }
+}
+
+pub(crate) fn service_address(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port)
+}
+
+pub(crate) fn desk() -> Service {
+    Service::named("desk")
+}
+
+pub(crate) fn opening(flow: Flow, copies: u32) -> Head {
+    let flags = Flags { syn: true, ..Flags::default() };
+    Head { flow, flags, seq: 1_000, ack: copies, len: 0, tag: 0 }
+}
+
+/// The server's answer to an opening.
+pub(crate) fn accepted(flow: Flow, seq: u32) -> Head {
+    let flags = Flags { syn: true, ack: true, ..Flags::default() };
+    Head { flow, flags, seq, ack: 1_001, len: 0, tag: 0 }
+}
+
+/// A client's packet with data that acknowledges `ack`.
+pub(crate) fn data(flow: Flow, seq: u32, ack: u32) -> Head {
+    let flags = Flags { ack: true, ..Flags::default() };
+    Head { flow, flags, seq, ack, len: 100, tag: 0 }
+}
+
+pub(crate) fn bounced(head: Head, tag: u32) -> Head {
+    Head { flags: Flags { bounced: true, ..head.flags }, tag, ..head }
+}
+
+pub(crate) fn route(service: Service, kind: Kind) -> Route {
+    Route {
+        name: "route".into(),
+        shares: vec![Share { service, weight: 1 }],
+        kind,
+        deadline_ms: 2_500,
+        objective_ms: 250,
+    }
+}
+
+pub(crate) fn table(version: u64, routes: &[(u16, Service)]) -> Table {
+    let routes: BTreeMap<_, _> = routes
+        .iter()
+        .map(|(port, service)| (service_address(*port), route(*service, Kind::Idempotent)))
+        .collect();
+    Table { version, routes, idle_ms: 15_000 }
+}
+
+pub(crate) fn word(number: u64, state: State, load: Load) -> Announcement {
+    Announcement {
+        incarnation: 1,
+        number,
+        domain: DOMAIN.into(),
+        service: Some(desk()),
+        slots: 4,
+        cold: false,
+        state,
+        load,
+        balancers: 0,
+    }
+}
+
+/// Lets every agent announce itself each 300 ms, from `from_ms` to `until_ms`.
+pub(crate) fn announce(balancer: &mut Balancer, agents: &[u8], from_ms: u64, until_ms: u64) {
+    for millis in (from_ms..=until_ms).step_by(300) {
+        for agent in agents {
+            let word = word(millis + 100, State::Ready, Load::default());
+            balancer.handle(at(millis), Event::Announced(host(*agent), word));
+        }
+    }
+}
+
+/// A balancer with a route to the desk and these agents, all known for three seconds at `at(3_000)`.
+pub(crate) fn balancer(agents: &[u8]) -> Balancer {
+    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[]);
+    balancer.handle(at(0), Event::Configured(table(1, &[(PORT, desk())])));
+    announce(&mut balancer, agents, 0, 3_000);
+    balancer
+}
+
+/// Where the actions send the packet at hand.
+pub(crate) fn forwarded(actions: &[Action]) -> Option<Ipv4Addr> {
+    actions.iter().find_map(|action| match action {
+        Action::Forward(agent, _) => Some(*agent),
+        _ => None,
+    })
+}
+
+pub(crate) fn resets(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Reset { .. }))
+}
+
+pub(crate) fn heartbeat(id: &str, seq: u64) -> Heartbeat {
+    Heartbeat { id: id.into(), service: desk(), slots: 4, draining: false, warmup_ms: 0, seq }
+}
+
+/// An agent that knows one balancer and nothing of its backend server.
+pub(crate) fn agent() -> Agent {
+    let identity = Identity { incarnation: 1, domain: DOMAIN.into(), heartbeat_ms: 1_200 };
+    Agent::open(at(0), identity, &[BALANCER])
+}
--- /dev/null
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -0,0 +1,9 @@
+//! Flows without a routing token: the decisions of balancers and agents.
+
+mod agent;
+mod balancer;
+mod fixture;
+mod placement;
+mod roster;
+mod server;
+mod waiting;
--- /dev/null
+++ b/crates/nutmegkeel_core/tests/l4/placement.rs
@@ -0,0 +1,110 @@
+use nutmegkeel_core::l4::message::{Load, State};
+use nutmegkeel_core::l4::placement::{Change, Pool};
+use nutmegkeel_core::l4::route::Kind;
+
+use crate::fixture::{DOMAIN, at, desk, flow, host, word};
+
+fn pool(loads: &[(u8, Load)]) -> Pool {
+    let mut pool = Pool::default();
+    for (number, load) in loads {
+        pool.announced(at(0), host(*number), word(1, State::Ready, *load));
+    }
+    pool
+}
+
+const fn load(busy: u16, flows: u16) -> Load {
+    Load { busy, flows }
+}
+
+#[test]
+fn a_short_flow_goes_to_the_least_busy_agent() {
+    let pool = pool(&[(1, load(4, 10)), (2, load(0, 12)), (3, load(4, 10))]);
+
+    let chosen = pool.choose(at(1), flow(1).key(), desk(), Kind::Once, DOMAIN, &[]);
+
+    assert_eq!(chosen.map(|choice| choice.agent), Some(host(2)));
+}
+
+#[test]
+fn a_long_flow_goes_to_the_agent_with_the_fewest_flows() {
+    let pool = pool(&[(1, load(0, 40)), (2, load(2, 10)), (3, load(0, 40))]);
+
+    let chosen = pool.choose(at(1), flow(1).key(), desk(), Kind::Idempotent, DOMAIN, &[]);
+
+    assert_eq!(chosen.map(|choice| choice.agent), Some(host(2)));
+}
+
+#[test]
+fn what_was_placed_since_the_last_report_counts() {
+    let mut pool = pool(&[(1, load(0, 0)), (2, load(2, 0))]);
+    for _ in 0..5 {
+        pool.placed(host(1));
+    }
+
+    let chosen = pool.choose(at(1), flow(1).key(), desk(), Kind::Once, DOMAIN, &[]);
+
+    assert_eq!(chosen.map(|choice| choice.agent), Some(host(2)));
+}
+
+#[test]
+fn a_download_stays_in_its_failure_domain() {
+    let mut pool = pool(&[(1, load(3, 0))]);
+    let mut far = word(1, State::Ready, load(0, 0));
+    far.domain = "tema".into();
+    pool.announced(at(0), host(2), far);
+
+    let chosen = pool.choose(at(1), flow(1).key(), desk(), Kind::Download, DOMAIN, &[]);
+
+    assert_eq!(chosen.map(|choice| choice.agent), Some(host(1)));
+}
+
+#[test]
+fn an_agent_that_is_late_or_closed_gets_no_flow() {
+    let mut pool = pool(&[(1, load(0, 0)), (2, load(0, 0)), (3, load(0, 0))]);
+    pool.announced(at(900), host(2), word(2, State::Closed, load(0, 0)));
+    pool.announced(at(900), host(3), word(2, State::Ready, load(9, 99)));
+
+    let chosen = pool.choose(at(1_000), flow(1).key(), desk(), Kind::Once, DOMAIN, &[]);
+
+    assert_eq!(chosen.map(|choice| choice.agent), Some(host(3)));
+}
+
+#[test]
+fn an_overtaken_announcement_changes_nothing() {
+    let mut pool = pool(&[]);
+    pool.announced(at(0), host(1), word(5, State::Closed, load(0, 0)));
+
+    let change = pool.announced(at(1), host(1), word(4, State::Ready, load(0, 0)));
+
+    assert_eq!(change, Change::Stale);
+    assert_eq!(pool.open_agents(at(1), desk()), 0);
+}
+
+#[test]
+fn every_balancer_searches_in_the_same_order() {
+    let one = pool(&[(1, load(0, 0)), (2, load(5, 0)), (3, load(0, 0))]);
+    let two = pool(&[(3, load(9, 9)), (2, load(0, 0)), (1, load(4, 0))]);
+
+    let key = flow(1).key();
+
+    assert_eq!(one.search(key, &[desk()], DOMAIN), two.search(key, &[desk()], DOMAIN));
+}
+
+#[test]
+fn a_search_asks_every_agent_once() {
+    let pool = pool(&[(1, load(0, 0)), (2, load(0, 0)), (3, load(0, 0))]);
+
+    let mut order = pool.search(flow(1).key(), &[], DOMAIN);
+
+    order.sort_unstable();
+    assert_eq!(order, vec![host(1), host(2), host(3)]);
+}
+
+#[test]
+fn a_process_that_lost_sight_of_most_agents_suspects_itself() {
+    let mut pool = pool(&[(1, load(0, 0)), (2, load(0, 0)), (3, load(0, 0))]);
+    pool.announced(at(5_000), host(1), word(2, State::Ready, load(0, 0)));
+
+    assert!(pool.is_cut_off(at(5_000)));
+    assert!(!pool.is_conclusive(at(5_000)));
+}
