--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -30,6 +30,10 @@
 /// a heartbeat tells of now: the heartbeat of a new incarnation comes with its start.
 const ALIVE_MS: u64 = 1_000;
 
+/// Requests that may wait at the backend server itself before openings wait at the agent: one to
+/// take the next slot, and one more because an opening becomes a request only a round trip later.
+const AHEAD: u16 = 2;
+
 /// An agent that has heard nothing for so many heartbeats stands beside no server.
 const UNHEARD_HEARTBEATS: u64 = 3;
 
@@ -239,10 +243,10 @@
         vec![action, self.accepted(opening.flow)]
     }
 
-    /// Whether the backend server has no slot left, and one request waits there to take the next.
+    /// Whether the backend server has no slot left and enough to go on with.
     fn is_saturated(&self) -> bool {
         let slots = self.beside.server().map_or(0, |server| server.slots);
-        self.table.load().busy > slots
+        self.table.load().busy >= slots + AHEAD
     }
 
     fn to_server(&mut self, now: Time, flow: Flow, from: Ipv4Addr) -> Action {
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -325,7 +325,7 @@
     }
 
     fn place(&mut self, now: Time, head: &Head, service: Service, route: &Route) -> Vec<Action> {
-        let is_growing = self.is_growing(now);
+        let is_assembling = self.pool.is_young() && self.is_growing(now);
         let entry = self.cache.entry(now, head.flow);
         let key = head.flow.key();
         let tries = entry.declined.len();
@@ -343,7 +343,7 @@
         let Some(choice) = choice else {
             return self.refuse(now, head, tries);
         };
-        if !for_idle && head.ack < 2 && is_growing {
+        if !for_idle && head.ack < 2 && is_assembling {
             // Guards against one backend server that gets all flows because it was back first: the
             // others appear within a few hundred milliseconds, and the client sends a copy by then.
             return vec![dropped(head.flow, Cause::AllBusy)];
--- a/crates/nutmegkeel_core/tests/l4/balancer.rs
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -270,3 +270,20 @@
 
     assert!(!balancer.is_ready(at(6_000)));
 }
+
+/// Filings are answered 600 ms late whenever a server is added at high load: the balancer let openings
+/// that found two busy agents wait for a copy, as it does after a loss of power.
+#[test]
+fn an_opening_does_not_wait_for_a_copy_when_one_agent_is_added() {
+    let mut balancer = balancer(&[1, 2]);
+    balancer.handle(at(3_000), Event::Announced(host(9), word(1, State::Ready, Load::default())));
+    let head = opening(flow(1), 0);
+    let first = forwarded(&balancer.handle(at(3_001), Event::Client(head)));
+    let number = first.expect("it is placed").octets()[3];
+    let second = forwarded(&balancer.handle(at(3_002), declined(number, head, Reason::Busy)));
+    let number = second.expect("it is placed again").octets()[3];
+
+    let third = forwarded(&balancer.handle(at(3_003), declined(number, head, Reason::Busy)));
+
+    assert!(third.is_some());
+}
