--- a/crates/nutmegkeel_core/src/l4.rs
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -11,6 +11,7 @@
 pub mod health;
 pub mod message;
 pub mod note;
+pub mod outlier;
 pub mod placement;
 pub mod roster;
 pub mod route;
--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -11,10 +11,11 @@
 use super::health::{ANNOUNCE_MS, FORGET_MS};
 use super::message::{Announcement, Insistence, Load, Message, Reason, Roster, State};
 use super::note::{Cause, Note, ServerChange};
+use super::outlier::Record;
 use super::roster::Book;
 use super::route::Service;
 use super::server::{Beside, Heard, Heartbeat, Server};
-use super::table::{Answered, Held, Probes, Stage, Table};
+use super::table::{Held, Outcome, Probes, Stage, Table};
 use super::waiting::{Queue, Waiting};
 use crate::admission::Pace;
 use crate::clock::Time;
@@ -132,6 +133,7 @@
     probes: Probes,
     waiting: Queue,
     pace: Pace,
+    record: Record,
     unanswered_since: Option<Time>,
     unresponsive: bool,
     leaving: bool,
@@ -156,6 +158,7 @@
             probes: Probes::default(),
             waiting: Queue::default(),
             pace: Pace::default(),
+            record: Record::default(),
             unanswered_since: None,
             unresponsive: false,
             leaving: false,
@@ -174,15 +177,22 @@
 
     /// Whether it takes new flows.
     #[must_use]
-    pub fn state(&self) -> State {
+    pub fn state(&self, now: Time) -> State {
         match self.beside.server() {
             None if self.leaving => State::Gone,
             _ if self.leaving => State::Restarting,
-            Some(server) if !server.draining && !self.unresponsive => State::Ready,
-            _ => State::Closed,
+            Some(server) if server.draining || self.unresponsive => State::Closed,
+            Some(_) if self.record.is_failing(now) => State::Failing,
+            Some(_) => State::Ready,
+            None => State::Closed,
         }
     }
 
+    /// Whether its backend server may be given flows; balancers decide whether one that fails is.
+    fn is_open(&self, now: Time) -> bool {
+        matches!(self.state(now), State::Ready | State::Failing)
+    }
+
     /// Number of balancers known.
     #[must_use]
     pub fn balancers(&self) -> usize {
@@ -228,7 +238,7 @@
         }
         let known = self.table.get(&opening.flow);
         let is_copy = known.is_some_and(|held| held.opened_with == opening.seq);
-        if let Some(reason) = self.refusal(service, insistence, is_copy) {
+        if let Some(reason) = self.refusal(now, service, insistence, is_copy) {
             return vec![self.decline(opening.from, reason)];
         }
         if is_copy {
@@ -265,7 +275,7 @@
         if self.waiting.is_empty() {
             return actions;
         }
-        if self.state() != State::Ready {
+        if !self.is_open(now) {
             let all = self.waiting.take_all();
             actions.extend(all.into_iter().map(|opening| self.hand_back(opening, Reason::Leaving)));
             return actions;
@@ -292,14 +302,20 @@
     /// Why an opening is not taken. What the agent sees itself goes before what a balancer believed:
     /// a server that leaves takes nothing from the moment its heartbeat says so, and one of another
     /// service, at an address used again, never sees the packet.
-    fn refusal(&self, service: Service, insistence: Insistence, is_copy: bool) -> Option<Reason> {
+    fn refusal(
+        &self,
+        now: Time,
+        service: Service,
+        insistence: Insistence,
+        is_copy: bool,
+    ) -> Option<Reason> {
         let Some(server) = self.beside.server() else {
             return Some(Reason::Leaving);
         };
         if server.service != service {
             return Some(Reason::WrongService);
         }
-        if self.state() != State::Ready {
+        if !self.is_open(now) {
             return Some(Reason::Leaving);
         }
         if is_copy {
@@ -376,8 +392,8 @@
             self.table.adopt(now, head);
             actions.push(Action::Note(Note::Adopted { flow: head.flow }));
         }
-        if let Some(answered) = self.table.from_server(now, head) {
-            self.learn(answered);
+        if let Some(outcome) = self.table.from_server(now, head) {
+            actions.extend(self.learn(now, outcome));
         }
         if let Some(balancer) = self.probes.answered(&head.flow) {
             let message = Message::Holds { flow: head.flow, load: self.load() };
@@ -386,12 +402,25 @@
         actions
     }
 
-    /// Learns the time of a request that found a slot free. The others waited at the server: counted
-    /// as service time, a short burst would make the agent refuse what it could serve in time.
-    fn learn(&mut self, answered: Answered) {
+    /// Learns from a request: whether the server is to be spared, and its time if it found a slot
+    /// free. The others waited at the server: counted as service time, a short burst would make the
+    /// agent refuse what it could serve in time.
+    fn learn(&mut self, now: Time, outcome: Outcome) -> Vec<Action> {
         let slots = self.beside.server().map_or(0, |server| usize::from(server.slots));
-        if answered.behind < slots {
-            self.pace.learn(answered.after_ms);
+        match outcome {
+            Outcome::Answered { after_ms, behind } => {
+                self.record.answered();
+                if behind < slots {
+                    self.pace.learn(after_ms);
+                }
+                Vec::new()
+            }
+            Outcome::Broken if self.record.broken(now) => {
+                let mut actions = vec![self.changed(ServerChange::Failing)];
+                actions.extend(self.announce(now));
+                actions
+            }
+            Outcome::Broken => Vec::new(),
         }
     }
 
@@ -440,6 +469,7 @@
             Heard::Draining => actions.push(self.changed(ServerChange::Draining)),
             Heard::First => actions.push(self.changed(ServerChange::Started)),
             Heard::Replaced => {
+                self.record.clear();
                 let ended = self.table.take_silent(now, ALIVE_MS);
                 for (flow, held) in ended {
                     actions.extend(reset(flow, &held, Cause::ServerRestarted));
@@ -561,7 +591,7 @@
             service: server.map(|server| server.service),
             slots: server.map_or(0, |server| server.slots),
             cold: server.is_some_and(is_cold),
-            state: self.state(),
+            state: self.state(now),
             load: self.load(),
             balancers: self.balancers.digest(),
         })
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -118,6 +118,8 @@
 pub enum State {
     /// Takes new flows.
     Ready,
+    /// Its backend server breaks requests off. It gets new flows only when no other takes them.
+    Failing,
     /// Has no backend server that takes flows: not announced yet, draining, unresponsive or gone.
     Closed,
     /// The agent process itself is being replaced; its backend server keeps its flows.
--- a/crates/nutmegkeel_core/src/l4/note.rs
+++ b/crates/nutmegkeel_core/src/l4/note.rs
@@ -120,6 +120,8 @@
     Unresponsive,
     /// It answers again.
     Responsive,
+    /// It breaks requests off.
+    Failing,
     /// It neither answers nor sends heartbeats; its flows are gone.
     Dead,
 }
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -72,9 +72,9 @@
         }
     }
 
-    fn takes(&self, now: Time, service: Service) -> bool {
+    fn is_in(&self, now: Time, service: Service, state: State) -> bool {
         self.announcement.service == Some(service)
-            && self.announcement.state == State::Ready
+            && self.announcement.state == state
             && self.health(now) == Health::Fresh
     }
 
@@ -203,7 +203,20 @@
     /// Agents that take new flows of a service now.
     #[must_use]
     pub fn open_agents(&self, now: Time, service: Service) -> usize {
-        self.agents.values().filter(|candidate| candidate.takes(now, service)).count()
+        let state = self.takers(now, service);
+        self.count(now, service, state)
+    }
+
+    fn count(&self, now: Time, service: Service, state: State) -> usize {
+        self.agents.values().filter(|candidate| candidate.is_in(now, service, state)).count()
+    }
+
+    /// Which agents of a service get its new flows: the healthy ones, unless most are failing. Guards
+    /// against sparing a whole service, whose few healthy servers would drown in its load.
+    fn takers(&self, now: Time, service: Service) -> State {
+        let healthy = self.count(now, service, State::Ready);
+        let failing = self.count(now, service, State::Failing);
+        if failing > healthy { State::Failing } else { State::Ready }
     }
 
     /// Whether less than half of the agents heard of within a minute are heard of now. Then it is
@@ -274,7 +287,10 @@
         domain: &str,
         tried: &[Ipv4Addr],
     ) -> Option<Choice> {
-        let order = self.order(key, domain, |candidate| candidate.takes(now, service));
+        let takers = self.takers(now, service);
+        let order = self.order(key, domain, |candidate| {
+            candidate.is_in(now, service, State::Ready) || candidate.is_in(now, service, takers)
+        });
         let near = order.iter().filter(|ranked| ranked.0.near).take(NEAR);
         let far = order.iter().filter(|ranked| !ranked.0.near).take(FAR);
         let untried = |ranked: &&(Rank, Ipv4Addr)| !tried.contains(&ranked.1);
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -193,9 +193,9 @@
         });
     }
 
-    /// Notes a server's packet; if it begins the answer to a request, says how long that took.
-    pub fn from_server(&mut self, now: Time, head: &Head) -> Option<Answered> {
-        let mut waited = None;
+    /// Notes a server's packet; if it decides a request, says how.
+    pub fn from_server(&mut self, now: Time, head: &Head) -> Option<Outcome> {
+        let mut outcome = None;
         self.update(head.flow, |held| {
             held.used = now;
             held.server_heard = now;
@@ -205,12 +205,16 @@
             if head.len > 0 {
                 let behind = held.request_behind;
                 let since = held.request_since.take();
-                waited = since.map(|since| Answered { after_ms: now.since(since), behind });
+                outcome =
+                    since.map(|since| Outcome::Answered { after_ms: now.since(since), behind });
+            }
+            if head.flags.rst && held.stage == Stage::Open && held.request_since.is_some() {
+                outcome = Some(Outcome::Broken);
             }
             held.server_fin |= head.flags.fin;
             held.note_end(now, head.flags.rst);
         });
-        waited
+        outcome
     }
 
     /// Takes out the open flows whose server has sent nothing for `silent_ms`.
@@ -260,13 +264,18 @@
     }
 }
 
-/// A request whose answer begins.
+/// What became of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Answered {
-    /// Time since the request, in milliseconds.
-    pub after_ms: u64,
-    /// Requests that were in progress when it came.
-    pub behind: usize,
+pub enum Outcome {
+    /// Its answer begins.
+    Answered {
+        /// Time since the request, in milliseconds.
+        after_ms: u64,
+        /// Requests that were in progress when it came.
+        behind: usize,
+    },
+    /// The server broke the flow off without an answer.
+    Broken,
 }
 
 /// What flows add to the load.
--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -1,5 +1,5 @@
 use nutmegkeel_core::l4::agent::{Action, Agent, Event};
-use nutmegkeel_core::l4::flow::{Flow, Packet};
+use nutmegkeel_core::l4::flow::{Flow, Head, Packet};
 use nutmegkeel_core::l4::message::{Insistence, Load, Message, Reason, State};
 use nutmegkeel_core::l4::route::Service;
 
@@ -72,7 +72,7 @@
     let fresh = agent.handle(at(1_001), open(flow(1), 0, WAITS));
 
     assert_eq!(refusal(&fresh), Some(Reason::Leaving));
-    assert_eq!(agent.state(), State::Closed);
+    assert_eq!(agent.state(at(1_002)), State::Closed);
 }
 
 #[test]
@@ -328,7 +328,7 @@
 
     agent.handle(at(200), Event::Leave);
 
-    assert_eq!(agent.state(), State::Gone);
+    assert_eq!(agent.state(at(201)), State::Gone);
 }
 
 #[test]
@@ -337,5 +337,22 @@
 
     agent.handle(at(200), Event::Leave);
 
-    assert_eq!(agent.state(), State::Restarting);
+    assert_eq!(agent.state(at(201)), State::Restarting);
+}
+
+/// Filings fail one after the other at a server whose health check is good. It breaks each off at
+/// once, so it looks idle and draws the most.
+#[test]
+fn a_server_that_breaks_requests_off_is_spared() {
+    let mut agent = serving();
+    let mut reset = data(flow(1), 501, 1_101);
+    reset.flags.rst = true;
+    reset.len = 0;
+    for port in 1..=3 {
+        request(&mut agent, 100, flow(port));
+        agent.handle(at(101), Event::FromServer(Head { flow: flow(port), ..reset }));
+    }
+
+    assert_eq!(agent.state(at(102)), State::Failing);
+    assert_eq!(agent.state(at(2_200)), State::Ready);
 }
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod balancer;
 mod fixture;
+mod outlier;
 mod placement;
 mod roster;
 mod server;
--- a/crates/nutmegkeel_core/tests/l4/placement.rs
+++ b/crates/nutmegkeel_core/tests/l4/placement.rs
@@ -108,3 +108,25 @@
     assert!(pool.is_cut_off(at(5_000)));
     assert!(!pool.is_conclusive(at(5_000)));
 }
+
+#[test]
+fn a_failing_server_is_left_to_its_healthy_peers() {
+    let mut pool = pool(&[(1, load(3, 9)), (2, load(3, 9))]);
+    pool.announced(at(1), host(3), word(1, State::Failing, load(0, 0)));
+
+    let chosen = pool.choose(at(1), flow(1).key(), desk(), Kind::Once, DOMAIN, &[]);
+
+    assert_ne!(chosen.map(|choice| choice.agent), Some(host(3)));
+}
+
+#[test]
+fn a_service_whose_servers_mostly_fail_uses_them_all() {
+    let mut pool = pool(&[(1, load(3, 9))]);
+    for number in [2, 3] {
+        pool.announced(at(1), host(number), word(1, State::Failing, load(0, 0)));
+    }
+
+    let chosen = pool.choose(at(1), flow(1).key(), desk(), Kind::Once, DOMAIN, &[]);
+
+    assert_ne!(chosen.map(|choice| choice.agent), Some(host(1)));
+}
