--- a/crates/nutmegkeel/src/run.rs
+++ b/crates/nutmegkeel/src/run.rs
@@ -109,6 +109,7 @@
     let signals = Signals::open()?;
     let mut handle = l4::balancer::spawn(&settings, path, metric::install()?)?;
     while !signals.stops() {
+        handle.pause();
         handle.tick(signals.take_reload());
     }
     handle.leave();
@@ -122,6 +123,7 @@
     let signals = Signals::open()?;
     let mut handle = l4::agent::spawn(&settings, path, metric::install()?)?;
     while !signals.stops() {
+        handle.pause();
         handle.tick(signals.take_reload());
     }
     handle.leave();
--- /dev/null
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -0,0 +1,220 @@
+//! The whole path on the users' platform: balancers and agents as separate processes, against
+//! stand-ins of the store, the backend servers and the clients.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use nutmegkeel_standin::client::{Client, Outcome};
+use nutmegkeel_standin::fleet::{Fleet, Plan, Signal};
+use nutmegkeel_standin::host::configuration;
+use nutmegkeel_standin::store::Mood;
+
+const SOON: Duration = Duration::from_secs(3);
+const LATER: Duration = Duration::from_secs(8);
+
+/// Each test has addresses and ports of its own, so that they may run at once.
+fn fleet(name: &str, net: u8, services: &[&'static str]) -> Fleet {
+    let folder: PathBuf =
+        std::env::temp_dir().join(format!("nutmegkeel-{name}-{}", std::process::id()));
+    let plan = Plan {
+        program: env!("CARGO_BIN_EXE_nutmegkeel").into(),
+        folder,
+        base: 21_000,
+        net,
+        balancers: 2,
+        services: services.to_vec(),
+    };
+    let fleet = Fleet::spawn(plan);
+    assert!(fleet.is_ready_within(LATER), "balancers are not ready; logs in {:?}", fleet.folder());
+    fleet
+}
+
+fn served_by(outcome: &Outcome, service: &str) -> bool {
+    matches!(outcome, Outcome::Answered(id) if id.starts_with(service))
+}
+
+#[test]
+fn each_flow_reaches_its_own_service() {
+    let fleet = fleet("serves", 1, &["desk", "desk", "vault"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+
+    for (number, (port, service)) in fleet.routes().into_iter().cycle().take(20).enumerate() {
+        let from = 30_000 + u16::try_from(number).expect("few flows");
+        let mut open = client.open(from, port, &through).expect("the flow opens");
+        let outcome = client.request(&mut open, &through, SOON);
+        assert!(served_by(&outcome, service), "{outcome:?} of {service}");
+    }
+}
+
+/// A kitchen's feed stops on yesterday's menu because the balancer that carried it is replaced. Its
+/// packets reach another balancer, which has never seen the flow and must find its agent.
+#[test]
+fn a_flow_goes_on_when_its_balancer_stops() {
+    let mut fleet = fleet("balancer-stops", 2, &["desk", "desk", "desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let (first, second) = (fleet.balancers()[0], fleet.balancers()[1]);
+    let mut open = client.open(30_000, 443, &[first]).expect("the flow opens");
+    let before = client.request(&mut open, &[first], SOON);
+
+    fleet.signal(first, Signal::Term);
+    let during = client.request(&mut open, &[second], SOON);
+    let ended = fleet.ended(first, LATER);
+    let after = client.request(&mut open, &[second], SOON);
+
+    assert!(served_by(&before, "desk"), "{before:?}");
+    assert_eq!(during, before, "the same backend server answers");
+    assert_eq!(after, before);
+    assert!(ended, "a balancer that was told to stop ends within its grace");
+}
+
+/// A feed breaks off because the agent beside its backend server was killed and started again. The
+/// new process knows no flows; the server does, and must be asked.
+#[test]
+fn a_flow_goes_on_when_its_agent_is_killed() {
+    let mut fleet = fleet("agent-killed", 3, &["desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+    let agent = fleet.agents()[0];
+    let mut open = client.open(30_000, 443, &through).expect("the flow opens");
+    let before = client.request(&mut open, &through, SOON);
+
+    fleet.signal(agent, Signal::Kill);
+    assert!(fleet.ended(agent, SOON));
+    fleet.start(agent);
+    let after = client.request(&mut open, &through, SOON);
+
+    assert_eq!(after, before);
+}
+
+/// Cooks wait for their own timeouts because a backend server lost their flows. Its agent sees their
+/// packets come back and tells them at once.
+#[test]
+fn a_client_whose_flow_is_lost_is_told() {
+    let fleet = fleet("flow-lost", 4, &["desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+    let mut open = client.open(30_000, 443, &through).expect("the flow opens");
+    client.request(&mut open, &through, SOON);
+
+    fleet.server(fleet.agents()[0]).forget_flows();
+    let outcome = client.request(&mut open, &through, SOON);
+
+    assert_eq!(outcome, Outcome::Reset);
+}
+
+#[test]
+fn a_draining_server_keeps_its_flows_and_gets_no_more() {
+    let fleet = fleet("drains", 5, &["desk", "desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+    let mut open = client.open(30_000, 443, &through).expect("the flow opens");
+    let Outcome::Answered(id) = client.request(&mut open, &through, SOON) else {
+        panic!("the request is answered");
+    };
+    let host = fleet.agents().into_iter().find(|ip| fleet.server(*ip).id() == id);
+    let server = fleet.server(host.expect("one of the servers answered"));
+
+    server.drain();
+    std::thread::sleep(Duration::from_millis(900));
+    let opened = server.opened();
+    for port in 30_001..30_020 {
+        client.open(port, 443, &through).expect("the other server takes it");
+    }
+    let after = client.request(&mut open, &through, SOON);
+
+    assert_eq!(server.opened(), opened);
+    assert_eq!(after, Outcome::Answered(id));
+}
+
+/// The store is down, and a balancer is started again beside it. It takes the configuration from
+/// another balancer and serves.
+#[test]
+fn a_balancer_that_starts_while_the_store_is_down_serves() {
+    let mut fleet = fleet("store-down", 6, &["desk", "desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let second = fleet.balancers()[1];
+    fleet.store.set_mood(Mood::Down);
+
+    fleet.signal(second, Signal::Kill);
+    assert!(fleet.ended(second, SOON));
+    fleet.start(second);
+    let ready = fleet.is_ready_within(LATER);
+    let opened = client.open(30_000, 443, &[second]);
+
+    assert!(ready, "logs in {:?}", fleet.folder());
+    assert!(opened.is_ok(), "{opened:?}");
+}
+
+#[test]
+fn a_change_is_in_force_within_a_second_also_after_the_history_is_gone() {
+    let fleet = fleet("change", 7, &["desk", "vault"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+
+    fleet.store.forget_history();
+    fleet.store.put("op/config", &configuration(2, &[(443, "vault")]));
+    std::thread::sleep(Duration::from_secs(1));
+    let mut open = client.open(30_000, 443, &through).expect("the flow opens");
+    let moved = client.request(&mut open, &through, SOON);
+    let dropped = client.open(30_001, 444, &through).map(|_| ());
+
+    assert!(served_by(&moved, "vault"), "{moved:?}");
+    assert_eq!(dropped, Err(Outcome::Reset));
+}
+
+/// The store takes a balancer's entry away while its lease runs on. Renewals succeed and nobody finds
+/// the balancer by the store any more, unless it looks.
+#[test]
+fn an_entry_that_the_store_took_away_is_written_again() {
+    let fleet = fleet("entry", 8, &["desk"]);
+    let prefix = "nutmegkeel/balancers/all/";
+    let all = fleet.store.keys(prefix);
+    std::thread::sleep(Duration::from_secs(7));
+
+    fleet.store.remove(&all[0]);
+    std::thread::sleep(Duration::from_secs(7));
+
+    assert_eq!(all.len(), 2);
+    assert_eq!(fleet.store.keys(prefix), all);
+}
+
+/// Garbage on every socket of a balancer and an agent ends no process and harms no flow.
+#[test]
+fn garbage_is_counted_and_dropped() {
+    let fleet = fleet("garbage", 9, &["desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+    let socket = std::net::UdpSocket::bind((fleet.client(1), 0)).expect("an address is free");
+    let ports = [fleet.ports.packets(), fleet.ports.from_server(), fleet.ports.messages()];
+    let hosts: Vec<_> = fleet.balancers().into_iter().chain(fleet.agents()).collect();
+    for host in &hosts {
+        for port in ports {
+            for length in [0, 1, 31, 32, 33, 500] {
+                // Nobody listens at some of these.
+                let _ = socket.send_to(&vec![0xa5; length], (*host, port));
+            }
+        }
+    }
+
+    let mut open = client.open(30_000, 443, &through).expect("the flow opens");
+    let outcome = client.request(&mut open, &through, SOON);
+
+    assert!(served_by(&outcome, "desk"), "{outcome:?}");
+}
+
+#[test]
+fn a_settings_file_that_becomes_wrong_changes_nothing() {
+    let mut fleet = fleet("settings", 10, &["desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let balancer = fleet.balancers()[0];
+
+    std::fs::write(fleet.settings_path(balancer), "{\"node\": 7").expect("it can be written");
+    fleet.signal(balancer, Signal::Reload);
+    std::thread::sleep(Duration::from_millis(800));
+    let opened = client.open(30_000, 443, &[balancer]);
+
+    let log = std::fs::read_to_string(fleet.log_path(balancer)).expect("the log can be read");
+    assert!(opened.is_ok(), "{opened:?}");
+    assert!(log.contains("reload_refused"), "{log}");
+}
--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -107,6 +107,10 @@
         /// Sequence number for it.
         seq: u32,
     },
+    /// Count a request whose answer began after this many milliseconds.
+    CountAnswer(u64),
+    /// Count an opening that waited for a slot for this many milliseconds.
+    CountWait(u64),
     /// Write a line.
     Note(Note),
 }
@@ -288,6 +292,7 @@
             self.unanswered_since.get_or_insert(now);
             let tag = self.probes.insert(now, opening.flow, opening.from);
             self.table.open(now, opening.flow, opening.seq);
+            actions.push(Action::CountWait(now.since(opening.since)));
             actions.push(Action::ReleaseToServer(opening.packet, tag));
             actions.push(self.accepted(opening.flow));
         }
@@ -413,7 +418,7 @@
                 if behind < slots {
                     self.pace.learn(after_ms);
                 }
-                Vec::new()
+                vec![Action::CountAnswer(after_ms)]
             }
             Outcome::Broken if self.record.broken(now) => {
                 let mut actions = vec![self.changed(ServerChange::Failing)];
--- a/crates/nutmegkeel_node/src/l4.rs
+++ b/crates/nutmegkeel_node/src/l4.rs
@@ -11,8 +11,12 @@
 use std::io;
 use std::net::SocketAddrV4;
 
+use metrics_exporter_prometheus::PrometheusHandle;
 use thiserror::Error;
 
+use crate::metric;
+use crate::web::{self, Answer, Call};
+
 /// Why a role could not start.
 #[derive(Debug, Error)]
 pub enum Fault {
@@ -33,3 +37,19 @@
     #[error("thread: {0}")]
     Thread(#[from] io::Error),
 }
+
+/// Serves the metrics of this process.
+///
+/// # Errors
+/// When the address cannot be bound.
+fn spawn_metrics(address: SocketAddrV4, metrics: PrometheusHandle) -> Result<web::Handle, Fault> {
+    let answer = move |call: &Call| match call.path.as_str() {
+        metric::PATH => Answer::new(200, metrics.render()),
+        _ => Answer::new(404, ""),
+    };
+    web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
+        what: "metrics",
+        address,
+        error,
+    })
+}
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use log::info;
-use metrics::{counter, gauge};
+use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::PrometheusHandle;
 use nutmegkeel_core::l4::agent::{Action, Agent, Event, Identity, TICK_MS};
 use nutmegkeel_core::l4::flow::{Direction, Packet};
@@ -18,7 +18,7 @@
 use super::journal::Journal;
 use super::link::{self, Link};
 use super::reload::Reload;
-use super::{Fault, membership};
+use super::{Fault, membership, spawn_metrics};
 use crate::clock::Clock;
 use crate::metric;
 use crate::web::{self, Answer, Call};
@@ -44,7 +44,7 @@
     shared: Arc<Shared>,
     reload: Reload,
     _control: web::Handle,
-    _peers: web::Handle,
+    _metrics: web::Handle,
 }
 
 /// Starts an agent.
@@ -79,20 +79,24 @@
         listed.handle(Event::Listed(balancers), &mut []);
     })?;
     let control = spawn_control(&shared, settings.control.ok_or(Fault::Missing("control"))?)?;
-    let peers = spawn_metrics(settings.messages, metrics)?;
+    let metrics = spawn_metrics(settings.metrics, metrics)?;
     info!(event = "started", role = "agent", settings:? = settings; "agent runs");
     Ok(Handle {
         shared,
         reload: Reload::open(path, settings.clone(), now),
         _control: control,
-        _peers: peers,
+        _metrics: metrics,
     })
 }
 
 impl Handle {
-    /// Lets a tick pass.
-    pub fn tick(&mut self, reload_signalled: bool) {
+    /// Waits until the next tick is due.
+    pub fn pause(&self) {
         thread::sleep(Duration::from_millis(TICK_MS));
+    }
+
+    /// Does what is due with each tick; looks at the settings file at once if a signal asked for it.
+    pub fn tick(&mut self, reload_signalled: bool) {
         let now = self.shared.clock.now();
         if let Some(settings) = self.reload.look(now, reload_signalled) {
             self.shared.handle(Event::Listed(settings.seeds), &mut []);
@@ -145,18 +149,6 @@
     })
 }
 
-fn spawn_metrics(address: SocketAddrV4, metrics: PrometheusHandle) -> Result<web::Handle, Fault> {
-    let answer = move |call: &Call| match call.path.as_str() {
-        metric::PATH => Answer::new(200, metrics.render()),
-        _ => Answer::new(404, ""),
-    };
-    web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
-        what: "metrics",
-        address,
-        error,
-    })
-}
-
 impl Shared {
     fn core(&self) -> MutexGuard<'_, Agent> {
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
@@ -242,6 +234,12 @@
                     let client = SocketAddrV4::new(*flow.client.ip(), self.client_port);
                     link::send(&self.beside, &packet::reset(&flow, seq), client);
                 }
+                Action::CountAnswer(millis) => {
+                    histogram!(metric::ANSWER_SECONDS).record(Duration::from_millis(millis));
+                }
+                Action::CountWait(millis) => {
+                    histogram!(metric::WAIT_SECONDS).record(Duration::from_millis(millis));
+                }
                 Action::Note(note) => self.journal.note(now, note),
             }
         }
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -21,7 +21,7 @@
 use super::journal::Journal;
 use super::link::{self, Link};
 use super::reload::Reload;
-use super::{Fault, membership};
+use super::{Fault, membership, spawn_metrics};
 use crate::clock::Clock;
 use crate::metric;
 use crate::web::{self, Answer, Call};
@@ -54,6 +54,7 @@
     grace_ms: u64,
     _readiness: web::Handle,
     _peers: web::Handle,
+    _metrics: web::Handle,
 }
 
 /// Starts a balancer.
@@ -82,7 +83,8 @@
     spawn_readers(&shared, fetcher)?;
     spawn_membership(&shared, settings)?;
     let readiness = spawn_readiness(&shared, settings.readiness)?;
-    let peers = spawn_peers(&shared, settings.messages, source, metrics)?;
+    let peers = spawn_peers(&shared, settings.messages, source)?;
+    let metrics = spawn_metrics(settings.metrics, metrics)?;
     info!(event = "started", role = "balancer", settings:? = settings; "balancer runs");
     Ok(Handle {
         shared,
@@ -90,13 +92,18 @@
         grace_ms: settings.grace_ms,
         _readiness: readiness,
         _peers: peers,
+        _metrics: metrics,
     })
 }
 
 impl Handle {
-    /// Lets a tick pass.
-    pub fn tick(&mut self, reload_signalled: bool) {
+    /// Waits until the next tick is due.
+    pub fn pause(&self) {
         thread::sleep(Duration::from_millis(TICK_MS));
+    }
+
+    /// Does what is due with each tick; looks at the settings file at once if a signal asked for it.
+    pub fn tick(&mut self, reload_signalled: bool) {
         let now = self.shared.clock.now();
         if let Some(settings) = self.reload.look(now, reload_signalled) {
             self.shared.handle(Event::Listed(settings.seeds), &[]);
@@ -173,17 +180,15 @@
     })
 }
 
-/// Serves other balancers, and whoever reads the metrics.
+/// Serves other balancers.
 fn spawn_peers(
     shared: &Arc<Shared>,
     address: SocketAddrV4,
     source: Source,
-    metrics: PrometheusHandle,
 ) -> Result<web::Handle, Fault> {
     let shared = Arc::clone(shared);
     let answer = move |call: &Call| match call.path.as_str() {
         configuration::PATH if shared.core().version() > 0 => Answer::new(200, &*source.text()),
-        metric::PATH => Answer::new(200, metrics.render()),
         _ => Answer::new(404, ""),
     };
     web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
--- a/crates/nutmegkeel_node/src/l4/journal.rs
+++ b/crates/nutmegkeel_node/src/l4/journal.rs
@@ -22,7 +22,7 @@
 const USUAL: u32 = 20;
 
 /// Lines a second of what goes wrong with a flow, or changes what the process believes.
-const UNUSUAL: u32 = 50;
+const UNUSUAL: u32 = 25;
 
 /// Writes notes of decisions.
 #[derive(Clone, Debug)]
@@ -64,6 +64,7 @@
     /// Writes a note if its kind's budget allows.
     pub(super) fn note(&self, now: Time, note: Note) {
         let (kind, limit) = kind(&note);
+        counter!(metric::DECISIONS, "kind" => kind, "reason" => reason(&note)).increment(1);
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         for (kind, left_out) in budgets.turn(now.millis() / 1_000) {
             self.push(Entry::LeftOut(kind, left_out));
@@ -122,6 +123,15 @@
     }
 }
 
+/// Why something was refused or dropped, as a label.
+const fn reason(note: &Note) -> &'static str {
+    match note {
+        Note::Declined { reason, .. } => reason.name(),
+        Note::Reset { cause, .. } | Note::Dropped { cause, .. } => cause.name(),
+        _ => "",
+    }
+}
+
 fn write_all(entries: &Receiver<Entry>) {
     while let Ok(entry) = entries.recv() {
         match entry {
--- a/crates/nutmegkeel_node/src/l4/membership.rs
+++ b/crates/nutmegkeel_node/src/l4/membership.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use log::info;
-use metrics::counter;
+use metrics::{counter, gauge};
 use nutmegkeel_platform::settings::Settings;
 use nutmegkeel_platform::store::Client;
 use nutmegkeel_store::kv::{Fault, Registry};
@@ -49,6 +49,7 @@
     thread::Builder::new().name("membership".to_owned()).spawn(move || {
         let mut reachable = true;
         let mut read_at = None;
+        let mut answered = clock.now();
         loop {
             let now = clock.now();
             let mut outcome = registration.as_mut().map_or(Ok(()), |entry| entry.step(&store, now));
@@ -62,6 +63,11 @@
                     listed(addresses(&pairs, &prefix));
                 });
             }
+            if outcome.is_ok() {
+                answered = clock.now();
+            }
+            #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
+            gauge!(metric::STORE_AGE).set(clock.now().since(answered) as f64);
             note_reachable(&mut reachable, outcome);
             thread::sleep(LOOK);
         }
--- a/crates/nutmegkeel_node/src/metric.rs
+++ b/crates/nutmegkeel_node/src/metric.rs
@@ -32,6 +32,10 @@
 /// Failed calls to the platform.
 pub const PLATFORM_FAILURES: &str = "nutmegkeel_platform_failures_total";
 
+/// Decisions on flows and changes of belief, by kind and reason; counted whether logged or not.
+pub const DECISIONS: &str = "nutmegkeel_decisions_total";
+/// Milliseconds since the last answer of the store.
+pub const STORE_AGE: &str = "nutmegkeel_store_answer_age_ms";
 /// Version of the configuration in force at a balancer.
 pub const CONFIGURATION: &str = "nutmegkeel_configuration_version";
 /// Agents that a balancer knows.
