--- a/crates/nutmegkeel/src/arguments.rs
+++ b/crates/nutmegkeel/src/arguments.rs
@@ -5,6 +5,7 @@
 
 use bpaf::Parser;
 
+use crate::explain::Query;
 use crate::operator::{Access, Change};
 
 /// What the user asked for.
@@ -20,6 +21,8 @@
     PlatformAgent,
     /// Check the settings file that the platform wrote.
     CheckPlatformSettings,
+    /// Query: what became of a flow, or why flows were refused, from log lines.
+    Explain(Query),
     /// Check a settings file.
     CheckSettings(PathBuf),
     /// Query: the classes in force.
@@ -41,6 +44,7 @@
         agent(),
         check_settings(),
         platform(),
+        explain(),
         class(),
         status(),
         drain()
@@ -110,6 +114,20 @@
         .command("platform")
 }
 
+fn explain() -> impl Parser<Command> {
+    let flow = bpaf::long("flow")
+        .help("Only this flow: CLIENT:PORT>SERVICE:PORT, or a part of it")
+        .argument::<String>("FLOW")
+        .optional();
+    let files = bpaf::positional::<PathBuf>("FILE").help("Logs; standard input if none").many();
+    bpaf::construct!(Query { flow, files })
+        .map(Command::Explain)
+        .to_options()
+        .descr("Tell what became of a flow, or count refusals by cause, from log lines")
+        .footer("Example: nutmegkeel explain --flow '100.64.0.7:40001>198.18.0.1:443' *.log")
+        .command("explain")
+}
+
 fn class() -> impl Parser<Command> {
     bpaf::construct!([list_classes(), show_class(), set_class()])
         .to_options()
--- a/crates/nutmegkeel/src/main.rs
+++ b/crates/nutmegkeel/src/main.rs
@@ -1,6 +1,7 @@
 //! The one binary: balancer, agent, and the operator's commands and queries.
 
 mod arguments;
+mod explain;
 mod logging;
 mod operator;
 mod run;
@@ -17,6 +18,7 @@
         Command::PlatformBalancer => run::platform_balancer(),
         Command::PlatformAgent => run::platform_agent(),
         Command::CheckPlatformSettings => run::check_platform_settings(),
+        Command::Explain(query) => explain::run(&query).map_err(Into::into),
         Command::CheckSettings(file) => run::check_settings(&file),
         Command::ListClasses(access) => operator::list_classes(&access).map_err(Into::into),
         Command::ShowClass(access, name) => {
--- a/crates/nutmegkeel/src/run.rs
+++ b/crates/nutmegkeel/src/run.rs
@@ -43,6 +43,9 @@
     /// The platform's settings file is wrong.
     #[error(transparent)]
     PlatformSettings(#[from] platform_settings::Fault),
+    /// Log lines could not be read or printed.
+    #[error("log lines: {0}")]
+    Explain(#[from] std::io::Error),
     /// A role on the platform could not start.
     #[error(transparent)]
     Platform(#[from] l4::Fault),
--- /dev/null
+++ b/crates/nutmegkeel/tests/explain.rs
@@ -0,0 +1,60 @@
+//! From a flow's id to its cause, from log lines alone.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+/// Lines of two processes, out of order, with a cut one and one of another program between them.
+const LINES: &str = concat!(
+    r#"{"time":"2026-01-01T00:00:02Z","message":"reset sent","mdc":{"host":"b1"},"#,
+    r#""attributes":{"event":"reset","flow":"1.1.1.1:5>2.2.2.2:443","cause":"agent_dead"}}"#,
+    "\n",
+    "something else\n",
+    r#"{"time":"2026-01-01T00:00:01Z","message":"opening sent","mdc":{"host":"b1"},"#,
+    r#""attributes":{"event":"placed","flow":"1.1.1.1:5>2.2.2.2:443","agent":"3.3.3.3"}}"#,
+    "\n",
+    r#"{"time":"2026-01-01T00:00:03Z","message":"reset sent","mdc":{"host":"b1"},"#,
+    r#""attributes":{"event":"reset","flow":"1.1.1.1:6>2.2.2.2:443","cause":"agent_dead"}}"#,
+    "\n",
+    r#"{"time":"2026-01-01T00:00:04Z","mess"#,
+);
+
+fn explain(arguments: &[&str]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_nutmegkeel"))
+        .arg("explain")
+        .args(arguments)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the binary starts");
+    let mut input = child.stdin.take().expect("the input is piped");
+    input.write_all(LINES.as_bytes()).expect("the lines are taken");
+    drop(input);
+    child.wait_with_output().expect("the binary ends")
+}
+
+#[test]
+fn the_story_of_a_flow_is_in_order_of_time() {
+    let output = explain(&["--flow", "1.1.1.1:5>"]);
+
+    let story = String::from_utf8_lossy(&output.stdout).into_owned();
+    let lines: Vec<&str> = story.lines().collect();
+    assert_eq!(lines.len(), 2, "{story}");
+    assert!(lines[0].contains("b1: opening sent (agent=3.3.3.3"), "{story}");
+    assert!(lines[1].contains("cause=agent_dead"), "{story}");
+}
+
+#[test]
+fn refusals_are_counted_by_cause() {
+    let output = explain(&[]);
+
+    let counts = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert_eq!(counts.trim(), "2 reset agent_dead b1");
+}
+
+#[test]
+fn a_flow_that_no_line_speaks_of_is_said_to_be_unknown() {
+    let output = explain(&["--flow", "9.9.9.9"]);
+
+    let said = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert_eq!(said.trim(), "no line speaks of 9.9.9.9");
+}
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -71,7 +71,7 @@
         server: settings.server.ok_or(Fault::Missing("app"))?,
         client_port: settings.packets.port(),
         link: Link::bind(settings.messages)?,
-        journal: Journal::spawn()?,
+        journal: Journal::spawn(Arc::clone(&settings.host))?,
     });
     spawn_readers(&shared)?;
     let listed = Arc::clone(&shared);
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -75,7 +75,7 @@
         clients: Arc::new(link::bind("clients' packets", settings.packets)?),
         client_port: settings.packets.port(),
         link: Link::bind(settings.messages)?,
-        journal: Journal::spawn()?,
+        journal: Journal::spawn(Arc::clone(&settings.host))?,
         last_packet: Mutex::new(now),
     });
     let source = Source::default();
--- a/crates/nutmegkeel_node/src/l4/journal.rs
+++ b/crates/nutmegkeel_node/src/l4/journal.rs
@@ -55,9 +55,13 @@
     ///
     /// # Errors
     /// When its thread cannot be started.
-    pub(super) fn spawn() -> io::Result<Self> {
+    pub(super) fn spawn(host: Arc<str>) -> io::Result<Self> {
         let (queue, entries) = sync_channel(QUEUE);
-        thread::Builder::new().name("journal".to_owned()).spawn(move || write_all(&entries))?;
+        thread::Builder::new().name("journal".to_owned()).spawn(move || {
+            // Each line names its host, so that lines of several processes can be read together.
+            log_mdc::insert("host", &*host);
+            write_all(&entries);
+        })?;
         Ok(Self { queue, budgets: Arc::default() })
     }
 
