--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -522,6 +522,7 @@
         entry.place = Some(Place::Held(from));
         entry.declined.clear();
         entry.passed_over = false;
+        entry.undecided = false;
         if news { vec![Action::Note(Note::Found { flow, agent: from, asked })] } else { Vec::new() }
     }
 
--- a/crates/nutmegkeel_core/tests/l4/balancer.rs
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -287,3 +287,25 @@
 
     assert!(third.is_some());
 }
+
+/// A balancer asked for one flow 40 times in five seconds: the agent had said that it holds the flow,
+/// but the note that its client waits for a decision stayed, and each look began the search anew.
+#[test]
+fn a_flow_that_was_found_is_not_searched_again() {
+    let mut balancer = balancer(&[]);
+    announce(&mut balancer, &[1, 2], 3_000, 3_000);
+    let packet = data(flow(1), 1_001, 500);
+    let first = forwarded(&balancer.handle(at(3_100), Event::Client(packet)));
+    let (one, two) = if first == Some(host(1)) { (1, 2) } else { (2, 1) };
+    balancer.handle(at(3_102), declined(one, packet, Reason::NotHeld));
+    balancer.handle(at(3_104), declined(two, packet, Reason::NotHeld));
+    let holds = Event::Holds { from: host(1), flow: flow(1), load: Load::default() };
+    balancer.handle(at(3_106), holds);
+    announce(&mut balancer, &[1, 2], 3_300, 3_600);
+
+    let review = balancer.handle(at(3_800), Event::Tick);
+    let next = balancer.handle(at(3_801), Event::Client(packet));
+
+    assert!(!review.iter().any(|action| matches!(action, Action::Send(_, Message::Locate { .. }))));
+    assert_eq!(forwarded(&next), Some(host(1)));
+}
