--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -35,8 +35,9 @@
 /// take the next slot, and one more because an opening becomes a request only a round trip later.
 const AHEAD: u16 = 2;
 
-/// An agent that has heard nothing for so many heartbeats stands beside no server.
-const UNHEARD_HEARTBEATS: u64 = 3;
+/// An agent that has heard nothing for so long stands beside no server, in percent of the pause
+/// between two heartbeats: one and a half, because a server that runs sends its next one within one.
+const UNHEARD_PERCENT: u64 = 150;
 
 /// What happens to an agent.
 #[derive(Clone, Debug)]
@@ -384,7 +385,8 @@
         match self.beside.server() {
             Some(server) => server.seen_from_start || age_ms > FORGET_MS,
             None => {
-                self.beside.has_ended() || age_ms > UNHEARD_HEARTBEATS * self.identity.heartbeat_ms
+                let limit_ms = self.identity.heartbeat_ms * UNHEARD_PERCENT / 100;
+                self.beside.has_ended() || age_ms > limit_ms
             }
         }
     }
--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -356,3 +356,15 @@
     assert_eq!(agent.state(at(102)), State::Failing);
     assert_eq!(agent.state(at(2_200)), State::Ready);
 }
+
+/// Clients of lost flows wait for seconds because a host without a backend server was started: its
+/// agent could not say that it holds nothing. One and a half heartbeats are enough to know.
+#[test]
+fn an_agent_that_hears_no_server_holds_nothing() {
+    let mut agent = agent();
+
+    let actions = agent.handle(at(1_801), Event::Locate(BALANCER, flow(1)));
+
+    let denies = |action: &Action| matches!(action, Action::Send(_, Message::Absent { .. }));
+    assert!(actions.iter().any(denies), "{actions:?}");
+}
