--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -220,7 +220,7 @@
             }
             Event::Carry { from, head, known } => self.carry(now, from, &head, known),
             Event::Locate(from, flow) => self.locate(now, from, flow),
-            Event::FromServer(head) => self.from_server(now, &head),
+            Event::FromServer(head) => self.answered(now, &head),
             Event::Bounced(head) => self.bounced(now, &head),
             Event::Heartbeat(beat) => self.heartbeat(now, &beat),
             Event::Deregistered(id) => self.deregistered(now, &id),
@@ -247,13 +247,13 @@
             return vec![self.decline(opening.from, reason)];
         }
         if is_copy {
-            return vec![self.to_server(now, opening.flow, opening.from)];
+            return vec![self.hand_over(now, opening.flow, opening.from)];
         }
         if matches!(insistence, Insistence::IfWithin(_)) && self.is_saturated() {
             self.waiting.push(opening);
             return Vec::new();
         }
-        let action = self.to_server(now, opening.flow, opening.from);
+        let action = self.hand_over(now, opening.flow, opening.from);
         self.table.open(now, opening.flow, opening.seq);
         vec![action, self.accepted(opening.flow)]
     }
@@ -264,7 +264,7 @@
         self.table.load().busy >= slots + AHEAD
     }
 
-    fn to_server(&mut self, now: Time, flow: Flow, from: Ipv4Addr) -> Action {
+    fn hand_over(&mut self, now: Time, flow: Flow, from: Ipv4Addr) -> Action {
         self.unanswered_since.get_or_insert(now);
         Action::ToServer(self.probes.insert(now, flow, from))
     }
@@ -349,7 +349,7 @@
     fn carry(&mut self, now: Time, from: Ipv4Addr, head: &Head, known: bool) -> Vec<Action> {
         let flow = head.flow;
         if self.table.takes(now, head) {
-            self.table.from_client(now, head);
+            self.table.note_client(now, head);
             let mut actions = vec![Action::ToServer(0)];
             if !known {
                 actions.push(Action::Send(from, Message::Holds { flow, load: self.load() }));
@@ -391,7 +391,7 @@
         }
     }
 
-    fn from_server(&mut self, now: Time, head: &Head) -> Vec<Action> {
+    fn answered(&mut self, now: Time, head: &Head) -> Vec<Action> {
         self.unanswered_since = None;
         let mut actions = vec![Action::ToClient];
         actions.extend(self.responsive(now));
@@ -399,7 +399,7 @@
             self.table.adopt(now, head);
             actions.push(Action::Note(Note::Adopted { flow: head.flow }));
         }
-        if let Some(outcome) = self.table.from_server(now, head) {
+        if let Some(outcome) = self.table.note_server(now, head) {
             actions.extend(self.learn(now, outcome));
         }
         if let Some(balancer) = self.probes.answered(&head.flow) {
@@ -503,12 +503,12 @@
         actions
     }
 
+    /// A balancer that leaves still carries packets, so it must go on hearing of this agent: it would
+    /// take the agent for dead and reset its flows. It drops out when nobody speaks of it any more.
     fn roster(&mut self, now: Time, from: Ipv4Addr, roster: &Roster) -> Vec<Action> {
-        if roster.leaving {
-            self.balancers.remove(from);
-            return vec![Action::Note(Note::Balancer { balancer: from, known: false })];
-        }
-        self.listed(now, &roster.balancers)
+        let mut actions = self.listed(now, &roster.balancers);
+        actions.extend(self.listed(now, &[from]));
+        actions
     }
 
     fn listed(&mut self, now: Time, balancers: &[Ipv4Addr]) -> Vec<Action> {
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -1,5 +1,6 @@
 //! Decisions of a balancer for flows without a routing token.
 
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
@@ -9,7 +10,7 @@
 use super::message::{Announcement, Insistence, Load, Message, Reason, Roster};
 use super::note::{Cause, Note};
 use super::placement::{Change, Pool};
-use super::roster::Book;
+use super::roster::{Book, KEPT_MS};
 use super::route::{Kind, Route, Service, Table};
 use super::waiting::LONGEST_MS;
 use crate::clock::Time;
@@ -48,6 +49,13 @@
 /// it is not near the numbers of its flow but in one of 28,000 cases.
 const REFUSAL_SEQ: u32 = 0x8000_0000;
 
+/// An agent is told who the balancers are at least so often, in milliseconds: three times within the
+/// span after which it drops a balancer that nobody speaks of.
+const TELL_MS: u64 = KEPT_MS / 3;
+
+/// What another balancer said of its agents counts for so long: three of its rosters.
+const COUNTED_MS: u64 = 3 * TICK_MS;
+
 /// Balancers that others still speak of within this time are passed on.
 const SPOKEN_OF_MS: u64 = 5_000;
 
@@ -128,6 +136,8 @@
     pool: Pool,
     cache: Cache,
     peers: Book,
+    /// Agents that the other balancers hear of, and when they said so.
+    counts: BTreeMap<Ipv4Addr, (Time, usize)>,
     /// When an agent appeared last, or this balancer started.
     grown: Time,
     last: Time,
@@ -151,6 +161,7 @@
             pool: Pool::default(),
             cache: Cache::default(),
             peers,
+            counts: BTreeMap::new(),
             grown: now,
             last: now,
             reviewed: now,
@@ -471,6 +482,14 @@
         }
     }
 
+    /// Whether no other balancer hears of more agents. Guards against resetting the flows of an agent
+    /// that has not yet learnt of this balancer: the others know it.
+    fn has_heard_of_all(&self, now: Time) -> bool {
+        let own = self.pool.heard_of(now);
+        let recent = self.counts.values().filter(|(said, _)| now.since(*said) <= COUNTED_MS);
+        recent.map(|(_, count)| *count).max().is_none_or(|most| own >= most)
+    }
+
     /// Whether agents are still appearing.
     fn is_growing(&self, now: Time) -> bool {
         let span = if self.pool.is_young() { SETTLE_YOUNG_MS } else { SETTLE_MS };
@@ -479,7 +498,7 @@
 
     /// Whether every agent that may hold a flow is known and can be asked.
     fn is_settled(&self, now: Time) -> bool {
-        !self.is_growing(now) && self.pool.is_conclusive(now)
+        !self.is_growing(now) && self.pool.is_conclusive(now) && self.has_heard_of_all(now)
     }
 
     fn declined(
@@ -533,7 +552,8 @@
             self.grown = now;
         }
         let mut actions = Vec::new();
-        if digest != self.digest(now) {
+        let must_tell = self.pool.tell(now, from, TELL_MS);
+        if must_tell || digest != self.digest(now) {
             actions.push(Action::Send(from, self.own_roster(now)));
         }
         if !matches!(change, Change::None | Change::Stale) {
@@ -546,9 +566,12 @@
         let mut actions = Vec::new();
         if roster.leaving {
             self.peers.remove(from);
+            self.counts.remove(&from);
             actions.push(Action::Note(Note::Balancer { balancer: from, known: false }));
             return actions;
         }
+        let agents = usize::try_from(roster.agents).unwrap_or(usize::MAX);
+        self.counts.insert(from, (now, agents));
         for balancer in roster.balancers.iter().filter(|balancer| **balancer != self.own) {
             // Only a balancer's own word keeps it: others would repeat a dead one to each other.
             let news = *balancer == from || !self.peers.iter().any(|known| known == *balancer);
@@ -596,6 +619,7 @@
         self.cache.expire(now);
         self.pool.forget(now);
         self.peers.expire(now);
+        self.counts.retain(|_, (said, _)| now.since(*said) <= COUNTED_MS);
         if self.leaving {
             return Vec::new();
         }
@@ -624,6 +648,7 @@
         Message::Roster(Roster {
             version: self.table.version,
             balancers: self.known(now),
+            agents: u32::try_from(self.pool.heard_of(now)).unwrap_or(u32::MAX),
             leaving: self.leaving,
         })
     }
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -159,6 +159,8 @@
     pub version: u64,
     /// Addresses of all balancers it knows, its own among them.
     pub balancers: Vec<Ipv4Addr>,
+    /// Agents that it hears of now. A balancer that hears of fewer has not heard of all.
+    pub agents: u32,
     /// Whether the sender is about to stop.
     pub leaving: bool,
 }
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -56,6 +56,8 @@
     placed_since: u16,
     /// Whether its silence was noticed.
     noticed: bool,
+    /// When this balancer last told it who the balancers are.
+    told: Option<Time>,
 }
 
 impl Candidate {
@@ -142,6 +144,7 @@
                 load,
                 placed_since: 0,
                 noticed: false,
+                told: self.agents.get(&from).and_then(|known| known.told),
             };
             self.agents.insert(from, candidate);
         }
@@ -219,13 +222,30 @@
         if failing > healthy { State::Failing } else { State::Ready }
     }
 
+    /// Number of agents heard of lately.
+    #[must_use]
+    pub fn heard_of(&self, now: Time) -> usize {
+        self.agents.values().filter(|candidate| candidate.health(now) <= Health::Late).count()
+    }
+
+    /// Whether an agent must be told who the balancers are, because it was not for so long; notes
+    /// that it is.
+    pub fn tell(&mut self, now: Time, agent: Ipv4Addr, pause_ms: u64) -> bool {
+        let Some(candidate) = self.agents.get_mut(&agent) else {
+            return true;
+        };
+        let due = candidate.told.is_none_or(|told| now.since(told) >= pause_ms);
+        if due {
+            candidate.told = Some(now);
+        }
+        due
+    }
+
     /// Whether less than half of the agents heard of within a minute are heard of now. Then it is
     /// likelier that this process is cut off than that they all died at once.
     #[must_use]
     pub fn is_cut_off(&self, now: Time) -> bool {
-        let fresh =
-            self.agents.values().filter(|candidate| candidate.health(now) <= Health::Late).count();
-        fresh * 2 < self.agents.len() || self.agents.is_empty()
+        self.heard_of(now) * 2 < self.agents.len() || self.agents.is_empty()
     }
 
     /// Whether what no agent holds does not exist. An agent that is late or restarting may hold it,
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -173,7 +173,7 @@
     }
 
     /// Notes a client's packet that goes to the server.
-    pub fn from_client(&mut self, now: Time, head: &Head) {
+    pub fn note_client(&mut self, now: Time, head: &Head) {
         let behind = self.load.busy;
         self.update(head.flow, |held| {
             held.stage = Stage::Open;
@@ -194,7 +194,7 @@
     }
 
     /// Notes a server's packet; if it decides a request, says how.
-    pub fn from_server(&mut self, now: Time, head: &Head) -> Option<Outcome> {
+    pub fn note_server(&mut self, now: Time, head: &Head) -> Option<Outcome> {
         let mut outcome = None;
         self.update(head.flow, |held| {
             held.used = now;
--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -1,6 +1,6 @@
 use nutmegkeel_core::l4::agent::{Action, Agent, Event};
 use nutmegkeel_core::l4::flow::{Flow, Head, Packet};
-use nutmegkeel_core::l4::message::{Insistence, Load, Message, Reason, State};
+use nutmegkeel_core::l4::message::{Insistence, Load, Message, Reason, Roster, State};
 use nutmegkeel_core::l4::route::Service;
 
 use crate::fixture::{
@@ -368,3 +368,17 @@
     let denies = |action: &Action| matches!(action, Action::Send(_, Message::Absent { .. }));
     assert!(actions.iter().any(denies), "{actions:?}");
 }
+
+/// All feeds that pass a balancer break off two seconds after it was told to stop: agents no longer
+/// spoke to it, and it took them for dead while it still carried packets.
+#[test]
+fn an_agent_goes_on_speaking_to_a_balancer_that_leaves() {
+    let mut agent = serving();
+    let roster = Roster { version: 1, balancers: Vec::new(), agents: 1, leaving: true };
+    agent.handle(at(1_000), Event::Roster(BALANCER, roster));
+
+    let actions = agent.handle(at(1_400), Event::Tick);
+
+    let speaks = |action: &Action| matches!(action, Action::Send(to, Message::Announce(_)) if *to == BALANCER);
+    assert!(actions.iter().any(speaks), "{actions:?}");
+}
--- a/crates/nutmegkeel_core/tests/l4/balancer.rs
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -236,7 +236,7 @@
 fn a_peer_with_a_newer_configuration_is_asked_for_it() {
     let mut balancer = balancer(&[1]);
     let peer = host(77);
-    let roster = Roster { version: 9, balancers: vec![peer], leaving: false };
+    let roster = Roster { version: 9, balancers: vec![peer], agents: 0, leaving: false };
 
     let actions = balancer.handle(at(3_000), Event::Roster(peer, roster));
 
@@ -247,7 +247,7 @@
 fn a_leaving_balancer_is_not_ready_and_says_so() {
     let mut balancer = balancer(&[1]);
     let peer = host(77);
-    let roster = Roster { version: 1, balancers: vec![peer], leaving: false };
+    let roster = Roster { version: 1, balancers: vec![peer], agents: 0, leaving: false };
     balancer.handle(at(3_000), Event::Roster(peer, roster));
     let before = balancer.is_ready(at(3_001));
 
@@ -309,3 +309,39 @@
     assert!(!review.iter().any(|action| matches!(action, Action::Send(_, Message::Locate { .. }))));
     assert_eq!(forwarded(&next), Some(host(1)));
 }
+
+/// A feed breaks off with a reset while its server serves. Its balancer had just started, and the
+/// flow's agent had not learnt of it yet; the other agents held nothing. Other balancers knew more
+/// agents.
+#[test]
+fn a_balancer_that_hears_of_fewer_agents_than_others_resets_nothing() {
+    let mut balancer = balancer(&[1]);
+    let peer = host(77);
+    let roster = Roster { version: 1, balancers: vec![peer], agents: 2, leaving: false };
+    balancer.handle(at(3_000), Event::Roster(peer, roster));
+    let packet = data(flow(1), 1_001, 500);
+    balancer.handle(at(3_001), Event::Client(packet));
+
+    let actions = balancer.handle(at(3_002), declined(1, packet, Reason::NotHeld));
+
+    assert!(!resets(&actions), "{actions:?}");
+}
+
+/// The store is down for longer than agents remember balancers that nobody speaks of. Agents whose
+/// view agrees with that of the balancers heard nothing from them, dropped them all and fell silent.
+#[test]
+fn agents_that_know_all_balancers_are_told_again() {
+    let mut balancer = balancer(&[1]);
+    let told = |actions: Vec<Action>| {
+        actions.iter().any(|action| matches!(action, Action::Send(_, Message::Roster(_))))
+    };
+    let mut agreeing = word(9_000, State::Ready, Load::default());
+    agreeing.balancers = nutmegkeel_core::l4::roster::digest([BALANCER].into_iter());
+    balancer.handle(at(3_100), Event::Announced(host(1), agreeing.clone()));
+
+    let soon = balancer.handle(at(3_400), Event::Announced(host(1), agreeing.clone()));
+    let later = balancer.handle(at(7_500), Event::Announced(host(1), agreeing));
+
+    assert!(!told(soon));
+    assert!(told(later));
+}
--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -14,6 +14,7 @@
     Measure(Measurement),
     Model,
     Soak(u64, u64),
+    SoakProcesses(u64, u64, u64),
     Platform(SocketAddr),
     Fabric(PathBuf),
     Backend(PathBuf),
@@ -26,6 +27,7 @@
         measure_command(),
         model_command(),
         soak_command(),
+        soak_processes(),
         platform(),
         fabric(),
         backend(),
@@ -36,6 +38,7 @@
         Command::Demo(options) => demo::run(&options),
         Command::Measure(measurement) => measure::run(&measurement),
         Command::Model => model::run(),
+        Command::SoakProcesses(seed, count, seconds) => soak::run_processes(seed, count, seconds),
         Command::Soak(seed, minutes) => Ok(soak::run(seed, minutes)),
         Command::Platform(address) => standin::platform::spawn(address).map(|_handle| {
             loop {
@@ -117,6 +120,16 @@
         .command("soak")
 }
 
+fn soak_processes() -> impl Parser<Command> {
+    let seed = bpaf::long("seed").help("First seed").argument("SEED").fallback(1);
+    let count = bpaf::long("count").help("Number of seeds").argument("COUNT").fallback(6);
+    let seconds = bpaf::long("seconds").help("Faults of each").argument("SECONDS").fallback(10);
+    bpaf::construct!(Command::SoakProcesses(seed, count, seconds))
+        .to_options()
+        .descr("Random faults for the real programs on the users' platform's stand-ins")
+        .command("soak-processes")
+}
+
 fn capacity_point() -> impl Parser<Measurement> {
     let name = bpaf::positional::<String>("KIND");
     let count = bpaf::positional::<u32>("COUNT");
--- a/crates/nutmegkeel_dev/src/soak.rs
+++ b/crates/nutmegkeel_dev/src/soak.rs
@@ -1,4 +1,6 @@
-//! Random runs of the core for as long as one likes.
+//! Random runs of the core, and of the real programs, for as long as one likes.
+
+pub mod processes;
 
 use std::time::{Duration, Instant};
 
@@ -24,3 +26,57 @@
     println!("{} runs of {FAULTS} faults each, no promise broken", seed - first_seed);
     true
 }
+
+/// Runs of the real programs that go on at once: each has ten processes.
+const AT_ONCE: u64 = 6;
+
+/// Networks on loopback that runs take in turn: stand-ins keep their addresses until the end.
+const NETS: u64 = 250;
+
+/// Runs `count` seeds of the real programs; true when no promise was broken.
+///
+/// # Errors
+/// When the program is not where it is expected.
+pub fn run_processes(first_seed: u64, count: u64, seconds: u64) -> std::io::Result<bool> {
+    let program = processes::program_beside()?;
+    let mut good = true;
+    let mut seed = first_seed;
+    while seed < first_seed + count {
+        let until = (seed + AT_ONCE).min(first_seed + count);
+        let runs: Vec<_> = (seed..until)
+            .map(|seed| {
+                let net = u8::try_from(1 + seed % NETS).unwrap_or(1);
+                let options = processes::Options { program: program.clone(), seed, seconds, net };
+                std::thread::spawn(move || processes::run(&options))
+            })
+            .collect();
+        for run in runs {
+            let report = run.join().map_err(|_| std::io::Error::other("a run failed itself"))?;
+            good &= print(&report);
+        }
+        seed = until;
+    }
+    Ok(good)
+}
+
+fn print(report: &processes::Report) -> bool {
+    println!(
+        "seed {}: {} answered, {} not, {} faults, {} promises broken",
+        report.seed,
+        report.answered,
+        report.unanswered,
+        report.faults.len(),
+        report.broken.len()
+    );
+    for broken in &report.broken {
+        println!("  broken: {broken}");
+    }
+    if report.broken.is_empty() {
+        return true;
+    }
+    for fault in &report.faults {
+        println!("  {fault}");
+    }
+    println!("  logs: {}", report.folder.display());
+    false
+}
