--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -254,7 +254,7 @@
             }
         }
         if self.is_settled(now) {
-            for flow in self.cache.undecided() {
+            for flow in self.cache.undecided(now) {
                 actions.extend(self.decide(now, flow));
             }
         }
@@ -282,10 +282,11 @@
         }
         let entry = self.cache.entry(now, flow);
         let (seq, asked) = (entry.client_ack, entry.declined.len());
-        if entry.passed_over || asked == 0 {
+        let certain = asked > 0 && !entry.passed_over && self.is_settled(now);
+        if !certain {
             return Vec::new();
         }
-        entry.undecided = false;
+        self.cache.decide(&flow);
         self.reset_flow(flow, seq, Cause::NotHeld, asked)
     }
 
@@ -380,9 +381,9 @@
     }
 
     fn carry(&mut self, now: Time, head: &Head, route: &Route) -> Vec<Action> {
+        self.cache.decide(&head.flow);
         let entry = self.cache.entry(now, head.flow);
         entry.client_ack = head.ack;
-        entry.undecided = false;
         if entry.is_stale(now) {
             entry.restart(now);
         }
@@ -477,7 +478,7 @@
         if all_answered && self.is_settled(now) {
             self.reset(head, Cause::NotHeld, asked)
         } else {
-            self.cache.entry(now, head.flow).undecided = true;
+            self.cache.wait(now, head.flow);
             vec![dropped(head.flow, Cause::Undecided)]
         }
     }
@@ -541,7 +542,7 @@
         entry.place = Some(Place::Held(from));
         entry.declined.clear();
         entry.passed_over = false;
-        entry.undecided = false;
+        self.cache.decide(&flow);
         if news { vec![Action::Note(Note::Found { flow, agent: from, asked })] } else { Vec::new() }
     }
 
--- a/crates/nutmegkeel_core/src/l4/cache.rs
+++ b/crates/nutmegkeel_core/src/l4/cache.rs
@@ -15,6 +15,9 @@
 /// An entry unused for so long is dropped: no flow lives longer.
 const UNUSED_MS: u64 = 60_000;
 
+/// A client that has waited for so long has given up: no request has more time.
+const UNDECIDED_MS: u64 = 10_000;
+
 /// A search that found nobody is begun anew after this: agents may have appeared.
 const SEARCH_MS: u64 = 1_000;
 
@@ -52,8 +55,6 @@
     pub declined: Vec<(Ipv4Addr, Reason)>,
     /// Acknowledgement number of the client's last packet: a reset must carry it.
     pub client_ack: u32,
-    /// Whether a packet was dropped because nobody could be ruled out yet: the client waits.
-    pub undecided: bool,
     /// Whether an agent was passed over without an answer: it may hold the flow.
     pub passed_over: bool,
     /// When the present search or placement began.
@@ -70,7 +71,6 @@
             place: None,
             declined: Vec::new(),
             client_ack: 0,
-            undecided: false,
             passed_over: false,
             began: now,
             asked: now,
@@ -80,7 +80,7 @@
 
     /// Begins the search anew.
     pub fn restart(&mut self, now: Time) {
-        *self = Self { client_ack: self.client_ack, undecided: self.undecided, ..Self::new(now) };
+        *self = Self { client_ack: self.client_ack, ..Self::new(now) };
     }
 
     /// Whether the search ended without a finding so long ago that it is worth another.
@@ -100,6 +100,8 @@
 #[derive(Debug, Default)]
 pub struct Cache {
     entries: BTreeMap<Flow, Entry>,
+    /// Flows whose clients wait for a decision, since when.
+    undecided: BTreeMap<Flow, Time>,
 }
 
 impl Cache {
@@ -121,6 +123,7 @@
     /// Forgets a flow.
     pub fn remove(&mut self, flow: &Flow) {
         self.entries.remove(flow);
+        self.undecided.remove(flow);
     }
 
     /// Drops what has not been used for long.
@@ -128,10 +131,20 @@
         self.entries.retain(|_, entry| now.since(entry.used) < UNUSED_MS);
     }
 
-    /// Flows whose clients wait for a decision.
-    #[must_use]
-    pub fn undecided(&self) -> Vec<Flow> {
-        self.entries.iter().filter(|(_, entry)| entry.undecided).map(|(flow, _)| *flow).collect()
+    /// Notes that a packet was dropped because nobody could be ruled out yet: its client waits.
+    pub fn wait(&mut self, now: Time, flow: Flow) {
+        self.undecided.entry(flow).or_insert(now);
+    }
+
+    /// Notes that the client need not wait any more.
+    pub fn decide(&mut self, flow: &Flow) {
+        self.undecided.remove(flow);
+    }
+
+    /// Flows whose clients wait for a decision; those that have waited too long are given up.
+    pub fn undecided(&mut self, now: Time) -> Vec<Flow> {
+        self.undecided.retain(|_, since| now.since(*since) <= UNDECIDED_MS);
+        self.undecided.keys().copied().collect()
     }
 
     /// Flows that an agent said it holds, with the clients' last acknowledgement numbers.
--- a/crates/nutmegkeel_core/tests/l4/balancer.rs
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -345,3 +345,25 @@
     assert!(!told(soon));
     assert!(told(later));
 }
+
+/// A balancer asks for flows of clients that are long gone, for as long as an agent that may hold them
+/// does not answer.
+#[test]
+fn a_client_that_waited_too_long_is_given_up() {
+    let mut balancer = balancer(&[1]);
+    let packet = data(flow(1), 1_001, 500);
+    balancer.handle(at(3_000), Event::Client(packet));
+    balancer.handle(at(3_070), Event::Client(packet));
+    announce(&mut balancer, &[1], 3_300, 13_200);
+
+    let mut asked = 0;
+    for millis in (13_250..15_500).step_by(50) {
+        let word = word(millis + 100, State::Ready, Load::default());
+        let mut actions = balancer.handle(at(millis), Event::Announced(host(1), word));
+        actions.extend(balancer.handle(at(millis), Event::Tick));
+        let asks = |action: &&Action| matches!(action, Action::Send(_, Message::Locate { .. }));
+        asked += actions.iter().filter(asks).count();
+    }
+
+    assert_eq!(asked, 0);
+}
--- a/crates/nutmegkeel_store/src/etcd.rs
+++ b/crates/nutmegkeel_store/src/etcd.rs
@@ -7,6 +7,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::http;
 use crate::kv::{Committed, Fault, Lease, Pair, Store, Write};
 
 /// A call that takes longer is given up and counts as lost.
@@ -32,7 +33,7 @@
 
     fn call<Q: Serialize, A: DeserializeOwned>(&self, path: &str, query: &Q) -> Result<A, Fault> {
         let url = format!("{}{path}", self.endpoint);
-        let mut answer = self.http.post(&url).send_json(query).map_err(fault)?;
+        let mut answer = self.http.post(&url).send_json(query).map_err(http::fault)?;
         answer.body_mut().read_json().map_err(|error| Fault::Lost(error.to_string()))
     }
 
@@ -72,19 +73,6 @@
     }
 }
 
-/// Sorts a failed call by whether it may have taken effect.
-fn fault(error: ureq::Error) -> Fault {
-    match error {
-        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => {
-            Fault::NotSent(error.to_string())
-        }
-        ureq::Error::Io(ref io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
-            Fault::NotSent(error.to_string())
-        }
-        other => Fault::Lost(other.to_string()),
-    }
-}
-
 /// The first key behind all keys with this prefix.
 fn end_of(prefix: &str) -> Vec<u8> {
     let mut end = prefix.as_bytes().to_vec();
--- a/crates/nutmegkeel_store/src/lib.rs
+++ b/crates/nutmegkeel_store/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod claims;
 pub mod classes;
 pub mod etcd;
+pub mod http;
 pub mod kv;
 pub mod registration;
