--- a/crates/nutmegkeel/tests/soak.rs
+++ b/crates/nutmegkeel/tests/soak.rs
@@ -28,8 +28,9 @@
     assert_kept(&soak(6, 251));
 }
 
-/// A flow was answered by two servers in turn, because the stand-in servers used the same numbers:
-/// a fault of the stand-in. The seed stays, since both servers had accepted copies of one opening.
+/// A flow was answered by two servers in turn. Both had accepted copies of its opening, and the stand-in
+/// server answered on a flow that the client had opened elsewhere: a fault of the stand-in. The seed
+/// stays, because the agent of the second server was restarted and had to ask it.
 #[test]
 fn seed_21_keeps_each_flow_at_one_server() {
     assert_kept(&soak(21, 252));
