--- a/crates/nutmegkeel_core/src/agent.rs
+++ b/crates/nutmegkeel_core/src/agent.rs
@@ -13,13 +13,13 @@
 use crate::member::{Capacity, Record, Role};
 use crate::membership::Pace;
 use crate::peer::{self, Message, Peer};
-use crate::placement::{Hop, Key};
+use crate::placement::{Choice, Hop, Key};
 use crate::reply::Paths;
 use crate::retry::Budget;
 
-/// How long the key of an accepted flow is remembered for repeats of its opening, in milliseconds.
+/// How long the key of an opened flow is remembered for repeats of its opening, in milliseconds.
 const OPENING_MS: u64 = 10_000;
-/// Accepted openings remembered at most.
+/// Openings remembered at most.
 const MOST_OPENINGS: usize = 8_192;
 /// A leaving agent stays at least so long, so that its peers hear of it, in milliseconds.
 pub const LINGER_MS: u64 = 500;
@@ -35,6 +35,22 @@
     pub next: Option<Hop>,
     /// How often it was passed on already.
     pub passes: u8,
+    /// Whether the balancer wants this agent spared.
+    pub spares: bool,
+}
+
+impl Opening {
+    /// The opening of a flow as a balancer sends it to the choice's first agent.
+    #[must_use]
+    pub const fn open(key: Key, choice: &Choice) -> Self {
+        Self { key, next: choice.next, passes: 0, spares: choice.spares_first }
+    }
+
+    /// The opening as `by` passes it on.
+    #[must_use]
+    pub const fn passed_on(self, by: Hop) -> Self {
+        Self { next: Some(by), passes: self.passes + 1, spares: false, ..self }
+    }
 }
 
 /// What happens to an agent.
@@ -85,6 +101,14 @@
     Peer(peer::Action),
 }
 
+/// What became of an opening, for its copies.
+#[derive(Clone, Copy, Debug)]
+struct Way {
+    since: Time,
+    /// The agent it was passed on to; none if it was taken.
+    passed_to: Option<Hop>,
+}
+
 /// State of an agent.
 #[derive(Debug)]
 pub struct Agent {
@@ -95,7 +119,7 @@
     ledger: Ledger,
     retries: Budget,
     paths: Paths,
-    openings: BTreeMap<Key, Time>,
+    openings: BTreeMap<Key, Way>,
     flows: u32,
     requests: BTreeMap<Id, Time>,
     seed: u64,
@@ -205,21 +229,24 @@
     /// Decides at the last hop, whatever the balancers have heard.
     ///
     /// Guards against new work at a leaving backend server, and against a flow that is opened
-    /// twice when two balancers see different agents: an opening that this agent holds stays; one
-    /// that it cannot take goes on to the next choice.
+    /// twice when two balancers see different loads: an opening that this agent holds stays; one
+    /// that it cannot take, or is to be spared, goes on to the next choice, and its copies follow.
     fn opening(&mut self, now: Time, opening: Opening) -> Action {
-        let held = self.openings.contains_key(&opening.key);
-        if !held
-            && !self.takes_new()
-            && opening.passes < MOST_PASSES
-            && let Some(next) = opening.next
-        {
-            return Action::PassOn(next);
+        match self.openings.get(&opening.key).map(|way| way.passed_to) {
+            Some(None) => return Action::Deliver,
+            // A balancer that names another agent knows that the earlier one has gone.
+            Some(Some(hop)) if opening.passes == 0 && opening.next == Some(hop) => {
+                return Action::PassOn(hop);
+            }
+            Some(Some(_)) | None => {}
         }
+        let may_pass = opening.passes < MOST_PASSES;
+        let wants_to = opening.spares || !self.takes_new();
+        let passed_to = opening.next.filter(|_| wants_to && may_pass);
         if self.openings.len() < MOST_OPENINGS {
-            self.openings.insert(opening.key, now);
+            self.openings.insert(opening.key, Way { since: now, passed_to });
         }
-        Action::Deliver
+        passed_to.map_or(Action::Deliver, Action::PassOn)
     }
 
     /// Whether a new flow may be accepted.
@@ -300,7 +327,7 @@
         let decisions = self.gate.tick(now);
         actions.extend(self.decided(decisions));
         self.paths.tick(now);
-        self.openings.retain(|_, since| now.since(*since) < OPENING_MS);
+        self.openings.retain(|_, way| now.since(way.since) < OPENING_MS);
         let open = self.open_work(now);
         actions.extend(self.move_on(now, |stage| stage.advance(now, open)));
         actions
--- a/crates/nutmegkeel_core/src/balancer.rs
+++ b/crates/nutmegkeel_core/src/balancer.rs
@@ -133,7 +133,7 @@
         let Some(choice) = placed else {
             return Action::Unplaced;
         };
-        self.unanswered.entry(choice.first.address).or_insert(now);
+        self.unanswered.entry(choice.taker().address).or_insert(now);
         Action::Forward(choice)
     }
 
--- a/crates/nutmegkeel_core/src/placement.rs
+++ b/crates/nutmegkeel_core/src/placement.rs
@@ -53,12 +53,29 @@
 }
 
 /// The choice for one new flow.
+///
+/// Guards against a flow that is opened twice. A caller that has no answer yet sends two copies of its
+/// opening at once, the fabric hands them to two balancers, and one of these knows other loads, as one
+/// does that has just started. Were the copies sent to two agents, both would answer, and the caller
+/// would take the packets of the one for the other's and end the flow with a protocol error. So load
+/// never changes where an opening is sent, only what the first agent is asked to do with it: that
+/// agent sees all copies and sends them one way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Choice {
-    /// The agent that gets it.
+    /// The agent that gets the packet.
     pub first: Hop,
     /// The agent the first may pass it on to.
     pub next: Option<Hop>,
+    /// Whether the first is to be spared: it passes the flow on, unless it holds it already.
+    pub spares_first: bool,
+}
+
+impl Choice {
+    /// The agent that is meant to take the flow.
+    #[must_use]
+    pub fn taker(&self) -> Hop {
+        self.next.filter(|_| self.spares_first).unwrap_or(self.first)
+    }
 }
 
 /// What a balancer knows of one agent.
@@ -193,15 +210,16 @@
 
     /// Places a new flow, or none when no agent takes any.
     pub fn place(&mut self, key: Key, rule: Rule, balancers: u32) -> Option<Choice> {
-        let (first, second) = match rule {
-            Rule::RoundRobin => self.in_turn()?,
-            Rule::Rendezvous => self.by_rank(key)?,
+        let plain = |(first, next)| Choice { first, next, spares_first: false };
+        let choice = match rule {
+            Rule::RoundRobin => plain(self.in_turn()?),
+            Rule::Rendezvous => plain(self.by_rank(key)?),
             Rule::LoadedRendezvous => self.by_pressure(key, balancers)?,
         };
-        if let Some(candidate) = self.candidates.get_mut(&first.address) {
+        if let Some(candidate) = self.candidates.get_mut(&choice.taker().address) {
             candidate.placed();
         }
-        Some(Choice { first, next: second })
+        Some(choice)
     }
 
     fn in_turn(&mut self) -> Option<(Hop, Option<Hop>)> {
@@ -228,20 +246,17 @@
         best.map(|(_, hop)| (hop, second.map(|(_, hop)| hop)))
     }
 
-    fn by_pressure(&self, key: Key, balancers: u32) -> Option<(Hop, Option<Hop>)> {
-        let (first, second) = self.by_rank(key)?;
-        let Some(second) = second else {
-            return Some((first, None));
-        };
-        let (Some(one), Some(two)) =
-            (self.candidates.get(&first.address), self.candidates.get(&second.address))
-        else {
-            return Some((first, Some(second)));
+    fn by_pressure(&self, key: Key, balancers: u32) -> Option<Choice> {
+        let (first, next) = self.by_rank(key)?;
+        let candidate = |hop: &Hop| self.candidates.get(&hop.address);
+        let spares_first = match (candidate(&first), next.as_ref().and_then(candidate)) {
+            (Some(one), Some(two)) => {
+                let most = two.pressure(balancers) * (100 + self.tolerance_percent) / 100;
+                (one.full(), one.pressure(balancers)) > (two.full(), most)
+            }
+            _ => false,
         };
-        let most = two.pressure(balancers) * (100 + self.tolerance_percent) / 100;
-        let stay =
-            (one.suspect, one.full(), one.pressure(balancers)) <= (two.suspect, two.full(), most);
-        Some(if stay { (first, Some(second)) } else { (second, Some(first)) })
+        Some(Choice { first, next, spares_first })
     }
 }
 
--- a/crates/nutmegkeel_core/tests/agent.rs
+++ b/crates/nutmegkeel_core/tests/agent.rs
@@ -6,9 +6,10 @@
 use nutmegkeel_core::agent::{Action, Agent, Event, Opening};
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::life::{Phase, WARM_UP_MS};
+use nutmegkeel_core::load::Report;
 use nutmegkeel_core::member::{Capacity, Instance};
 use nutmegkeel_core::membership::Pace;
-use nutmegkeel_core::placement::{Hop, Key};
+use nutmegkeel_core::placement::{Candidate, Hop, Key, Pool, Rule};
 use nutmegkeel_core::reply::{Paths, SILENT_MS};
 use nutmegkeel_fake::fleet::{self, address};
 
@@ -38,8 +39,21 @@
     agent
 }
 
+fn pool_of_two() -> Pool {
+    let mut pool = Pool::default();
+    for number in [1, 2] {
+        pool.insert(address(number), Candidate::new(Instance::new(1), 7, 2_000));
+    }
+    pool
+}
+
+/// Keys spread evenly, as a hash would.
+const fn mixed(number: u64) -> u64 {
+    number.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
 fn opening(key: u64) -> Event {
-    Event::Opening(Opening { key: Key::new(key), next: Some(NEXT), passes: 0 })
+    Event::Opening(Opening { key: Key::new(key), next: Some(NEXT), passes: 0, spares: false })
 }
 
 /// A draining server keeps getting filings for seconds, because two balancers have not heard yet.
@@ -75,13 +89,57 @@
     assert_eq!(agent.handle(at(3_000), opening(1)), [Action::PassOn(NEXT)]);
 }
 
+/// A call breaks with a protocol error while it opens. A balancer has started a second ago and knows no
+/// loads yet; the caller sends two copies of its opening at once, which reach this balancer and an
+/// older one. Sent to two agents, both are answered, and the caller mixes the answers up.
+#[test]
+fn two_copies_of_an_opening_meet_at_one_agent_whatever_the_balancers_know_of_loads() {
+    let busy = Report { connections: 500, busy: 7, queued: 20 };
+    let takers: BTreeSet<_> = (0..200)
+        .filter_map(|number| {
+            let key = Key::new(mixed(number));
+            let mut young = pool_of_two();
+            let mut old = pool_of_two();
+            let first = old.place(key, Rule::Rendezvous, 2)?.first;
+            old.heard(first, busy);
+            let mut agent = serving(2_000);
+            let mut way = |pool: &mut Pool| {
+                let choice = pool.place(key, Rule::LoadedRendezvous, 2)?;
+                let opening = Opening::open(key, &choice);
+                let actions = agent.handle(at(3_000), Event::Opening(opening));
+                Some((choice.first, actions, choice.spares_first))
+            };
+            let (to_old, by_old, spared) = way(&mut old)?;
+            let (to_young, by_young, spared_too) = way(&mut young)?;
+            assert!(spared && !spared_too, "the views differ");
+            Some((to_old == to_young, by_old == by_young))
+        })
+        .collect();
+
+    assert_eq!(takers, BTreeSet::from([(true, true)]));
+}
+
+/// The next agent dies with the opening in its hands. The balancers name another one by then, and the
+/// first agent must not go on sending copies to the dead one.
+#[test]
+fn a_copy_follows_the_balancers_to_another_agent() {
+    let other = Hop { instance: Instance::new(9), ..NEXT };
+    let spared = Opening { key: Key::new(1), next: Some(NEXT), passes: 0, spares: true };
+    let mut agent = serving(2_000);
+    agent.handle(at(3_000), Event::Opening(spared));
+
+    let copy = Event::Opening(Opening { next: Some(other), ..spared });
+
+    assert_eq!(agent.handle(at(4_000), copy), [Action::PassOn(other)]);
+}
+
 /// Two full agents pass an opening to and fro for ever. It must stay after a few passes.
 #[test]
 fn an_opening_is_passed_on_a_few_times_only() {
     let mut agent = serving(1);
     agent.handle(at(3_000), Event::FlowOpened);
 
-    let tired = Opening { key: Key::new(1), next: Some(NEXT), passes: 2 };
+    let tired = Opening { key: Key::new(1), next: Some(NEXT), passes: 2, spares: false };
 
     assert_eq!(agent.handle(at(3_000), Event::Opening(tired)), [Action::Deliver]);
 }
--- a/crates/nutmegkeel_core/tests/placement.rs
+++ b/crates/nutmegkeel_core/tests/placement.rs
@@ -23,7 +23,7 @@
     for flow in 0..flows {
         let key = Key::of(&[&flow.to_be_bytes()]);
         let choice = pool.place(key, rule, 1).expect("agents take flows");
-        *counts.entry(choice.first.address).or_default() += 1;
+        *counts.entry(choice.taker().address).or_default() += 1;
     }
     counts
 }
--- a/crates/nutmegkeel_dev/src/measure/leaving.rs
+++ b/crates/nutmegkeel_dev/src/measure/leaving.rs
@@ -72,10 +72,12 @@
             let key = Key::new(rng.random());
             let by = rng.random_range(0..pools.len());
             let choice = pools[by].place(key, Rule::LoadedRendezvous, BALANCERS as u32);
-            let Some(choice) = choice.filter(|choice| choice.first.address == address(0)) else {
+            let Some(choice) = choice.filter(|choice| choice.taker().address == address(0)) else {
                 continue;
             };
-            let opening = Opening { key, next: choice.next, passes: 0 };
+            let opening = Opening::open(key, &choice);
+            let opening =
+                if choice.spares_first { opening.passed_on(choice.first) } else { opening };
             let actions = agent.handle(time, Event::Opening(opening));
             let passes = agent_decides && matches!(actions[..], [Action::PassOn(_)]);
             if passes {
--- a/crates/nutmegkeel_dev/src/measure/routing.rs
+++ b/crates/nutmegkeel_dev/src/measure/routing.rs
@@ -107,7 +107,7 @@
             };
             placed += 1;
             apart += u64::from(other.map(|other| other.first) != Some(choice.first));
-            let agent = choice.first.address;
+            let agent = choice.taker().address;
             *open.entry(agent).or_default() += 1;
             report(way, &mut balancers[by], agent, &open);
             let life = rng.random_range(1..2 * LIFE_MS);
--- a/crates/nutmegkeel_node/src/agent/socket.rs
+++ b/crates/nutmegkeel_node/src/agent/socket.rs
@@ -186,8 +186,7 @@
 }
 
 fn send_on(shared: &Shared, inbound: &Inbound, opening: Opening, next: Hop, packet: &[u8]) {
-    let opening =
-        Opening { passes: opening.passes + 1, next: Some(shared.core().hop()), ..opening };
+    let opening = opening.passed_on(shared.core().hop());
     let onward = Inbound { instance: next.instance, opening: Some(opening), ..inbound.clone() };
     let mut buffer = Vec::with_capacity(LARGEST);
     frame::encode(&shared.keys, shared.now(), Header::Inbound(onward), packet, &mut buffer);
--- a/crates/nutmegkeel_node/src/balancer/forward.rs
+++ b/crates/nutmegkeel_node/src/balancer/forward.rs
@@ -82,7 +82,7 @@
     for action in actions {
         if let Action::Forward(choice) = action {
             counter!(metric::PLACED, "class" => desk.name.to_string()).increment(1);
-            let opening = Opening { key, next: choice.next, passes: 0 };
+            let opening = Opening::open(key, &choice);
             send_on(shared, desk, caller, choice.first, Some(opening), datagram, buffer);
         } else {
             counter!(metric::UNPLACED, "class" => desk.name.to_string()).increment(1);
