--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -102,6 +102,29 @@
     assert_eq!(outcome, Outcome::Reset);
 }
 
+/// A feed hangs until its client's deadline after its host lost power: agent and server came back and
+/// know nothing of it, and the client sends nothing while it waits. The list of flows in the store
+/// tells the new agent whom to tell.
+#[test]
+fn a_client_of_a_host_that_lost_power_is_told_though_it_sends_nothing() {
+    let mut fleet = fleet("power", 11, &["desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+    let agent = fleet.agents()[0];
+    let mut open = client.open(30_000, 443, &through).expect("the flow opens");
+    let before = client.request(&mut open, &through, SOON);
+    std::thread::sleep(Duration::from_secs(5));
+
+    fleet.signal(agent, Signal::Kill);
+    assert!(fleet.ended(agent, SOON));
+    fleet.start_server(agent);
+    fleet.start(agent);
+    let told = client.listen(&open, SOON);
+
+    assert!(served_by(&before, "desk"), "{before:?}");
+    assert_eq!(told, Outcome::Reset);
+}
+
 #[test]
 fn a_draining_server_keeps_its_flows_and_gets_no_more() {
     let fleet = fleet("drains", 5, &["desk", "desk"]);
