--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -113,7 +113,7 @@
     let agent = fleet.agents()[0];
     let mut open = client.open(30_000, 443, &through).expect("the flow opens");
     let before = client.request(&mut open, &through, SOON);
-    std::thread::sleep(Duration::from_secs(5));
+    std::thread::sleep(LATER);
 
     fleet.signal(agent, Signal::Kill);
     assert!(fleet.ended(agent, SOON));
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -13,6 +13,7 @@
 use super::roster::{Book, KEPT_MS};
 use super::route::{Kind, Route, Service, Table};
 use crate::clock::Time;
+use crate::placement::mix;
 
 /// Pause between two ticks, in milliseconds. Gossip goes out with each.
 pub const TICK_MS: u64 = 500;
@@ -60,7 +61,7 @@
 /// span after which it drops a balancer that nobody speaks of.
 const TELL_MS: u64 = KEPT_MS / 3;
 
-/// What another balancer said of its agents counts for so long: three of its rosters.
+/// What another balancer said of itself counts for so long: three of its rosters.
 const COUNTED_MS: u64 = 3 * TICK_MS;
 
 /// Balancers that others still speak of within this time are passed on.
@@ -73,6 +74,8 @@
     Client(Head),
     /// A packet that was kept comes again.
     Again(Head),
+    /// Another balancer that has no configuration handed a client's packet over.
+    Relayed(Head),
     /// An agent handed a client's packet back.
     Declined {
         /// The agent.
@@ -155,8 +158,8 @@
     pool: Pool,
     cache: Cache,
     peers: Book,
-    /// Agents that the other balancers hear of, and when they said so.
-    counts: BTreeMap<Ipv4Addr, (Time, usize)>,
+    /// What the other balancers last said of themselves.
+    words: BTreeMap<Ipv4Addr, Word>,
     /// When an agent appeared last, or this balancer started.
     grown: Time,
     last: Time,
@@ -175,6 +178,22 @@
     is_again: bool,
 }
 
+/// What another balancer said of itself.
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    said: Time,
+    /// Agents that it hears of.
+    agents: usize,
+    /// Version of its configuration; zero while it has none.
+    version: u64,
+}
+
+impl Word {
+    fn is_recent(&self, now: Time) -> bool {
+        now.since(self.said) <= COUNTED_MS
+    }
+}
+
 /// What decides on packets that are kept.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct View {
@@ -197,7 +216,7 @@
             pool: Pool::default(),
             cache: Cache::default(),
             peers,
-            counts: BTreeMap::new(),
+            words: BTreeMap::new(),
             grown: now,
             last: now,
             reviewed: now,
@@ -264,6 +283,10 @@
             Event::Declined { from, head, reason, load } => {
                 self.declined(now, from, &head, reason, load)
             }
+            Event::Relayed(head) if self.table.version == 0 => {
+                self.keep(&head, Cause::NoConfiguration)
+            }
+            Event::Relayed(head) => self.client(now, &head),
             Event::Holds { from, flow, load } => self.holds(now, from, flow, load),
             Event::Absent { from, flow, load } => self.absent(now, from, flow, load),
             Event::Announced(from, word) => self.announced(now, from, word),
@@ -319,7 +342,8 @@
     }
 
     fn recall(&mut self, now: Time) -> Vec<Action> {
-        if self.table.version == 0 {
+        let is_able = |word: &Word| word.is_recent(now) && word.version > 0;
+        if self.table.version == 0 && !self.words.values().any(is_able) {
             return Vec::new();
         }
         self.recalled = now;
@@ -408,7 +432,7 @@
 
     fn again(&mut self, now: Time, head: &Head) -> Vec<Action> {
         if self.table.version == 0 {
-            return self.keep(head, Cause::NoConfiguration);
+            return self.relay(now, head);
         }
         let Some(route) = self.table.routes.get(&head.flow.service).cloned() else {
             self.cache.remove(&head.flow);
@@ -417,6 +441,21 @@
         if head.opens() { self.opening(now, head, &route) } else { self.carry(now, head, &route) }
     }
 
+    /// Hands a packet to a balancer that has a configuration, if one is known.
+    ///
+    /// Guards against servers that idle after a mass restart: a large configuration takes 300 ms over a
+    /// link of 10 Mbit/s, and hosts with such links get most packets.
+    fn relay(&mut self, now: Time, head: &Head) -> Vec<Action> {
+        let able = self.words.iter().filter(|(_, word)| word.is_recent(now) && word.version > 0);
+        let key = head.flow.key().number();
+        let rank = |peer: &Ipv4Addr| mix(key ^ mix(u64::from(peer.to_bits())));
+        let Some(to) = able.map(|(peer, _)| *peer).max_by_key(rank) else {
+            return self.keep(head, Cause::NoConfiguration);
+        };
+        let note = Note::Relayed { flow: head.flow, to };
+        vec![Action::Forward(to, Message::Relay), Action::Note(note)]
+    }
+
     /// The copies of an opening go where the first went, or two backend servers would accept it;
     /// unless that agent fell silent, or the route has moved since.
     fn opening(&mut self, now: Time, head: &Head, route: &Route) -> Vec<Action> {
@@ -593,8 +632,8 @@
     /// that has not yet learnt of this balancer: the others know it.
     fn has_heard_of_all(&self, now: Time) -> bool {
         let own = self.pool.heard_of(now);
-        let recent = self.counts.values().filter(|(said, _)| now.since(*said) <= COUNTED_MS);
-        recent.map(|(_, count)| *count).max().is_none_or(|most| own >= most)
+        let recent = self.words.values().filter(|word| word.is_recent(now));
+        recent.map(|word| word.agents).max().is_none_or(|most| own >= most)
     }
 
     /// Whether agents are still appearing.
@@ -680,12 +719,16 @@
         let mut actions = Vec::new();
         if roster.leaving {
             self.peers.remove(from);
-            self.counts.remove(&from);
+            self.words.remove(&from);
             actions.push(Action::Note(Note::Balancer { balancer: from, known: false }));
             return actions;
         }
         let agents = usize::try_from(roster.agents).unwrap_or(usize::MAX);
-        self.counts.insert(from, (now, agents));
+        let news = self.words.get(&from).is_none_or(|word| word.version == 0);
+        self.words.insert(from, Word { said: now, agents, version: roster.version });
+        if news && roster.version > 0 && self.table.version == 0 {
+            actions.extend(self.recall(now));
+        }
         for balancer in roster.balancers.iter().filter(|balancer| **balancer != self.own) {
             // Only a balancer's own word keeps it: others would repeat a dead one to each other.
             let news = *balancer == from || !self.peers.iter().any(|known| known == *balancer);
@@ -719,8 +762,15 @@
             return Vec::new();
         }
         let note = Note::InForce { version: table.version, routes: table.routes.len() };
+        let is_first = self.table.version == 0;
         self.table = table;
         let mut actions = vec![Action::Note(note)];
+        if is_first {
+            // Others that still lack it hand their packets over from now on.
+            let roster = self.own_roster(now);
+            let told = self.peers.iter().map(|peer| Action::Send(peer, roster.clone()));
+            actions.extend(told);
+        }
         actions.extend(self.recall(now));
         actions
     }
@@ -735,7 +785,7 @@
         self.cache.expire(now);
         self.pool.forget(now);
         self.peers.expire(now);
-        self.counts.retain(|_, (said, _)| now.since(*said) <= COUNTED_MS);
+        self.words.retain(|_, word| word.is_recent(now));
         // Who has waited too long is answered now, though nothing has changed.
         let mut actions = self.recall(now);
         if self.leaving {
--- a/crates/nutmegkeel_core/src/l4/checkpoint.rs
+++ b/crates/nutmegkeel_core/src/l4/checkpoint.rs
@@ -21,12 +21,12 @@
 pub const LONG_MS: u64 = 1_000;
 
 /// Pause between two writes at least, in milliseconds.
-pub const PAUSE_MS: u64 = 3_000;
+pub const PAUSE_MS: u64 = 6_000;
 
 /// A list is written again once so many of the flows, in percent, are missing in it or have moved on
-/// too far. Writes are priced: with flows of half a minute this makes one every eight seconds, where
+/// too far. Writes are priced: with flows of half a minute this makes one every twelve seconds, where
 /// one for each new flow cost more on a quiet day than the lists gain on a bad one.
-const MISSING_PERCENT: usize = 25;
+const MISSING_PERCENT: usize = 40;
 
 /// A note is out of date once the client has acknowledged so many bytes more: half of what a reset's
 /// number may be off, because the client goes on until the next write.
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -1,5 +1,5 @@
-//! Messages between balancers and agents. The first two carry a packet of a client behind them, and
-//! so does a refusal: the balancer keeps no packets.
+//! Messages between balancers and agents. Openings, packets of open flows, refusals and relayed packets
+//! carry a packet of a client behind them.
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
@@ -56,6 +56,8 @@
     },
     /// Agent to each balancer, about itself.
     Announce(Announcement),
+    /// Balancer to balancer: handle this packet of a client. Sent while the sender has no configuration.
+    Relay,
     /// Balancer to agents and balancers: who the balancers are, and which configuration it has.
     Roster(Roster),
 }
--- a/crates/nutmegkeel_core/src/l4/note.rs
+++ b/crates/nutmegkeel_core/src/l4/note.rs
@@ -42,6 +42,13 @@
         /// Agents that were asked before.
         asked: usize,
     },
+    /// A balancer without a configuration handed a packet to one that has it.
+    Relayed {
+        /// The flow.
+        flow: Flow,
+        /// The other balancer.
+        to: Ipv4Addr,
+    },
     /// A reset was sent to the client.
     Reset {
         /// The flow.
--- a/crates/nutmegkeel_core/tests/l4/balancer.rs
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -442,3 +442,35 @@
     assert!(recalled.contains(&Action::Recall), "{recalled:?}");
     assert_eq!(forwarded(&next), Some(host(2)));
 }
+
+/// Servers idle for 300 ms after a mass restart: balancers behind slow links wait for a large
+/// configuration, while others have it and could place their packets.
+#[test]
+fn a_balancer_without_a_configuration_hands_packets_to_one_that_has_it() {
+    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[]);
+    let head = opening(flow(1), 0);
+    let roster = |version| Roster { version, balancers: Vec::new(), agents: 3, leaving: false };
+    balancer.handle(at(1), Event::Roster(host(8), roster(0)));
+
+    let alone = balancer.handle(at(10), Event::Client(head));
+    let heard = balancer.handle(at(20), Event::Roster(host(9), roster(4)));
+    let relayed = balancer.handle(at(20), Event::Again(head));
+
+    assert!(alone.contains(&Action::Keep(head)), "{alone:?}");
+    assert!(heard.contains(&Action::Recall), "{heard:?}");
+    assert!(relayed.contains(&Action::Forward(host(9), Message::Relay)), "{relayed:?}");
+}
+
+/// Two balancers without a configuration hand one packet to and fro for ever.
+#[test]
+fn a_packet_is_handed_over_once() {
+    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[]);
+    let roster = Roster { version: 4, balancers: Vec::new(), agents: 3, leaving: false };
+    balancer.handle(at(1), Event::Roster(host(9), roster));
+    let head = opening(flow(1), 0);
+
+    let actions = balancer.handle(at(10), Event::Relayed(head));
+
+    assert_eq!(forwarded(&actions), None);
+    assert!(actions.contains(&Action::Keep(head)), "{actions:?}");
+}
--- a/crates/nutmegkeel_core/tests/l4/checkpoint.rs
+++ b/crates/nutmegkeel_core/tests/l4/checkpoint.rs
@@ -136,7 +136,7 @@
         agent.handle(at(now), Event::Carry { from: BALANCER, head, known: true });
     };
     (2..=9).for_each(|port| open(port, 20));
-    open(10, 5_000);
+    open(10, PAUSE_MS - 500);
     let first = saved(agent.handle(at(PAUSE_MS + 100), Event::Tick));
 
     let second = saved(agent.handle(at(3 * PAUSE_MS), Event::Tick));
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -217,6 +217,7 @@
             Message::Declined { .. }
             | Message::Holds { .. }
             | Message::Absent { .. }
+            | Message::Relay
             | Message::Announce(_) => {
                 link::drop_datagram("message");
                 return;
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -239,6 +239,13 @@
                 };
                 Event::Declined { from, head, reason, load }
             }
+            Message::Relay => {
+                let Ok(head) = packet::decode(packet, Direction::ToService) else {
+                    link::drop_datagram("packet");
+                    return;
+                };
+                Event::Relayed(head)
+            }
             Message::Holds { flow, load } => Event::Holds { from, flow, load },
             Message::Absent { flow, load } => Event::Absent { from, flow, load },
             Message::Announce(word) => Event::Announced(from, word),
--- a/crates/nutmegkeel_node/src/l4/journal.rs
+++ b/crates/nutmegkeel_node/src/l4/journal.rs
@@ -118,6 +118,7 @@
         Note::Found { .. } => ("found", USUAL),
         Note::Adopted { .. } => ("adopted", USUAL),
         Note::Declined { .. } => ("declined", USUAL),
+        Note::Relayed { .. } => ("relayed", USUAL),
         Note::Reset { .. } => ("reset", UNUSUAL),
         Note::Kept { .. } => ("kept", USUAL),
         Note::Expired { .. } => ("expired", UNUSUAL),
@@ -163,6 +164,10 @@
             info!(event = "found", flow:% = flow, agent:% = agent, asked = asked;
                 "agent of an open flow found");
         }
+        Note::Relayed { flow, to } => {
+            info!(event = "relayed", flow:% = flow, to:% = to;
+                "no configuration yet, packet handed to a balancer that has it");
+        }
         Note::Reset { flow, cause, asked, version } => {
             warn!(event = "reset", flow:% = flow, cause = cause.name(), asked = asked,
                 configuration = version; "reset sent to the client");
--- a/crates/nutmegkeel_store/src/document.rs
+++ b/crates/nutmegkeel_store/src/document.rs
@@ -55,11 +55,14 @@
         Ok(())
     }
 
-    /// Renews the lease if that is due.
+    /// Renews the lease if there is one and that is due.
     ///
     /// # Errors
     /// When the store does not answer.
     pub fn keep(&mut self, store: &dyn Registry, now: Time) -> Result<(), Fault> {
+        if !self.lease.is_held() {
+            return Ok(());
+        }
         self.lease.hold(store, now).map(|_| ())
     }
 }
--- a/crates/nutmegkeel_store/src/lease.rs
+++ b/crates/nutmegkeel_store/src/lease.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Whether there is a lease, as far as this process knows.
+    #[must_use]
+    pub const fn is_held(&self) -> bool {
+        self.lease.is_some()
+    }
+
     /// Forgets the lease: it may have ended. The next call begins with a new one.
     pub const fn forget(&mut self) {
         self.lease = None;
--- a/crates/nutmegkeel_store/tests/document.rs
+++ b/crates/nutmegkeel_store/tests/document.rs
@@ -60,6 +60,17 @@
     assert_eq!(value(&store), Some(b"three".to_vec()));
 }
 
+/// Every agent costs the store a lease, those too that have nothing to note.
+#[test]
+fn a_document_that_was_never_written_takes_no_lease() {
+    let store = Leased::open(Vec::new());
+
+    let kept = document().keep(&store, at(50_000));
+
+    assert_eq!(kept, Ok(()));
+    assert_eq!(store.grants(), 0);
+}
+
 #[test]
 fn an_ended_lease_is_replaced() {
     let store = Leased::open(Vec::new());
