--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -267,7 +267,7 @@
 
     /// The server accepts the opening at once; the first request may have to wait for a slot.
     fn open_flow(&mut self, now: Time, opening: &Opening) -> Vec<Action> {
-        let (flow, patience) = (opening.head.flow, opening.demand.patience_ms());
+        let (flow, demand) = (opening.head.flow, opening.demand);
         let known = self.table.get(&flow);
         let is_copy = known.is_some_and(|held| held.opened_with == opening.head.seq);
         if let Some(reason) = self.refusal(now, opening, is_copy) {
@@ -278,14 +278,13 @@
             return vec![action];
         }
         self.waiting.remove(&flow);
-        self.table.open(now, flow, opening.head.seq, patience);
-        match patience.filter(|_| self.is_saturated()) {
-            Some(limit_ms) => {
-                let since = opening.since;
-                self.waiting.push(Waiting { flow, since, opened: now, limit_ms, request: None });
-                self.table.set_waiting(flow, true);
-            }
-            None => self.table.admit(now, flow),
+        self.table.open(now, flow, opening.head.seq, demand);
+        if !demand.once && self.is_saturated() {
+            let since = opening.since;
+            self.waiting.push(Waiting { flow, since, opened: now, demand, request: None });
+            self.table.set_waiting(flow, true);
+        } else {
+            self.table.admit(now, flow);
         }
         vec![action, self.accepted(flow)]
     }
@@ -334,7 +333,7 @@
             }
         }
         while !self.is_saturated()
-            && let Some((waiting, request)) = self.waiting.pop(now)
+            && let Some((waiting, request)) = self.waiting.pop(now, self.pace.most_us() / 1_000)
         {
             actions.extend(self.let_go(now, &waiting, &request));
         }
@@ -374,12 +373,12 @@
         if self.table.is_waiting(&head.flow) {
             return self.wait(now, head);
         }
-        let Some(limit_ms) = self.table.patience(head).filter(|_| self.is_saturated()) else {
+        let Some(demand) = self.table.begins(head).filter(|_| self.is_saturated()) else {
             self.table.note_client(now, head);
             return vec![Action::ToServer(0)];
         };
         let request = Some(*head);
-        self.waiting.push(Waiting { flow: head.flow, since: now, opened: now, limit_ms, request });
+        self.waiting.push(Waiting { flow: head.flow, since: now, opened: now, demand, request });
         self.table.set_waiting(head.flow, true);
         self.wait(now, head)
     }
@@ -426,13 +425,12 @@
             return None;
         }
         let (busy, slots) = (self.load().busy, server.slots.max(1));
-        let patience = opening.demand.patience_ms();
+        let demand = opening.demand;
+        let is_late = !demand.once && self.expected_ms() > u64::from(demand.deadline_ms);
         match opening.insistence {
             Insistence::IfIdle if busy >= slots => Some(Reason::Busy),
             Insistence::IfSoon if busy >= slots * SOON_TURNS => Some(Reason::Busy),
-            Insistence::IfInTime if patience.is_some_and(|limit| self.expected_ms() > limit) => {
-                Some(Reason::Late)
-            }
+            Insistence::IfInTime if is_late => Some(Reason::Late),
             _ => None,
         }
     }
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -849,7 +849,8 @@
     waited_ms: u64,
 ) -> Action {
     let demand = Demand {
-        limit_ms: u32::try_from(route.deadline_ms).unwrap_or(u32::MAX),
+        objective_ms: u32::try_from(route.objective_ms).unwrap_or(u32::MAX),
+        deadline_ms: u32::try_from(route.deadline_ms).unwrap_or(u32::MAX),
         once: route.kind == Kind::Once,
     };
     let waited_ms = u32::try_from(waited_ms).unwrap_or(u32::MAX);
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -77,22 +77,15 @@
 /// What the requests of a flow ask for, by the route that it came by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
-    /// Time within which an answer is of use, in milliseconds.
-    pub limit_ms: u32,
+    /// Time within which an answer is worth most, in milliseconds.
+    pub objective_ms: u32,
+    /// Time within which an answer is of any use, in milliseconds.
+    pub deadline_ms: u32,
     /// Whether a request must not run twice. It does not wait behind others, because its client may
     /// not simply try again.
     pub once: bool,
 }
 
-impl Demand {
-    /// Time within which answers must come if requests wait at the agent, in milliseconds; none if
-    /// they do not wait.
-    #[must_use]
-    pub const fn patience_ms(self) -> Option<u64> {
-        if self.once { None } else { Some(self.limit_ms as u64) }
-    }
-}
-
 /// Requests for each slot, in progress and waiting, up to which an agent takes an opening
 /// [`Insistence::IfSoon`].
 pub const SOON_TURNS: u16 = 2;
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -5,7 +5,7 @@
 
 use super::flow::{Flow, Head, follows};
 use super::health::FORGET_MS;
-use super::message::Load;
+use super::message::{Demand, Load};
 use crate::clock::Time;
 
 /// An opening that is not followed up within this time came to nothing: clients give an opening up
@@ -58,9 +58,8 @@
     pub opened_with: u32,
     /// The client's last acknowledgement number.
     pub client_ack: u32,
-    /// Time within which requests on this flow must be answered, in milliseconds; none if they do not
-    /// wait for a slot here, or it is not known.
-    limit_ms: Option<u64>,
+    /// What the requests on this flow ask for; none if it is not known.
+    demand: Option<Demand>,
     /// Whether a request waits here for a slot, or will when it comes.
     waits: bool,
     client_next: Option<u32>,
@@ -81,7 +80,7 @@
             stage,
             opened_with: 0,
             client_ack: 0,
-            limit_ms: None,
+            demand: None,
             waits: false,
             client_next: None,
             began: now,
@@ -155,12 +154,11 @@
         self.flows.get(flow)
     }
 
-    /// Notes an opening that goes to the server, and the time within which its requests must be
-    /// answered if they may wait here.
-    pub fn open(&mut self, now: Time, flow: Flow, seq: u32, limit_ms: Option<u64>) {
+    /// Notes an opening that goes to the server, and what its requests ask for.
+    pub fn open(&mut self, now: Time, flow: Flow, seq: u32, demand: Demand) {
         let mut held = Held::new(now, Stage::Opening(None));
         held.opened_with = seq;
-        self.insert(flow, Held { limit_ms, ..held });
+        self.insert(flow, Held { demand: Some(demand), ..held });
     }
 
     /// Lets the next request of a flow go to the server. It counts as in progress from now on: after
@@ -185,13 +183,12 @@
         self.flows.get(flow).is_some_and(|held| held.waits)
     }
 
-    /// If a client's packet begins a request that may wait here: the time within which it must be
-    /// answered, in milliseconds.
+    /// If a client's packet begins a request that may wait here: what it asks for.
     #[must_use]
-    pub fn patience(&self, head: &Head) -> Option<u64> {
+    pub fn begins(&self, head: &Head) -> Option<Demand> {
         let held = self.flows.get(&head.flow)?;
         let begins = held.request_since.is_none() && held.brings_data(head) && !head.flags.fin;
-        held.limit_ms.filter(|_| begins)
+        held.demand.filter(|demand| begins && !demand.once)
     }
 
     /// Whether the server has the end of the flow's handshake.
--- a/crates/nutmegkeel_core/src/l4/waiting.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting.rs
@@ -2,8 +2,9 @@
 //!
 //! The load pattern: after a loss of power all clients come back within half a second, while backend
 //! servers are cold. First come, first served would answer every one of them late, those too that
-//! come when the server could answer at once. So once the oldest has waited too long, the newest goes
-//! first, and the others follow when the burst is over, while their clients still wait.
+//! come when the server could answer at once. So those go first whose
+//! answer can still be within its objective, and the others follow when the burst is over, while their
+//! clients still wait.
 //!
 //! The opening itself does not wait: the server accepts it at once, and the client's first request is
 //! what the agent keeps. A client gives an opening up after 1.4 s and comes back with a new one, which
@@ -12,12 +13,17 @@
 use std::collections::VecDeque;
 
 use super::flow::{Flow, Head};
+use super::message::Demand;
 use crate::clock::Time;
 
-/// Waiting longer than this means that more comes than can be served: half of the tightest time
-/// within which answers are wanted (200 ms). From then on the newest goes first.
+/// Under a lasting overload only what the slots can serve within this may wait, in milliseconds: half of
+/// the tightest objective (200 ms).
 const PATIENCE_MS: u64 = 100;
 
+/// Some being late for no longer than this is a crowding that passes by itself, in milliseconds: about
+/// one objective.
+const CROWDING_MS: u64 = 300;
+
 /// A client's first request follows its accepted opening within a round trip; one that has not come
 /// by then is not waited for, in milliseconds.
 const FOLLOW_UP_MS: u64 = 300;
@@ -35,8 +41,8 @@
     pub since: Time,
     /// When the opening was handed to the server.
     pub opened: Time,
-    /// Time from then on within which the answer must come, in milliseconds.
-    pub limit_ms: u64,
+    /// What its requests ask for, counted from then on.
+    pub demand: Demand,
     /// The request, once it has come.
     pub request: Option<Head>,
 }
@@ -46,10 +52,15 @@
     /// `answer_ms` would come too late.
     fn is_over(&self, now: Time, answer_ms: u64) -> bool {
         match self.request {
-            Some(_) => now.since(self.since) + answer_ms > self.limit_ms,
+            Some(_) => now.since(self.since) + answer_ms > u64::from(self.demand.deadline_ms),
             None => now.since(self.opened) > FOLLOW_UP_MS,
         }
     }
+
+    /// Whether an answer that takes `answer_ms` is still within its objective.
+    fn is_in_time(&self, now: Time, answer_ms: u64) -> bool {
+        now.since(self.since) + answer_ms <= u64::from(self.demand.objective_ms)
+    }
 }
 
 /// Flows in order of their arrival.
@@ -64,6 +75,9 @@
     /// Adds a flow behind those that came before it. One that waited elsewhere keeps its place: put
     /// last, it would pass for the newest.
     pub fn push(&mut self, waiting: Waiting) {
+        if self.flows.is_empty() {
+            self.pressed = None;
+        }
         let is_before = |other: &&Waiting| other.since > waiting.since;
         let newer = self.flows.iter().rev().take_while(is_before).count();
         self.flows.insert(self.flows.len() - newer, waiting);
@@ -84,15 +98,19 @@
         self.flows.retain(|waiting| waiting.flow != *flow);
     }
 
-    /// Takes out the request that goes next.
-    pub fn pop(&mut self, now: Time) -> Option<(Waiting, Head)> {
+    /// Takes out the request that goes next, if an answer takes `answer_ms`.
+    ///
+    /// At a short crowding, which comes and goes with every service at high load, it is the oldest of
+    /// those that can be answered within their objective: newest first would make some late there that
+    /// need not be. When more comes than can be served for longer, it is the newest: first come, first
+    /// served would answer everyone late, or at the last moment, and the newest client is the least
+    /// likely to have gone.
+    pub fn pop(&mut self, now: Time, answer_ms: u64) -> Option<(Waiting, Head)> {
         let came = |waiting: &Waiting| waiting.request.is_some();
-        let oldest = self.flows.iter().position(came)?;
-        let next = if now.since(self.flows[oldest].since) > PATIENCE_MS {
-            self.flows.iter().rposition(came)?
-        } else {
-            oldest
-        };
+        let in_time = |waiting: &Waiting| came(waiting) && waiting.is_in_time(now, answer_ms);
+        let is_short = self.pressed.is_none_or(|since| now.since(since) <= CROWDING_MS);
+        let oldest = if is_short { self.flows.iter().position(in_time) } else { None };
+        let next = oldest.or_else(|| self.flows.iter().rposition(came))?;
         let waiting = self.flows.remove(next)?;
         let request = waiting.request?;
         Some((waiting, request))
@@ -103,7 +121,7 @@
         let is_over = |waiting: &Waiting| waiting.is_over(now, answer_ms);
         let (late, kept): (VecDeque<_>, VecDeque<_>) = self.flows.drain(..).partition(is_over);
         self.flows = kept;
-        self.note_pressure(now);
+        self.note_pressure(now, answer_ms);
         late.into()
     }
 
@@ -138,12 +156,10 @@
         self.flows.is_empty()
     }
 
-    /// Notes whether more comes than can be served: the oldest has lost its patience.
-    fn note_pressure(&mut self, now: Time) {
-        let oldest = self.flows.front();
-        if oldest.is_none_or(|oldest| now.since(oldest.since) <= PATIENCE_MS) {
-            self.pressed = None;
-        } else {
+    /// Notes whether more comes than can be served: the oldest is late, and nobody has found the queue
+    /// empty since.
+    fn note_pressure(&mut self, now: Time, answer_ms: u64) {
+        if self.flows.front().is_some_and(|oldest| !oldest.is_in_time(now, answer_ms)) {
             self.pressed.get_or_insert(now);
         }
     }
--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -8,7 +8,7 @@
 };
 
 const WAITS: Insistence = Insistence::IfInTime;
-const FEED: Demand = Demand { limit_ms: 2_500, once: false };
+const FEED: Demand = Demand { objective_ms: 250, deadline_ms: 2_500, once: false };
 
 fn open(flow: Flow, copies: u32, insistence: Insistence) -> Event {
     Event::Open {
@@ -393,7 +393,7 @@
     else {
         panic!("an opening");
     };
-    let demand = Demand { limit_ms: 3_000, once: true };
+    let demand = Demand { objective_ms: 300, deadline_ms: 3_000, once: true };
     let opening = Event::Open { from, head, service, insistence, demand, waited_ms };
     agent.handle(at(101), opening);
     agent.handle(at(102), Event::FromServer(accepted(flow(9), 500)));
--- a/crates/nutmegkeel_core/tests/l4/overload.rs
+++ b/crates/nutmegkeel_core/tests/l4/overload.rs
@@ -25,6 +25,11 @@
 const FLOWS: u16 = 60;
 const PAUSE_MS: u64 = 1_000;
 
+fn feed(once: bool) -> Demand {
+    let objective_ms = u32::try_from(AIM_MS).expect("a short time");
+    Demand { objective_ms, deadline_ms: 2_500, once }
+}
+
 /// A backend server that answers in the order of arrival.
 #[derive(Default)]
 struct Server {
@@ -119,8 +124,8 @@
 /// all of them soon wait longer than the aim; held back at the agent, the newest first, most do not.
 #[test]
 fn requests_on_open_flows_are_in_time_while_servers_are_cold() {
-    let mut held = Replay::open(Demand { limit_ms: 2_500, once: false });
-    let mut queued = Replay::open(Demand { limit_ms: 2_500, once: true });
+    let mut held = Replay::open(feed(false));
+    let mut queued = Replay::open(feed(true));
 
     held.run(4_000);
     queued.run(4_000);
--- a/crates/nutmegkeel_core/tests/l4/waiting.rs
+++ b/crates/nutmegkeel_core/tests/l4/waiting.rs
@@ -1,14 +1,20 @@
+use nutmegkeel_core::l4::message::Demand;
 use nutmegkeel_core::l4::waiting::{Queue, Waiting};
 
 use crate::fixture::{at, data, flow};
 
-/// Time within which answers must come, in milliseconds.
+/// Time within which answers are of use, in milliseconds.
 const LIMIT_MS: u64 = 2_500;
 
+const DEMAND: Demand = Demand { objective_ms: 250, deadline_ms: 2_500, once: false };
+
+/// Time that an answer takes, in milliseconds.
+const ANSWER_MS: u64 = 90;
+
 fn waiting(port: u16, since_ms: u64) -> Waiting {
     let request = Some(data(flow(port), 1_001, 501));
     let since = at(since_ms);
-    Waiting { flow: flow(port), since, opened: since, limit_ms: LIMIT_MS, request }
+    Waiting { flow: flow(port), since, opened: since, demand: DEMAND, request }
 }
 
 fn ports(taken: &[Waiting]) -> Vec<u16> {
@@ -16,7 +22,7 @@
 }
 
 fn next(queue: &mut Queue, now_ms: u64) -> Option<u16> {
-    queue.pop(at(now_ms)).map(|(waiting, _)| waiting.flow.client.port())
+    queue.pop(at(now_ms), ANSWER_MS).map(|(waiting, _)| waiting.flow.client.port())
 }
 
 #[test]
@@ -86,7 +92,7 @@
     let mut refused = Vec::new();
     for now in (0..6_000).step_by(100) {
         (0..20).for_each(|port| queue.push(waiting(port, now)));
-        (0..10).for_each(|_| assert!(queue.pop(at(now + 50)).is_some()));
+        (0..10).for_each(|_| assert!(queue.pop(at(now + 50), ANSWER_MS).is_some()));
         queue.take_late(at(now + 50), 90);
         let hopeless = queue.take_hopeless(at(now + 50), 7, 90_000);
         refused.push((now, hopeless.len()));
@@ -117,7 +123,7 @@
         }
         queue.take_late(at(now), 90);
         for slot in free_at.iter_mut().filter(|slot| **slot <= now) {
-            let Some((next, _)) = queue.pop(at(now)) else { break };
+            let Some((next, _)) = queue.pop(at(now), ANSWER_MS) else { break };
             *slot = now + 90;
             let is_later = next.flow.client.port() > 1_000;
             in_time += usize::from(is_later && *slot <= next.since.millis() + 250);
@@ -127,3 +133,19 @@
     assert_eq!(later, 90);
     assert!(in_time >= 88, "{in_time} of {later} in time");
 }
+
+/// Clients are refused in a short burst because there was another one a minute ago: the queue had been
+/// empty in between, and the overload still counted as lasting.
+#[test]
+fn an_empty_queue_ends_an_overload() {
+    let mut queue = Queue::default();
+    queue.push(waiting(1, 0));
+    queue.take_late(at(1_000), ANSWER_MS);
+    assert!(queue.pop(at(1_000), ANSWER_MS).is_some());
+
+    (0..20).for_each(|port| queue.push(waiting(port, 60_000)));
+    queue.take_late(at(60_300), ANSWER_MS);
+    let hopeless = queue.take_hopeless(at(60_300), 7, 90_000);
+
+    assert_eq!(hopeless.len(), 0);
+}
