--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -4,22 +4,24 @@
 //! holds, and after its own restart lets the server say so: a packet of a flow that the server does
 //! not hold comes back.
 
+mod request;
+
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
+use request::Opening;
+
 use super::checkpoint::{self, Checkpoint, Keeper};
 use super::flow::{Flow, Head};
 use super::health::{ANNOUNCE_MS, FORGET_MS};
-use super::message::{
-    Announcement, Demand, Insistence, Load, Message, Reason, Roster, SOON_TURNS, State,
-};
+use super::message::{Announcement, Demand, Insistence, Load, Message, Reason, Roster, State};
 use super::note::{Cause, Note, ServerChange};
 use super::outlier::Record;
 use super::roster::Book;
 use super::route::Service;
 use super::server::{Beside, Heard, Heartbeat, Server};
 use super::table::{Outcome, Probes, Stage, Table};
-use super::waiting::{Queue, Waiting};
+use super::waiting::Queue;
 use crate::admission::Pace;
 use crate::clock::Time;
 
@@ -34,10 +36,6 @@
 /// a heartbeat tells of now: the heartbeat of a new incarnation comes with its start.
 const ALIVE_MS: u64 = 1_000;
 
-/// Requests that may wait at the backend server itself before openings wait at the agent: one to
-/// take the next slot, and one more because an opening becomes a request only a round trip later.
-const AHEAD: u16 = 2;
-
 /// An agent that has heard nothing for so long stands beside no server, in percent of the pause
 /// between two heartbeats: one and a half, because a server that runs sends its next one within one.
 const UNHEARD_PERCENT: u64 = 150;
@@ -138,18 +136,6 @@
     pub checkpoints_per_s: u64,
 }
 
-/// An opening as a balancer sent it.
-#[derive(Debug)]
-struct Opening {
-    from: Ipv4Addr,
-    head: Head,
-    service: Service,
-    insistence: Insistence,
-    demand: Demand,
-    /// When it first came to a balancer.
-    since: Time,
-}
-
 /// The agent.
 #[derive(Debug)]
 pub struct Agent {
@@ -265,41 +251,6 @@
         }
     }
 
-    /// The server accepts the opening at once; the first request may have to wait for a slot.
-    fn open_flow(&mut self, now: Time, opening: &Opening) -> Vec<Action> {
-        let (flow, demand) = (opening.head.flow, opening.demand);
-        let known = self.table.get(&flow);
-        let is_copy = known.is_some_and(|held| held.opened_with == opening.head.seq);
-        if let Some(reason) = self.refusal(now, opening, is_copy) {
-            return vec![self.decline(opening.from, reason)];
-        }
-        let action = self.hand_over(now, flow, opening.from);
-        if is_copy {
-            return vec![action];
-        }
-        self.waiting.remove(&flow);
-        self.table.open(now, flow, opening.head.seq, demand);
-        if !demand.once && self.is_saturated() {
-            let since = opening.since;
-            self.waiting.push(Waiting { flow, since, opened: now, demand, request: None });
-            self.table.set_waiting(flow, true);
-        } else {
-            self.table.admit(now, flow);
-        }
-        vec![action, self.accepted(flow)]
-    }
-
-    fn slots(&self) -> u64 {
-        self.beside.server().map_or(1, |server| u64::from(server.slots.max(1)))
-    }
-
-    /// Whether the backend server has no slot left and enough to go on with. When this process ends,
-    /// what waits goes to the server's own queue: nobody else has it.
-    fn is_saturated(&self) -> bool {
-        let slots = self.beside.server().map_or(0, |server| server.slots);
-        !self.leaving && self.table.load().busy >= slots + AHEAD
-    }
-
     fn hand_over(&mut self, now: Time, flow: Flow, from: Ipv4Addr) -> Action {
         self.unanswered_since.get_or_insert(now);
         Action::ToServer(self.probes.insert(now, flow, from))
@@ -309,139 +260,6 @@
         Action::Note(Note::Accepted { flow, load: self.load() })
     }
 
-    /// Lets requests that wait go to the server as slots come free, and tells clients at once when
-    /// theirs has no chance any more. A server that drains still serves the flows it has accepted.
-    fn release(&mut self, now: Time) -> Vec<Action> {
-        let mut actions = Vec::new();
-        if self.waiting.is_empty() {
-            return actions;
-        }
-        if self.beside.server().is_none() {
-            for waiting in self.waiting.take_all() {
-                actions.extend(self.give_up(now, &waiting, Cause::ServerDead));
-            }
-            return actions;
-        }
-        for waiting in self.waiting.take_late(now, self.pace.mean_us() / 1_000) {
-            actions.extend(self.give_up(now, &waiting, Cause::Late));
-        }
-        for waiting in self.waiting.take_hopeless(now, self.slots(), self.pace.mean_us()) {
-            match waiting.request.filter(|_| self.table.is_open(&waiting.flow)) {
-                // The server says itself that it has not run what it has no room for.
-                Some(request) => actions.extend(self.let_go(now, &waiting, &request)),
-                None => actions.extend(self.give_up(now, &waiting, Cause::Late)),
-            }
-        }
-        while !self.is_saturated()
-            && let Some((waiting, request)) = self.waiting.pop(now, self.pace.most_us() / 1_000)
-        {
-            actions.extend(self.let_go(now, &waiting, &request));
-        }
-        actions
-    }
-
-    /// Gives a request up that waits and never reached the server. If the server has not seen the end
-    /// of the handshake, or is gone, the client is told by a reset. On a flow that is open nothing is
-    /// sent: a reset would break a flow of a server that is well, and the client's time is over.
-    fn give_up(&mut self, now: Time, waiting: &Waiting, cause: Cause) -> Vec<Action> {
-        if waiting.request.is_none() {
-            return Vec::new();
-        }
-        let flow = waiting.flow;
-        let mut actions = vec![Action::Forget(flow)];
-        if self.table.is_open(&flow) && cause == Cause::Late {
-            self.table.set_waiting(flow, false);
-            let waited_ms = now.since(waiting.since);
-            actions.push(Action::Note(Note::Expired { flow, waited_ms }));
-        } else if let Some(held) = self.table.remove(&flow) {
-            actions.extend(reset(flow, held.client_ack, cause));
-        }
-        actions
-    }
-
-    /// Hands a request that waited to the server.
-    fn let_go(&mut self, now: Time, waiting: &Waiting, request: &Head) -> Vec<Action> {
-        self.table.admit(now, waiting.flow);
-        self.table.note_client(now, request);
-        vec![Action::CountWait(now.since(waiting.since)), Action::Release(waiting.flow)]
-    }
-
-    /// Takes a client's packet of a flow that the server holds: requests go on while the server has
-    /// slots, and wait here otherwise, where the newest can go first; in the server's own queue they
-    /// are answered in the order of their arrival, and all of them late.
-    fn take(&mut self, now: Time, head: &Head) -> Vec<Action> {
-        if self.table.is_waiting(&head.flow) {
-            return self.wait(now, head);
-        }
-        let Some(demand) = self.table.begins(head).filter(|_| self.is_saturated()) else {
-            self.table.note_client(now, head);
-            return vec![Action::ToServer(0)];
-        };
-        let request = Some(*head);
-        self.waiting.push(Waiting { flow: head.flow, since: now, opened: now, demand, request });
-        self.table.set_waiting(head.flow, true);
-        self.wait(now, head)
-    }
-
-    /// A client's packet of a flow whose request waits. One that ends the flow goes on to the server,
-    /// which frees what it holds for it.
-    fn wait(&mut self, now: Time, head: &Head) -> Vec<Action> {
-        let is_request = head.len > 0;
-        if head.flags.rst || (head.flags.fin && !is_request) {
-            self.waiting.remove(&head.flow);
-            self.table.set_waiting(head.flow, false);
-            self.table.note_client(now, head);
-            return vec![Action::Forget(head.flow), Action::ToServer(0)];
-        }
-        if !is_request && self.table.is_open(&head.flow) {
-            self.table.note_client(now, head);
-            return vec![Action::ToServer(0)];
-        }
-        self.table.note_waiting(now, head);
-        if is_request && !self.waiting.note_request(head) {
-            // Nobody waited for it any more: it came too long after the opening.
-            self.table.admit(now, head.flow);
-            self.table.note_client(now, head);
-            return vec![Action::ToServer(0)];
-        }
-        let note = Note::Kept { flow: head.flow, cause: Cause::AllBusy };
-        if is_request { vec![Action::Keep(*head), Action::Note(note)] } else { Vec::new() }
-    }
-
-    /// Why an opening is not taken. What the agent sees itself goes before what a balancer believed:
-    /// a server that leaves takes nothing from the moment its heartbeat says so, and one of another
-    /// service, at an address used again, never sees the packet.
-    fn refusal(&self, now: Time, opening: &Opening, is_copy: bool) -> Option<Reason> {
-        let Some(server) = self.beside.server() else {
-            return Some(Reason::Leaving);
-        };
-        if server.service != opening.service {
-            return Some(Reason::WrongService);
-        }
-        if !self.is_open(now) {
-            return Some(Reason::Leaving);
-        }
-        if is_copy {
-            return None;
-        }
-        let (busy, slots) = (self.load().busy, server.slots.max(1));
-        let demand = opening.demand;
-        let is_late = !demand.once && self.expected_ms() > u64::from(demand.deadline_ms);
-        match opening.insistence {
-            Insistence::IfIdle if busy >= slots => Some(Reason::Busy),
-            Insistence::IfSoon if busy >= slots * SOON_TURNS => Some(Reason::Busy),
-            Insistence::IfInTime if is_late => Some(Reason::Late),
-            _ => None,
-        }
-    }
-
-    /// Expected time from now to the answer of one more request: turns of the slots, each as long as
-    /// nearly every request. Openings that wait here do not count, because the newest goes first.
-    fn expected_ms(&self) -> u64 {
-        let at_server = u64::from(self.table.load().busy);
-        (at_server + 1).div_ceil(self.slots()) * self.pace.most_us() / 1_000
-    }
-
     fn carry(&mut self, now: Time, from: Ipv4Addr, head: &Head, known: bool) -> Vec<Action> {
         let flow = head.flow;
         if self.table.takes(now, head) {
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -1,19 +1,25 @@
 //! Decisions of a balancer for flows without a routing token.
 
+mod kept;
+mod opening;
+mod search;
+
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-use super::cache::{Cache, Entry, Place};
+use kept::View;
+use search::{carry_to, note_declined};
+
+use super::cache::{Cache, Place};
 use super::flow::{Flow, Head};
-use super::health::{ANNOUNCE_MS, Health};
-use super::message::{Announcement, Demand, Insistence, Load, Message, Reason, Roster};
+use super::health::ANNOUNCE_MS;
+use super::message::{Announcement, Load, Message, Reason, Roster};
 use super::note::{Cause, Note};
 use super::placement::{Change, Pool};
 use super::roster::{Book, KEPT_MS};
-use super::route::{Kind, Route, Service, Table};
+use super::route::Table;
 use crate::clock::Time;
-use crate::placement::mix;
 
 /// Pause between two ticks, in milliseconds. Gossip goes out with each.
 pub const TICK_MS: u64 = 500;
@@ -37,21 +43,6 @@
 /// milliseconds. A look walks all agents, so it is not done with every packet.
 const REVIEW_MS: u64 = 50;
 
-/// An opening that has found no agent within this is refused, in milliseconds: its client gives it up
-/// after 1.4 s.
-const LONGEST_MS: u64 = 1_100;
-
-/// Pause between two looks at packets that are kept while agents appear, in milliseconds: about a request
-/// at each slot is done by then, so that servers do not run out of work.
-const RECALL_MS: u64 = 100;
-
-/// Agents asked for a free slot before one is asked to let the flow wait. Each costs a round trip of
-/// 2 ms; at 80% load of two slots a second question finds a free slot three times in ten.
-const IDLE_TRIES: usize = 2;
-
-/// Agents asked for one opening at most.
-const OPEN_TRIES: usize = 8;
-
 /// Number of a reset that refuses an opening. A client takes any number while its flow is not open.
 /// One that opened the flow elsewhere meanwhile, by a copy that took another way, ignores this one:
 /// it is not near the numbers of its flow but in one of 28,000 cases.
@@ -194,13 +185,6 @@
     }
 }
 
-/// What decides on packets that are kept.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct View {
-    growing: bool,
-    settled: bool,
-}
-
 impl Balancer {
     /// A balancer that knows nothing yet but its seeds.
     #[must_use]
@@ -331,97 +315,6 @@
         actions
     }
 
-    /// Calls for the packets that are kept once agents have stopped appearing, or all are known.
-    fn recall_if_changed(&mut self, now: Time) -> Vec<Action> {
-        let view = View { growing: self.is_growing(now), settled: self.is_settled(now) };
-        let changed = view != self.view;
-        self.view = view;
-        let is_due = view.growing && now.since(self.recalled) >= RECALL_MS;
-        let changed = changed || std::mem::take(&mut self.agent_came);
-        if changed || is_due { self.recall(now) } else { Vec::new() }
-    }
-
-    fn recall(&mut self, now: Time) -> Vec<Action> {
-        let is_able = |word: &Word| word.is_recent(now) && word.version > 0;
-        if self.table.version == 0 && !self.words.values().any(is_able) {
-            return Vec::new();
-        }
-        self.recalled = now;
-        if std::mem::take(&mut self.keeps) { vec![Action::Recall] } else { Vec::new() }
-    }
-
-    fn keep(&mut self, head: &Head, cause: Cause) -> Vec<Action> {
-        self.keeps = true;
-        let mut actions = vec![Action::Keep(*head)];
-        if !self.is_again {
-            actions.push(Action::Note(Note::Kept { flow: head.flow, cause }));
-        }
-        actions
-    }
-
-    /// Goes on with a search for which no packet is at hand.
-    fn decide(&mut self, now: Time, flow: Flow) -> Vec<Action> {
-        let Some(route) = self.table.routes.get(&flow.service).cloned() else {
-            self.cache.remove(&flow);
-            return Vec::new();
-        };
-        let entry = self.cache.entry(now, flow);
-        if matches!(entry.place, Some(Place::Asked(_))) && !entry.is_overdue(now) {
-            return Vec::new();
-        }
-        if entry.is_overdue(now) {
-            self.pass_over(now, flow);
-        }
-        if self.cache.entry(now, flow).is_stale(now) {
-            self.cache.entry(now, flow).restart(now);
-        }
-        let next = self.next_to_ask(now, flow, &route).or_else(|| self.next_to_repeat(now, flow));
-        if let Some(agent) = next {
-            return vec![Action::Send(agent, Message::Locate { flow })];
-        }
-        if !self.is_nowhere(now, flow) {
-            return Vec::new();
-        }
-        let entry = self.cache.entry(now, flow);
-        let (seq, asked) = (entry.client_ack, entry.declined.len());
-        self.cache.decide(&flow);
-        self.reset_flow(flow, seq, Cause::NotHeld, asked)
-    }
-
-    /// Whether every agent that may hold the flow has said that it does not.
-    fn is_nowhere(&mut self, now: Time, flow: Flow) -> bool {
-        let entry = self.cache.entry(now, flow);
-        let is_open = |agent: &Ipv4Addr| self.pool.may_hold(now, *agent);
-        let all_answered = !entry.declined.is_empty() && !entry.unanswered.iter().any(is_open);
-        all_answered && self.is_settled(now)
-    }
-
-    /// An agent that was passed over and may answer now. Guards against a client that waits for the
-    /// next whole search because one agent of all was not sure when it was asked.
-    fn next_to_repeat(&mut self, now: Time, flow: Flow) -> Option<Ipv4Addr> {
-        let entry = self.cache.entry(now, flow);
-        if !entry.may_ask_again(now) {
-            return None;
-        }
-        let fresh = |agent: &&Ipv4Addr| self.pool.health(now, **agent) == Some(Health::Fresh);
-        let agent = *entry.unanswered.iter().find(fresh)?;
-        entry.place = Some(Place::Asked(agent));
-        entry.asked = now;
-        Some(agent)
-    }
-
-    fn absent(&mut self, now: Time, from: Ipv4Addr, flow: Flow, load: Load) -> Vec<Action> {
-        self.pool.heard(now, from, load);
-        let entry = self.cache.entry(now, flow);
-        entry.unanswered.retain(|agent| *agent != from);
-        if entry.place != Some(Place::Asked(from)) {
-            return Vec::new();
-        }
-        entry.place = None;
-        note_declined(entry, from, Reason::NotHeld);
-        self.decide(now, flow)
-    }
-
     fn client(&mut self, now: Time, head: &Head) -> Vec<Action> {
         // A first opening begins a new flow, whatever is remembered of one between the same ends.
         if head.opens() && head.ack == 0 {
@@ -441,193 +334,6 @@
         if head.opens() { self.opening(now, head, &route) } else { self.carry(now, head, &route) }
     }
 
-    /// Hands a packet to a balancer that has a configuration, if one is known.
-    ///
-    /// Guards against servers that idle after a mass restart: a large configuration takes 300 ms over a
-    /// link of 10 Mbit/s, and hosts with such links get most packets.
-    fn relay(&mut self, now: Time, head: &Head) -> Vec<Action> {
-        let able = self.words.iter().filter(|(_, word)| word.is_recent(now) && word.version > 0);
-        let key = head.flow.key().number();
-        let rank = |peer: &Ipv4Addr| mix(key ^ mix(u64::from(peer.to_bits())));
-        let Some(to) = able.map(|(peer, _)| *peer).max_by_key(rank) else {
-            return self.keep(head, Cause::NoConfiguration);
-        };
-        let note = Note::Relayed { flow: head.flow, to };
-        vec![Action::Forward(to, Message::Relay), Action::Note(note)]
-    }
-
-    /// The copies of an opening go where the first went, or two backend servers would accept it;
-    /// unless that agent fell silent, or the route has moved since.
-    fn opening(&mut self, now: Time, head: &Head, route: &Route) -> Vec<Action> {
-        let Some(service) = route.service(&head.flow) else {
-            return self.reset(head, Cause::NoAgent, 0);
-        };
-        let entry = self.cache.entry(now, head.flow);
-        if let Some(agent) = entry.place.as_ref().map(Place::agent)
-            && self.pool.health(now, agent) == Some(Health::Fresh)
-            && self.pool.service(agent) == Some(service)
-        {
-            let waited_ms = now.since(entry.began);
-            return vec![forward_open(agent, service, route, Insistence::IfInTime, waited_ms)];
-        }
-        self.place(now, head, service, route)
-    }
-
-    fn place(&mut self, now: Time, head: &Head, service: Service, route: &Route) -> Vec<Action> {
-        let is_assembling = self.pool.is_young() && self.is_growing(now);
-        let entry = self.cache.entry(now, head.flow);
-        let key = head.flow.key();
-        let tries = entry.declined.len();
-        let for_idle = tries < IDLE_TRIES;
-        let excluded: Vec<Ipv4Addr> = entry
-            .declined
-            .iter()
-            .filter(|(_, reason)| for_idle || *reason != Reason::Busy)
-            .map(|(agent, _)| *agent)
-            .collect();
-        let waited_ms = now.since(entry.began);
-        let choice = (tries < OPEN_TRIES && waited_ms <= LONGEST_MS)
-            .then(|| self.pool.choose(now, key, service, route.kind, &self.domain, &excluded))
-            .flatten();
-        // Guards against one backend server that gets all flows because it was back first: the others
-        // appear within a few hundred milliseconds.
-        let is_patient = is_assembling && waited_ms <= LONGEST_MS;
-        let turn_comes_soon = choice.map_or(tries == 0, |choice| choice.is_soon);
-        if is_patient && !turn_comes_soon {
-            return self.keep(head, Cause::AllBusy);
-        }
-        let Some(choice) = choice else {
-            return self.refuse(now, head, tries);
-        };
-        entry.place = Some(Place::Placed(choice.agent));
-        self.pool.placed(choice.agent);
-        let alone = self.pool.open_agents(now, service) <= excluded.len() + 1;
-        let insistence = match (for_idle && !alone, is_patient && route.kind != Kind::Once) {
-            (true, _) => Insistence::IfIdle,
-            (false, true) => Insistence::IfSoon,
-            (false, false) => Insistence::IfInTime,
-        };
-        let note =
-            Note::Placed { flow: head.flow, choice, attempt: tries, version: self.table.version };
-        vec![forward_open(choice.agent, service, route, insistence, waited_ms), Action::Note(note)]
-    }
-
-    /// No agent takes the opening. The client learns it at once, unless this balancer may simply not
-    /// have heard of an agent yet.
-    fn refuse(&mut self, now: Time, head: &Head, tries: usize) -> Vec<Action> {
-        let waited_ms = now.since(self.cache.entry(now, head.flow).began);
-        if tries == 0 && !self.is_settled(now) && waited_ms <= LONGEST_MS {
-            return self.keep(head, Cause::NoAgent);
-        }
-        self.cache.remove(&head.flow);
-        let cause = if tries == 0 { Cause::NoAgent } else { Cause::AllDeclined };
-        self.reset(head, cause, tries)
-    }
-
-    fn carry(&mut self, now: Time, head: &Head, route: &Route) -> Vec<Action> {
-        self.cache.decide(&head.flow);
-        let entry = self.cache.entry(now, head.flow);
-        entry.client_ack = head.ack;
-        if entry.is_stale(now) {
-            entry.restart(now);
-        }
-        if entry.is_overdue(now) {
-            self.pass_over(now, head.flow);
-        }
-        match self.cache.entry(now, head.flow).place.clone() {
-            Some(Place::Asked(agent)) => vec![carry_to(agent, false)],
-            Some(Place::Placed(agent)) => self.carry_placed(now, head, route, agent),
-            Some(Place::Held(agent)) => self.carry_held(now, head, route, agent),
-            None => self.search(now, head, route),
-        }
-    }
-
-    /// The opening was sent there, but a copy of it may have opened the flow elsewhere by way of
-    /// another balancer: the agent must say that it holds the flow.
-    fn carry_placed(
-        &mut self,
-        now: Time,
-        head: &Head,
-        route: &Route,
-        agent: Ipv4Addr,
-    ) -> Vec<Action> {
-        if matches!(self.pool.health(now, agent), Some(Health::Fresh | Health::Late)) {
-            return vec![carry_to(agent, false)];
-        }
-        self.cache.entry(now, head.flow).restart(now);
-        self.search(now, head, route)
-    }
-
-    fn carry_held(
-        &mut self,
-        now: Time,
-        head: &Head,
-        route: &Route,
-        agent: Ipv4Addr,
-    ) -> Vec<Action> {
-        match self.pool.health(now, agent) {
-            Some(Health::Fresh | Health::Late | Health::Restarting) => vec![carry_to(agent, true)],
-            Some(Health::Silent) if !self.pool.is_cut_off(now) => {
-                self.cache.remove(&head.flow);
-                self.reset(head, Cause::AgentDead, 0)
-            }
-            Some(Health::Silent) => vec![carry_to(agent, true)],
-            None => {
-                self.cache.entry(now, head.flow).restart(now);
-                self.search(now, head, route)
-            }
-        }
-    }
-
-    fn search(&mut self, now: Time, head: &Head, route: &Route) -> Vec<Action> {
-        match self.next_to_ask(now, head.flow, route) {
-            Some(agent) => vec![carry_to(agent, false)],
-            None => self.not_found(now, head),
-        }
-    }
-
-    /// The next agent to ask for a flow. One whose process is being replaced is asked last: the
-    /// others can be ruled out meanwhile, and what is left must be there.
-    fn next_to_ask(&mut self, now: Time, flow: Flow, route: &Route) -> Option<Ipv4Addr> {
-        let services: Vec<_> = route.shares.iter().map(|share| share.service).collect();
-        let order = self.pool.search(flow.key(), &services, &self.domain);
-        let entry = self.cache.entry(now, flow);
-        // Who refused the opening may have taken a later copy of it, so only an answer to this
-        // question counts.
-        let asked = |agent: &Ipv4Addr| entry.declined.contains(&(*agent, Reason::NotHeld));
-        let (_, agent) = order
-            .into_iter()
-            .filter(|agent| !asked(agent))
-            .filter_map(|agent| Some((self.pool.health(now, agent)?, agent)))
-            .filter(|(_, agent)| self.pool.may_hold(now, *agent))
-            .min_by_key(|(health, _)| *health == Health::Restarting)?;
-        entry.place = Some(Place::Asked(agent));
-        entry.asked = now;
-        Some(agent)
-    }
-
-    /// Goes on without an agent that has not answered: it may be dead, and the flow elsewhere.
-    fn pass_over(&mut self, now: Time, flow: Flow) {
-        let entry = self.cache.entry(now, flow);
-        if let Some(place) = entry.place.take() {
-            let agent = place.agent();
-            note_declined(entry, agent, Reason::NotHeld);
-            if !entry.unanswered.contains(&agent) {
-                entry.unanswered.push(agent);
-            }
-        }
-    }
-
-    fn not_found(&mut self, now: Time, head: &Head) -> Vec<Action> {
-        if self.is_nowhere(now, head.flow) {
-            let asked = self.cache.entry(now, head.flow).declined.len();
-            self.reset(head, Cause::NotHeld, asked)
-        } else {
-            self.cache.wait(now, head.flow);
-            self.keep(head, Cause::Undecided)
-        }
-    }
-
     /// Whether no other balancer hears of more agents. Guards against resetting the flows of an agent
     /// that has not yet learnt of this balancer: the others know it.
     fn has_heard_of_all(&self, now: Time) -> bool {
@@ -682,21 +388,6 @@
         actions
     }
 
-    fn holds(&mut self, now: Time, from: Ipv4Addr, flow: Flow, load: Load) -> Vec<Action> {
-        self.pool.heard(now, from, load);
-        let entry = self.cache.entry(now, flow);
-        let news = entry.place != Some(Place::Held(from));
-        let asked = entry.declined.len();
-        entry.place = Some(Place::Held(from));
-        entry.declined.clear();
-        entry.unanswered.clear();
-        self.cache.decide(&flow);
-        if !news {
-            return Vec::new();
-        }
-        vec![Action::RecallFlow(flow), Action::Note(Note::Found { flow, agent: from, asked })]
-    }
-
     fn announced(&mut self, now: Time, from: Ipv4Addr, word: Announcement) -> Vec<Action> {
         let digest = word.balancers;
         let change = self.pool.announced(now, from, word);
@@ -836,31 +527,3 @@
         vec![Action::Reset { flow, seq }, Action::Note(note)]
     }
 }
-
-fn carry_to(agent: Ipv4Addr, known: bool) -> Action {
-    Action::Forward(agent, Message::Carry { known })
-}
-
-fn forward_open(
-    agent: Ipv4Addr,
-    service: Service,
-    route: &Route,
-    insistence: Insistence,
-    waited_ms: u64,
-) -> Action {
-    let demand = Demand {
-        objective_ms: u32::try_from(route.objective_ms).unwrap_or(u32::MAX),
-        deadline_ms: u32::try_from(route.deadline_ms).unwrap_or(u32::MAX),
-        once: route.kind == Kind::Once,
-    };
-    let waited_ms = u32::try_from(waited_ms).unwrap_or(u32::MAX);
-    Action::Forward(agent, Message::Open { service, insistence, demand, waited_ms })
-}
-
-fn note_declined(entry: &mut Entry, agent: Ipv4Addr, reason: Reason) {
-    if let Some(known) = entry.declined.iter_mut().find(|(known, _)| *known == agent) {
-        known.1 = reason;
-    } else {
-        entry.declined.push((agent, reason));
-    }
-}
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/balancer/kept.rs
@@ -0,0 +1,67 @@
+//! Packets that cannot be decided on yet: kept, handed to another balancer, called for again.
+
+use std::net::Ipv4Addr;
+
+use super::Action;
+use super::{Balancer, Word};
+use crate::clock::Time;
+use crate::l4::flow::Head;
+use crate::l4::message::Message;
+use crate::l4::note::{Cause, Note};
+use crate::placement::mix;
+
+/// Pause between two looks at packets that are kept while agents appear, in milliseconds: about a request
+/// at each slot is done by then, so that servers do not run out of work.
+const RECALL_MS: u64 = 100;
+
+/// What decides on packets that are kept.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct View {
+    growing: bool,
+    settled: bool,
+}
+
+impl Balancer {
+    /// Calls for the packets that are kept once agents have stopped appearing, or all are known.
+    pub(super) fn recall_if_changed(&mut self, now: Time) -> Vec<Action> {
+        let view = View { growing: self.is_growing(now), settled: self.is_settled(now) };
+        let changed = view != self.view;
+        self.view = view;
+        let is_due = view.growing && now.since(self.recalled) >= RECALL_MS;
+        let changed = changed || std::mem::take(&mut self.agent_came);
+        if changed || is_due { self.recall(now) } else { Vec::new() }
+    }
+
+    pub(super) fn recall(&mut self, now: Time) -> Vec<Action> {
+        let is_able = |word: &Word| word.is_recent(now) && word.version > 0;
+        if self.table.version == 0 && !self.words.values().any(is_able) {
+            return Vec::new();
+        }
+        self.recalled = now;
+        if std::mem::take(&mut self.keeps) { vec![Action::Recall] } else { Vec::new() }
+    }
+
+    pub(super) fn keep(&mut self, head: &Head, cause: Cause) -> Vec<Action> {
+        self.keeps = true;
+        let mut actions = vec![Action::Keep(*head)];
+        if !self.is_again {
+            actions.push(Action::Note(Note::Kept { flow: head.flow, cause }));
+        }
+        actions
+    }
+
+    /// Hands a packet to a balancer that has a configuration, if one is known.
+    ///
+    /// Guards against servers that idle after a mass restart: a large configuration takes 300 ms over a
+    /// link of 10 Mbit/s, and hosts with such links get most packets.
+    pub(super) fn relay(&mut self, now: Time, head: &Head) -> Vec<Action> {
+        let able = self.words.iter().filter(|(_, word)| word.is_recent(now) && word.version > 0);
+        let key = head.flow.key().number();
+        let rank = |peer: &Ipv4Addr| mix(key ^ mix(u64::from(peer.to_bits())));
+        let Some(to) = able.map(|(peer, _)| *peer).max_by_key(rank) else {
+            return self.keep(head, Cause::NoConfiguration);
+        };
+        let note = Note::Relayed { flow: head.flow, to };
+        vec![Action::Forward(to, Message::Relay), Action::Note(note)]
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/balancer/opening.rs
@@ -0,0 +1,109 @@
+//! Places new flows.
+
+use std::net::Ipv4Addr;
+
+use super::{Action, Balancer};
+use crate::clock::Time;
+use crate::l4::cache::Place;
+use crate::l4::flow::Head;
+use crate::l4::health::Health;
+use crate::l4::message::{Demand, Insistence, Message, Reason};
+use crate::l4::note::{Cause, Note};
+use crate::l4::route::{Kind, Route, Service};
+
+/// Agents asked for a free slot before one is asked to let the flow wait. Each costs a round trip of
+/// 2 ms; at 80% load of two slots a second question finds a free slot three times in ten.
+const IDLE_TRIES: usize = 2;
+
+/// Agents asked for one opening at most.
+const OPEN_TRIES: usize = 8;
+
+/// An opening that has found no agent within this is refused, in milliseconds: its client gives it up
+/// after 1.4 s.
+const LONGEST_MS: u64 = 1_100;
+
+impl Balancer {
+    /// The copies of an opening go where the first went, or two backend servers would accept it;
+    /// unless that agent fell silent, or the route has moved since.
+    pub(super) fn opening(&mut self, now: Time, head: &Head, route: &Route) -> Vec<Action> {
+        let Some(service) = route.service(&head.flow) else {
+            return self.reset(head, Cause::NoAgent, 0);
+        };
+        let entry = self.cache.entry(now, head.flow);
+        if let Some(agent) = entry.place.as_ref().map(Place::agent)
+            && self.pool.health(now, agent) == Some(Health::Fresh)
+            && self.pool.service(agent) == Some(service)
+        {
+            let waited_ms = now.since(entry.began);
+            return vec![forward_open(agent, service, route, Insistence::IfInTime, waited_ms)];
+        }
+        self.place(now, head, service, route)
+    }
+
+    fn place(&mut self, now: Time, head: &Head, service: Service, route: &Route) -> Vec<Action> {
+        let is_assembling = self.pool.is_young() && self.is_growing(now);
+        let entry = self.cache.entry(now, head.flow);
+        let key = head.flow.key();
+        let tries = entry.declined.len();
+        let for_idle = tries < IDLE_TRIES;
+        let excluded: Vec<Ipv4Addr> = entry
+            .declined
+            .iter()
+            .filter(|(_, reason)| for_idle || *reason != Reason::Busy)
+            .map(|(agent, _)| *agent)
+            .collect();
+        let waited_ms = now.since(entry.began);
+        let choice = (tries < OPEN_TRIES && waited_ms <= LONGEST_MS)
+            .then(|| self.pool.choose(now, key, service, route.kind, &self.domain, &excluded))
+            .flatten();
+        // Guards against one backend server that gets all flows because it was back first: the others
+        // appear within a few hundred milliseconds.
+        let is_patient = is_assembling && waited_ms <= LONGEST_MS;
+        let turn_comes_soon = choice.map_or(tries == 0, |choice| choice.is_soon);
+        if is_patient && !turn_comes_soon {
+            return self.keep(head, Cause::AllBusy);
+        }
+        let Some(choice) = choice else {
+            return self.refuse(now, head, tries);
+        };
+        entry.place = Some(Place::Placed(choice.agent));
+        self.pool.placed(choice.agent);
+        let alone = self.pool.open_agents(now, service) <= excluded.len() + 1;
+        let insistence = match (for_idle && !alone, is_patient && route.kind != Kind::Once) {
+            (true, _) => Insistence::IfIdle,
+            (false, true) => Insistence::IfSoon,
+            (false, false) => Insistence::IfInTime,
+        };
+        let note =
+            Note::Placed { flow: head.flow, choice, attempt: tries, version: self.table.version };
+        vec![forward_open(choice.agent, service, route, insistence, waited_ms), Action::Note(note)]
+    }
+
+    /// No agent takes the opening. The client learns it at once, unless this balancer may simply not
+    /// have heard of an agent yet.
+    fn refuse(&mut self, now: Time, head: &Head, tries: usize) -> Vec<Action> {
+        let waited_ms = now.since(self.cache.entry(now, head.flow).began);
+        if tries == 0 && !self.is_settled(now) && waited_ms <= LONGEST_MS {
+            return self.keep(head, Cause::NoAgent);
+        }
+        self.cache.remove(&head.flow);
+        let cause = if tries == 0 { Cause::NoAgent } else { Cause::AllDeclined };
+        self.reset(head, cause, tries)
+    }
+}
+
+fn forward_open(
+    agent: Ipv4Addr,
+    service: Service,
+    route: &Route,
+    insistence: Insistence,
+    waited_ms: u64,
+) -> Action {
+    let demand = Demand {
+        objective_ms: u32::try_from(route.objective_ms).unwrap_or(u32::MAX),
+        deadline_ms: u32::try_from(route.deadline_ms).unwrap_or(u32::MAX),
+        once: route.kind == Kind::Once,
+    };
+    let waited_ms = u32::try_from(waited_ms).unwrap_or(u32::MAX);
+    Action::Forward(agent, Message::Open { service, insistence, demand, waited_ms })
+}
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -0,0 +1,210 @@
+//! Finds the agent of a flow that this balancer does not know.
+
+use std::net::Ipv4Addr;
+
+use super::{Action, Balancer};
+use crate::clock::Time;
+use crate::l4::cache::{Entry, Place};
+use crate::l4::flow::{Flow, Head};
+use crate::l4::health::Health;
+use crate::l4::message::{Load, Message, Reason};
+use crate::l4::note::{Cause, Note};
+use crate::l4::route::Route;
+
+impl Balancer {
+    /// Goes on with a search for which no packet is at hand.
+    pub(super) fn decide(&mut self, now: Time, flow: Flow) -> Vec<Action> {
+        let Some(route) = self.table.routes.get(&flow.service).cloned() else {
+            self.cache.remove(&flow);
+            return Vec::new();
+        };
+        let entry = self.cache.entry(now, flow);
+        if matches!(entry.place, Some(Place::Asked(_))) && !entry.is_overdue(now) {
+            return Vec::new();
+        }
+        if entry.is_overdue(now) {
+            self.pass_over(now, flow);
+        }
+        if self.cache.entry(now, flow).is_stale(now) {
+            self.cache.entry(now, flow).restart(now);
+        }
+        let next = self.next_to_ask(now, flow, &route).or_else(|| self.next_to_repeat(now, flow));
+        if let Some(agent) = next {
+            return vec![Action::Send(agent, Message::Locate { flow })];
+        }
+        if !self.is_nowhere(now, flow) {
+            return Vec::new();
+        }
+        let entry = self.cache.entry(now, flow);
+        let (seq, asked) = (entry.client_ack, entry.declined.len());
+        self.cache.decide(&flow);
+        self.reset_flow(flow, seq, Cause::NotHeld, asked)
+    }
+
+    /// Whether every agent that may hold the flow has said that it does not.
+    fn is_nowhere(&mut self, now: Time, flow: Flow) -> bool {
+        let entry = self.cache.entry(now, flow);
+        let is_open = |agent: &Ipv4Addr| self.pool.may_hold(now, *agent);
+        let all_answered = !entry.declined.is_empty() && !entry.unanswered.iter().any(is_open);
+        all_answered && self.is_settled(now)
+    }
+
+    /// An agent that was passed over and may answer now. Guards against a client that waits for the
+    /// next whole search because one agent of all was not sure when it was asked.
+    fn next_to_repeat(&mut self, now: Time, flow: Flow) -> Option<Ipv4Addr> {
+        let entry = self.cache.entry(now, flow);
+        if !entry.may_ask_again(now) {
+            return None;
+        }
+        let fresh = |agent: &&Ipv4Addr| self.pool.health(now, **agent) == Some(Health::Fresh);
+        let agent = *entry.unanswered.iter().find(fresh)?;
+        entry.place = Some(Place::Asked(agent));
+        entry.asked = now;
+        Some(agent)
+    }
+
+    pub(super) fn absent(
+        &mut self,
+        now: Time,
+        from: Ipv4Addr,
+        flow: Flow,
+        load: Load,
+    ) -> Vec<Action> {
+        self.pool.heard(now, from, load);
+        let entry = self.cache.entry(now, flow);
+        entry.unanswered.retain(|agent| *agent != from);
+        if entry.place != Some(Place::Asked(from)) {
+            return Vec::new();
+        }
+        entry.place = None;
+        note_declined(entry, from, Reason::NotHeld);
+        self.decide(now, flow)
+    }
+
+    pub(super) fn carry(&mut self, now: Time, head: &Head, route: &Route) -> Vec<Action> {
+        self.cache.decide(&head.flow);
+        let entry = self.cache.entry(now, head.flow);
+        entry.client_ack = head.ack;
+        if entry.is_stale(now) {
+            entry.restart(now);
+        }
+        if entry.is_overdue(now) {
+            self.pass_over(now, head.flow);
+        }
+        match self.cache.entry(now, head.flow).place.clone() {
+            Some(Place::Asked(agent)) => vec![carry_to(agent, false)],
+            Some(Place::Placed(agent)) => self.carry_known(now, head, route, agent, false),
+            Some(Place::Held(agent)) => self.carry_known(now, head, route, agent, true),
+            None => self.search(now, head, route),
+        }
+    }
+
+    /// Hands a packet to the agent that holds its flow, or that its opening was sent to. The latter must
+    /// say that it holds the flow: a copy of the opening may have opened it elsewhere, by way of
+    /// another balancer.
+    fn carry_known(
+        &mut self,
+        now: Time,
+        head: &Head,
+        route: &Route,
+        agent: Ipv4Addr,
+        is_held: bool,
+    ) -> Vec<Action> {
+        let goes_there = match self.pool.health(now, agent) {
+            Some(Health::Fresh | Health::Late) => true,
+            Some(Health::Silent) if is_held && !self.pool.is_cut_off(now) => {
+                self.cache.remove(&head.flow);
+                return self.reset(head, Cause::AgentDead, 0);
+            }
+            Some(Health::Restarting | Health::Silent) => is_held,
+            None => false,
+        };
+        if goes_there {
+            return vec![carry_to(agent, is_held)];
+        }
+        self.cache.entry(now, head.flow).restart(now);
+        self.search(now, head, route)
+    }
+
+    pub(super) fn search(&mut self, now: Time, head: &Head, route: &Route) -> Vec<Action> {
+        match self.next_to_ask(now, head.flow, route) {
+            Some(agent) => vec![carry_to(agent, false)],
+            None => self.not_found(now, head),
+        }
+    }
+
+    /// The next agent to ask for a flow. One whose process is being replaced is asked last: the
+    /// others can be ruled out meanwhile, and what is left must be there.
+    fn next_to_ask(&mut self, now: Time, flow: Flow, route: &Route) -> Option<Ipv4Addr> {
+        let services: Vec<_> = route.shares.iter().map(|share| share.service).collect();
+        let order = self.pool.search(flow.key(), &services, &self.domain);
+        let entry = self.cache.entry(now, flow);
+        // Who refused the opening may have taken a later copy of it, so only an answer to this
+        // question counts.
+        let asked = |agent: &Ipv4Addr| entry.declined.contains(&(*agent, Reason::NotHeld));
+        let (_, agent) = order
+            .into_iter()
+            .filter(|agent| !asked(agent))
+            .filter_map(|agent| Some((self.pool.health(now, agent)?, agent)))
+            .filter(|(_, agent)| self.pool.may_hold(now, *agent))
+            .min_by_key(|(health, _)| *health == Health::Restarting)?;
+        entry.place = Some(Place::Asked(agent));
+        entry.asked = now;
+        Some(agent)
+    }
+
+    /// Goes on without an agent that has not answered: it may be dead, and the flow elsewhere.
+    fn pass_over(&mut self, now: Time, flow: Flow) {
+        let entry = self.cache.entry(now, flow);
+        if let Some(place) = entry.place.take() {
+            let agent = place.agent();
+            note_declined(entry, agent, Reason::NotHeld);
+            if !entry.unanswered.contains(&agent) {
+                entry.unanswered.push(agent);
+            }
+        }
+    }
+
+    fn not_found(&mut self, now: Time, head: &Head) -> Vec<Action> {
+        if self.is_nowhere(now, head.flow) {
+            let asked = self.cache.entry(now, head.flow).declined.len();
+            self.reset(head, Cause::NotHeld, asked)
+        } else {
+            self.cache.wait(now, head.flow);
+            self.keep(head, Cause::Undecided)
+        }
+    }
+
+    pub(super) fn holds(
+        &mut self,
+        now: Time,
+        from: Ipv4Addr,
+        flow: Flow,
+        load: Load,
+    ) -> Vec<Action> {
+        self.pool.heard(now, from, load);
+        let entry = self.cache.entry(now, flow);
+        let news = entry.place != Some(Place::Held(from));
+        let asked = entry.declined.len();
+        entry.place = Some(Place::Held(from));
+        entry.declined.clear();
+        entry.unanswered.clear();
+        self.cache.decide(&flow);
+        if !news {
+            return Vec::new();
+        }
+        vec![Action::RecallFlow(flow), Action::Note(Note::Found { flow, agent: from, asked })]
+    }
+}
+
+pub(super) fn carry_to(agent: Ipv4Addr, known: bool) -> Action {
+    Action::Forward(agent, Message::Carry { known })
+}
+
+pub(super) fn note_declined(entry: &mut Entry, agent: Ipv4Addr, reason: Reason) {
+    if let Some(known) = entry.declined.iter_mut().find(|(known, _)| *known == agent) {
+        known.1 = reason;
+    } else {
+        entry.declined.push((agent, reason));
+    }
+}
--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -283,6 +283,14 @@
     agent
 }
 
+/// The same with the request of flow 9, which waits.
+fn with_waiting_request() -> Agent {
+    let mut agent = saturated();
+    let head = data(flow(9), 1_001, 501);
+    agent.handle(at(110), Event::Carry { from: BALANCER, head, known: false });
+    agent
+}
+
 /// After a loss of power hundreds of clients use up their tries within seconds. Each gave up an opening
 /// that waited for a slot after 1.4 s, came back with a new one and was put first again. The server
 /// accepts the opening at once now, and the request is what waits.
@@ -313,9 +321,7 @@
 /// A client waits in silence until its own deadline for a request that has no chance any more.
 #[test]
 fn a_request_that_cannot_be_answered_in_time_is_refused_at_once() {
-    let mut agent = saturated();
-    let head = data(flow(9), 1_001, 501);
-    agent.handle(at(110), Event::Carry { from: BALANCER, head, known: false });
+    let mut agent = with_waiting_request();
 
     let early = agent.handle(at(2_000), Event::Tick);
     let late = agent.handle(at(2_600), Event::Tick);
@@ -328,9 +334,7 @@
 
 #[test]
 fn requests_that_wait_are_refused_when_their_server_has_ended() {
-    let mut agent = saturated();
-    let head = data(flow(9), 1_001, 501);
-    agent.handle(at(110), Event::Carry { from: BALANCER, head, known: false });
+    let mut agent = with_waiting_request();
 
     let actions = agent.handle(at(120), Event::Deregistered("a".into()));
 
@@ -341,9 +345,7 @@
 /// the first request waits. A draining server serves the flows that it has accepted.
 #[test]
 fn requests_that_wait_stay_with_a_draining_server() {
-    let mut agent = saturated();
-    let head = data(flow(9), 1_001, 501);
-    agent.handle(at(110), Event::Carry { from: BALANCER, head, known: false });
+    let mut agent = with_waiting_request();
     let mut beat = heartbeat("a", 2);
     beat.draining = true;
 
@@ -357,9 +359,7 @@
 /// Requests that wait are lost with the agent's process when it is replaced.
 #[test]
 fn an_agent_that_leaves_hands_all_waiting_requests_to_the_server() {
-    let mut agent = saturated();
-    let head = data(flow(9), 1_001, 501);
-    agent.handle(at(110), Event::Carry { from: BALANCER, head, known: false });
+    let mut agent = with_waiting_request();
 
     let actions = agent.handle(at(120), Event::Leave);
 
@@ -368,9 +368,7 @@
 
 #[test]
 fn a_client_that_gives_up_frees_its_place() {
-    let mut agent = saturated();
-    let head = data(flow(9), 1_001, 501);
-    agent.handle(at(110), Event::Carry { from: BALANCER, head, known: false });
+    let mut agent = with_waiting_request();
     let mut end = data(flow(9), 1_101, 501);
     end.len = 0;
     end.flags.rst = true;
@@ -495,16 +493,22 @@
     assert!(actions.is_empty(), "{actions:?}");
 }
 
-/// All feeds are late for seconds after a restart, while servers are cold: requests on open flows went
-/// straight into the server's queue, which answers in the order of arrival.
-#[test]
-fn a_request_on_an_open_flow_waits_for_a_slot_too() {
+/// An agent with flow 9 open and idle, whose server has all slots taken by other flows.
+fn saturated_beside_an_open_flow() -> Agent {
     let mut agent = serving();
     request(&mut agent, 100, flow(9));
     answer(&mut agent, 150, 9..=9);
     for port in 1..=8 {
         request(&mut agent, 200, flow(port));
     }
+    agent
+}
+
+/// All feeds are late for seconds after a restart, while servers are cold: requests on open flows went
+/// straight into the server's queue, which answers in the order of arrival.
+#[test]
+fn a_request_on_an_open_flow_waits_for_a_slot_too() {
+    let mut agent = saturated_beside_an_open_flow();
     let head = data(flow(9), 1_101, 1_101);
 
     let waits = agent.handle(at(210), Event::Carry { from: BALANCER, head, known: true });
@@ -518,12 +522,7 @@
 /// reset the flow. On a flow that is open, nothing is sent.
 #[test]
 fn a_request_on_an_open_flow_that_waited_too_long_resets_nothing() {
-    let mut agent = serving();
-    request(&mut agent, 100, flow(9));
-    answer(&mut agent, 150, 9..=9);
-    for port in 1..=8 {
-        request(&mut agent, 200, flow(port));
-    }
+    let mut agent = saturated_beside_an_open_flow();
     let head = data(flow(9), 1_101, 1_101);
     agent.handle(at(210), Event::Carry { from: BALANCER, head, known: true });
 
