--- a/crates/nutmegkeel/tests/soak.rs
+++ b/crates/nutmegkeel/tests/soak.rs
@@ -35,3 +35,11 @@
 fn seed_21_keeps_each_flow_at_one_server() {
     assert_kept(&soak(21, 252));
 }
+
+/// A flow was answered by two servers in turn. Both had accepted copies of its opening; the agent of the
+/// second, once restarted, asked its server, and the stand-in took the packet for its own because the
+/// two servers' numbers were near each other.
+#[test]
+fn seed_38_asks_no_server_for_the_flow_of_another() {
+    assert_kept(&soak(38, 253));
+}
--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -269,19 +269,25 @@
             }
             return actions;
         }
-        if self.is_certain(now) || self.probes.denied(now, &flow) {
+        // Guards against a server that takes a packet for its own because the two servers' numbers are
+        // near each other: one that accepted a copy of the opening is never asked for the flow.
+        if self.table.is_elsewhere(head) || self.is_certain(now) || self.probes.denied(now, &flow) {
             return vec![self.decline(from, Reason::NotHeld)];
         }
         vec![Action::ToServer(self.probes.ask(now, flow, from))]
     }
 
     /// Says whether a flow is here; nothing while only the backend server knows, since it can only be
-    /// asked with a packet.
+    /// asked with a packet, or while only an opening is here, which another server may have accepted
+    /// too: a balancer that took this agent for the flow's would reset the flow with its death.
     fn locate(&self, now: Time, from: Ipv4Addr, flow: Flow) -> Vec<Action> {
         let load = self.load();
-        if self.table.get(&flow).is_some() {
+        if self.table.is_open(&flow) {
             return vec![Action::Send(from, Message::Holds { flow, load })];
         }
+        if self.table.get(&flow).is_some() {
+            return Vec::new();
+        }
         if self.is_certain(now) || self.probes.denied(now, &flow) {
             return vec![Action::Send(from, Message::Absent { flow, load })];
         }
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -191,6 +191,16 @@
         held.demand.filter(|demand| begins && !demand.once)
     }
 
+    /// Whether a client's packet belongs to another server: it does not acknowledge the number with
+    /// which this one answered a copy of the opening.
+    #[must_use]
+    pub fn is_elsewhere(&self, head: &Head) -> bool {
+        match self.flows.get(&head.flow).map(|held| held.stage) {
+            Some(Stage::Opening(Some(number))) => !follows(head.ack, number, FIRST_ACK_REACH),
+            Some(Stage::Opening(None) | Stage::Open) | None => false,
+        }
+    }
+
     /// Whether the server has the end of the flow's handshake.
     #[must_use]
     pub fn is_open(&self, flow: &Flow) -> bool {
--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -122,6 +122,36 @@
     assert!(to_server(&ours), "{ours:?}");
 }
 
+/// A feed is answered by two servers in turn. Both had accepted a copy of its opening, with numbers near
+/// each other, and the agent of the second, which had not seen its server start, asked it all the same.
+#[test]
+fn a_server_is_not_asked_for_a_flow_that_another_server_has() {
+    let mut agent = agent();
+    agent.handle(at(0), Event::Heartbeat(heartbeat("a", 9)));
+    agent.handle(at(10), open(flow(1), 0, WAITS));
+    agent.handle(at(11), Event::FromServer(accepted(flow(1), 500)));
+    let of_another = data(flow(1), 1_001, 900_000);
+
+    let actions =
+        agent.handle(at(12), Event::Carry { from: BALANCER, head: of_another, known: false });
+
+    assert_eq!(refusal(&actions), Some(Reason::NotHeld));
+    assert!(!to_server(&actions), "{actions:?}");
+}
+
+/// A feed is reset although its server lives: another agent held only a copy of its opening, said that
+/// it holds the flow, and died.
+#[test]
+fn an_agent_with_a_copy_of_the_opening_does_not_say_that_it_holds_the_flow() {
+    let mut agent = serving();
+    agent.handle(at(10), open(flow(1), 0, WAITS));
+    agent.handle(at(11), Event::FromServer(accepted(flow(1), 500)));
+
+    let actions = agent.handle(at(20), Event::Locate(BALANCER, flow(1)));
+
+    assert!(actions.is_empty(), "{actions:?}");
+}
+
 /// A feed is told that nobody holds it while its server serves. The agent's process was replaced, and
 /// before the server's next heartbeat it took itself for an agent without a server.
 #[test]
