--- a/crates/nutmegkeel/src/logging.rs
+++ b/crates/nutmegkeel/src/logging.rs
@@ -1,26 +1,29 @@
 //! Structured logs: one JSON object per line on standard output.
 
 use log::LevelFilter;
-use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Config, Root};
-use log4rs::encode::json::JsonEncoder;
+use nutmegkeel_node::output::Output;
 
 /// Name of the one appender.
 const APPENDER: &str = "stdout";
 
 /// Starts logging; a process that cannot log still serves, and says so.
 pub(crate) fn start() {
-    let appender = ConsoleAppender::builder()
-        .target(Target::Stdout)
-        .encoder(Box::new(JsonEncoder::new()))
-        .build();
-    let config = Config::builder()
-        .appender(Appender::builder().build(APPENDER, Box::new(appender)))
-        .build(Root::builder().appender(APPENDER).build(LevelFilter::Info));
-    let started = config
-        .map_err(|error| error.to_string())
-        .and_then(|config| log4rs::init_config(config).map_err(|error| error.to_string()));
-    if let Err(error) = started {
+    if let Err(error) = try_start() {
         eprintln!("logging did not start: {error}");
     }
 }
+
+/// Waits a moment for the last lines.
+pub(crate) fn finish() {
+    log::logger().flush();
+}
+
+fn try_start() -> Result<(), String> {
+    let output = Output::spawn(Box::new(std::io::stdout())).map_err(|error| error.to_string())?;
+    let config = Config::builder()
+        .appender(Appender::builder().build(APPENDER, Box::new(output)))
+        .build(Root::builder().appender(APPENDER).build(LevelFilter::Info))
+        .map_err(|error| error.to_string())?;
+    log4rs::init_config(config).map(|_| ()).map_err(|error| error.to_string())
+}
--- a/crates/nutmegkeel/src/main.rs
+++ b/crates/nutmegkeel/src/main.rs
@@ -32,6 +32,7 @@
         }
         Command::Drain(access, address) => operator::drain(&access, address).map_err(Into::into),
     };
+    logging::finish();
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
--- a/crates/nutmegkeel_node/src/lib.rs
+++ b/crates/nutmegkeel_node/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod clock;
 pub mod l4;
 pub mod metric;
+pub mod output;
 pub mod settings;
 mod web;
--- /dev/null
+++ b/crates/nutmegkeel_node/src/output.rs
@@ -0,0 +1,85 @@
+//! Log lines on their way out: encoded by the thread that logs, written by one that may be held up.
+//!
+//! Guards against an output that nobody reads. A write to a full pipe waits for ever, and with it would
+//! every thread that logs: the one that renews the lease, the one that watches the configuration. Lines
+//! that find no room are counted and left out.
+
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use log::Record;
+use log4rs::append::Append;
+use log4rs::encode::Encode;
+use log4rs::encode::json::JsonEncoder;
+use log4rs::encode::writer::simple::SimpleWriter;
+use metrics::counter;
+
+use crate::metric;
+
+/// Lines that may wait for the writer: at 400 bytes each, 400 KB, and some seconds' worth at the budgets
+/// of the busiest kinds.
+const QUEUE: usize = 1_000;
+
+/// How long the end of a process waits for its last lines.
+const LAST: Duration = Duration::from_millis(200);
+
+/// Pause between two looks whether the last lines are written.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// An appender that never waits.
+#[derive(Debug)]
+pub struct Output {
+    encoder: JsonEncoder,
+    lines: SyncSender<Vec<u8>>,
+    /// Lines that are queued and not written.
+    pending: Arc<AtomicUsize>,
+}
+
+impl Output {
+    /// Starts the thread that writes.
+    ///
+    /// # Errors
+    /// When it cannot be started.
+    pub fn spawn(writer: Box<dyn Write + Send>) -> io::Result<Self> {
+        let (lines, queued) = sync_channel(QUEUE);
+        let pending = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&pending);
+        thread::Builder::new()
+            .name("output".to_owned())
+            .spawn(move || write_all(&queued, &counted, writer))?;
+        Ok(Self { encoder: JsonEncoder::new(), lines, pending })
+    }
+}
+
+impl Append for Output {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        let mut line = SimpleWriter(Vec::new());
+        self.encoder.encode(&mut line, record)?;
+        self.pending.fetch_add(1, Ordering::Relaxed);
+        if self.lines.try_send(line.0).is_err() {
+            self.pending.fetch_sub(1, Ordering::Relaxed);
+            counter!(metric::LINES_LEFT_OUT, "reason" => "output").increment(1);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {
+        let until = Instant::now() + LAST;
+        while self.pending.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+            thread::sleep(LOOK);
+        }
+    }
+}
+
+fn write_all(lines: &Receiver<Vec<u8>>, pending: &AtomicUsize, mut writer: Box<dyn Write + Send>) {
+    while let Ok(line) = lines.recv() {
+        if writer.write_all(&line).and_then(|()| writer.flush()).is_err() {
+            counter!(metric::LINES_LEFT_OUT, "reason" => "output").increment(1);
+        }
+        pending.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_node/tests/output.rs
@@ -0,0 +1,76 @@
+//! Log lines whose reader is held up.
+
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use log::{Level, Record};
+use log4rs::append::Append;
+use nutmegkeel_node::output::Output;
+
+/// An output that nobody reads: the first write never returns.
+struct Stalled;
+
+impl Write for Stalled {
+    fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+        loop {
+            std::thread::park();
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// An output that keeps what is written.
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Kept {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn log(output: &Output, text: &str) {
+    let mut record = Record::builder();
+    let record = record.level(Level::Info);
+    output.append(&record.args(format_args!("{text}")).build()).expect("a line can be encoded");
+}
+
+/// A balancer loses its lease and keeps an old configuration because nobody reads its log: the pipe is
+/// full, and the threads that renew and watch wait in a write.
+#[test]
+fn an_output_that_nobody_reads_holds_nobody_up() {
+    let output = Output::spawn(Box::new(Stalled)).expect("a thread can be started");
+    let began = Instant::now();
+
+    for number in 0..20_000 {
+        log(&output, &format!("line {number}"));
+    }
+    output.flush();
+
+    assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+}
+
+#[test]
+fn the_last_lines_are_written_before_the_process_ends() {
+    let kept = Kept::default();
+    let output = Output::spawn(Box::new(kept.clone())).expect("a thread can be started");
+
+    log(&output, "first");
+    log(&output, "last");
+    output.flush();
+
+    let written = kept.0.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    let text = String::from_utf8(written).expect("lines are text");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 2, "{text}");
+    assert!(lines[1].contains("\"last\""), "{text}");
+}
