--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -307,8 +307,9 @@
                 actions.extend(self.reset_flow(flow, seq, Cause::AgentDead, 0));
             }
         }
-        if self.is_settled(now) {
-            for flow in self.cache.undecided(now) {
+        let settled = self.is_settled(now);
+        for flow in self.cache.undecided(now) {
+            if settled || self.cache.is_overdue(now, &flow) {
                 actions.extend(self.decide(now, flow));
             }
         }
--- a/crates/nutmegkeel_core/tests/l4/balancer.rs
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -474,3 +474,63 @@
     assert_eq!(forwarded(&actions), None);
     assert!(actions.contains(&Action::Keep(head)), "{actions:?}");
 }
+
+/// Feeds stall for half a second after a mass restart: a search hands the whole packet to 16 agents and
+/// gets it back from each, over a link of 10 Mbit/s that such searches fill.
+#[test]
+fn a_long_search_asks_without_the_packet_and_hands_it_over_in_the_end() {
+    let mut balancer = balancer(&[1, 2, 3, 4, 5, 6, 7, 8]);
+    let packet = data(flow(1), 1_001, 500);
+    let mut actions = balancer.handle(at(3_000), Event::Client(packet));
+    let mut carried = 0;
+    while let Some(agent) = forwarded(&actions) {
+        carried += 1;
+        let number = agent.octets()[3];
+        actions = balancer.handle(at(3_001), declined(number, packet, Reason::NotHeld));
+    }
+    let asked = actions.iter().find_map(|action| match action {
+        Action::Send(agent, Message::Locate { .. }) => Some(*agent),
+        _ => None,
+    });
+    let from = asked.expect("the next agent is asked without the packet");
+
+    let holds = Event::Holds { from, flow: flow(1), load: Load::default() };
+    let found = balancer.handle(at(3_003), holds);
+    let again = balancer.handle(at(3_003), Event::Again(packet));
+
+    assert_eq!(carried, 4);
+    assert!(actions.contains(&Action::Keep(packet)), "{actions:?}");
+    assert!(found.contains(&Action::RecallFlow(flow(1))), "{found:?}");
+    assert_eq!(forwarded(&again), Some(from));
+}
+
+/// A feed hangs because its agent was replaced a moment ago: it knows no flows yet, and a question
+/// without the packet tells it nothing. It is asked with the packet when all others have answered.
+#[test]
+fn an_agent_that_cannot_say_is_handed_the_packet() {
+    let mut balancer = balancer(&[1, 2, 3, 4, 5, 6]);
+    let packet = data(flow(1), 1_001, 500);
+    let mut actions = balancer.handle(at(3_000), Event::Client(packet));
+    while let Some(agent) = forwarded(&actions) {
+        let number = agent.octets()[3];
+        actions = balancer.handle(at(3_001), declined(number, packet, Reason::NotHeld));
+    }
+    let silent = actions.iter().find_map(|action| match action {
+        Action::Send(agent, Message::Locate { .. }) => Some(*agent),
+        _ => None,
+    });
+    let silent = silent.expect("the fifth agent is asked without the packet");
+
+    let overdue = balancer.handle(at(3_100), Event::Tick);
+    let last = overdue.iter().find_map(|action| match action {
+        Action::Send(agent, Message::Locate { .. }) => Some(*agent),
+        _ => None,
+    });
+    let from = last.expect("the sixth agent is asked");
+    let absent = Event::Absent { from, flow: flow(1), load: Load::default() };
+    let recalled = balancer.handle(at(3_101), absent);
+    let handed = balancer.handle(at(3_102), Event::Again(packet));
+
+    assert!(recalled.contains(&Action::RecallFlow(flow(1))), "{recalled:?}");
+    assert_eq!(forwarded(&handed), Some(silent), "{handed:?}");
+}
