--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -282,7 +282,7 @@
     /// too: a balancer that took this agent for the flow's would reset the flow with its death.
     fn locate(&self, now: Time, from: Ipv4Addr, flow: Flow) -> Vec<Action> {
         let load = self.load();
-        if self.table.is_open(&flow) || self.waiting.has_request(&flow) {
+        if self.table.is_open(&flow) {
             return vec![Action::Send(from, Message::Holds { flow, load })];
         }
         if self.table.get(&flow).is_some() {
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -307,9 +307,8 @@
                 actions.extend(self.reset_flow(flow, seq, Cause::AgentDead, 0));
             }
         }
-        let settled = self.is_settled(now);
-        for flow in self.cache.undecided(now) {
-            if settled || self.cache.is_overdue(now, &flow) {
+        if self.is_settled(now) {
+            for flow in self.cache.undecided(now) {
                 actions.extend(self.decide(now, flow));
             }
         }
--- a/crates/nutmegkeel_core/src/l4/balancer/search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -11,12 +11,6 @@
 use crate::l4::note::{Cause, Note};
 use crate::l4::route::Route;
 
-/// Agents that are handed the packet itself in a search. A flow is mostly at one of the first; the others
-/// are asked with a message a tenth as long, while the packet is kept: after a mass restart searches of
-/// 16 agents and more, with a packet there and back each, filled links of 10 Mbit/s, and each step took
-/// 35 ms instead of 3.
-const CARRY_TRIES: usize = 4;
-
 impl Balancer {
     /// Goes on with a search for which no packet is at hand.
     pub(super) fn decide(&mut self, now: Time, flow: Flow) -> Vec<Action> {
@@ -34,12 +28,9 @@
         if self.cache.entry(now, flow).is_stale(now) {
             self.cache.entry(now, flow).restart(now);
         }
-        if let Some(agent) = self.next_to_ask(now, flow, &route) {
-            return vec![locate(agent, flow)];
-        }
-        if let Some(agent) = self.next_to_repeat(now, flow) {
-            // Only a packet tells an agent that does not know its server's flows yet.
-            return vec![locate(agent, flow), Action::RecallFlow(flow)];
+        let next = self.next_to_ask(now, flow, &route).or_else(|| self.next_to_repeat(now, flow));
+        if let Some(agent) = next {
+            return vec![Action::Send(agent, Message::Locate { flow })];
         }
         if !self.is_nowhere(now, flow) {
             return Vec::new();
@@ -61,21 +52,12 @@
     /// An agent that was passed over and may answer now. Guards against a client that waits for the
     /// next whole search because one agent of all was not sure when it was asked.
     fn next_to_repeat(&mut self, now: Time, flow: Flow) -> Option<Ipv4Addr> {
-        if self.cache.entry(now, flow).may_ask_again(now) {
-            self.next_unanswered(now, flow)
-        } else {
-            None
-        }
-    }
-
-    /// An agent that left a question unanswered and is heard of now, each in turn.
-    fn next_unanswered(&mut self, now: Time, flow: Flow) -> Option<Ipv4Addr> {
         let entry = self.cache.entry(now, flow);
+        if !entry.may_ask_again(now) {
+            return None;
+        }
         let fresh = |agent: &&Ipv4Addr| self.pool.health(now, **agent) == Some(Health::Fresh);
-        let index = entry.unanswered.iter().position(|agent| fresh(&agent))?;
-        let agent = entry.unanswered.remove(index);
-        entry.unanswered.push(agent);
-        entry.repeats += 1;
+        let agent = *entry.unanswered.iter().find(fresh)?;
         entry.place = Some(Place::Asked(agent));
         entry.asked = now;
         Some(agent)
@@ -145,23 +127,9 @@
     }
 
     pub(super) fn search(&mut self, now: Time, head: &Head, route: &Route) -> Vec<Action> {
-        let flow = head.flow;
-        let tries = self.cache.entry(now, flow).declined.len();
-        match self.next_to_ask(now, flow, route) {
-            Some(agent) if tries < CARRY_TRIES => vec![carry_to(agent, false)],
-            Some(agent) => {
-                self.cache.wait(now, flow);
-                let mut actions = self.keep(head, Cause::Undecided);
-                actions.push(locate(agent, flow));
-                actions
-            }
-            None => match self.next_unanswered(now, flow) {
-                Some(agent) => {
-                    self.cache.wait(now, flow);
-                    vec![carry_to(agent, false)]
-                }
-                None => self.not_found(now, head),
-            },
+        match self.next_to_ask(now, head.flow, route) {
+            Some(agent) => vec![carry_to(agent, false)],
+            None => self.not_found(now, head),
         }
     }
 
@@ -229,10 +197,6 @@
     }
 }
 
-fn locate(agent: Ipv4Addr, flow: Flow) -> Action {
-    Action::Send(agent, Message::Locate { flow })
-}
-
 pub(super) fn carry_to(agent: Ipv4Addr, known: bool) -> Action {
     Action::Forward(agent, Message::Carry { known })
 }
--- a/crates/nutmegkeel_core/src/l4/cache.rs
+++ b/crates/nutmegkeel_core/src/l4/cache.rs
@@ -61,8 +61,6 @@
     pub client_ack: u32,
     /// Agents that were passed over without an answer: one of them may hold the flow.
     pub unanswered: Vec<Ipv4Addr>,
-    /// Questions to these that were repeated.
-    pub repeats: usize,
     /// When the present search or placement began.
     pub began: Time,
     /// When the agent of `place` was asked.
@@ -78,7 +76,6 @@
             declined: Vec::new(),
             client_ack: 0,
             unanswered: Vec::new(),
-            repeats: 0,
             began: now,
             asked: now,
             used: now,
@@ -96,12 +93,10 @@
         self.place.is_none() && now.since(self.began) > SEARCH_MS
     }
 
-    /// Whether it is time to ask those again who did not answer: once each right away, as it is the
-    /// packet itself that they are handed then, and after a pause from then on.
+    /// Whether it is time to ask those again who did not answer.
     #[must_use]
     pub fn may_ask_again(&self, now: Time) -> bool {
-        let is_first = self.repeats < self.unanswered.len();
-        self.place.is_none() && (is_first || now.since(self.asked) > AGAIN_MS)
+        self.place.is_none() && now.since(self.asked) > AGAIN_MS
     }
 
     /// Whether the agent asked last is overdue.
@@ -156,12 +151,6 @@
         self.undecided.remove(flow);
     }
 
-    /// Whether the agent asked last for a flow is overdue.
-    #[must_use]
-    pub fn is_overdue(&self, now: Time, flow: &Flow) -> bool {
-        self.entries.get(flow).is_some_and(|entry| entry.is_overdue(now))
-    }
-
     /// Flows whose clients wait for a decision; those that have waited too long are given up.
     pub fn undecided(&mut self, now: Time) -> Vec<Flow> {
         self.undecided.retain(|_, since| now.since(*since) <= UNDECIDED_MS);
--- a/crates/nutmegkeel_core/src/l4/waiting.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting.rs
@@ -93,12 +93,6 @@
         true
     }
 
-    /// Whether the request of a flow waits here.
-    #[must_use]
-    pub fn has_request(&self, flow: &Flow) -> bool {
-        self.flows.iter().any(|waiting| waiting.flow == *flow && waiting.request.is_some())
-    }
-
     /// Forgets a flow.
     pub fn remove(&mut self, flow: &Flow) {
         self.flows.retain(|waiting| waiting.flow != *flow);
