--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -79,7 +79,7 @@
     }
 
     /// Expected time from now to the answer of one more request: turns of the slots, each as long as
-    /// nearly every request. Openings that wait here do not count, because the newest goes first.
+    /// nearly every request. Requests that wait here do not count, because the newest goes first.
     fn expected_ms(&self) -> u64 {
         let at_server = u64::from(self.table.load().busy);
         (at_server + 1).div_ceil(self.slots()) * self.pace.most_us() / 1_000
--- a/crates/nutmegkeel_core/src/l4/balancer/kept.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/kept.rs
@@ -32,6 +32,7 @@
         if changed || is_due { self.recall(now) } else { Vec::new() }
     }
 
+    /// Calls for the packets that are kept, if there are any and something could be done with them.
     pub(super) fn recall(&mut self, now: Time) -> Vec<Action> {
         let is_able = |word: &Word| word.is_recent(now) && word.version > 0;
         if self.table.version == 0 && !self.words.values().any(is_able) {
@@ -41,6 +42,7 @@
         if std::mem::take(&mut self.keeps) { vec![Action::Recall] } else { Vec::new() }
     }
 
+    /// Keeps the packet at hand until something changes. Only its first time is noted.
     pub(super) fn keep(&mut self, head: &Head, cause: Cause) -> Vec<Action> {
         self.keeps = true;
         let mut actions = vec![Action::Keep(*head)];
