--- a/crates/nutmegkeel_core/src/l4/cache.rs
+++ b/crates/nutmegkeel_core/src/l4/cache.rs
@@ -125,11 +125,6 @@
         entry
     }
 
-    /// The entry of a flow, if there is one.
-    pub fn get_mut(&mut self, flow: &Flow) -> Option<&mut Entry> {
-        self.entries.get_mut(flow)
-    }
-
     /// Forgets a flow.
     pub fn remove(&mut self, flow: &Flow) {
         self.entries.remove(flow);
--- a/crates/nutmegkeel_core/src/l4/waiting.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting.rs
@@ -119,8 +119,11 @@
     /// Takes out those who need not wait any more, if an answer takes `answer_ms`.
     pub fn take_late(&mut self, now: Time, answer_ms: u64) -> Vec<Waiting> {
         let is_over = |waiting: &Waiting| waiting.is_over(now, answer_ms);
-        let (late, kept): (VecDeque<_>, VecDeque<_>) = self.flows.drain(..).partition(is_over);
-        self.flows = kept;
+        let mut late = VecDeque::new();
+        // Asked with every packet: the queue is rebuilt only when somebody leaves it.
+        if self.flows.iter().any(is_over) {
+            (late, self.flows) = self.flows.drain(..).partition(is_over);
+        }
         self.note_pressure(now, answer_ms);
         late.into()
     }
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -200,17 +200,11 @@
         let event = match message {
             Message::Roster(roster) => Event::Roster(from, roster),
             Message::Open { service, insistence, demand, waited_ms } => {
-                let Ok(head) = packet::decode(packet, Direction::ToService) else {
-                    link::drop_datagram("packet");
-                    return;
-                };
+                let Some(head) = link::client_head(packet) else { return };
                 Event::Open { from, head, service, insistence, demand, waited_ms }
             }
             Message::Carry { known } => {
-                let Ok(head) = packet::decode(packet, Direction::ToService) else {
-                    link::drop_datagram("packet");
-                    return;
-                };
+                let Some(head) = link::client_head(packet) else { return };
                 Event::Carry { from, head, known }
             }
             Message::Locate { flow } => Event::Locate(from, flow),
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -233,17 +233,11 @@
         };
         let event = match message {
             Message::Declined { reason, load } => {
-                let Ok(head) = packet::decode(packet, Direction::ToService) else {
-                    link::drop_datagram("packet");
-                    return;
-                };
+                let Some(head) = link::client_head(packet) else { return };
                 Event::Declined { from, head, reason, load }
             }
             Message::Relay => {
-                let Ok(head) = packet::decode(packet, Direction::ToService) else {
-                    link::drop_datagram("packet");
-                    return;
-                };
+                let Some(head) = link::client_head(packet) else { return };
                 Event::Relayed(head)
             }
             Message::Holds { flow, load } => Event::Holds { from, flow, load },
--- a/crates/nutmegkeel_node/src/l4/link.rs
+++ b/crates/nutmegkeel_node/src/l4/link.rs
@@ -6,7 +6,9 @@
 use std::thread;
 
 use metrics::counter;
+use nutmegkeel_core::l4::flow::{Direction, Head};
 use nutmegkeel_core::l4::message::Message;
+use nutmegkeel_platform::packet;
 use nutmegkeel_wire::l4 as wire;
 
 use super::Fault;
@@ -85,6 +87,15 @@
     }
 }
 
+/// The head of a client's packet that came behind a message; one that is none is counted and dropped.
+pub(super) fn client_head(packet: &[u8]) -> Option<Head> {
+    let head = packet::decode(packet, Direction::ToService).ok();
+    if head.is_none() {
+        drop_datagram("packet");
+    }
+    head
+}
+
 /// Counts a datagram that was dropped.
 pub(super) fn drop_datagram(reason: &'static str) {
     counter!(metric::DROPPED, "reason" => reason).increment(1);
