--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -19,7 +19,7 @@
 use super::outlier::Record;
 use super::roster::Book;
 use super::route::Service;
-use super::server::{Beside, Heard, Heartbeat, Server};
+use super::server::{Beside, Heard, Heartbeat, Incarnation, Server};
 use super::table::{Outcome, Probes, Stage, Table};
 use super::waiting::Queue;
 use crate::admission::Pace;
@@ -76,7 +76,7 @@
     /// The backend server sent a heartbeat.
     Heartbeat(Heartbeat),
     /// The backend server said that it ends.
-    Deregistered(Arc<str>),
+    Deregistered(Incarnation),
     /// A balancer spoke.
     Roster(Ipv4Addr, Roster),
     /// The store's list of balancers was read.
@@ -204,6 +204,7 @@
             None if self.leaving => State::Gone,
             _ if self.leaving => State::Restarting,
             Some(server) if server.draining || self.unresponsive => State::Closed,
+            Some(_) if self.beside.is_contested() => State::Closed,
             Some(_) if self.record.is_failing(now) => State::Failing,
             Some(_) => State::Ready,
             None => State::Closed,
@@ -239,7 +240,7 @@
             Event::FromServer(head) => self.answered(now, &head),
             Event::Bounced(head) => self.bounced(now, &head),
             Event::Heartbeat(beat) => self.heartbeat(now, &beat),
-            Event::Deregistered(id) => self.deregistered(now, &id),
+            Event::Deregistered(leaving) => self.deregistered(now, &leaving),
             Event::Roster(from, roster) => self.roster(now, from, &roster),
             Event::Listed(balancers) => self.listed(now, &balancers),
             Event::Recovered(checkpoint) => {
@@ -389,10 +390,16 @@
     }
 
     fn heartbeat(&mut self, now: Time, beat: &Heartbeat) -> Vec<Action> {
+        let was_contested = self.beside.is_contested();
         let heard = self.beside.heartbeat(now, beat);
         let mut actions = Vec::new();
         match heard {
             Heard::Stale => return actions,
+            Heard::Contested => {
+                actions.push(self.changed(ServerChange::Contested));
+                actions.extend(self.announce(now));
+                return actions;
+            }
             Heard::Same => {}
             Heard::Draining => actions.push(self.changed(ServerChange::Draining)),
             Heard::First => actions.push(self.changed(ServerChange::Started)),
@@ -410,7 +417,7 @@
         self.unanswered_since = None;
         self.deserted = false;
         actions.extend(self.responsive(now));
-        if heard != Heard::Same {
+        if heard != Heard::Same || was_contested {
             actions.extend(self.announce(now));
         }
         actions
@@ -427,12 +434,12 @@
         lost.flat_map(|(flow, ack)| reset(flow, ack, Cause::HostRestarted)).collect()
     }
 
-    fn deregistered(&mut self, now: Time, id: &str) -> Vec<Action> {
-        if !self.beside.deregistered(id) {
+    fn deregistered(&mut self, now: Time, leaving: &Incarnation) -> Vec<Action> {
+        if !self.beside.deregistered(leaving) {
             return Vec::new();
         }
-        let change = ServerChange::Ended;
-        let mut actions = vec![Action::Note(Note::Server { id: id.into(), change })];
+        let (id, change) = (Arc::clone(&leaving.id), ServerChange::Ended);
+        let mut actions = vec![Action::Note(Note::Server { id, change })];
         actions.extend(self.announce(now));
         actions
     }
@@ -529,7 +536,10 @@
     }
 
     fn changed(&self, change: ServerChange) -> Action {
-        let id = self.beside.server().map_or_else(|| "".into(), |server| Arc::clone(&server.id));
+        let id = self
+            .beside
+            .server()
+            .map_or_else(|| "".into(), |server| Arc::clone(&server.incarnation.id));
         Action::Note(Note::Server { id, change })
     }
 
--- a/crates/nutmegkeel_core/src/l4/checkpoint.rs
+++ b/crates/nutmegkeel_core/src/l4/checkpoint.rs
@@ -8,12 +8,11 @@
 //! predecessor left in the store tells them all as soon as the new backend server is known.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use super::flow::Flow;
-use super::server::Server;
+use super::server::{Incarnation, Server};
 use crate::clock::Time;
 
 /// Only flows at least this old are noted, in milliseconds: a short one is over before a note of it
@@ -47,7 +46,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Checkpoint {
     /// The incarnation.
-    pub server: Arc<str>,
+    pub server: Incarnation,
     /// What each client had acknowledged last.
     pub flows: BTreeMap<Flow, u32>,
 }
@@ -101,7 +100,7 @@
         };
         let checkpoint = std::mem::take(checkpoint);
         self.before = Before::Done;
-        if checkpoint.server == server.id {
+        if checkpoint.server == server.incarnation {
             self.saved = checkpoint;
             return Vec::new();
         }
@@ -109,7 +108,8 @@
         if is_new { checkpoint.flows.into_iter().collect() } else { Vec::new() }
     }
 
-    /// The list to write now, if one is due: too many flows are missing in the last one. The pause grows with the number of agents, so that the store's rate holds.
+    /// The list to write now, if one is due: too many flows are missing in the last one. The pause grows
+    /// with the number of agents, so that the store's rate holds.
     pub fn due(
         &mut self,
         now: Time,
@@ -130,7 +130,7 @@
         if missing == 0 || missing * 100 < flows.len() * MISSING_PERCENT {
             return None;
         }
-        self.saved = Checkpoint { server: Arc::clone(&server.id), flows };
+        self.saved = Checkpoint { server: server.incarnation.clone(), flows };
         self.saved_at = now;
         Some(self.saved.clone())
     }
--- a/crates/nutmegkeel_core/src/l4/note.rs
+++ b/crates/nutmegkeel_core/src/l4/note.rs
@@ -126,6 +126,8 @@
 pub enum ServerChange {
     /// A new incarnation runs.
     Started,
+    /// Another incarnation may have taken its place; the next heartbeat tells.
+    Contested,
     /// It takes no more flows.
     Draining,
     /// It said that it ends.
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
-use super::health::{FORGET_MS, Health};
+use super::health::{FORGET_MS, Health, LATE_MS};
 use super::message::{Announcement, Load, SOON_TURNS, State};
 use super::route::{Kind, Service};
 use crate::clock::Time;
@@ -46,10 +46,22 @@
     }
 }
 
+/// A process that may have taken the place of another at its address.
+#[derive(Clone, Copy, Debug)]
+struct Rival {
+    incarnation: u64,
+    number: u64,
+}
+
 /// What a balancer knows of one agent.
 #[derive(Clone, Debug)]
 pub struct Candidate {
     announcement: Announcement,
+    /// When that came.
+    announced: Time,
+    /// A process at the same address whose number says that it is older, as last heard of.
+    rival: Option<Rival>,
+    /// Last sign of any kind.
     heard: Time,
     load_heard: Time,
     load: Load,
@@ -61,6 +73,40 @@
 }
 
 impl Candidate {
+    fn new(now: Time, word: Announcement, told: Option<Time>) -> Self {
+        Self {
+            announced: now,
+            rival: None,
+            heard: now,
+            load_heard: now,
+            load: word.load,
+            announcement: word,
+            placed_since: 0,
+            noticed: false,
+            told,
+        }
+    }
+
+    /// What an announcement from this agent's address changes. One with an earlier start than the
+    /// known process's is old, unless that process fell silent and this one goes on counting.
+    ///
+    /// Guards against a host whose time of day was set back before its agent started again: its number
+    /// is the smaller one for good, and its server would get no flow until the old process is
+    /// forgotten. A datagram that was held up cannot pass for it, since a dead process counts no more.
+    fn change(&mut self, now: Time, word: &Announcement) -> Change {
+        let known = &self.announcement;
+        if word.incarnation >= known.incarnation {
+            return change(known, word);
+        }
+        let rival = Rival { incarnation: word.incarnation, number: word.number };
+        let before = self.rival.replace(rival);
+        let goes_on = before.is_some_and(|before| {
+            before.incarnation == rival.incarnation && before.number < rival.number
+        });
+        let is_silent = now.since(self.announced) > LATE_MS;
+        if goes_on && is_silent { Change::Appeared } else { Change::Stale }
+    }
+
     fn health(&self, now: Time) -> Health {
         Health::of(now.since(self.heard), self.announcement.state == State::Restarting)
     }
@@ -129,27 +175,17 @@
 impl Pool {
     /// Takes in an agent's word about itself.
     pub fn announced(&mut self, now: Time, from: Ipv4Addr, word: Announcement) -> Change {
-        let change = match self.agents.get(&from) {
-            None => Change::Appeared,
-            Some(known) => change(&known.announcement, &word),
-        };
+        let known = self.agents.get_mut(&from);
+        let told = known.as_ref().and_then(|known| known.told);
+        let change = known.map_or(Change::Appeared, |known| known.change(now, &word));
+        if change == Change::Stale {
+            return change;
+        }
         if word.state == State::Gone {
             self.agents.remove(&from);
             return Change::Closed;
         }
-        if change != Change::Stale {
-            let load = word.load;
-            let candidate = Candidate {
-                announcement: word,
-                heard: now,
-                load_heard: now,
-                load,
-                placed_since: 0,
-                noticed: false,
-                told: self.agents.get(&from).and_then(|known| known.told),
-            };
-            self.agents.insert(from, candidate);
-        }
+        self.agents.insert(from, Candidate::new(now, word, told));
         change
     }
 
@@ -391,12 +427,12 @@
 }
 
 fn change(known: &Announcement, word: &Announcement) -> Change {
-    if (word.incarnation, word.number) < (known.incarnation, known.number) {
-        return Change::Stale;
-    }
     if word.incarnation != known.incarnation {
         return Change::Appeared;
     }
+    if word.number < known.number {
+        return Change::Stale;
+    }
     let opens = |word: &Announcement| word.state == State::Ready;
     match (opens(known), opens(word)) {
         (false, true) => Change::Opened,
--- a/crates/nutmegkeel_core/src/l4/server.rs
+++ b/crates/nutmegkeel_core/src/l4/server.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use super::route::Service;
 use crate::clock::Time;
 
@@ -14,11 +16,24 @@
 /// in which a late heartbeat may arrive.
 const RETIRED: usize = 8;
 
+/// Least pause between two heartbeats of a rival that is believed, in percent of the usual pause. A
+/// living server's come 90 to 110 percent apart; those that were held up by a cut come together.
+const RIVAL_PERCENT: u64 = 75;
+
+/// One start of a backend server.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Incarnation {
+    /// Its identity, which a server may keep when it starts again.
+    pub id: Arc<str>,
+    /// When it started, Unix milliseconds by its own clock; none if it does not say.
+    pub started_ms: Option<u64>,
+}
+
 /// One heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
-    /// Incarnation: a new one for each start of the backend server.
-    pub id: Arc<str>,
+    /// Which start of the backend server speaks.
+    pub incarnation: Incarnation,
     /// Its service.
     pub service: Service,
     /// Requests that it works on at once.
@@ -42,6 +57,9 @@
     Draining,
     /// Nothing new.
     Same,
+    /// Perhaps from a new incarnation, perhaps held up or from another writer: the next heartbeat
+    /// decides.
+    Contested,
     /// From an incarnation that has ended, or older than one heard before.
     Stale,
 }
@@ -49,8 +67,8 @@
 /// The incarnation that runs now.
 #[derive(Clone, Debug)]
 pub struct Server {
-    /// Its identity.
-    pub id: Arc<str>,
+    /// Which start of the server it is.
+    pub incarnation: Incarnation,
     /// Its service.
     pub service: Service,
     /// Requests that it works on at once.
@@ -67,19 +85,44 @@
     pub seen_from_start: bool,
 }
 
+impl Server {
+    fn new(now: Time, beat: &Heartbeat) -> Self {
+        Self {
+            incarnation: beat.incarnation.clone(),
+            service: beat.service,
+            slots: beat.slots,
+            draining: beat.draining,
+            warm_at: now.after(beat.warmup_ms),
+            seq: beat.seq,
+            heard: now,
+            seen_from_start: beat.seq <= 1,
+        }
+    }
+}
+
+/// An incarnation that may be the present one, but has not shown it yet.
+#[derive(Debug)]
+struct Rival {
+    incarnation: Incarnation,
+    seq: u64,
+    heard: Time,
+}
+
 /// The backend server and its earlier incarnations.
 #[derive(Debug)]
 pub struct Beside {
     heartbeat_ms: u64,
     server: Option<Server>,
-    retired: BTreeMap<Arc<str>, u64>,
+    rival: Option<Rival>,
+    /// Earlier incarnations, with the number of the last heartbeat of each.
+    retired: BTreeMap<Incarnation, u64>,
 }
 
 impl Beside {
     /// Nothing is known yet; heartbeats come about every `heartbeat_ms`.
     #[must_use]
     pub const fn open(heartbeat_ms: u64) -> Self {
-        Self { heartbeat_ms, server: None, retired: BTreeMap::new() }
+        Self { heartbeat_ms, server: None, rival: None, retired: BTreeMap::new() }
     }
 
     /// The incarnation that runs now.
@@ -88,39 +131,42 @@
         self.server.as_ref()
     }
 
+    /// Whether another incarnation may have taken the server's place. A server of another service gets
+    /// no new flows from its first heartbeat on, though it is believed only with its second.
+    #[must_use]
+    pub const fn is_contested(&self) -> bool {
+        self.rival.is_some()
+    }
+
     /// Takes in a heartbeat.
     pub fn heartbeat(&mut self, now: Time, beat: &Heartbeat) -> Heard {
-        if let Some(server) = self.server.as_mut().filter(|server| server.id == beat.id) {
-            return repeat(server, now, beat);
+        if let Some(server) =
+            self.server.as_mut().filter(|server| server.incarnation == beat.incarnation)
+        {
+            let heard = repeat(server, now, beat);
+            if heard != Heard::Stale {
+                self.rival = None;
+            }
+            return heard;
         }
-        if !self.may_replace(now, beat) {
-            return Heard::Stale;
+        if let Some(last) = self.retired.get(&beat.incarnation) {
+            return self.reconsider(now, beat, *last);
         }
-        let heard = if self.retired.is_empty() && self.server.is_none() {
-            Heard::First
-        } else {
-            Heard::Replaced
-        };
-        if let Some(old) = self.server.take() {
-            self.retire(&old);
+        if self.is_doubtful(beat) && !self.shows_life(now, beat) {
+            return Heard::Contested;
         }
-        self.retired.remove(&beat.id);
-        self.server = Some(Server {
-            id: Arc::clone(&beat.id),
-            service: beat.service,
-            slots: beat.slots,
-            draining: beat.draining,
-            warm_at: now.after(beat.warmup_ms),
-            seq: beat.seq,
-            heard: now,
-            seen_from_start: beat.seq <= 1,
-        });
-        heard
+        self.replace(now, beat)
     }
 
-    /// The incarnation said that it ends; true if it was the one that runs.
-    pub fn deregistered(&mut self, id: &str) -> bool {
-        let ends = self.server.as_ref().is_some_and(|server| &*server.id == id);
+    /// The incarnation said that it ends; true if it was the one that runs. One that does not say when
+    /// it started is taken for the present one of that identity.
+    pub fn deregistered(&mut self, leaving: &Incarnation) -> bool {
+        let is_meant = |server: &Server| {
+            let known = &server.incarnation;
+            known.id == leaving.id
+                && (leaving.started_ms.is_none() || known.started_ms == leaving.started_ms)
+        };
+        let ends = self.server.as_ref().is_some_and(is_meant);
         if ends && let Some(old) = self.server.take() {
             self.retire(&old);
         }
@@ -143,18 +189,55 @@
     /// Guards against a heartbeat that was held up until its sender had crashed and another had
     /// started at the same address: it would close the new one's flows. An ended incarnation counts
     /// again only with a later heartbeat than its last one, and when the present one is silent.
-    fn may_replace(&self, now: Time, beat: &Heartbeat) -> bool {
-        match self.retired.get(&beat.id) {
-            None => true,
-            Some(last) => beat.seq > *last && (self.server.is_none() || self.is_overdue(now)),
+    fn reconsider(&mut self, now: Time, beat: &Heartbeat, last: u64) -> Heard {
+        if beat.seq > last && (self.server.is_none() || self.is_overdue(now)) {
+            self.replace(now, beat)
+        } else {
+            Heard::Stale
+        }
+    }
+
+    /// Whether a heartbeat of an unknown incarnation may be no word of a server that runs: it started
+    /// before one that is known, it is of another service than the present server, or lacks the time of
+    /// its start, which the present server tells. The first is held up, or its host's clock went back;
+    /// the others are a new server at an address that is used again, or the word of another writer.
+    fn is_doubtful(&self, beat: &Heartbeat) -> bool {
+        let present = self.server.as_ref();
+        let known = self.retired.keys().chain(present.map(|server| &server.incarnation));
+        let latest = known.filter_map(|incarnation| incarnation.started_ms).max();
+        let is_earlier = latest.is_some_and(|latest| beat.incarnation.started_ms < Some(latest));
+        is_earlier || present.is_some_and(|server| server.service != beat.service)
+    }
+
+    /// Whether a doubtful incarnation has sent a second heartbeat a pause after its first, and the
+    /// present one was silent meanwhile. Only a server that runs does so: held up heartbeats come
+    /// together, and a present server that lives would have sent its own.
+    fn shows_life(&mut self, now: Time, beat: &Heartbeat) -> bool {
+        let pause_ms = self.heartbeat_ms * RIVAL_PERCENT / 100;
+        let (incarnation, seq) = (&beat.incarnation, beat.seq);
+        if let Some(rival) = self.rival.as_ref().filter(|rival| rival.incarnation == *incarnation) {
+            return seq > rival.seq && now.since(rival.heard) >= pause_ms;
+        }
+        self.rival = Some(Rival { incarnation: incarnation.clone(), seq, heard: now });
+        false
+    }
+
+    fn replace(&mut self, now: Time, beat: &Heartbeat) -> Heard {
+        let is_first = self.retired.is_empty() && self.server.is_none();
+        if let Some(old) = self.server.take() {
+            self.retire(&old);
         }
+        self.retired.remove(&beat.incarnation);
+        self.rival = None;
+        self.server = Some(Server::new(now, beat));
+        if is_first { Heard::First } else { Heard::Replaced }
     }
 
     fn retire(&mut self, old: &Server) {
         if self.retired.len() >= RETIRED {
             self.retired.pop_first();
         }
-        self.retired.insert(Arc::clone(&old.id), old.seq);
+        self.retired.insert(old.incarnation.clone(), old.seq);
     }
 }
 
--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -4,7 +4,8 @@
 use nutmegkeel_core::l4::route::Service;
 
 use crate::fixture::{
-    BALANCER, accepted, agent, at, bounced, data, desk, flow, heartbeat, opening,
+    BALANCER, accepted, agent, at, bounced, data, desk, flow, heartbeat, heartbeat_of, incarnation,
+    opening,
 };
 
 const WAITS: Insistence = Insistence::IfInTime;
@@ -366,7 +367,7 @@
 fn requests_that_wait_are_refused_when_their_server_has_ended() {
     let mut agent = with_waiting_request();
 
-    let actions = agent.handle(at(120), Event::Deregistered("a".into()));
+    let actions = agent.handle(at(120), Event::Deregistered(incarnation("a")));
 
     assert!(actions.contains(&Action::Reset { flow: flow(9), seq: 501 }), "{actions:?}");
 }
@@ -435,7 +436,7 @@
 #[test]
 fn an_agent_whose_server_ended_says_that_it_is_gone() {
     let mut agent = serving();
-    agent.handle(at(100), Event::Deregistered("a".into()));
+    agent.handle(at(100), Event::Deregistered(incarnation("a")));
 
     agent.handle(at(200), Event::Leave);
 
@@ -566,3 +567,35 @@
     assert!(!late.contains(&Action::Reset { flow: flow(9), seq: 1_101 }), "{late:?}");
     assert!(to_server(&goes_on), "{goes_on:?}");
 }
+
+/// A server crashed and is back under its old id. Clients of its flows wait for answers that nobody will
+/// send: the old heartbeats' count made the new ones look late, and no reset was sent.
+#[test]
+fn clients_of_a_server_that_is_back_under_its_old_id_are_told_at_once() {
+    let mut agent = agent();
+    agent.handle(at(0), Event::Heartbeat(heartbeat_of("a", 5_000, 40)));
+    request(&mut agent, 100, flow(1));
+
+    let actions = agent.handle(at(1_500), Event::Heartbeat(heartbeat_of("a", 6_400, 1)));
+
+    let reset = Action::Reset { flow: flow(1), seq: 501 };
+    assert!(actions.contains(&reset), "{actions:?}");
+    assert_eq!(agent.state(at(1_500)), State::Ready);
+}
+
+/// A word of another service came, perhaps of the server that now stands at this address. Until the next
+/// heartbeat tells, an opening must not reach a server of the wrong service.
+#[test]
+fn an_agent_whose_server_is_contested_takes_no_openings_until_the_next_heartbeat() {
+    let mut agent = serving();
+    let mut foreign = heartbeat("x", 1);
+    foreign.service = Service::named("elsewhere");
+
+    agent.handle(at(600), Event::Heartbeat(foreign));
+    let refused = agent.handle(at(700), open(flow(1), 0, WAITS));
+    agent.handle(at(1_200), Event::Heartbeat(heartbeat("a", 2)));
+    let taken = agent.handle(at(1_300), open(flow(2), 0, WAITS));
+
+    assert!(!to_server(&refused), "{refused:?}");
+    assert!(to_server(&taken), "{taken:?}");
+}
--- a/crates/nutmegkeel_core/tests/l4/checkpoint.rs
+++ b/crates/nutmegkeel_core/tests/l4/checkpoint.rs
@@ -3,11 +3,11 @@
 use nutmegkeel_core::l4::flow::Flow;
 use nutmegkeel_core::l4::message::Roster;
 
-use crate::fixture::{BALANCER, accepted, agent, at, data, flow, heartbeat};
+use crate::fixture::{BALANCER, accepted, agent, at, data, flow, heartbeat, incarnation};
 
 /// The list that an earlier process left of one flow at this server.
 fn left_by(server: &str, flow: Flow, ack: u32) -> Event {
-    Event::Recovered(Some(Checkpoint { server: server.into(), flows: [(flow, ack)].into() }))
+    Event::Recovered(Some(Checkpoint { server: incarnation(server), flows: [(flow, ack)].into() }))
 }
 
 fn reset_of(flow: Flow, seq: u32) -> Action {
--- a/crates/nutmegkeel_core/tests/l4/fixture.rs
+++ b/crates/nutmegkeel_core/tests/l4/fixture.rs
@@ -9,7 +9,7 @@
 use nutmegkeel_core::l4::flow::{Flags, Flow, Head};
 use nutmegkeel_core::l4::message::{Announcement, Load, State};
 use nutmegkeel_core::l4::route::{Kind, Route, Service, Share, Table};
-use nutmegkeel_core::l4::server::Heartbeat;
+use nutmegkeel_core::l4::server::{Heartbeat, Incarnation};
 
 pub(crate) const DOMAIN: &str = "osu";
 pub(crate) const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
@@ -122,7 +122,19 @@
 }
 
 pub(crate) fn heartbeat(id: &str, seq: u64) -> Heartbeat {
-    Heartbeat { id: id.into(), service: desk(), slots: 4, draining: false, warmup_ms: 0, seq }
+    let (service, incarnation) = (desk(), incarnation(id));
+    Heartbeat { incarnation, service, slots: 4, draining: false, warmup_ms: 0, seq }
+}
+
+/// A start of a server that does not say when it started.
+pub(crate) fn incarnation(id: &str) -> Incarnation {
+    Incarnation { id: id.into(), started_ms: None }
+}
+
+/// A heartbeat of a server that started at `started_ms`.
+pub(crate) fn heartbeat_of(id: &str, started_ms: u64, seq: u64) -> Heartbeat {
+    let incarnation = Incarnation { id: id.into(), started_ms: Some(started_ms) };
+    Heartbeat { incarnation, ..heartbeat(id, seq) }
 }
 
 /// An agent that knows one balancer and nothing of its backend server.
--- a/crates/nutmegkeel_core/tests/l4/placement.rs
+++ b/crates/nutmegkeel_core/tests/l4/placement.rs
@@ -130,3 +130,44 @@
 
     assert_ne!(chosen.map(|choice| choice.agent), Some(host(1)));
 }
+
+/// A host's time of day was set back before its agent started again, so the new process has the smaller
+/// number. Taken for old, its server gets no flow for a minute.
+#[test]
+fn an_agent_that_started_while_its_clock_was_set_back_is_believed_within_a_second() {
+    let mut pool = pool(&[(1, load(0, 0))]);
+    let mut later = word(1, State::Ready, load(0, 0));
+    later.incarnation = 9_000;
+    pool.announced(at(0), host(1), later);
+    let back = |number| {
+        let mut word = word(number, State::Ready, load(0, 0));
+        word.incarnation = 7_000;
+        word
+    };
+
+    let changes: Vec<Change> =
+        (1..=4).map(|number| pool.announced(at(300 * number), host(1), back(number))).collect();
+
+    assert_eq!(changes, [Change::Stale, Change::Stale, Change::Appeared, Change::None]);
+}
+
+/// Datagrams of a process that has ended were held up, its farewell among them. The process that runs
+/// at its address goes on announcing itself and must stay known.
+#[test]
+fn late_words_of_an_ended_process_change_nothing() {
+    let mut pool = Pool::default();
+    let mut present = word(1, State::Ready, load(0, 0));
+    present.incarnation = 9_000;
+    pool.announced(at(0), host(1), present.clone());
+    let mut late = word(41, State::Gone, load(0, 0));
+    late.incarnation = 7_000;
+
+    let first = pool.announced(at(100), host(1), late.clone());
+    present.number = 2;
+    pool.announced(at(300), host(1), present);
+    late.number = 42;
+    let second = pool.announced(at(900), host(1), late);
+
+    assert_eq!((first, second), (Change::Stale, Change::Stale));
+    assert_eq!(pool.open_agents(at(900), desk()), 1);
+}
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -154,12 +154,17 @@
             shared.handle(Event::Heartbeat(beat), &mut []);
             Answer::new(200, control::EMPTY)
         }
-        Ok(control::Call::Deregister(id)) => {
-            shared.handle(Event::Deregistered(id), &mut []);
+        Ok(control::Call::Deregister(leaving)) => {
+            shared.handle(Event::Deregistered(leaving), &mut []);
             Answer::new(200, control::EMPTY)
         }
         Err(fault @ control::Fault::Path(_)) => Answer::new(404, fault.to_string()),
-        Err(fault) => Answer::new(400, fault.to_string()),
+        Err(fault) => {
+            counter!(metric::HEARTBEATS_REFUSED).increment(1);
+            let reason = fault.to_string();
+            shared.journal.refused(shared.clock.now(), &reason);
+            Answer::new(400, reason)
+        }
     };
     web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
         what: "heartbeats",
--- a/crates/nutmegkeel_node/src/l4/checkpoint.rs
+++ b/crates/nutmegkeel_node/src/l4/checkpoint.rs
@@ -104,7 +104,7 @@
     let list = wire::decode(bytes);
     match &list {
         Some(list) => {
-            info!(event = "flows_read", server = &*list.server, flows = list.flows.len();
+            info!(event = "flows_read", server = &*list.server.id, flows = list.flows.len();
                 "read the flows that were open before this process started");
         }
         None => {
--- a/crates/nutmegkeel_node/src/l4/configuration.rs
+++ b/crates/nutmegkeel_node/src/l4/configuration.rs
@@ -13,7 +13,7 @@
 use nutmegkeel_platform::store::Client;
 use nutmegkeel_store::kv::{Fault, Pair, Registry, Watched};
 
-use super::membership::note_reachable;
+use super::membership::{note_reachable, note_skipped};
 
 /// Path at which a balancer hands its configuration to others.
 pub(super) const PATH: &str = "/configuration";
@@ -89,6 +89,7 @@
                 _ => RETRY,
             };
             note_reachable(&mut reachable, outcome.map(|_| ()));
+            note_skipped(&store);
             thread::sleep(pause);
         }
     })?;
--- a/crates/nutmegkeel_node/src/l4/journal.rs
+++ b/crates/nutmegkeel_node/src/l4/journal.rs
@@ -24,6 +24,9 @@
 /// Lines a second of what goes wrong with a flow, or changes what the process believes.
 const UNUSUAL: u32 = 25;
 
+/// Lines a second of heartbeats that are not understood: usually one a second comes.
+const REFUSED: u32 = 2;
+
 /// Writes notes of decisions.
 #[derive(Clone, Debug)]
 pub(super) struct Journal {
@@ -34,6 +37,8 @@
 #[derive(Debug)]
 enum Entry {
     Note(Note),
+    /// A heartbeat that was not understood, and why.
+    Refused(String),
     LeftOut(&'static str, u32),
 }
 
@@ -69,12 +74,28 @@
     pub(super) fn note(&self, now: Time, note: Note) {
         let (kind, limit) = kind(&note);
         counter!(metric::DECISIONS, "kind" => kind, "reason" => reason(&note)).increment(1);
+        self.write_within(now, kind, limit, || Entry::Note(note));
+    }
+
+    /// Writes why a heartbeat was not understood, if the budget allows: the sender may be another
+    /// program that goes on sending.
+    pub(super) fn refused(&self, now: Time, reason: &str) {
+        self.write_within(now, "heartbeat_refused", REFUSED, || Entry::Refused(reason.to_owned()));
+    }
+
+    fn write_within(
+        &self,
+        now: Time,
+        kind: &'static str,
+        limit: u32,
+        entry: impl FnOnce() -> Entry,
+    ) {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         for (kind, left_out) in budgets.turn(now.millis() / 1_000) {
             self.push(Entry::LeftOut(kind, left_out));
         }
         if budgets.spend(kind, limit) {
-            self.push(Entry::Note(note));
+            self.push(entry());
         }
     }
 
@@ -142,6 +163,9 @@
     while let Ok(entry) = entries.recv() {
         match entry {
             Entry::Note(note) => write(&note),
+            Entry::Refused(reason) => {
+                warn!(event = "heartbeat_refused", reason = &*reason; "heartbeat not understood");
+            }
             Entry::LeftOut(kind, count) => {
                 info!(event = "lines_left_out", kind = kind, count = count; "over the budget");
             }
--- a/crates/nutmegkeel_node/src/l4/membership.rs
+++ b/crates/nutmegkeel_node/src/l4/membership.rs
@@ -69,6 +69,7 @@
             #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
             gauge!(metric::STORE_AGE).set(clock.now().since(answered) as f64);
             note_reachable(&mut reachable, outcome);
+            note_skipped(&store);
             thread::sleep(LOOK);
         }
     })?;
@@ -90,6 +91,14 @@
     names.filter_map(|name| name.parse().ok()).collect()
 }
 
+/// Counts entries of the store that could not be read, and says why.
+pub(super) fn note_skipped(store: &Client) {
+    for reason in store.take_skipped() {
+        counter!(metric::ENTRIES_SKIPPED).increment(1);
+        info!(event = "entry_skipped", reason = &*reason; "an entry of the store cannot be read");
+    }
+}
+
 /// Counts a failure, and writes a line when the store is lost or regained.
 pub(super) fn note_reachable(reachable: &mut bool, outcome: Result<(), Fault>) {
     let reached = outcome.is_ok();
--- a/crates/nutmegkeel_node/src/metric.rs
+++ b/crates/nutmegkeel_node/src/metric.rs
@@ -44,6 +44,10 @@
 pub const BUSY: &str = "nutmegkeel_busy";
 /// Log lines that were left out, by reason.
 pub const LINES_LEFT_OUT: &str = "nutmegkeel_log_lines_left_out_total";
+/// Entries of the store that could not be read and were skipped.
+pub const ENTRIES_SKIPPED: &str = "nutmegkeel_entries_skipped_total";
+/// Heartbeats that were not understood.
+pub const HEARTBEATS_REFUSED: &str = "nutmegkeel_heartbeats_refused_total";
 
 /// Path at which a process serves its metrics.
 pub const PATH: &str = "/metrics";
--- a/crates/nutmegkeel_wire/tests/checkpoint.rs
+++ b/crates/nutmegkeel_wire/tests/checkpoint.rs
@@ -4,22 +4,23 @@
 
 use nutmegkeel_core::l4::checkpoint::Checkpoint;
 use nutmegkeel_core::l4::flow::Flow;
+use nutmegkeel_core::l4::server::Incarnation;
 use nutmegkeel_wire::checkpoint::{decode, encode};
 use quickcheck::quickcheck;
 
 quickcheck! {
-    fn a_list_comes_back_as_it_was(server: String, ports: Vec<u16>, ack: u32) -> bool {
+    fn a_list_comes_back_as_it_was(server: String, started_ms: Option<u64>, ports: Vec<u16>, ack: u32) -> bool {
         let ends = |port| Flow {
             client: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), port),
             service: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
         };
         let flows = ports.into_iter().map(|port| (ends(port), ack)).collect();
-        let list = Checkpoint { server: server.into(), flows };
+        let list = Checkpoint { server: Incarnation { id: server.into(), started_ms }, flows };
         decode(&encode(&list)) == Some(list)
     }
 
     fn no_bytes_make_the_decoder_fail(bytes: Vec<u8>) -> bool {
         let list = decode(&bytes);
-        list.is_none() || bytes.first() == Some(&1)
+        list.is_none() || bytes.first() == Some(&2)
     }
 }
