--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -6,6 +6,7 @@
 
 mod request;
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
@@ -143,6 +144,8 @@
     started: Time,
     beside: Beside,
     balancers: Book,
+    /// Balancers that have spoken to this process, and so know it.
+    acquainted: BTreeSet<Ipv4Addr>,
     table: Table,
     probes: Probes,
     waiting: Queue,
@@ -176,6 +179,7 @@
             identity,
             started: now,
             balancers,
+            acquainted: BTreeSet::new(),
             table: Table::default(),
             probes: Probes::default(),
             waiting: Queue::default(),
@@ -448,6 +452,11 @@
     /// take the agent for dead and reset its flows. It drops out when nobody speaks of it any more.
     fn roster(&mut self, now: Time, from: Ipv4Addr, roster: &Roster) -> Vec<Action> {
         self.fleet = u64::from(roster.agents);
+        if roster.leaving {
+            self.acquainted.remove(&from);
+        } else {
+            self.acquainted.insert(from);
+        }
         let mut actions = self.listed(now, &roster.balancers);
         actions.extend(self.listed(now, &[from]));
         actions
@@ -476,12 +485,33 @@
         self.table.expire(now);
         self.probes.expire(now);
         self.balancers.expire(now);
+        let kept: BTreeSet<Ipv4Addr> = self.balancers.iter().collect();
+        self.acquainted.retain(|balancer| kept.contains(balancer));
         if now.since(self.announced) >= ANNOUNCE_MS {
             actions.extend(self.announce(now));
+        } else {
+            actions.extend(self.introduce(now));
         }
         actions
     }
 
+    /// Announces this agent to the balancers that have not spoken to it yet.
+    ///
+    /// Guards against backend servers that idle after a loss of power: a balancer that starts after this
+    /// agent has announced itself hears of it up to four ticks later, and meanwhile all flows go to the
+    /// servers that came back after it. A balancer answers a first announcement at once.
+    fn introduce(&mut self, now: Time) -> Vec<Action> {
+        let known = &self.acquainted;
+        let strangers: Vec<Ipv4Addr> =
+            self.balancers.iter().filter(|balancer| !known.contains(balancer)).collect();
+        if strangers.is_empty() {
+            return Vec::new();
+        }
+        self.number += 1;
+        let word = self.announcement_at(now);
+        strangers.into_iter().map(|balancer| Action::Send(balancer, word.clone())).collect()
+    }
+
     /// Notices a backend server that stopped answering, first to spare it new flows, and once its
     /// heartbeats are missing too, to tell its clients: they would wait for their own timeouts.
     fn judge_server(&mut self, now: Time) -> Vec<Action> {
--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -599,3 +599,26 @@
     assert!(!to_server(&refused), "{refused:?}");
     assert!(to_server(&taken), "{taken:?}");
 }
+
+/// All hosts come back from a loss of power within 0.3 s, agents before balancers. A balancer that missed
+/// an agent's first announcement heard of it 0.4 s later; its server idled while others drowned.
+#[test]
+fn an_agent_announces_itself_with_each_tick_to_a_balancer_that_has_not_answered() {
+    let mut agent = agent();
+    agent.handle(at(3), Event::Heartbeat(heartbeat("a", 1)));
+    let announced = |actions: &[Action]| {
+        let is_word = |action: &Action| matches!(action, Action::Send(BALANCER, Message::Announce(word)) if word.state == State::Ready);
+        actions.iter().any(is_word)
+    };
+
+    let early = announced(&agent.handle(at(100), Event::Tick));
+    let again = announced(&agent.handle(at(200), Event::Tick));
+    let balancers = vec![BALANCER];
+    let roster = Roster { version: 1, balancers, agents: 1, leaving: false };
+    agent.handle(at(210), Event::Roster(BALANCER, roster.clone()));
+    let acquainted = announced(&agent.handle(at(300), Event::Tick));
+    agent.handle(at(310), Event::Roster(BALANCER, Roster { leaving: true, ..roster }));
+    let leaving = announced(&agent.handle(at(400), Event::Tick));
+
+    assert_eq!((early, again, acquainted, leaving), (true, true, false, true));
+}
