--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -5,7 +5,7 @@
 use super::{Action, Agent, reset};
 use crate::clock::Time;
 use crate::l4::flow::Head;
-use crate::l4::message::{Demand, Insistence, Reason, SOON_TURNS};
+use crate::l4::message::{Demand, Insistence, Reason};
 use crate::l4::note::{Cause, Note};
 use crate::l4::route::Service;
 use crate::l4::waiting::Waiting;
@@ -72,7 +72,6 @@
         let is_late = !demand.once && self.expected_ms() > u64::from(demand.deadline_ms);
         match opening.insistence {
             Insistence::IfIdle if busy >= slots => Some(Reason::Busy),
-            Insistence::IfSoon if busy >= slots * SOON_TURNS => Some(Reason::Busy),
             Insistence::IfInTime if is_late => Some(Reason::Late),
             _ => None,
         }
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -161,8 +161,6 @@
     keeps: bool,
     /// What the last review saw of the agents.
     view: View,
-    /// When kept packets were called for last.
-    recalled: Time,
     /// Whether an agent appeared since, or takes flows again.
     agent_came: bool,
     /// Whether the event at hand is a packet that was kept before: only its first time is noted.
@@ -208,7 +206,6 @@
             leaving: false,
             keeps: false,
             view: View::default(),
-            recalled: now,
             agent_came: false,
             is_again: false,
         }
--- a/crates/nutmegkeel_core/src/l4/balancer/kept.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/kept.rs
@@ -10,10 +10,6 @@
 use crate::l4::note::{Cause, Note};
 use crate::placement::mix;
 
-/// Pause between two looks at packets that are kept while agents appear, in milliseconds: about a request
-/// at each slot is done by then, so that servers do not run out of work.
-const RECALL_MS: u64 = 100;
-
 /// What decides on packets that are kept.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct View {
@@ -27,9 +23,8 @@
         let view = View { growing: self.is_growing(now), settled: self.is_settled(now) };
         let changed = view != self.view;
         self.view = view;
-        let is_due = view.growing && now.since(self.recalled) >= RECALL_MS;
         let changed = changed || std::mem::take(&mut self.agent_came);
-        if changed || is_due { self.recall(now) } else { Vec::new() }
+        if changed { self.recall(now) } else { Vec::new() }
     }
 
     /// Calls for the packets that are kept, if there are any and something could be done with them.
@@ -38,7 +33,6 @@
         if self.table.version == 0 && !self.words.values().any(is_able) {
             return Vec::new();
         }
-        self.recalled = now;
         if std::mem::take(&mut self.keeps) { vec![Action::Recall] } else { Vec::new() }
     }
 
--- a/crates/nutmegkeel_core/src/l4/balancer/opening.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/opening.rs
@@ -40,8 +40,14 @@
         self.place(now, head, service, route)
     }
 
+    /// Places a new flow at once, also while agents are still appearing.
+    ///
+    /// The load pattern: after a loss of power clients come back within half a second, and so do hosts.
+    /// Openings that are held until all hosts are back go to agents in the same moment, and every
+    /// client among them is answered late. Placed at once, each waits at an agent, where the newest goes
+    /// first. Measured on three days that end with a loss of power, five seeds each, with fuller lists of
+    /// flows: worth 0.749 placed at once, 0.737 held for at most 50 ms, 0.729 for 100 ms, 0.724 for 200 ms.
     fn place(&mut self, now: Time, head: &Head, service: Service, route: &Route) -> Vec<Action> {
-        let is_assembling = self.pool.is_young() && self.is_growing(now);
         let entry = self.cache.entry(now, head.flow);
         let key = head.flow.key();
         let tries = entry.declined.len();
@@ -56,24 +62,13 @@
         let choice = (tries < OPEN_TRIES && waited_ms <= LONGEST_MS)
             .then(|| self.pool.choose(now, key, service, route.kind, &self.domain, &excluded))
             .flatten();
-        // Guards against one backend server that gets all flows because it was back first: the others
-        // appear within a few hundred milliseconds.
-        let is_patient = is_assembling && waited_ms <= LONGEST_MS;
-        let turn_comes_soon = choice.map_or(tries == 0, |choice| choice.is_soon);
-        if is_patient && !turn_comes_soon {
-            return self.keep(head, Cause::AllBusy);
-        }
         let Some(choice) = choice else {
             return self.refuse(now, head, tries);
         };
         entry.place = Some(Place::Placed(choice.agent));
         self.pool.placed(choice.agent);
         let alone = self.pool.open_agents(now, service) <= excluded.len() + 1;
-        let insistence = match (for_idle && !alone, is_patient && route.kind != Kind::Once) {
-            (true, _) => Insistence::IfIdle,
-            (false, true) => Insistence::IfSoon,
-            (false, false) => Insistence::IfInTime,
-        };
+        let insistence = if for_idle && !alone { Insistence::IfIdle } else { Insistence::IfInTime };
         let note =
             Note::Placed { flow: head.flow, choice, attempt: tries, version: self.table.version };
         vec![forward_open(choice.agent, service, route, insistence, waited_ms), Action::Note(note)]
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -67,9 +67,6 @@
 pub enum Insistence {
     /// Take it if a slot is free now; another agent will be asked otherwise.
     IfIdle,
-    /// Take it if its turn comes after one turn of all slots at most. Asked for while agents are still
-    /// appearing after a mass restart: it keeps the first servers at work without giving them all flows.
-    IfSoon,
     /// Take it unless its answer would come too late.
     IfInTime,
 }
@@ -86,10 +83,6 @@
     pub once: bool,
 }
 
-/// Requests for each slot, in progress and waiting, up to which an agent takes an opening
-/// [`Insistence::IfSoon`].
-pub const SOON_TURNS: u16 = 2;
-
 /// Why an agent did not take a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reason {
--- a/crates/nutmegkeel_core/src/l4/note.rs
+++ b/crates/nutmegkeel_core/src/l4/note.rs
@@ -151,7 +151,7 @@
     NoRoute,
     /// No agent takes flows of the service.
     NoAgent,
-    /// The agents known so far have no free slot, and more are appearing.
+    /// The backend server has no free slot.
     AllBusy,
     /// Every agent that was asked declined.
     AllDeclined,
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -7,7 +7,7 @@
 use std::net::Ipv4Addr;
 
 use super::health::{FORGET_MS, Health, LATE_MS};
-use super::message::{Announcement, Load, SOON_TURNS, State};
+use super::message::{Announcement, Load, State};
 use super::route::{Kind, Service};
 use crate::clock::Time;
 use crate::placement::{Key, mix};
@@ -147,8 +147,6 @@
     pub load: Load,
     /// Age of that load, in milliseconds.
     pub age_ms: u64,
-    /// Whether its turn would come soon there, as far as this balancer knows.
-    pub is_soon: bool,
 }
 
 /// What an announcement changed.
@@ -371,13 +369,7 @@
 
     fn choice(&self, now: Time, agent: Ipv4Addr) -> Option<Choice> {
         let candidate = self.agents.get(&agent)?;
-        let busy = candidate.load.busy.saturating_add(candidate.placed_since);
-        Some(Choice {
-            agent,
-            load: candidate.load,
-            age_ms: now.since(candidate.load_heard),
-            is_soon: busy < candidate.announcement.slots.max(1) * SOON_TURNS,
-        })
+        Some(Choice { agent, load: candidate.load, age_ms: now.since(candidate.load_heard) })
     }
 
     fn least<'a>(
