--- a/crates/nutmegkeel/src/arguments.rs
+++ b/crates/nutmegkeel/src/arguments.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use bpaf::Parser;
+use nutmegkeel_core::l4::policy::{Mechanism, Policy};
 
 use crate::explain::Query;
 use crate::operator::{Access, Change};
@@ -16,9 +17,9 @@
     /// Run an agent.
     Agent(PathBuf),
     /// Run a balancer on the users' platform.
-    PlatformBalancer,
+    PlatformBalancer(Policy),
     /// Run an agent on the users' platform.
-    PlatformAgent,
+    PlatformAgent(Policy),
     /// Check the settings file that the platform wrote.
     CheckPlatformSettings,
     /// Query: what became of a flow, or why flows were refused, from log lines.
@@ -94,12 +95,24 @@
         .command("check-settings")
 }
 
+fn policy() -> impl Parser<Policy> {
+    bpaf::long("without")
+        .help(
+            "Switch a mechanism off, for a measurement or in an emergency; may be given repeatedly",
+        )
+        .argument::<Mechanism>("NAME")
+        .many()
+        .map(Policy::without)
+}
+
 fn platform() -> impl Parser<Command> {
-    let balancer = bpaf::pure(Command::PlatformBalancer)
+    let balancer = policy()
+        .map(Command::PlatformBalancer)
         .to_options()
         .descr("Run a balancer for flows without a routing token")
         .command("balancer");
-    let agent = bpaf::pure(Command::PlatformAgent)
+    let agent = policy()
+        .map(Command::PlatformAgent)
         .to_options()
         .descr("Run the agent of such flows beside a backend server")
         .command("agent");
--- a/crates/nutmegkeel/src/main.rs
+++ b/crates/nutmegkeel/src/main.rs
@@ -15,8 +15,8 @@
     let ended = match command {
         Command::Balancer(file) => run::balancer(&file),
         Command::Agent(file) => run::agent(&file),
-        Command::PlatformBalancer => run::platform_balancer(),
-        Command::PlatformAgent => run::platform_agent(),
+        Command::PlatformBalancer(policy) => run::platform_balancer(policy),
+        Command::PlatformAgent(policy) => run::platform_agent(policy),
         Command::CheckPlatformSettings => run::check_platform_settings(),
         Command::Explain(query) => explain::run(&query).map_err(Into::into),
         Command::CheckSettings(file) => run::check_settings(&file),
--- a/crates/nutmegkeel/src/run.rs
+++ b/crates/nutmegkeel/src/run.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
+use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::verdict::Verdict;
 use nutmegkeel_node::settings::{self, Faults, Settings};
 use nutmegkeel_node::{agent, balancer, l4, metric};
@@ -105,12 +106,12 @@
     Ok(())
 }
 
-pub(crate) fn platform_balancer() -> Result<(), Fault> {
+pub(crate) fn platform_balancer(policy: Policy) -> Result<(), Fault> {
     let path = platform_settings::path();
     let settings = platform_settings::open(&path)?;
     logging::start();
     let signals = Signals::open()?;
-    let mut handle = l4::balancer::spawn(&settings, path, metric::install()?)?;
+    let mut handle = l4::balancer::spawn(&settings, path, metric::install()?, policy)?;
     while !signals.stops() {
         handle.pause();
         handle.tick(signals.take_reload());
@@ -119,12 +120,12 @@
     Ok(())
 }
 
-pub(crate) fn platform_agent() -> Result<(), Fault> {
+pub(crate) fn platform_agent(policy: Policy) -> Result<(), Fault> {
     let path = platform_settings::path();
     let settings = platform_settings::open(&path)?;
     logging::start();
     let signals = Signals::open()?;
-    let mut handle = l4::agent::spawn(&settings, path, metric::install()?)?;
+    let mut handle = l4::agent::spawn(&settings, path, metric::install()?, policy)?;
     while !signals.stops() {
         handle.pause();
         handle.tick(signals.take_reload());
--- a/crates/nutmegkeel/tests/commands.rs
+++ b/crates/nutmegkeel/tests/commands.rs
@@ -80,3 +80,12 @@
         assert!(text.contains("Example: nutmegkeel"), "{command:?}: {text}");
     }
 }
+
+#[test]
+fn a_mechanism_that_does_not_exist_is_refused_with_the_names_of_those_that_do() {
+    let output = run(&["platform", "agent", "--without", "agent-queue", "--without", "tricks"]);
+
+    assert_eq!(output.status.code(), Some(1));
+    assert!(said(&output).contains("no mechanism is called `tricks`"), "{}", said(&output));
+    assert!(said(&output).contains("flow-lists"), "{}", said(&output));
+}
--- a/crates/nutmegkeel_core/src/l4.rs
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -14,6 +14,7 @@
 pub mod note;
 pub mod outlier;
 pub mod placement;
+pub mod policy;
 pub mod roster;
 pub mod route;
 pub mod server;
--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -18,6 +18,7 @@
 use super::message::{Announcement, Demand, Insistence, Load, Message, Reason, Roster, State};
 use super::note::{Cause, Note, ServerChange};
 use super::outlier::Record;
+use super::policy::{Mechanism, Policy};
 use super::roster::Book;
 use super::route::Service;
 use super::server::{Beside, Heard, Heartbeat, Incarnation, Server};
@@ -135,6 +136,8 @@
     pub heartbeat_ms: u64,
     /// Lists of flows that all agents together may write to the store in a second.
     pub checkpoints_per_s: u64,
+    /// The mechanisms that it uses.
+    pub policy: Policy,
 }
 
 /// The agent.
@@ -176,13 +179,13 @@
             keeper: Keeper::open(now, identity.checkpoints_per_s),
             fleet: 0,
             deserted: false,
+            waiting: Queue::open(&identity.policy),
             identity,
             started: now,
             balancers,
             acquainted: BTreeSet::new(),
             table: Table::default(),
             probes: Probes::default(),
-            waiting: Queue::default(),
             pace: Pace::default(),
             record: Record::default(),
             unanswered_since: None,
@@ -209,12 +212,18 @@
             _ if self.leaving => State::Restarting,
             Some(server) if server.draining || self.unresponsive => State::Closed,
             Some(_) if self.beside.is_contested() => State::Closed,
-            Some(_) if self.record.is_failing(now) => State::Failing,
+            Some(_) if self.uses(Mechanism::Outliers) && self.record.is_failing(now) => {
+                State::Failing
+            }
             Some(_) => State::Ready,
             None => State::Closed,
         }
     }
 
+    fn uses(&self, mechanism: Mechanism) -> bool {
+        self.identity.policy.uses(mechanism)
+    }
+
     /// Whether its backend server may be given flows; balancers decide whether one that fails is.
     fn is_open(&self, now: Time) -> bool {
         matches!(self.state(now), State::Ready | State::Failing)
@@ -433,6 +442,9 @@
         let Some(server) = self.beside.server() else {
             return Vec::new();
         };
+        if !self.uses(Mechanism::FlowLists) {
+            return Vec::new();
+        }
         let lost = self.keeper.take_lost(now, server);
         let lost = lost.into_iter().filter(|(flow, _)| self.table.get(flow).is_none());
         lost.flat_map(|(flow, ack)| reset(flow, ack, Cause::HostRestarted)).collect()
@@ -489,7 +501,7 @@
         self.acquainted.retain(|balancer| kept.contains(balancer));
         if now.since(self.announced) >= ANNOUNCE_MS {
             actions.extend(self.announce(now));
-        } else {
+        } else if self.uses(Mechanism::Introductions) {
             actions.extend(self.introduce(now));
         }
         actions
@@ -519,7 +531,8 @@
             return Vec::new();
         };
         let mut actions = Vec::new();
-        if !self.unresponsive && now.since(since) > UNRESPONSIVE_MS {
+        let is_spared = self.uses(Mechanism::Unresponsive);
+        if is_spared && !self.unresponsive && now.since(since) > UNRESPONSIVE_MS {
             self.unresponsive = true;
             actions.push(self.changed(ServerChange::Unresponsive));
             actions.extend(self.announce(now));
@@ -550,6 +563,9 @@
     }
 
     fn save(&mut self, now: Time) -> Option<Action> {
+        if !self.uses(Mechanism::FlowLists) {
+            return None;
+        }
         let flows = self.table.open_flows();
         let checkpoint = self.keeper.due(now, self.fleet, self.beside.server()?, flows)?;
         Some(Action::Save(checkpoint))
--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -7,6 +7,7 @@
 use crate::l4::flow::Head;
 use crate::l4::message::{Demand, Insistence, Reason};
 use crate::l4::note::{Cause, Note};
+use crate::l4::policy::Mechanism;
 use crate::l4::route::Service;
 use crate::l4::waiting::Waiting;
 
@@ -92,7 +93,8 @@
     /// what waits goes to the server's own queue: nobody else has it.
     fn is_saturated(&self) -> bool {
         let slots = self.beside.server().map_or(0, |server| server.slots);
-        !self.leaving && self.table.load().busy >= slots + AHEAD
+        let waits_here = self.uses(Mechanism::AgentQueue) && !self.leaving;
+        waits_here && self.table.load().busy >= slots + AHEAD
     }
 
     /// Takes a client's packet of a flow that the server holds: requests go on while the server has
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -17,6 +17,7 @@
 use super::message::{Announcement, Load, Message, Reason, Roster};
 use super::note::{Cause, Note};
 use super::placement::{Change, Pool};
+use super::policy::Policy;
 use super::roster::{Book, KEPT_MS};
 use super::route::Table;
 use crate::clock::Time;
@@ -145,6 +146,7 @@
 pub struct Balancer {
     own: Ipv4Addr,
     domain: Arc<str>,
+    policy: Policy,
     table: Table,
     pool: Pool,
     cache: Cache,
@@ -186,7 +188,13 @@
 impl Balancer {
     /// A balancer that knows nothing yet but its seeds.
     #[must_use]
-    pub fn open(now: Time, own: Ipv4Addr, domain: Arc<str>, seeds: &[Ipv4Addr]) -> Self {
+    pub fn open(
+        now: Time,
+        own: Ipv4Addr,
+        domain: Arc<str>,
+        seeds: &[Ipv4Addr],
+        policy: Policy,
+    ) -> Self {
         let mut peers = Book::default();
         for seed in seeds.iter().filter(|seed| **seed != own) {
             peers.heard(now, *seed);
@@ -194,6 +202,7 @@
         Self {
             own,
             domain,
+            policy,
             table: Table::default(),
             pool: Pool::default(),
             cache: Cache::default(),
--- a/crates/nutmegkeel_core/src/l4/balancer/kept.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/kept.rs
@@ -8,6 +8,7 @@
 use crate::l4::flow::Head;
 use crate::l4::message::Message;
 use crate::l4::note::{Cause, Note};
+use crate::l4::policy::Mechanism;
 use crate::placement::mix;
 
 /// What decides on packets that are kept.
@@ -38,6 +39,9 @@
 
     /// Keeps the packet at hand until something changes. Only its first time is noted.
     pub(super) fn keep(&mut self, head: &Head, cause: Cause) -> Vec<Action> {
+        if !self.policy.uses(Mechanism::KeptPackets) {
+            return Vec::new();
+        }
         self.keeps = true;
         let mut actions = vec![Action::Keep(*head)];
         if !self.is_again {
@@ -54,7 +58,8 @@
         let able = self.words.iter().filter(|(_, word)| word.is_recent(now) && word.version > 0);
         let key = head.flow.key().number();
         let rank = |peer: &Ipv4Addr| mix(key ^ mix(u64::from(peer.to_bits())));
-        let Some(to) = able.map(|(peer, _)| *peer).max_by_key(rank) else {
+        let to = able.map(|(peer, _)| *peer).max_by_key(rank);
+        let Some(to) = to.filter(|_| self.policy.uses(Mechanism::Relay)) else {
             return self.keep(head, Cause::NoConfiguration);
         };
         let note = Note::Relayed { flow: head.flow, to };
--- a/crates/nutmegkeel_core/src/l4/balancer/opening.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/opening.rs
@@ -9,6 +9,7 @@
 use crate::l4::health::Health;
 use crate::l4::message::{Demand, Insistence, Message, Reason};
 use crate::l4::note::{Cause, Note};
+use crate::l4::policy::Mechanism;
 use crate::l4::route::{Kind, Route, Service};
 
 /// Agents asked for a free slot before one is asked to let the flow wait. Each costs a round trip of
@@ -51,7 +52,7 @@
         let entry = self.cache.entry(now, head.flow);
         let key = head.flow.key();
         let tries = entry.declined.len();
-        let for_idle = tries < IDLE_TRIES;
+        let for_idle = tries < IDLE_TRIES && self.policy.uses(Mechanism::FreeSlotFirst);
         let excluded: Vec<Ipv4Addr> = entry
             .declined
             .iter()
--- a/crates/nutmegkeel_core/src/l4/waiting.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting.rs
@@ -14,6 +14,7 @@
 
 use super::flow::{Flow, Head};
 use super::message::Demand;
+use super::policy::{Mechanism, Policy};
 use crate::clock::Time;
 
 /// Under a lasting overload only what the slots can serve within this may wait, in milliseconds: half of
@@ -64,14 +65,27 @@
 }
 
 /// Flows in order of their arrival.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Queue {
+    newest_first: bool,
+    turns_away: bool,
     flows: VecDeque<Waiting>,
     /// Since when more comes than can be served.
     pressed: Option<Time>,
 }
 
 impl Queue {
+    /// An empty queue.
+    #[must_use]
+    pub fn open(policy: &Policy) -> Self {
+        Self {
+            newest_first: policy.uses(Mechanism::NewestFirst),
+            turns_away: policy.uses(Mechanism::TurningAway),
+            flows: VecDeque::new(),
+            pressed: None,
+        }
+    }
+
     /// Adds a flow behind those that came before it. One that waited elsewhere keeps its place: put
     /// last, it would pass for the newest.
     pub fn push(&mut self, waiting: Waiting) {
@@ -109,8 +123,10 @@
         let came = |waiting: &Waiting| waiting.request.is_some();
         let in_time = |waiting: &Waiting| came(waiting) && waiting.is_in_time(now, answer_ms);
         let is_short = self.pressed.is_none_or(|since| now.since(since) <= CROWDING_MS);
-        let oldest = if is_short { self.flows.iter().position(in_time) } else { None };
-        let next = oldest.or_else(|| self.flows.iter().rposition(came))?;
+        let oldest_first = is_short || !self.newest_first;
+        let oldest = if oldest_first { self.flows.iter().position(in_time) } else { None };
+        let newest = || self.flows.iter().rposition(came);
+        let next = oldest.or_else(newest)?;
         let waiting = self.flows.remove(next)?;
         let request = waiting.request?;
         Some((waiting, request))
@@ -133,7 +149,8 @@
     /// nobody is turned away: a client that is refused comes back at once, and hundreds use up their
     /// tries within a second while servers work the burst off.
     pub fn take_hopeless(&mut self, now: Time, slots: u64, request_us: u64) -> Vec<Waiting> {
-        if self.pressed.is_none_or(|since| now.since(since) <= BURST_MS) {
+        let is_burst = self.pressed.is_none_or(|since| now.since(since) <= BURST_MS);
+        if is_burst || !self.turns_away {
             return Vec::new();
         }
         let room = slots * PATIENCE_MS * 1_000 / request_us.max(1);
--- a/crates/nutmegkeel_core/tests/l4/balancer.rs
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -1,5 +1,6 @@
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
 use nutmegkeel_core::l4::message::{Insistence, Load, Message, Reason, Roster, State};
+use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::route::Service;
 
 use crate::fixture::{
@@ -390,7 +391,7 @@
 /// milliseconds, dropped what came, and clients send their copies ever more rarely.
 #[test]
 fn a_packet_that_came_before_the_configuration_is_handled_with_it() {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[]);
+    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
     announce(&mut balancer, &[1], 0, 0);
     let head = opening(flow(1), 0);
 
@@ -406,7 +407,7 @@
 /// A kept packet must not be forgotten: when nothing changes any more, its client still gets an answer.
 #[test]
 fn a_kept_opening_is_answered_in_the_end() {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[]);
+    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
     balancer.handle(at(0), Event::Configured(table(1, &[(PORT, desk())])));
     let head = opening(flow(1), 0);
     let kept = balancer.handle(at(10), Event::Client(head));
@@ -423,7 +424,7 @@
 /// until all hosts were back, went to agents in one moment, and nobody among them was answered in time.
 #[test]
 fn openings_are_placed_at_once_while_servers_come_back() {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[]);
+    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
     balancer.handle(at(0), Event::Configured(table(1, &[(PORT, desk())])));
     balancer.handle(at(1), Event::Announced(host(1), word(1, State::Ready, Load::default())));
 
@@ -446,7 +447,7 @@
 /// configuration, while others have it and could place their packets.
 #[test]
 fn a_balancer_without_a_configuration_hands_packets_to_one_that_has_it() {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[]);
+    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
     let head = opening(flow(1), 0);
     let roster = |version| Roster { version, balancers: Vec::new(), agents: 3, leaving: false };
     balancer.handle(at(1), Event::Roster(host(8), roster(0)));
@@ -463,7 +464,7 @@
 /// Two balancers without a configuration hand one packet to and fro for ever.
 #[test]
 fn a_packet_is_handed_over_once() {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[]);
+    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
     let roster = Roster { version: 4, balancers: Vec::new(), agents: 3, leaving: false };
     balancer.handle(at(1), Event::Roster(host(9), roster));
     let head = opening(flow(1), 0);
--- a/crates/nutmegkeel_core/tests/l4/fixture.rs
+++ b/crates/nutmegkeel_core/tests/l4/fixture.rs
@@ -8,6 +8,7 @@
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
 use nutmegkeel_core::l4::flow::{Flags, Flow, Head};
 use nutmegkeel_core::l4::message::{Announcement, Load, State};
+use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::route::{Kind, Route, Service, Share, Table};
 use nutmegkeel_core::l4::server::{Heartbeat, Incarnation};
 
@@ -103,7 +104,7 @@
 
 /// A balancer with a route to the desk and these agents, all known for three seconds at `at(3_000)`.
 pub(crate) fn balancer(agents: &[u8]) -> Balancer {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[]);
+    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
     balancer.handle(at(0), Event::Configured(table(1, &[(PORT, desk())])));
     announce(&mut balancer, agents, 0, 3_000);
     balancer
@@ -144,6 +145,7 @@
         domain: DOMAIN.into(),
         heartbeat_ms: 1_200,
         checkpoints_per_s: 80,
+        policy: Policy::default(),
     };
     Agent::open(at(0), identity, &[BALANCER])
 }
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -7,6 +7,7 @@
 mod outlier;
 mod overload;
 mod placement;
+mod policy;
 mod roster;
 mod server;
 mod waiting;
--- a/crates/nutmegkeel_core/tests/l4/waiting.rs
+++ b/crates/nutmegkeel_core/tests/l4/waiting.rs
@@ -1,4 +1,5 @@
 use nutmegkeel_core::l4::message::Demand;
+use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::waiting::{Queue, Waiting};
 
 use crate::fixture::{at, data, flow};
@@ -27,7 +28,7 @@
 
 #[test]
 fn a_short_wait_is_first_come_first_served() {
-    let mut queue = Queue::default();
+    let mut queue = Queue::open(&Policy::default());
     queue.push(waiting(1, 0));
     queue.push(waiting(2, 20));
 
@@ -38,7 +39,7 @@
 /// each slot goes to whoever has waited longest, and has no time left.
 #[test]
 fn after_a_long_wait_the_newest_goes_first() {
-    let mut queue = Queue::default();
+    let mut queue = Queue::open(&Policy::default());
     queue.push(waiting(1, 0));
     queue.push(waiting(2, 400));
 
@@ -47,7 +48,7 @@
 
 #[test]
 fn what_waited_elsewhere_does_not_pass_for_the_newest() {
-    let mut queue = Queue::default();
+    let mut queue = Queue::open(&Policy::default());
     queue.push(waiting(1, 1_000));
     queue.push(waiting(2, 0));
 
@@ -60,7 +61,7 @@
 
 #[test]
 fn a_flow_whose_request_has_not_come_is_passed_over() {
-    let mut queue = Queue::default();
+    let mut queue = Queue::open(&Policy::default());
     queue.push(Waiting { request: None, ..waiting(1, 0) });
     queue.push(waiting(2, 10));
 
@@ -74,7 +75,7 @@
 
 #[test]
 fn a_request_is_given_up_when_its_answer_would_come_too_late() {
-    let mut queue = Queue::default();
+    let mut queue = Queue::open(&Policy::default());
     queue.push(waiting(1, 0));
 
     let early = queue.take_late(at(LIMIT_MS - 100), 100);
@@ -88,7 +89,7 @@
 /// serve within 100 ms.
 #[test]
 fn a_lasting_overload_turns_the_hopeless_away() {
-    let mut queue = Queue::default();
+    let mut queue = Queue::open(&Policy::default());
     let mut refused = Vec::new();
     for now in (0..6_000).step_by(100) {
         (0..20).for_each(|port| queue.push(waiting(port, now)));
@@ -110,7 +111,7 @@
 /// nearly all of them.
 #[test]
 fn a_burst_does_not_make_those_late_who_come_after_it() {
-    let mut queue = Queue::default();
+    let mut queue = Queue::open(&Policy::default());
     for port in 0..300 {
         queue.push(waiting(port, 0));
     }
@@ -138,7 +139,7 @@
 /// empty in between, and the overload still counted as lasting.
 #[test]
 fn an_empty_queue_ends_an_overload() {
-    let mut queue = Queue::default();
+    let mut queue = Queue::open(&Policy::default());
     queue.push(waiting(1, 0));
     queue.take_late(at(1_000), ANSWER_MS);
     assert!(queue.pop(at(1_000), ANSWER_MS).is_some());
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -10,6 +10,7 @@
 use nutmegkeel_core::l4::agent::{Action, Agent, Event, Identity, TICK_MS};
 use nutmegkeel_core::l4::flow::Direction;
 use nutmegkeel_core::l4::message::Message;
+use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_platform::settings::Settings;
 use nutmegkeel_platform::{control, packet};
 use nutmegkeel_wire::l4 as wire;
@@ -65,10 +66,13 @@
     settings: &Settings,
     path: std::path::PathBuf,
     metrics: metric::Handle,
+    policy: Policy,
 ) -> Result<Handle, Fault> {
     let clock = Clock::open();
     let now = clock.now();
+    let switched_off = policy.switched_off();
     let identity = Identity {
+        policy,
         incarnation: now.millis(),
         domain: Arc::clone(&settings.domain),
         heartbeat_ms: settings.heartbeat_ms,
@@ -98,7 +102,8 @@
     })?;
     let control = spawn_control(&shared, addresses.control)?;
     let metrics = spawn_metrics(settings.metrics, metrics)?;
-    info!(event = "started", role = "agent", settings:? = settings; "agent runs");
+    info!(event = "started", role = "agent", settings:? = settings, without:? = switched_off;
+        "agent runs");
     Ok(Handle {
         shared,
         reload: Reload::open(path, settings.clone(), now),
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -12,6 +12,7 @@
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event, TICK_MS};
 use nutmegkeel_core::l4::flow::{Direction, Head};
 use nutmegkeel_core::l4::message::Message;
+use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::route::Table;
 use nutmegkeel_platform::settings::Settings;
 use nutmegkeel_platform::{control, packet};
@@ -70,10 +71,13 @@
     settings: &Settings,
     path: std::path::PathBuf,
     metrics: metric::Handle,
+    policy: Policy,
 ) -> Result<Handle, Fault> {
     let clock = Clock::open();
     let now = clock.now();
-    let core = Balancer::open(now, settings.ip, Arc::clone(&settings.domain), &settings.seeds);
+    let switched_off = policy.switched_off();
+    let domain = Arc::clone(&settings.domain);
+    let core = Balancer::open(now, settings.ip, domain, &settings.seeds, policy);
     let shared = Arc::new(Shared {
         core: Mutex::new(core),
         clock,
@@ -91,7 +95,8 @@
     let readiness = spawn_readiness(&shared, settings.readiness)?;
     let peers = spawn_peers(&shared, settings.messages, source)?;
     let metrics = spawn_metrics(settings.metrics, metrics)?;
-    info!(event = "started", role = "balancer", settings:? = settings; "balancer runs");
+    info!(event = "started", role = "balancer", settings:? = settings, without:? = switched_off;
+        "balancer runs");
     Ok(Handle {
         shared,
         reload: Reload::open(path, settings.clone(), now),
