--- /dev/null
+++ b/crates/nutmegkeel_core/tests/l4/backend.rs
@@ -0,0 +1,37 @@
+//! A backend server in virtual time.
+
+use std::collections::VecDeque;
+
+use nutmegkeel_core::l4::flow::Head;
+
+/// Requests that it works on at once.
+pub(crate) const SLOTS: usize = 4;
+
+/// A request takes so long while the server is cold, and when it is warm, in milliseconds.
+const COLD_MS: u64 = 94;
+const WARM_MS: u64 = 59;
+
+/// The server is cold for so long, in milliseconds.
+pub(crate) const COLD_UNTIL_MS: u64 = 2_000;
+
+/// A backend server that answers in the order of arrival.
+#[derive(Default)]
+pub(crate) struct Server {
+    pub(crate) queue: VecDeque<Head>,
+    busy: Vec<(u64, Head)>,
+}
+
+impl Server {
+    /// Goes on to `now`; returns the requests that are answered.
+    pub(crate) fn step(&mut self, now: u64) -> Vec<Head> {
+        let (done, busy): (Vec<_>, Vec<_>) = self.busy.drain(..).partition(|(at, _)| *at <= now);
+        self.busy = busy;
+        while self.busy.len() < SLOTS
+            && let Some(head) = self.queue.pop_front()
+        {
+            let takes = if now < COLD_UNTIL_MS { COLD_MS } else { WARM_MS };
+            self.busy.push((now + takes, head));
+        }
+        done.into_iter().map(|(_, head)| head).collect()
+    }
+}
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -1,6 +1,7 @@
 //! Flows without a routing token: the decisions of balancers and agents.
 
 mod agent;
+mod backend;
 mod balancer;
 mod checkpoint;
 mod fixture;
@@ -8,6 +9,7 @@
 mod overload;
 mod placement;
 mod policy;
+mod recovery;
 mod roster;
 mod server;
 mod waiting;
--- a/crates/nutmegkeel_core/tests/l4/overload.rs
+++ b/crates/nutmegkeel_core/tests/l4/overload.rs
@@ -1,22 +1,14 @@
 //! Replays the load of seconds in which more comes than can be served.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use nutmegkeel_core::l4::agent::{Action, Agent, Event};
 use nutmegkeel_core::l4::flow::{Flow, Head};
 use nutmegkeel_core::l4::message::{Demand, Insistence};
 
+use crate::backend::{COLD_UNTIL_MS, Server};
 use crate::fixture::{BALANCER, accepted, agent, at, data, desk, flow, heartbeat, opening};
 
-const SLOTS: usize = 4;
-
-/// A request takes so long while the server is cold, and when it is warm, in milliseconds.
-const COLD_MS: u64 = 94;
-const WARM_MS: u64 = 59;
-
-/// The server is cold for so long, in milliseconds.
-const COLD_UNTIL_MS: u64 = 2_000;
-
 /// An answer within this is in time, in milliseconds.
 const AIM_MS: u64 = 400;
 
@@ -30,27 +22,6 @@
     Demand { objective_ms, deadline_ms: 2_500, once }
 }
 
-/// A backend server that answers in the order of arrival.
-#[derive(Default)]
-struct Server {
-    queue: VecDeque<Head>,
-    busy: Vec<(u64, Head)>,
-}
-
-impl Server {
-    fn step(&mut self, now: u64) -> Vec<Head> {
-        let (done, busy): (Vec<_>, Vec<_>) = self.busy.drain(..).partition(|(at, _)| *at <= now);
-        self.busy = busy;
-        while self.busy.len() < SLOTS
-            && let Some(head) = self.queue.pop_front()
-        {
-            let takes = if now < COLD_UNTIL_MS { COLD_MS } else { WARM_MS };
-            self.busy.push((now + takes, head));
-        }
-        done.into_iter().map(|(_, head)| head).collect()
-    }
-}
-
 /// The replay: an agent, its server, and who has asked since when.
 struct Replay {
     agent: Agent,
