--- a/crates/nutmegkeel_core/tests/l4/recovery.rs
+++ b/crates/nutmegkeel_core/tests/l4/recovery.rs
@@ -183,8 +183,10 @@
         };
         for action in balancer.handle(at(now), event) {
             match action {
-                balancer::Action::Forward(to, message) => self.to_agent(now, to, message, head),
-                balancer::Action::Send(to, message) => self.to_agent(now, to, message, None),
+                balancer::Action::Forward(to, message) => {
+                    self.hand_to_agent(now, to, message, head)
+                }
+                balancer::Action::Send(to, message) => self.hand_to_agent(now, to, message, None),
                 balancer::Action::Keep(head) => {
                     self.kept.insert(head.flow, head);
                 }
@@ -198,7 +200,7 @@
         }
     }
 
-    fn to_agent(&mut self, now: u64, to: Ipv4Addr, message: Message, head: Option<Head>) {
+    fn hand_to_agent(&mut self, now: u64, to: Ipv4Addr, message: Message, head: Option<Head>) {
         let number = (0..AGENTS).position(|number| host(number) == to);
         if let Some(number) = number {
             self.send(now, Parcel::ToAgent(number, message, head));
@@ -212,7 +214,7 @@
         let from = host(u8::try_from(number).expect("few hosts"));
         for action in agent.handle(at(now), event) {
             match action {
-                agent::Action::ToServer(_) => self.to_server(now, number, head),
+                agent::Action::ToServer(_) => self.hand_to_server(now, number, head),
                 agent::Action::Keep(head) => {
                     self.hosts[number].kept.insert(head.flow, head);
                 }
@@ -239,7 +241,7 @@
     }
 
     /// The server accepts an opening at once; a request waits for a slot.
-    fn to_server(&mut self, now: u64, number: usize, head: Option<Head>) {
+    fn hand_to_server(&mut self, now: u64, number: usize, head: Option<Head>) {
         let head = head.expect("a packet is at hand");
         if head.opens() {
             let answer = accepted(head.flow, 500);
