--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -4,7 +4,9 @@
 //! holds, and after its own restart lets the server say so: a packet of a flow that the server does
 //! not hold comes back.
 
+mod balancers;
 mod request;
+mod standing;
 
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
@@ -14,14 +16,14 @@
 
 use super::checkpoint::{Checkpoint, Keeper};
 use super::flow::{Flow, Head};
-use super::health::{ANNOUNCE_MS, FORGET_MS};
-use super::message::{Announcement, Demand, Insistence, Load, Message, Reason, Roster, State};
+use super::health::ANNOUNCE_MS;
+use super::message::{Demand, Insistence, Load, Message, Reason, Roster, State};
 use super::note::{Cause, Note, ServerChange};
 use super::outlier::Record;
 use super::policy::{Mechanism, Policy};
 use super::roster::Book;
 use super::route::Service;
-use super::server::{Beside, Heard, Heartbeat, Incarnation, Server};
+use super::server::{Beside, Heartbeat, Incarnation};
 use super::table::{Outcome, Probes, Stage, Table};
 use super::waiting::Queue;
 use crate::admission::Pace;
@@ -30,18 +32,6 @@
 /// Pause between two ticks, in milliseconds.
 pub const TICK_MS: u64 = 100;
 
-/// A backend server that left all openings unanswered for so long takes no more: it answers within a
-/// millisecond, and the client's first copy, 200 ms after the opening, can then go elsewhere.
-const UNRESPONSIVE_MS: u64 = 150;
-
-/// A flow whose backend server has sent something within this time was not cut off by a restart that
-/// a heartbeat tells of now: the heartbeat of a new incarnation comes with its start.
-const ALIVE_MS: u64 = 1_000;
-
-/// An agent that has heard nothing for so long stands beside no server, in percent of the pause
-/// between two heartbeats: one and a half, because a server that runs sends its next one within one.
-const UNHEARD_PERCENT: u64 = 150;
-
 /// What happens to an agent.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -308,21 +298,6 @@
         Vec::new()
     }
 
-    /// Whether every flow that the backend server holds passed this process: it saw the server's
-    /// first heartbeat, or has run for longer than a flow lives. Without a server there are no flows,
-    /// once one would have sent a heartbeat or answered a packet: a process that has just started may
-    /// stand beside a server that holds flows since before.
-    fn is_certain(&self, now: Time) -> bool {
-        let age_ms = now.since(self.started);
-        match self.beside.server() {
-            Some(server) => server.seen_from_start || age_ms > FORGET_MS,
-            None => {
-                let limit_ms = self.identity.heartbeat_ms * UNHEARD_PERCENT / 100;
-                self.deserted || self.beside.has_ended() || age_ms > limit_ms
-            }
-        }
-    }
-
     fn answered(&mut self, now: Time, head: &Head) -> Vec<Action> {
         self.unanswered_since = None;
         self.deserted = false;
@@ -402,89 +377,6 @@
         }
     }
 
-    fn heartbeat(&mut self, now: Time, beat: &Heartbeat) -> Vec<Action> {
-        let was_contested = self.beside.is_contested();
-        let heard = self.beside.heartbeat(now, beat);
-        let mut actions = Vec::new();
-        match heard {
-            Heard::Stale => return actions,
-            Heard::Contested => {
-                actions.push(self.changed(ServerChange::Contested));
-                actions.extend(self.announce(now));
-                return actions;
-            }
-            Heard::Same => {}
-            Heard::Draining => actions.push(self.changed(ServerChange::Draining)),
-            Heard::First => actions.push(self.changed(ServerChange::Started)),
-            Heard::Replaced => {
-                self.record.clear();
-                let ended = self.table.take_silent(now, ALIVE_MS);
-                for (flow, held) in ended {
-                    actions.extend(reset(flow, held.client_ack, Cause::ServerRestarted));
-                }
-                actions.push(self.changed(ServerChange::Started));
-            }
-        }
-        actions.extend(self.tell_lost(now));
-        // A server that sends heartbeats is worth another try.
-        self.unanswered_since = None;
-        self.deserted = false;
-        actions.extend(self.responsive(now));
-        if heard != Heard::Same || was_contested {
-            actions.extend(self.announce(now));
-        }
-        actions
-    }
-
-    /// Tells the clients of flows that went with the host. A flow that was opened anew meanwhile, from
-    /// the same port, is left alone.
-    fn tell_lost(&mut self, now: Time) -> Vec<Action> {
-        let Some(server) = self.beside.server() else {
-            return Vec::new();
-        };
-        if !self.uses(Mechanism::FlowLists) {
-            return Vec::new();
-        }
-        let lost = self.keeper.take_lost(now, server);
-        let lost = lost.into_iter().filter(|(flow, _)| self.table.get(flow).is_none());
-        lost.flat_map(|(flow, ack)| reset(flow, ack, Cause::HostRestarted)).collect()
-    }
-
-    fn deregistered(&mut self, now: Time, leaving: &Incarnation) -> Vec<Action> {
-        if !self.beside.deregistered(leaving) {
-            return Vec::new();
-        }
-        let (id, change) = (Arc::clone(&leaving.id), ServerChange::Ended);
-        let mut actions = vec![Action::Note(Note::Server { id, change })];
-        actions.extend(self.announce(now));
-        actions
-    }
-
-    /// A balancer that leaves still carries packets, so it must go on hearing of this agent: it would
-    /// take the agent for dead and reset its flows. It drops out when nobody speaks of it any more.
-    fn roster(&mut self, now: Time, from: Ipv4Addr, roster: &Roster) -> Vec<Action> {
-        self.fleet = u64::from(roster.agents);
-        if roster.leaving {
-            self.acquainted.remove(&from);
-        } else {
-            self.acquainted.insert(from);
-        }
-        let mut actions = self.listed(now, &roster.balancers);
-        actions.extend(self.listed(now, &[from]));
-        actions
-    }
-
-    fn listed(&mut self, now: Time, balancers: &[Ipv4Addr]) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for balancer in balancers {
-            if self.balancers.heard(now, *balancer) {
-                actions.push(Action::Note(Note::Balancer { balancer: *balancer, known: true }));
-                actions.push(Action::Send(*balancer, self.announcement()));
-            }
-        }
-        actions
-    }
-
     fn leave(&mut self, now: Time) -> Vec<Action> {
         self.leaving = true;
         self.announce(now)
@@ -507,61 +399,6 @@
         actions
     }
 
-    /// Announces this agent to the balancers that have not spoken to it yet.
-    ///
-    /// Guards against backend servers that idle after a loss of power: a balancer that starts after this
-    /// agent has announced itself hears of it up to four ticks later, and meanwhile all flows go to the
-    /// servers that came back after it. A balancer answers a first announcement at once.
-    fn introduce(&mut self, now: Time) -> Vec<Action> {
-        let known = &self.acquainted;
-        let strangers: Vec<Ipv4Addr> =
-            self.balancers.iter().filter(|balancer| !known.contains(balancer)).collect();
-        if strangers.is_empty() {
-            return Vec::new();
-        }
-        self.number += 1;
-        let word = self.announcement_at(now);
-        strangers.into_iter().map(|balancer| Action::Send(balancer, word.clone())).collect()
-    }
-
-    /// Notices a backend server that stopped answering, first to spare it new flows, and once its
-    /// heartbeats are missing too, to tell its clients: they would wait for their own timeouts.
-    fn judge_server(&mut self, now: Time) -> Vec<Action> {
-        let Some(since) = self.unanswered_since else {
-            return Vec::new();
-        };
-        let mut actions = Vec::new();
-        let is_spared = self.uses(Mechanism::Unresponsive);
-        if is_spared && !self.unresponsive && now.since(since) > UNRESPONSIVE_MS {
-            self.unresponsive = true;
-            actions.push(self.changed(ServerChange::Unresponsive));
-            actions.extend(self.announce(now));
-        }
-        if self.unresponsive && self.beside.is_overdue(now) {
-            let ended = self.table.take_silent(now, ALIVE_MS);
-            if !ended.is_empty() {
-                actions.push(self.changed(ServerChange::Dead));
-            }
-            for (flow, held) in ended {
-                actions.extend(reset(flow, held.client_ack, Cause::ServerDead));
-            }
-        }
-        actions
-    }
-
-    /// Notices that no server stands beside this process, and says so to who asked. Guards against
-    /// clients of lost flows that wait for seconds for the answer of a host without a server.
-    fn notice_absence(&mut self, now: Time) -> Vec<Action> {
-        if self.beside.server().is_some() {
-            return Vec::new();
-        }
-        let unanswered = self.probes.take_unanswered(now);
-        self.deserted |= !unanswered.is_empty();
-        let load = self.load();
-        let absent = |(flow, from)| Action::Send(from, Message::Absent { flow, load });
-        unanswered.into_iter().map(absent).collect()
-    }
-
     fn save(&mut self, now: Time) -> Option<Action> {
         if !self.uses(Mechanism::FlowLists) {
             return None;
@@ -571,51 +408,6 @@
         Some(Action::Save(checkpoint))
     }
 
-    fn responsive(&mut self, now: Time) -> Vec<Action> {
-        if !self.unresponsive {
-            return Vec::new();
-        }
-        self.unresponsive = false;
-        let mut actions = vec![self.changed(ServerChange::Responsive)];
-        actions.extend(self.announce(now));
-        actions
-    }
-
-    fn changed(&self, change: ServerChange) -> Action {
-        let id = self
-            .beside
-            .server()
-            .map_or_else(|| "".into(), |server| Arc::clone(&server.incarnation.id));
-        Action::Note(Note::Server { id, change })
-    }
-
-    fn announce(&mut self, now: Time) -> Vec<Action> {
-        self.announced = now;
-        self.number += 1;
-        let word = self.announcement_at(now);
-        self.balancers.iter().map(|balancer| Action::Send(balancer, word.clone())).collect()
-    }
-
-    fn announcement(&self) -> Message {
-        self.announcement_at(self.announced)
-    }
-
-    fn announcement_at(&self, now: Time) -> Message {
-        let server = self.beside.server();
-        let is_cold = |server: &Server| now < server.warm_at;
-        Message::Announce(Announcement {
-            incarnation: self.identity.incarnation,
-            number: self.number,
-            domain: Arc::clone(&self.identity.domain),
-            service: server.map(|server| server.service),
-            slots: server.map_or(0, |server| server.slots),
-            cold: server.is_some_and(is_cold),
-            state: self.state(now),
-            load: self.load(),
-            balancers: self.balancers.digest(),
-        })
-    }
-
     fn decline(&self, to: Ipv4Addr, reason: Reason) -> Action {
         Action::Return(to, Message::Declined { reason, load: self.load() })
     }
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/agent/balancers.rs
@@ -0,0 +1,81 @@
+//! What the agent tells balancers of itself, and how it learns who they are.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use super::{Action, Agent};
+use crate::clock::Time;
+use crate::l4::message::{Announcement, Message, Roster};
+use crate::l4::note::Note;
+use crate::l4::server::Server;
+
+impl Agent {
+    /// A balancer that leaves still carries packets, so it must go on hearing of this agent: it would
+    /// take the agent for dead and reset its flows. It drops out when nobody speaks of it any more.
+    pub(super) fn roster(&mut self, now: Time, from: Ipv4Addr, roster: &Roster) -> Vec<Action> {
+        self.fleet = u64::from(roster.agents);
+        if roster.leaving {
+            self.acquainted.remove(&from);
+        } else {
+            self.acquainted.insert(from);
+        }
+        let mut actions = self.listed(now, &roster.balancers);
+        actions.extend(self.listed(now, &[from]));
+        actions
+    }
+
+    pub(super) fn listed(&mut self, now: Time, balancers: &[Ipv4Addr]) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for balancer in balancers {
+            if self.balancers.heard(now, *balancer) {
+                actions.push(Action::Note(Note::Balancer { balancer: *balancer, known: true }));
+                actions.push(Action::Send(*balancer, self.announcement()));
+            }
+        }
+        actions
+    }
+
+    /// Announces this agent to the balancers that have not spoken to it yet.
+    ///
+    /// Guards against backend servers that idle after a loss of power: a balancer that starts after this
+    /// agent has announced itself hears of it up to four ticks later, and meanwhile all flows go to the
+    /// servers that came back after it. A balancer answers a first announcement at once.
+    pub(super) fn introduce(&mut self, now: Time) -> Vec<Action> {
+        let known = &self.acquainted;
+        let strangers: Vec<Ipv4Addr> =
+            self.balancers.iter().filter(|balancer| !known.contains(balancer)).collect();
+        if strangers.is_empty() {
+            return Vec::new();
+        }
+        self.number += 1;
+        let word = self.announcement_at(now);
+        strangers.into_iter().map(|balancer| Action::Send(balancer, word.clone())).collect()
+    }
+
+    pub(super) fn announce(&mut self, now: Time) -> Vec<Action> {
+        self.announced = now;
+        self.number += 1;
+        let word = self.announcement_at(now);
+        self.balancers.iter().map(|balancer| Action::Send(balancer, word.clone())).collect()
+    }
+
+    fn announcement(&self) -> Message {
+        self.announcement_at(self.announced)
+    }
+
+    fn announcement_at(&self, now: Time) -> Message {
+        let server = self.beside.server();
+        let is_cold = |server: &Server| now < server.warm_at;
+        Message::Announce(Announcement {
+            incarnation: self.identity.incarnation,
+            number: self.number,
+            domain: Arc::clone(&self.identity.domain),
+            service: server.map(|server| server.service),
+            slots: server.map_or(0, |server| server.slots),
+            cold: server.is_some_and(is_cold),
+            state: self.state(now),
+            load: self.load(),
+            balancers: self.balancers.digest(),
+        })
+    }
+}
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -2,6 +2,7 @@
 
 mod kept;
 mod opening;
+mod peers;
 mod search;
 
 use std::collections::BTreeMap;
@@ -25,9 +26,6 @@
 /// Pause between two ticks, in milliseconds. Gossip goes out with each.
 pub const TICK_MS: u64 = 500;
 
-/// Peers told in one tick. With 21 balancers each hears of all within three ticks.
-const PEERS_PER_TICK: usize = 8;
-
 /// A balancer that has heard of no new agent for so long has heard of all: two announcements of each
 /// and some delay, so that one may be lost.
 const SETTLE_MS: u64 = 2 * ANNOUNCE_MS + 100;
@@ -56,9 +54,6 @@
 /// What another balancer said of itself counts for so long: three of its rosters.
 const COUNTED_MS: u64 = 3 * TICK_MS;
 
-/// Balancers that others still speak of within this time are passed on.
-const SPOKEN_OF_MS: u64 = 5_000;
-
 /// What happens to a balancer.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -412,46 +407,6 @@
         actions
     }
 
-    fn roster(&mut self, now: Time, from: Ipv4Addr, roster: &Roster) -> Vec<Action> {
-        let mut actions = Vec::new();
-        if roster.leaving {
-            self.peers.remove(from);
-            self.words.remove(&from);
-            actions.push(Action::Note(Note::Balancer { balancer: from, known: false }));
-            return actions;
-        }
-        let agents = usize::try_from(roster.agents).unwrap_or(usize::MAX);
-        let news = self.words.get(&from).is_none_or(|word| word.version == 0);
-        self.words.insert(from, Word { said: now, agents, version: roster.version });
-        if news && roster.version > 0 && self.table.version == 0 {
-            actions.extend(self.recall(now));
-        }
-        for balancer in roster.balancers.iter().filter(|balancer| **balancer != self.own) {
-            // Only a balancer's own word keeps it: others would repeat a dead one to each other.
-            let news = *balancer == from || !self.peers.iter().any(|known| known == *balancer);
-            if news && self.peers.heard(now, *balancer) {
-                actions.push(Action::Note(Note::Balancer { balancer: *balancer, known: true }));
-                actions.push(Action::Send(*balancer, self.own_roster(now)));
-            }
-        }
-        if roster.version > self.table.version {
-            actions.push(Action::Fetch(from));
-        }
-        actions
-    }
-
-    fn listed(&mut self, now: Time, balancers: &[Ipv4Addr]) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for balancer in balancers.iter().filter(|balancer| **balancer != self.own) {
-            if !self.peers.iter().any(|known| known == *balancer) {
-                self.peers.heard(now, *balancer);
-                actions.push(Action::Note(Note::Balancer { balancer: *balancer, known: true }));
-                actions.push(Action::Send(*balancer, self.own_roster(now)));
-            }
-        }
-        actions
-    }
-
     /// Guards against a configuration that comes late over a slow way: one that is older than what
     /// is in force would bring dropped routes back.
     fn configured(&mut self, now: Time, table: Table) -> Vec<Action> {
@@ -472,12 +427,6 @@
         actions
     }
 
-    fn leave(&mut self, now: Time) -> Vec<Action> {
-        self.leaving = true;
-        let roster = self.own_roster(now);
-        self.peers.iter().map(|peer| Action::Send(peer, roster.clone())).collect()
-    }
-
     fn tick(&mut self, now: Time) -> Vec<Action> {
         self.cache.expire(now);
         self.pool.forget(now);
@@ -488,36 +437,10 @@
         if self.leaving {
             return actions;
         }
-        let roster = self.own_roster(now);
-        let peers = self.peers();
-        let told = peers.iter().cycle().skip(self.turn).take(PEERS_PER_TICK.min(peers.len()));
-        actions.extend(told.map(|peer| Action::Send(*peer, roster.clone())));
-        self.turn = (self.turn + PEERS_PER_TICK).checked_rem(peers.len()).unwrap_or(0);
+        actions.extend(self.gossip(now));
         actions
     }
 
-    fn known(&self, now: Time) -> Vec<Ipv4Addr> {
-        let mut balancers = self.peers.heard_within(now, SPOKEN_OF_MS);
-        if !self.leaving {
-            balancers.push(self.own);
-        }
-        balancers.sort_unstable();
-        balancers
-    }
-
-    fn digest(&self, now: Time) -> u64 {
-        super::roster::digest(self.known(now).into_iter())
-    }
-
-    fn own_roster(&self, now: Time) -> Message {
-        Message::Roster(Roster {
-            version: self.table.version,
-            balancers: self.known(now),
-            agents: u32::try_from(self.pool.heard_of(now)).unwrap_or(u32::MAX),
-            leaving: self.leaving,
-        })
-    }
-
     /// A reset, unless the packet is one itself. Its number is the client's own acknowledgement
     /// number, or the client would not take the reset for one of this flow.
     fn reset(&self, head: &Head, cause: Cause, asked: usize) -> Vec<Action> {
