--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -125,6 +125,30 @@
     assert_eq!(told, Outcome::Reset);
 }
 
+/// A backend server crashed and started again under its old id, with its counts from the start. A client
+/// that listens is told at once, and new flows go to the new start: taken for late, its heartbeats would
+/// be refused until their count passes the old one.
+#[test]
+fn a_client_of_a_server_that_is_back_under_its_old_id_is_told() {
+    let mut fleet = fleet("old-id", 12, &["desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+    let agent = fleet.agents()[0];
+    let mut open = client.open(30_000, 443, &through).expect("the flow opens");
+    let before = client.request(&mut open, &through, SOON);
+    std::thread::sleep(SOON);
+
+    fleet.restart_server(agent);
+    let told = client.listen(&open, SOON);
+    let mut next = client.open(30_001, 443, &through).expect("the flow opens");
+    let after = client.request(&mut next, &through, SOON);
+
+    assert!(served_by(&before, "desk"), "{before:?}");
+    assert_eq!(told, Outcome::Reset);
+    assert!(served_by(&after, "desk"), "{after:?}");
+    assert_ne!(after, before);
+}
+
 #[test]
 fn a_draining_server_keeps_its_flows_and_gets_no_more() {
     let fleet = fleet("drains", 5, &["desk", "desk"]);
