--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -158,6 +158,8 @@
     keeps: bool,
     /// What the last review saw of the agents.
     view: View,
+    /// When kept packets were called for last.
+    recalled: Time,
     /// Whether an agent appeared since, or takes flows again.
     agent_came: bool,
     /// Whether the event at hand is a packet that was kept before: only its first time is noted.
@@ -210,6 +212,7 @@
             leaving: false,
             keeps: false,
             view: View::default(),
+            recalled: now,
             agent_came: false,
             is_again: false,
         }
@@ -404,6 +407,10 @@
             actions.push(Action::Note(Note::Agent { agent: from, change }));
         }
         self.agent_came |= matches!(change, Change::Appeared | Change::Opened);
+        // In a quiet fleet the next event, and with it the next review, may be half a second away.
+        if self.agent_came && now.since(self.recalled) >= REVIEW_MS {
+            actions.extend(self.recall_if_changed(now));
+        }
         actions
     }
 
