--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -22,7 +22,8 @@
 /// Part of its slots that a cold backend server is worth, in percent: it works 1.6 times as long.
 const COLD_PERCENT: u64 = 60;
 
-/// An agent that has announced itself no more often than this has started within about three seconds.
+/// An agent that has announced itself no more often than this has started within one to three seconds:
+/// each of its ticks counts while a balancer has not answered it.
 const YOUNG: u64 = 10;
 
 /// How one more request or flow weighs at a choice, in thousandths of a slot.
