--- a/crates/nutmegkeel_core/src/l4/checkpoint.rs
+++ b/crates/nutmegkeel_core/src/l4/checkpoint.rs
@@ -21,8 +21,8 @@
 
 /// A list is written again once so many of the flows, in percent, are missing in it or have moved on
 /// too far. Writes are priced. Measured on a small deployment, five seeds of five days: 40 percent of the
-/// flows older than a second, each 6 s, worth 0.810 with 372 calls a day; 25 percent of all, each 3 s,
-/// 0.814 with 432; 15 percent, each 2 s, 0.815 with 488; 10 percent, each second, 0.815 with 598.
+/// flows older than a second, each 6 s, worth 0.810 with 357 calls a day; 25 percent of all, each 3 s,
+/// 0.814 with 419; 15 percent, each 2 s, 0.815 with 472; 10 percent, each second, 0.815 with 582.
 const MISSING_PERCENT: usize = 25;
 
 /// A note is out of date once the client has acknowledged so many bytes more: half of what a reset's
