--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -389,8 +389,7 @@
         self.table.expire(now);
         self.probes.expire(now);
         self.balancers.expire(now);
-        let kept: BTreeSet<Ipv4Addr> = self.balancers.iter().collect();
-        self.acquainted.retain(|balancer| kept.contains(balancer));
+        self.acquainted.retain(|balancer| self.balancers.knows(*balancer));
         if now.since(self.announced) >= ANNOUNCE_MS {
             actions.extend(self.announce(now));
         } else if self.uses(Mechanism::Introductions) {
--- a/crates/nutmegkeel_core/src/l4/agent/balancers.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/balancers.rs
@@ -44,19 +44,18 @@
         let known = &self.acquainted;
         let strangers: Vec<Ipv4Addr> =
             self.balancers.iter().filter(|balancer| !known.contains(balancer)).collect();
-        if strangers.is_empty() {
-            return Vec::new();
-        }
-        self.number += 1;
-        let word = self.announcement_at(now);
-        strangers.into_iter().map(|balancer| Action::Send(balancer, word.clone())).collect()
+        if strangers.is_empty() { Vec::new() } else { self.announce_to(now, strangers) }
     }
 
     pub(super) fn announce(&mut self, now: Time) -> Vec<Action> {
         self.announced = now;
+        self.announce_to(now, self.balancers.iter().collect())
+    }
+
+    fn announce_to(&mut self, now: Time, balancers: Vec<Ipv4Addr>) -> Vec<Action> {
         self.number += 1;
         let word = self.announcement_at(now);
-        self.balancers.iter().map(|balancer| Action::Send(balancer, word.clone())).collect()
+        balancers.into_iter().map(|balancer| Action::Send(balancer, word.clone())).collect()
     }
 
     fn announcement(&self) -> Message {
--- a/crates/nutmegkeel_core/src/l4/balancer/peers.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/peers.rs
@@ -41,7 +41,7 @@
         }
         for balancer in roster.balancers.iter().filter(|balancer| **balancer != self.own) {
             // Only a balancer's own word keeps it: others would repeat a dead one to each other.
-            let news = *balancer == from || !self.peers.iter().any(|known| known == *balancer);
+            let news = *balancer == from || !self.peers.knows(*balancer);
             if news && self.peers.heard(now, *balancer) {
                 actions.push(Action::Note(Note::Balancer { balancer: *balancer, known: true }));
                 actions.push(Action::Send(*balancer, self.own_roster(now)));
@@ -56,7 +56,7 @@
     pub(super) fn listed(&mut self, now: Time, balancers: &[Ipv4Addr]) -> Vec<Action> {
         let mut actions = Vec::new();
         for balancer in balancers.iter().filter(|balancer| **balancer != self.own) {
-            if !self.peers.iter().any(|known| known == *balancer) {
+            if !self.peers.knows(*balancer) {
                 self.peers.heard(now, *balancer);
                 actions.push(Action::Note(Note::Balancer { balancer: *balancer, known: true }));
                 actions.push(Action::Send(*balancer, self.own_roster(now)));
--- a/crates/nutmegkeel_core/src/l4/balancer/search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -58,8 +58,7 @@
         }
         let fresh = |agent: &&Ipv4Addr| self.pool.health(now, **agent) == Some(Health::Fresh);
         let agent = *entry.unanswered.iter().find(fresh)?;
-        entry.place = Some(Place::Asked(agent));
-        entry.asked = now;
+        entry.ask(now, agent);
         Some(agent)
     }
 
@@ -148,8 +147,7 @@
             .filter_map(|agent| Some((self.pool.health(now, agent)?, agent)))
             .filter(|(_, agent)| self.pool.may_hold(now, *agent))
             .min_by_key(|(health, _)| *health == Health::Restarting)?;
-        entry.place = Some(Place::Asked(agent));
-        entry.asked = now;
+        entry.ask(now, agent);
         Some(agent)
     }
 
--- a/crates/nutmegkeel_core/src/l4/cache.rs
+++ b/crates/nutmegkeel_core/src/l4/cache.rs
@@ -87,6 +87,12 @@
         *self = Self { client_ack: self.client_ack, ..Self::new(now) };
     }
 
+    /// Notes that an agent is asked for the flow.
+    pub fn ask(&mut self, now: Time, agent: Ipv4Addr) {
+        self.place = Some(Place::Asked(agent));
+        self.asked = now;
+    }
+
     /// Whether the search ended without a finding so long ago that it is worth another.
     #[must_use]
     pub fn is_stale(&self, now: Time) -> bool {
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -97,7 +97,7 @@
     fn change(&mut self, now: Time, word: &Announcement) -> Change {
         let known = &self.announcement;
         if word.incarnation >= known.incarnation {
-            return change(known, word);
+            return change_by_later(known, word);
         }
         let rival = Rival { incarnation: word.incarnation, number: word.number };
         let before = self.rival.replace(rival);
@@ -419,7 +419,8 @@
     }
 }
 
-fn change(known: &Announcement, word: &Announcement) -> Change {
+/// What a word changes that comes of the known process or of one with a later start.
+fn change_by_later(known: &Announcement, word: &Announcement) -> Change {
     if word.incarnation != known.incarnation {
         return Change::Appeared;
     }
--- a/crates/nutmegkeel_core/src/l4/roster.rs
+++ b/crates/nutmegkeel_core/src/l4/roster.rs
@@ -31,6 +31,12 @@
         self.balancers.remove(&balancer);
     }
 
+    /// Whether a balancer is known.
+    #[must_use]
+    pub fn knows(&self, balancer: Ipv4Addr) -> bool {
+        self.balancers.contains_key(&balancer)
+    }
+
     /// All known balancers.
     pub fn iter(&self) -> impl Iterator<Item = Ipv4Addr> + '_ {
         self.balancers.keys().copied()
--- a/crates/nutmegkeel_node/src/metric/recorder.rs
+++ b/crates/nutmegkeel_node/src/metric/recorder.rs
@@ -7,6 +7,7 @@
 //! clock and keeps counts by bucket.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use metrics::atomics::AtomicU64;
@@ -17,7 +18,6 @@
 use metrics_exporter_prometheus::formatting::{key_to_parts, write_metric_line, write_type_line};
 use metrics_util::registry::{Registry, Storage};
 use metrics_util::storage::Histogram;
-use std::sync::atomic::Ordering;
 
 use super::BUCKETS;
 
