--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -18,9 +18,9 @@
 use super::message::{Announcement, Load, Message, Reason, Roster};
 use super::note::{Cause, Note};
 use super::placement::{Change, Pool};
-use super::policy::Policy;
+use super::policy::{Mechanism, Policy};
 use super::roster::{Book, KEPT_MS};
-use super::route::Table;
+use super::route::{Service, Table};
 use crate::clock::Time;
 
 /// Pause between two ticks, in milliseconds. Gossip goes out with each.
@@ -268,9 +268,7 @@
             Event::Declined { from, head, reason, load } => {
                 self.declined(now, from, &head, reason, load)
             }
-            Event::Relayed(head) if self.table.version == 0 => {
-                self.keep(&head, Cause::NoConfiguration)
-            }
+            Event::Relayed(head) if self.table.version == 0 => self.unrouted(now, &head),
             Event::Relayed(head) => self.client(now, &head),
             Event::Holds { from, flow, load } => self.holds(now, from, flow, load),
             Event::Absent { from, flow, load } => self.absent(now, from, flow, load),
@@ -332,7 +330,31 @@
             self.cache.remove(&head.flow);
             return self.reset(head, Cause::NoRoute, 0);
         };
-        if head.opens() { self.opening(now, head, &route) } else { self.carry(now, head, &route) }
+        if head.opens() { self.opening(now, head, &route) } else { self.carry(now, head) }
+    }
+
+    /// Handles a packet while there is neither a configuration nor a balancer known that has one.
+    ///
+    /// Guards against open flows that hang when the whole fleet starts again while the store is away:
+    /// backend servers and their agents live, and clients would wait for an answer until the store is
+    /// back. A packet of an open flow needs no route, because the agent that holds the flow says so. Only
+    /// an opening does.
+    fn unrouted(&mut self, now: Time, head: &Head) -> Vec<Action> {
+        if head.opens() || !self.policy.uses(Mechanism::Unrouted) {
+            return self.keep(head, Cause::NoConfiguration);
+        }
+        self.carry(now, head)
+    }
+
+    /// Services whose agents are asked first for a flow: those of its route. Without a configuration no
+    /// service comes first, and all agents are asked. None if a configuration is in force that has no
+    /// route for the flow.
+    fn services(&self, flow: &Flow) -> Option<Vec<Service>> {
+        if self.table.version == 0 {
+            return Some(Vec::new());
+        }
+        let route = self.table.routes.get(&flow.service)?;
+        Some(route.shares.iter().map(|share| share.service).collect())
     }
 
     /// Whether no other balancer hears of more agents. Guards against resetting the flows of an agent
@@ -366,9 +388,10 @@
         if reason == Reason::Leaving {
             self.pool.closed(from);
         }
-        let Some(route) = self.table.routes.get(&head.flow.service).cloned() else {
+        if self.services(&head.flow).is_none() {
             return self.reset(head, Cause::NoRoute, 0);
-        };
+        }
+        let route = self.table.routes.get(&head.flow.service).cloned();
         let entry = self.cache.entry(now, head.flow);
         let current = entry.place.as_ref().map(Place::agent);
         if reason == Reason::NotHeld {
@@ -379,11 +402,13 @@
             note_declined(entry, from, reason);
         }
         let note = Action::Note(Note::Declined { flow: head.flow, agent: from, reason, load });
-        let mut actions = match (current, head.opens()) {
-            (Some(agent), true) if agent != from => Vec::new(),
-            (Some(agent), false) if agent != from => vec![carry_to(agent, false)],
-            (_, true) => self.opening(now, head, &route),
-            (_, false) => self.search(now, head, &route),
+        let mut actions = match (current, route.filter(|_| head.opens())) {
+            (Some(agent), Some(_)) if agent != from => Vec::new(),
+            (Some(agent), None) if agent != from => vec![carry_to(agent, false)],
+            (_, Some(route)) => self.opening(now, head, &route),
+            // An opening that was sent by an earlier process of this host, which had a configuration.
+            (_, None) if head.opens() => self.keep(head, Cause::NoConfiguration),
+            (_, None) => self.search(now, head),
         };
         actions.push(note);
         actions
--- a/crates/nutmegkeel_core/src/l4/balancer/kept.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/kept.rs
@@ -31,7 +31,8 @@
     /// Calls for the packets that are kept, if there are any and something could be done with them.
     pub(super) fn recall(&mut self, now: Time) -> Vec<Action> {
         let is_able = |word: &Word| word.is_recent(now) && word.version > 0;
-        if self.table.version == 0 && !self.words.values().any(is_able) {
+        let has_routes = self.table.version > 0 || self.words.values().any(is_able);
+        if !has_routes && !self.policy.uses(Mechanism::Unrouted) {
             return Vec::new();
         }
         if std::mem::take(&mut self.keeps) { vec![Action::Recall] } else { Vec::new() }
@@ -60,7 +61,7 @@
         let rank = |peer: &Ipv4Addr| mix(key ^ mix(u64::from(peer.to_bits())));
         let to = able.map(|(peer, _)| *peer).max_by_key(rank);
         let Some(to) = to.filter(|_| self.policy.uses(Mechanism::Relay)) else {
-            return self.keep(head, Cause::NoConfiguration);
+            return self.unrouted(now, head);
         };
         let note = Note::Relayed { flow: head.flow, to };
         vec![Action::Forward(to, Message::Relay), Action::Note(note)]
--- a/crates/nutmegkeel_core/src/l4/balancer/search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -9,15 +9,14 @@
 use crate::l4::health::Health;
 use crate::l4::message::{Load, Message, Reason};
 use crate::l4::note::{Cause, Note};
-use crate::l4::route::Route;
 
 impl Balancer {
     /// Goes on with a search for which no packet is at hand.
     pub(super) fn decide(&mut self, now: Time, flow: Flow) -> Vec<Action> {
-        let Some(route) = self.table.routes.get(&flow.service).cloned() else {
+        if self.services(&flow).is_none() {
             self.cache.remove(&flow);
             return Vec::new();
-        };
+        }
         let entry = self.cache.entry(now, flow);
         if matches!(entry.place, Some(Place::Asked(_))) && !entry.is_overdue(now) {
             return Vec::new();
@@ -28,7 +27,7 @@
         if self.cache.entry(now, flow).is_stale(now) {
             self.cache.entry(now, flow).restart(now);
         }
-        let next = self.next_to_ask(now, flow, &route).or_else(|| self.next_to_repeat(now, flow));
+        let next = self.next_to_ask(now, flow).or_else(|| self.next_to_repeat(now, flow));
         if let Some(agent) = next {
             return vec![Action::Send(agent, Message::Locate { flow })];
         }
@@ -41,12 +40,14 @@
         self.reset_flow(flow, seq, Cause::NotHeld, asked)
     }
 
-    /// Whether every agent that may hold the flow has said that it does not.
+    /// Whether every agent that may hold the flow has said that it does not. Never while there is no
+    /// configuration: nothing could be offered to the client in place of its flow, and this process is
+    /// too young to know whom it has not heard of.
     fn is_nowhere(&mut self, now: Time, flow: Flow) -> bool {
         let entry = self.cache.entry(now, flow);
         let is_open = |agent: &Ipv4Addr| self.pool.may_hold(now, *agent);
         let all_answered = !entry.declined.is_empty() && !entry.unanswered.iter().any(is_open);
-        all_answered && self.is_settled(now)
+        all_answered && self.table.version > 0 && self.is_settled(now)
     }
 
     /// An agent that was passed over and may answer now. Guards against a client that waits for the
@@ -80,7 +81,7 @@
         self.decide(now, flow)
     }
 
-    pub(super) fn carry(&mut self, now: Time, head: &Head, route: &Route) -> Vec<Action> {
+    pub(super) fn carry(&mut self, now: Time, head: &Head) -> Vec<Action> {
         self.cache.decide(&head.flow);
         let entry = self.cache.entry(now, head.flow);
         entry.client_ack = head.ack;
@@ -92,9 +93,9 @@
         }
         match self.cache.entry(now, head.flow).place.clone() {
             Some(Place::Asked(agent)) => vec![carry_to(agent, false)],
-            Some(Place::Placed(agent)) => self.carry_known(now, head, route, agent, false),
-            Some(Place::Held(agent)) => self.carry_known(now, head, route, agent, true),
-            None => self.search(now, head, route),
+            Some(Place::Placed(agent)) => self.carry_known(now, head, agent, false),
+            Some(Place::Held(agent)) => self.carry_known(now, head, agent, true),
+            None => self.search(now, head),
         }
     }
 
@@ -105,7 +106,6 @@
         &mut self,
         now: Time,
         head: &Head,
-        route: &Route,
         agent: Ipv4Addr,
         is_held: bool,
     ) -> Vec<Action> {
@@ -122,11 +122,11 @@
             return vec![carry_to(agent, is_held)];
         }
         self.cache.entry(now, head.flow).restart(now);
-        self.search(now, head, route)
+        self.search(now, head)
     }
 
-    pub(super) fn search(&mut self, now: Time, head: &Head, route: &Route) -> Vec<Action> {
-        match self.next_to_ask(now, head.flow, route) {
+    pub(super) fn search(&mut self, now: Time, head: &Head) -> Vec<Action> {
+        match self.next_to_ask(now, head.flow) {
             Some(agent) => vec![carry_to(agent, false)],
             None => self.not_found(now, head),
         }
@@ -134,8 +134,8 @@
 
     /// The next agent to ask for a flow. One whose process is being replaced is asked last: the
     /// others can be ruled out meanwhile, and what is left must be there.
-    fn next_to_ask(&mut self, now: Time, flow: Flow, route: &Route) -> Option<Ipv4Addr> {
-        let services: Vec<_> = route.shares.iter().map(|share| share.service).collect();
+    fn next_to_ask(&mut self, now: Time, flow: Flow) -> Option<Ipv4Addr> {
+        let services = self.services(&flow)?;
         let order = self.pool.search(flow.key(), &services, &self.domain);
         let entry = self.cache.entry(now, flow);
         // Who refused the opening may have taken a later copy of it, so only an answer to this
--- a/crates/nutmegkeel_core/src/l4/policy.rs
+++ b/crates/nutmegkeel_core/src/l4/policy.rs
@@ -28,11 +28,13 @@
     KeptPackets,
     /// A balancer without a configuration hands packets to one that has it.
     Relay,
+    /// Balancers that find no configuration anywhere carry the packets of open flows.
+    Unrouted,
 }
 
 impl Mechanism {
     /// All mechanisms, in the order of the documentation.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::FlowLists,
         Self::AgentQueue,
         Self::NewestFirst,
@@ -43,6 +45,7 @@
         Self::Introductions,
         Self::KeptPackets,
         Self::Relay,
+        Self::Unrouted,
     ];
 
     /// The name on the command line and in logs.
@@ -59,6 +62,7 @@
             Self::Introductions => "introductions",
             Self::KeptPackets => "kept-packets",
             Self::Relay => "relay",
+            Self::Unrouted => "unrouted",
         }
     }
 }
--- a/crates/nutmegkeel_core/tests/l4/balancer.rs
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -1,6 +1,6 @@
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
 use nutmegkeel_core::l4::message::{Insistence, Load, Message, Reason, Roster, State};
-use nutmegkeel_core::l4::policy::Policy;
+use nutmegkeel_core::l4::policy::{Mechanism, Policy};
 use nutmegkeel_core::l4::route::Service;
 
 use crate::fixture::{
@@ -474,3 +474,54 @@
     assert_eq!(forwarded(&actions), None);
     assert!(actions.contains(&Action::Keep(head)), "{actions:?}");
 }
+
+/// Feeds hang for two seconds although their servers live: the whole fleet was killed while the store was
+/// away, balancers had no configuration, and kept every packet until one came.
+#[test]
+fn a_packet_of_an_open_flow_needs_no_configuration() {
+    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    let head = data(flow(1), 1_001, 501);
+    let early = balancer.handle(at(10), Event::Client(head));
+    balancer.handle(at(20), Event::Announced(host(1), word(1, State::Ready, Load::default())));
+
+    let recalled = balancer.handle(at(60), Event::Tick);
+    let asked = balancer.handle(at(60), Event::Again(head));
+    let load = Load::default();
+    balancer.handle(at(62), Event::Holds { from: host(1), flow: flow(1), load });
+    let carried = balancer.handle(at(70), Event::Client(head));
+
+    assert!(early.contains(&Action::Keep(head)), "{early:?}");
+    assert!(recalled.contains(&Action::Recall), "{recalled:?}");
+    assert!(asked.contains(&Action::Forward(host(1), Message::Carry { known: false })), "{asked:?}");
+    assert!(carried.contains(&Action::Forward(host(1), Message::Carry { known: true })), "{carried:?}");
+}
+
+/// A feed breaks off with a reset while its server serves: a balancer that had just started, without a
+/// configuration, took the word of the agents that it knew for that of all.
+#[test]
+fn a_balancer_without_a_configuration_resets_nothing_that_it_does_not_find() {
+    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    announce(&mut balancer, &[1, 2], 0, 3_000);
+    let head = data(flow(1), 1_001, 501);
+    balancer.handle(at(3_000), Event::Client(head));
+    balancer.handle(at(3_001), declined(1, head, Reason::NotHeld));
+
+    let exhausted = balancer.handle(at(3_002), declined(2, head, Reason::NotHeld));
+    let later = balancer.handle(at(3_100), Event::Tick);
+
+    assert!(!resets(&exhausted) && !resets(&later), "{exhausted:?} {later:?}");
+    assert!(exhausted.contains(&Action::Keep(head)), "{exhausted:?}");
+}
+
+/// Switched off, packets of open flows wait for a configuration like openings.
+#[test]
+fn without_the_mechanism_packets_wait_for_a_configuration() {
+    let policy = Policy::without([Mechanism::Unrouted]);
+    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], policy);
+    announce(&mut balancer, &[1], 0, 0);
+    let head = data(flow(1), 1_001, 501);
+
+    let actions = balancer.handle(at(10), Event::Client(head));
+
+    assert!(actions.contains(&Action::Keep(head)), "{actions:?}");
+}
