--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -16,16 +16,18 @@
 
 use super::checkpoint::{Checkpoint, Keeper};
 use super::flow::{Flow, Head};
+use super::handover::{Handover, Step};
 use super::health::ANNOUNCE_MS;
 use super::message::{Demand, Insistence, Load, Message, Reason, Roster, State};
 use super::note::{Cause, Note, ServerChange};
 use super::outlier::Record;
 use super::policy::{Mechanism, Policy};
-use super::roster::Book;
+use super::roster::{Book, TELL_MS};
 use super::route::Service;
 use super::server::{Beside, Heartbeat, Incarnation};
 use super::table::{Outcome, Probes, Stage, Table};
 use super::waiting::Queue;
+use super::word::{Word, Words};
 use crate::admission::Pace;
 use crate::clock::Time;
 
@@ -71,6 +73,8 @@
     Deregistered(Incarnation),
     /// A balancer spoke.
     Roster(Ipv4Addr, Roster),
+    /// A balancer said that the store has a list of this host's flows with this number.
+    Written(u64),
     /// The store's list of balancers was read.
     Listed(Vec<Ipv4Addr>),
     /// The list of flows that this process's predecessor left was read; none if there is no list.
@@ -148,6 +152,9 @@
     unresponsive: bool,
     leaving: bool,
     keeper: Keeper,
+    handover: Handover,
+    /// What balancers last said of themselves.
+    words: Words,
     /// Agents that a balancer last said it hears of.
     fleet: u64,
     /// Whether a packet to the server got no answer while nothing was heard of a server.
@@ -164,8 +171,12 @@
         for seed in seeds {
             balancers.heard(now, *seed);
         }
+        let mut words = Words::default();
+        words.set_round(TELL_MS);
         Self {
             beside: Beside::open(identity.heartbeat_ms),
+            handover: Handover::default(),
+            words,
             keeper: Keeper::open(now, identity.checkpoints_per_s),
             fleet: 0,
             deserted: false,
@@ -225,6 +236,12 @@
         self.balancers.len()
     }
 
+    /// Whether balancers speak to this process.
+    #[must_use]
+    pub fn hears_balancers(&self) -> bool {
+        !self.acquainted.is_empty()
+    }
+
     /// Takes in an event.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
         let mut actions = self.take_in(now, event);
@@ -245,6 +262,11 @@
             Event::Heartbeat(beat) => self.heartbeat(now, &beat),
             Event::Deregistered(leaving) => self.deregistered(now, &leaving),
             Event::Roster(from, roster) => self.roster(now, from, &roster),
+            Event::Written(number) => {
+                self.keeper.note_number(number);
+                self.handover.written(number);
+                Vec::new()
+            }
             Event::Listed(balancers) => self.listed(now, &balancers),
             Event::Recovered(checkpoint) => {
                 self.keeper.read(checkpoint);
@@ -389,6 +411,7 @@
         self.table.expire(now);
         self.probes.expire(now);
         self.balancers.expire(now);
+        self.words.expire(now);
         self.acquainted.retain(|balancer| self.balancers.knows(*balancer));
         if now.since(self.announced) >= ANNOUNCE_MS {
             actions.extend(self.announce(now));
@@ -403,8 +426,26 @@
             return None;
         }
         let flows = self.table.open_flows();
-        let checkpoint = self.keeper.due(now, self.fleet, self.beside.server()?, flows)?;
-        Some(Action::Save(checkpoint))
+        if let Some(server) = self.beside.server()
+            && let Some(list) = self.keeper.due(now, self.fleet, server, flows)
+        {
+            if !self.uses(Mechanism::Collectors) {
+                return Some(Action::Save(list));
+            }
+            self.handover.begin(list);
+        }
+        let delegates = self.words.delegates(now, &self.identity.domain, None);
+        match self.handover.step(now, &delegates, self.reaches_store(now))? {
+            Step::Deposit(balancer, list) => Some(Action::Send(balancer, Message::Deposit(list))),
+            Step::Write(list) => Some(Action::Save(list)),
+        }
+    }
+
+    /// Whether a balancer of this failure domain said lately that the store answers it.
+    #[must_use]
+    pub fn reaches_store(&self, now: Time) -> bool {
+        let near = |word: &Word| *word.domain == *self.identity.domain;
+        self.words.recent(now).any(|(_, word)| near(word) && word.reaches_store)
     }
 
     fn decline(&self, to: Ipv4Addr, reason: Reason) -> Action {
--- a/crates/nutmegkeel_core/src/l4/agent/balancers.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/balancers.rs
@@ -16,8 +16,10 @@
         self.fleet = u64::from(roster.agents);
         if roster.leaving {
             self.acquainted.remove(&from);
+            self.words.remove(from);
         } else {
             self.acquainted.insert(from);
+            self.words.hear(now, from, roster);
         }
         let mut actions = self.listed(now, &roster.balancers);
         actions.extend(self.listed(now, &[from]));
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -1,5 +1,6 @@
 //! Decisions of a balancer for flows without a routing token.
 
+mod collector;
 mod kept;
 mod opening;
 mod peers;
@@ -9,18 +10,21 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
+use collector::Collector;
 use kept::View;
 use search::{carry_to, note_declined};
 
 use super::cache::{Cache, Place};
+use super::checkpoint::Checkpoint;
 use super::flow::{Flow, Head};
 use super::health::ANNOUNCE_MS;
 use super::message::{Announcement, Load, Message, Reason, Roster};
 use super::note::{Cause, Note};
-use super::placement::{Change, Pool};
+use super::placement::{Change, Pool, Telling};
 use super::policy::{Mechanism, Policy};
-use super::roster::{Book, KEPT_MS};
+use super::roster::{Book, TELL_MS, Told};
 use super::route::{Service, Table};
+use super::word::Words;
 use crate::clock::Time;
 
 /// Pause between two ticks, in milliseconds. Gossip goes out with each.
@@ -47,13 +51,6 @@
 /// it is not near the numbers of its flow but in one of 28,000 cases.
 const REFUSAL_SEQ: u32 = 0x8000_0000;
 
-/// An agent is told who the balancers are at least so often, in milliseconds: three times within the
-/// span after which it drops a balancer that nobody speaks of.
-const TELL_MS: u64 = KEPT_MS / 3;
-
-/// What another balancer said of itself counts for so long: three of its rosters.
-const COUNTED_MS: u64 = 3 * TICK_MS;
-
 /// What happens to a balancer.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -100,6 +97,13 @@
     Listed(Vec<Ipv4Addr>),
     /// A configuration was read.
     Configured(Table),
+    /// The store answered a call, or did not.
+    Store(bool),
+    /// An agent handed its list of open flows over.
+    Deposited(Ipv4Addr, Checkpoint),
+    /// Lists were written to the store, or the try ended: the agents of those that are there, each with
+    /// the number of its list.
+    Committed(Vec<(Ipv4Addr, u64)>),
     /// The process was told to stop.
     Leave,
     /// Time passed.
@@ -132,6 +136,8 @@
     RecallFlow(Flow),
     /// A peer has a newer configuration: fetch it there.
     Fetch(Ipv4Addr),
+    /// Write these agents' lists of open flows to the store.
+    Commit(Vec<(Ipv4Addr, Checkpoint)>),
     /// Write a line.
     Note(Note),
 }
@@ -147,12 +153,17 @@
     cache: Cache,
     peers: Book,
     /// What the other balancers last said of themselves.
-    words: BTreeMap<Ipv4Addr, Word>,
+    words: Words,
+    /// Whether the store answered the last call.
+    reaches_store: bool,
     /// When an agent appeared last, or this balancer started.
     grown: Time,
     last: Time,
     reviewed: Time,
     turn: usize,
+    /// What each other balancer was last told of the balancers.
+    told: BTreeMap<Ipv4Addr, Told>,
+    collector: Collector,
     leaving: bool,
     /// Whether packets are kept until the next change.
     keeps: bool,
@@ -164,22 +175,6 @@
     is_again: bool,
 }
 
-/// What another balancer said of itself.
-#[derive(Clone, Copy, Debug)]
-struct Word {
-    said: Time,
-    /// Agents that it hears of.
-    agents: usize,
-    /// Version of its configuration; zero while it has none.
-    version: u64,
-}
-
-impl Word {
-    fn is_recent(&self, now: Time) -> bool {
-        now.since(self.said) <= COUNTED_MS
-    }
-}
-
 impl Balancer {
     /// A balancer that knows nothing yet but its seeds.
     #[must_use]
@@ -202,11 +197,14 @@
             pool: Pool::default(),
             cache: Cache::default(),
             peers,
-            words: BTreeMap::new(),
+            words: Words::default(),
+            reaches_store: true,
             grown: now,
             last: now,
             reviewed: now,
             turn: 0,
+            told: BTreeMap::new(),
+            collector: Collector::default(),
             leaving: false,
             keeps: false,
             view: View::default(),
@@ -233,6 +231,12 @@
         self.peers.iter().collect()
     }
 
+    /// Whether other balancers speak to this one.
+    #[must_use]
+    pub fn hears_others(&self, now: Time) -> bool {
+        self.words.recent(now).next().is_some()
+    }
+
     /// Number of agents known.
     #[must_use]
     pub fn agents(&self) -> usize {
@@ -276,6 +280,12 @@
             Event::Roster(from, roster) => self.roster(now, from, &roster),
             Event::Listed(balancers) => self.listed(now, &balancers),
             Event::Configured(table) => self.configured(now, table),
+            Event::Store(answered) => self.store_answered(now, answered),
+            Event::Deposited(from, list) => {
+                self.collector.take(now, from, list);
+                Vec::new()
+            }
+            Event::Committed(written) => self.committed(written),
             Event::Leave => self.leave(now),
             Event::Tick => self.tick(now),
         }
@@ -296,6 +306,7 @@
     /// come ever more rarely, while the answer is known.
     fn review(&mut self, now: Time) -> Vec<Action> {
         let mut actions = self.recall_if_changed(now);
+        actions.extend(self.collector.due(now).map(Action::Commit));
         if self.pool.is_cut_off(now) {
             return actions;
         }
@@ -361,8 +372,7 @@
     /// that has not yet learnt of this balancer: the others know it.
     fn has_heard_of_all(&self, now: Time) -> bool {
         let own = self.pool.heard_of(now);
-        let recent = self.words.values().filter(|word| word.is_recent(now));
-        recent.map(|word| word.agents).max().is_none_or(|most| own >= most)
+        self.words.recent(now).map(|(_, word)| word.agents).max().is_none_or(|most| own >= most)
     }
 
     /// Whether agents are still appearing.
@@ -415,15 +425,15 @@
     }
 
     fn announced(&mut self, now: Time, from: Ipv4Addr, word: Announcement) -> Vec<Action> {
-        let digest = word.balancers;
         let change = self.pool.announced(now, from, word);
         if change == Change::Appeared {
             self.grown = now;
         }
         let mut actions = Vec::new();
-        let must_tell = self.pool.tell(now, from, TELL_MS);
-        if must_tell || digest != self.digest(now) {
-            actions.push(Action::Send(from, self.own_roster(now)));
+        match self.pool.tell(now, from, self.digest(now), TELL_MS) {
+            Telling::Nothing => {}
+            Telling::Sign => actions.push(Action::Send(from, self.sign(now))),
+            Telling::Addresses => actions.push(Action::Send(from, self.own_roster(now))),
         }
         if !matches!(change, Change::None | Change::Stale) {
             actions.push(Action::Note(Note::Agent { agent: from, change }));
@@ -444,9 +454,10 @@
         let mut actions = vec![Action::Note(note)];
         if is_first {
             // Others that still lack it hand their packets over from now on.
-            let roster = self.own_roster(now);
-            let told = self.peers.iter().map(|peer| Action::Send(peer, roster.clone()));
-            actions.extend(told);
+            let sign = self.sign(now);
+            actions.extend(self.peers.iter().map(|peer| Action::Send(peer, sign.clone())));
+        } else {
+            actions.extend(self.tell_domain(now));
         }
         actions.extend(self.recall(now));
         actions
@@ -456,7 +467,8 @@
         self.cache.expire(now);
         self.pool.forget(now);
         self.peers.expire(now);
-        self.words.retain(|_, word| word.is_recent(now));
+        self.words.expire(now);
+        self.told.retain(|peer, _| self.peers.knows(*peer));
         // Who has waited too long is answered now, though nothing has changed.
         let mut actions = self.recall(now);
         if self.leaving {
--- a/crates/nutmegkeel_core/src/l4/balancer/kept.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/kept.rs
@@ -2,8 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use super::Action;
-use super::{Balancer, Word};
+use super::{Action, Balancer};
 use crate::clock::Time;
 use crate::l4::flow::Head;
 use crate::l4::message::Message;
@@ -30,8 +29,7 @@
 
     /// Calls for the packets that are kept, if there are any and something could be done with them.
     pub(super) fn recall(&mut self, now: Time) -> Vec<Action> {
-        let is_able = |word: &Word| word.is_recent(now) && word.version > 0;
-        let has_routes = self.table.version > 0 || self.words.values().any(is_able);
+        let has_routes = self.table.version > 0 || self.able(now).next().is_some();
         if !has_routes && !self.policy.uses(Mechanism::Unrouted) {
             return Vec::new();
         }
@@ -51,15 +49,19 @@
         actions
     }
 
+    /// Other balancers that have a configuration.
+    fn able(&self, now: Time) -> impl Iterator<Item = Ipv4Addr> + '_ {
+        self.words.recent(now).filter(|(_, word)| word.version > 0).map(|(peer, _)| peer)
+    }
+
     /// Hands a packet to a balancer that has a configuration, if one is known.
     ///
     /// Guards against servers that idle after a mass restart: a large configuration takes 300 ms over a
     /// link of 10 Mbit/s, and hosts with such links get most packets.
     pub(super) fn relay(&mut self, now: Time, head: &Head) -> Vec<Action> {
-        let able = self.words.iter().filter(|(_, word)| word.is_recent(now) && word.version > 0);
         let key = head.flow.key().number();
         let rank = |peer: &Ipv4Addr| mix(key ^ mix(u64::from(peer.to_bits())));
-        let to = able.map(|(peer, _)| *peer).max_by_key(rank);
+        let to = self.able(now).max_by_key(rank);
         let Some(to) = to.filter(|_| self.policy.uses(Mechanism::Relay)) else {
             return self.unrouted(now, head);
         };
--- a/crates/nutmegkeel_core/src/l4/checkpoint.rs
+++ b/crates/nutmegkeel_core/src/l4/checkpoint.rs
@@ -43,6 +43,8 @@
 /// The open flows of one incarnation of a backend server.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Checkpoint {
+    /// Orders the lists of one host, also of processes that follow each other there.
+    pub number: u64,
     /// The incarnation.
     pub server: Incarnation,
     /// What each client had acknowledged last.
@@ -67,6 +69,8 @@
     before: Before,
     saved: Checkpoint,
     saved_at: Time,
+    /// Highest number of a list known.
+    number: u64,
     writes_per_s: u64,
 }
 
@@ -79,12 +83,16 @@
             before: Before::Unread,
             saved: Checkpoint::default(),
             saved_at: now,
+            number: 0,
             writes_per_s: writes_per_s.max(1),
         }
     }
 
     /// Takes in what the predecessor left; none if there is no list.
     pub fn read(&mut self, checkpoint: Option<Checkpoint>) {
+        if let Some(checkpoint) = &checkpoint {
+            self.note_number(checkpoint.number);
+        }
         if matches!(self.before, Before::Unread) {
             self.before = checkpoint.map_or(Before::Done, Before::Read);
         }
@@ -128,11 +136,19 @@
         if missing == 0 || missing * 100 < flows.len() * MISSING_PERCENT {
             return None;
         }
-        self.saved = Checkpoint { server: server.incarnation.clone(), flows };
+        // The time of day, or the next number where that was set back.
+        self.number = now.millis().max(self.number + 1);
+        let (number, server) = (self.number, server.incarnation.clone());
+        self.saved = Checkpoint { number, server, flows };
         self.saved_at = now;
         Some(self.saved.clone())
     }
 
+    /// Notes the number of a list that is in the store; the next one gets a higher one.
+    pub fn note_number(&mut self, number: u64) {
+        self.number = self.number.max(number);
+    }
+
     /// A store that does not answer must not keep this process from noting its own flows for long.
     fn give_up_reading(&mut self, now: Time) {
         if now.since(self.started) > USEFUL_MS {
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/handover.rs
@@ -0,0 +1,79 @@
+//! How an agent's list of open flows reaches the store: by a balancer that writes many lists with one
+//! call, by another one if that is silent, and at last by the agent's own call.
+//!
+//! The load pattern: lists come all the time, so a balancer that dies, stands still or is cut off from the
+//! store must cost one list some seconds, not all lists until somebody notices.
+
+use std::net::Ipv4Addr;
+
+use super::checkpoint::Checkpoint;
+use crate::clock::Time;
+
+/// A balancer that has not confirmed a list within this is passed over, in milliseconds: it gathers lists for
+/// a second, and the store answers within some milliseconds.
+const CONFIRM_MS: u64 = 2_000;
+
+/// What to do with a list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Hand it to a balancer.
+    Deposit(Ipv4Addr, Checkpoint),
+    /// Write it with a call of one's own.
+    Write(Checkpoint),
+}
+
+/// The list that is on its way.
+#[derive(Debug, Default)]
+pub struct Handover {
+    list: Option<Checkpoint>,
+    /// Balancers that were asked, the last one at the end.
+    asked: Vec<Ipv4Addr>,
+    asked_at: Time,
+}
+
+impl Handover {
+    /// Takes in a new list, which makes an earlier one needless. A balancer that is at work on that one
+    /// gets the new one too.
+    pub fn begin(&mut self, list: Checkpoint) {
+        self.list = Some(list);
+        self.asked.clear();
+    }
+
+    /// What to do now. `delegates` are the balancers that write for others, none if none is known; the
+    /// list waits while the store answers none of them.
+    pub fn step(&mut self, now: Time, delegates: &[Ipv4Addr], reaches_store: bool) -> Option<Step> {
+        let list = self.list.clone()?;
+        let is_asked = !self.asked.is_empty();
+        if is_asked && now.since(self.asked_at) <= CONFIRM_MS {
+            return None;
+        }
+        if !delegates.is_empty() && !reaches_store {
+            self.asked.clear();
+            return None;
+        }
+        let next = delegates.iter().find(|delegate| !self.asked.contains(delegate));
+        let Some(next) = next else {
+            self.list = None;
+            return Some(Step::Write(list));
+        };
+        self.asked.push(*next);
+        self.asked_at = now;
+        Some(Step::Deposit(*next, list))
+    }
+
+    /// Takes in that the store has a list with this number. If it is later than the one on its way, a
+    /// process of this host wrote it whose clock was ahead: the list gets a number behind it.
+    pub fn written(&mut self, number: u64) {
+        let Some(list) = &mut self.list else {
+            return;
+        };
+        match number.cmp(&list.number) {
+            std::cmp::Ordering::Less => {}
+            std::cmp::Ordering::Equal => self.list = None,
+            std::cmp::Ordering::Greater => {
+                list.number = number + 1;
+                self.asked.clear();
+            }
+        }
+    }
+}
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::checkpoint::Checkpoint;
 use super::flow::Flow;
 use super::route::Service;
 
@@ -60,6 +61,13 @@
     Relay,
     /// Balancer to agents and balancers: who the balancers are, and which configuration it has.
     Roster(Roster),
+    /// Agent to balancer: write this list of open flows to the store, together with others.
+    Deposit(Checkpoint),
+    /// Balancer to agent: the store has a list of its with this number, or a later one.
+    Written {
+        /// Number of the list.
+        number: u64,
+    },
 }
 
 /// How an agent should weigh an opening.
@@ -169,10 +177,16 @@
 pub struct Roster {
     /// Version of the configuration that it has in force; zero while it has none.
     pub version: u64,
-    /// Addresses of all balancers it knows, its own among them.
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Digest of the addresses of all balancers it knows, its own among them.
+    pub digest: u64,
+    /// These addresses; left out where the receiver is likely to know them.
     pub balancers: Vec<Ipv4Addr>,
     /// Agents that it hears of now. A balancer that hears of fewer has not heard of all.
     pub agents: u32,
+    /// Whether the store answered its last call.
+    pub reaches_store: bool,
     /// Whether the sender is about to stop.
     pub leaving: bool,
 }
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -8,6 +8,7 @@
 
 use super::health::{FORGET_MS, Health, LATE_MS};
 use super::message::{Announcement, Load, State};
+use super::roster::Told;
 use super::route::{Kind, Service};
 use crate::clock::Time;
 use crate::placement::{Key, mix};
@@ -69,12 +70,23 @@
     placed_since: u16,
     /// Whether its silence was noticed.
     noticed: bool,
-    /// When this balancer last told it who the balancers are.
-    told: Option<Time>,
+    /// What this balancer last told it of the balancers.
+    told: Option<Told>,
+}
+
+/// What an agent must be told of the balancers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Telling {
+    /// Nothing: it was told lately, and nothing has changed since.
+    Nothing,
+    /// That this balancer lives.
+    Sign,
+    /// Who the balancers are.
+    Addresses,
 }
 
 impl Candidate {
-    fn new(now: Time, word: Announcement, told: Option<Time>) -> Self {
+    fn new(now: Time, word: Announcement, told: Option<Told>) -> Self {
         Self {
             announced: now,
             rival: None,
@@ -184,6 +196,8 @@
             self.agents.remove(&from);
             return Change::Closed;
         }
+        // A new process knows nothing of what the one before it was told.
+        let told = told.filter(|_| change != Change::Appeared);
         self.agents.insert(from, Candidate::new(now, word, told));
         change
     }
@@ -265,17 +279,23 @@
         self.agents.values().filter(|candidate| candidate.health(now) <= Health::Late).count()
     }
 
-    /// Whether an agent must be told who the balancers are, because it was not for so long; notes
-    /// that it is.
-    pub fn tell(&mut self, now: Time, agent: Ipv4Addr, pause_ms: u64) -> bool {
+    /// What an agent must be told of the balancers, whose addresses have this digest; notes that it is.
+    ///
+    /// Guards against answering every announcement with all addresses: after the death of one balancer
+    /// the views differ for seconds, and with 59 balancers and 136 agents that would be 26,000 lists a
+    /// second. A list is sent once when it is new, and again only with the next sign of life.
+    pub fn tell(&mut self, now: Time, agent: Ipv4Addr, digest: u64, pause_ms: u64) -> Telling {
         let Some(candidate) = self.agents.get_mut(&agent) else {
-            return true;
+            return Telling::Addresses;
         };
-        let due = candidate.told.is_none_or(|told| now.since(told) >= pause_ms);
-        if due {
-            candidate.told = Some(now);
-        }
-        due
+        let next = Told { at: now, digest };
+        let telling = match candidate.told {
+            Some(told) if told.covers(&next, pause_ms) => return Telling::Nothing,
+            Some(_) if candidate.announcement.balancers == digest => Telling::Sign,
+            _ => Telling::Addresses,
+        };
+        candidate.told = Some(next);
+        telling
     }
 
     /// Whether less than half of the agents heard of within a minute are heard of now. Then it is
--- a/crates/nutmegkeel_core/src/l4/policy.rs
+++ b/crates/nutmegkeel_core/src/l4/policy.rs
@@ -30,11 +30,13 @@
     Relay,
     /// Balancers that find no configuration anywhere carry the packets of open flows.
     Unrouted,
+    /// Agents hand their lists of flows to balancers that write many with one call.
+    Collectors,
 }
 
 impl Mechanism {
     /// All mechanisms, in the order of the documentation.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::FlowLists,
         Self::AgentQueue,
         Self::NewestFirst,
@@ -46,6 +48,7 @@
         Self::KeptPackets,
         Self::Relay,
         Self::Unrouted,
+        Self::Collectors,
     ];
 
     /// The name on the command line and in logs.
@@ -63,6 +66,7 @@
             Self::KeptPackets => "kept-packets",
             Self::Relay => "relay",
             Self::Unrouted => "unrouted",
+            Self::Collectors => "collectors",
         }
     }
 }
--- a/crates/nutmegkeel_core/src/l4/roster.rs
+++ b/crates/nutmegkeel_core/src/l4/roster.rs
@@ -9,6 +9,27 @@
 /// reads of the store's list and than any usual loss of datagrams.
 pub const KEPT_MS: u64 = 12_000;
 
+/// An agent is told who the balancers are at least so often, in milliseconds: three times within the
+/// span after which it drops a balancer that nobody speaks of.
+pub const TELL_MS: u64 = KEPT_MS / 3;
+
+/// Which balancers another process was told of, and when.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    /// When it was told.
+    pub at: Time,
+    /// Digest of the addresses.
+    pub digest: u64,
+}
+
+impl Told {
+    /// Whether this makes another telling needless: the same view, less than `pause_ms` ago.
+    #[must_use]
+    pub const fn covers(&self, next: &Self, pause_ms: u64) -> bool {
+        self.digest == next.digest && next.at.since(self.at) < pause_ms
+    }
+}
+
 /// Balancers by address, with the time of the last word of each.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/word.rs
@@ -0,0 +1,116 @@
+//! What balancers say of themselves to each other.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use super::message::Roster;
+use crate::clock::Time;
+use crate::placement::mix;
+
+/// A balancer's word counts for so long at least, in milliseconds: three of its ticks.
+const COUNTED_MS: u64 = 1_500;
+
+/// Balancers of a failure domain that act for all of it. Two, so that one that dies or is cut off leaves no
+/// gap; more would only repeat their calls to the store.
+pub const DELEGATES: usize = 2;
+
+/// Rounds of gossip after which a balancer's word no longer counts: one may be lost.
+const ROUNDS: u64 = 2;
+
+/// What one balancer said of itself.
+#[derive(Clone, Debug)]
+pub struct Word {
+    /// When it said so.
+    pub said: Time,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Agents that it hears of.
+    pub agents: usize,
+    /// Version of its configuration; zero while it has none.
+    pub version: u64,
+    /// Whether the store answered its last call.
+    pub reaches_store: bool,
+}
+
+/// The last word of each balancer.
+#[derive(Debug, Default)]
+pub struct Words {
+    words: BTreeMap<Ipv4Addr, Word>,
+    /// Time in which every balancer speaks once, in milliseconds.
+    round_ms: u64,
+}
+
+impl Words {
+    /// Takes in a balancer's word.
+    pub fn hear(&mut self, now: Time, from: Ipv4Addr, roster: &Roster) {
+        let word = Word {
+            said: now,
+            domain: Arc::clone(&roster.domain),
+            agents: usize::try_from(roster.agents).unwrap_or(usize::MAX),
+            version: roster.version,
+            reaches_store: roster.reaches_store,
+        };
+        self.words.insert(from, word);
+    }
+
+    /// The last word of a balancer, however old.
+    #[must_use]
+    pub fn get(&self, balancer: Ipv4Addr) -> Option<&Word> {
+        self.words.get(&balancer)
+    }
+
+    /// Forgets a balancer that said it stops.
+    pub fn remove(&mut self, balancer: Ipv4Addr) {
+        self.words.remove(&balancer);
+    }
+
+    /// Notes in which time every balancer speaks once. Guards against words that are out of date before
+    /// the next one comes: gossip goes to a few balancers at a time, and with 59 of them each hears
+    /// another only each 4 s.
+    pub fn set_round(&mut self, round_ms: u64) {
+        self.round_ms = round_ms;
+    }
+
+    /// How long a word counts now, in milliseconds.
+    #[must_use]
+    pub fn counted_ms(&self) -> u64 {
+        COUNTED_MS.max(ROUNDS * self.round_ms + COUNTED_MS / 2)
+    }
+
+    /// The words that count.
+    pub fn recent(&self, now: Time) -> impl Iterator<Item = (Ipv4Addr, &Word)> + '_ {
+        let counted_ms = self.counted_ms();
+        let recent = self.words.iter().filter(move |(_, word)| now.since(word.said) <= counted_ms);
+        recent.map(|(balancer, word)| (*balancer, word))
+    }
+
+    /// The balancers that act for a failure domain towards the store, by the words that count and `own`, the
+    /// asking balancer itself: a hash names the first two among those that the store answers, or among all
+    /// if it answers none of them.
+    ///
+    /// The load pattern: every process that calls the store by itself costs as many calls as there are
+    /// hosts, most of all while the store is away and each tries again.
+    #[must_use]
+    pub fn delegates(
+        &self,
+        now: Time,
+        domain: &str,
+        own: Option<(Ipv4Addr, bool)>,
+    ) -> Vec<Ipv4Addr> {
+        let near = self.recent(now).filter(|(_, word)| *word.domain == *domain);
+        let near = near.map(|(balancer, word)| (balancer, word.reaches_store));
+        let mut ranked: Vec<_> = near
+            .chain(own)
+            .map(|(balancer, reaches)| (!reaches, mix(u64::from(balancer.to_bits())), balancer))
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().take(DELEGATES).map(|(_, _, balancer)| balancer).collect()
+    }
+
+    /// Drops words that do not count any more.
+    pub fn expire(&mut self, now: Time) {
+        let counted_ms = self.counted_ms();
+        self.words.retain(|_, word| now.since(word.said) <= counted_ms);
+    }
+}
--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -5,7 +5,7 @@
 
 use crate::fixture::{
     BALANCER, accepted, agent, at, bounced, data, desk, flow, heartbeat, heartbeat_of, incarnation,
-    opening,
+    opening, roster,
 };
 
 const WAITS: Insistence = Insistence::IfInTime;
@@ -486,7 +486,7 @@
 #[test]
 fn an_agent_goes_on_speaking_to_a_balancer_that_leaves() {
     let mut agent = serving();
-    let roster = Roster { version: 1, balancers: Vec::new(), agents: 1, leaving: true };
+    let roster = Roster { leaving: true, ..roster(1, &[], 1) };
     agent.handle(at(1_000), Event::Roster(BALANCER, roster));
 
     let actions = agent.handle(at(1_400), Event::Tick);
@@ -614,7 +614,7 @@
     let early = announced(&agent.handle(at(100), Event::Tick));
     let again = announced(&agent.handle(at(200), Event::Tick));
     let balancers = vec![BALANCER];
-    let roster = Roster { version: 1, balancers, agents: 1, leaving: false };
+    let roster = roster(1, &balancers, 1);
     agent.handle(at(210), Event::Roster(BALANCER, roster.clone()));
     let acquainted = announced(&agent.handle(at(300), Event::Tick));
     agent.handle(at(310), Event::Roster(BALANCER, Roster { leaving: true, ..roster }));
--- a/crates/nutmegkeel_core/tests/l4/balancer.rs
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -1,11 +1,11 @@
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
-use nutmegkeel_core::l4::message::{Insistence, Load, Message, Reason, Roster, State};
+use nutmegkeel_core::l4::message::{Insistence, Load, Message, Reason, State};
 use nutmegkeel_core::l4::policy::{Mechanism, Policy};
 use nutmegkeel_core::l4::route::Service;
 
 use crate::fixture::{
     BALANCER, DOMAIN, PORT, announce, at, balancer, data, desk, flow, forwarded, host, opening,
-    resets, table, word,
+    resets, roster, table, word,
 };
 
 fn declined(from: u8, head: nutmegkeel_core::l4::flow::Head, reason: Reason) -> Event {
@@ -237,7 +237,7 @@
 fn a_peer_with_a_newer_configuration_is_asked_for_it() {
     let mut balancer = balancer(&[1]);
     let peer = host(77);
-    let roster = Roster { version: 9, balancers: vec![peer], agents: 0, leaving: false };
+    let roster = roster(9, &[peer], 0);
 
     let actions = balancer.handle(at(3_000), Event::Roster(peer, roster));
 
@@ -248,7 +248,7 @@
 fn a_leaving_balancer_is_not_ready_and_says_so() {
     let mut balancer = balancer(&[1]);
     let peer = host(77);
-    let roster = Roster { version: 1, balancers: vec![peer], agents: 0, leaving: false };
+    let roster = roster(1, &[peer], 0);
     balancer.handle(at(3_000), Event::Roster(peer, roster));
     let before = balancer.is_ready(at(3_001));
 
@@ -318,7 +318,7 @@
 fn a_balancer_that_hears_of_fewer_agents_than_others_resets_nothing() {
     let mut balancer = balancer(&[1]);
     let peer = host(77);
-    let roster = Roster { version: 1, balancers: vec![peer], agents: 2, leaving: false };
+    let roster = roster(1, &[peer], 2);
     balancer.handle(at(3_000), Event::Roster(peer, roster));
     let packet = data(flow(1), 1_001, 500);
     balancer.handle(at(3_001), Event::Client(packet));
@@ -449,7 +449,7 @@
 fn a_balancer_without_a_configuration_hands_packets_to_one_that_has_it() {
     let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
     let head = opening(flow(1), 0);
-    let roster = |version| Roster { version, balancers: Vec::new(), agents: 3, leaving: false };
+    let roster = |version| roster(version, &[], 3);
     balancer.handle(at(1), Event::Roster(host(8), roster(0)));
 
     let alone = balancer.handle(at(10), Event::Client(head));
@@ -465,7 +465,7 @@
 #[test]
 fn a_packet_is_handed_over_once() {
     let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
-    let roster = Roster { version: 4, balancers: Vec::new(), agents: 3, leaving: false };
+    let roster = roster(4, &[], 3);
     balancer.handle(at(1), Event::Roster(host(9), roster));
     let head = opening(flow(1), 0);
 
@@ -492,8 +492,14 @@
 
     assert!(early.contains(&Action::Keep(head)), "{early:?}");
     assert!(recalled.contains(&Action::Recall), "{recalled:?}");
-    assert!(asked.contains(&Action::Forward(host(1), Message::Carry { known: false })), "{asked:?}");
-    assert!(carried.contains(&Action::Forward(host(1), Message::Carry { known: true })), "{carried:?}");
+    assert!(
+        asked.contains(&Action::Forward(host(1), Message::Carry { known: false })),
+        "{asked:?}"
+    );
+    assert!(
+        carried.contains(&Action::Forward(host(1), Message::Carry { known: true })),
+        "{carried:?}"
+    );
 }
 
 /// A feed breaks off with a reset while its server serves: a balancer that had just started, without a
--- a/crates/nutmegkeel_core/tests/l4/checkpoint.rs
+++ b/crates/nutmegkeel_core/tests/l4/checkpoint.rs
@@ -1,13 +1,16 @@
 use nutmegkeel_core::l4::agent::{Action, Agent, Event};
 use nutmegkeel_core::l4::checkpoint::{Checkpoint, PAUSE_MS};
 use nutmegkeel_core::l4::flow::Flow;
-use nutmegkeel_core::l4::message::Roster;
 
-use crate::fixture::{BALANCER, accepted, agent, at, data, flow, heartbeat, incarnation};
+use crate::fixture::{BALANCER, accepted, agent, at, data, flow, heartbeat, incarnation, roster};
 
 /// The list that an earlier process left of one flow at this server.
 fn left_by(server: &str, flow: Flow, ack: u32) -> Event {
-    Event::Recovered(Some(Checkpoint { server: incarnation(server), flows: [(flow, ack)].into() }))
+    Event::Recovered(Some(Checkpoint {
+        number: 1,
+        server: incarnation(server),
+        flows: [(flow, ack)].into(),
+    }))
 }
 
 fn reset_of(flow: Flow, seq: u32) -> Action {
@@ -110,7 +113,7 @@
 #[test]
 fn the_pause_between_lists_grows_with_the_fleet() {
     let mut agent = with_open_flow(0);
-    let roster = Roster { version: 1, balancers: vec![BALANCER], agents: 16_000, leaving: false };
+    let roster = roster(1, &[BALANCER], 16_000);
     agent.handle(at(1_000), Event::Roster(BALANCER, roster));
 
     let flow_at = |agent: &mut Agent, now: u64| {
--- a/crates/nutmegkeel_core/tests/l4/fixture.rs
+++ b/crates/nutmegkeel_core/tests/l4/fixture.rs
@@ -7,7 +7,7 @@
 use nutmegkeel_core::l4::agent::{Agent, Identity};
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
 use nutmegkeel_core::l4::flow::{Flags, Flow, Head};
-use nutmegkeel_core::l4::message::{Announcement, Load, State};
+use nutmegkeel_core::l4::message::{Announcement, Load, Roster, State};
 use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::route::{Kind, Route, Service, Share, Table};
 use nutmegkeel_core::l4::server::{Heartbeat, Incarnation};
@@ -92,6 +92,19 @@
     }
 }
 
+/// A balancer's word about itself, with the addresses of these balancers.
+pub(crate) fn roster(version: u64, balancers: &[Ipv4Addr], agents: u32) -> Roster {
+    Roster {
+        version,
+        domain: DOMAIN.into(),
+        digest: 0,
+        balancers: balancers.to_vec(),
+        agents,
+        reaches_store: true,
+        leaving: false,
+    }
+}
+
 /// Lets every agent announce itself each 300 ms, from `from_ms` to `until_ms`.
 pub(crate) fn announce(balancer: &mut Balancer, agents: &[u8], from_ms: u64, until_ms: u64) {
     for millis in (from_ms..=until_ms).step_by(300) {
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -4,6 +4,7 @@
 mod backend;
 mod balancer;
 mod checkpoint;
+mod delegate;
 mod fixture;
 mod outlier;
 mod overload;
--- a/crates/nutmegkeel_node/src/l4.rs
+++ b/crates/nutmegkeel_node/src/l4.rs
@@ -3,11 +3,13 @@
 pub mod agent;
 pub mod balancer;
 mod checkpoint;
+mod collector;
 mod configuration;
 mod journal;
 mod kept;
 mod link;
 mod membership;
+mod metered;
 mod reload;
 
 use std::io;
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -93,13 +93,16 @@
     });
     spawn_readers(&shared)?;
     let restored = Arc::clone(&shared);
-    checkpoint::spawn(settings, clock, lists, move |list| {
+    let told = Arc::clone(&shared);
+    let answers = move || told.core().reaches_store(told.clock.now());
+    checkpoint::spawn(settings, clock, lists, answers, move |list| {
         restored.handle(Event::Recovered(list), &mut []);
     })?;
+    let hearing = Arc::clone(&shared);
+    let hears = move || hearing.core().hears_balancers();
     let listed = Arc::clone(&shared);
-    membership::spawn(settings, clock, None, move |balancers| {
-        listed.handle(Event::Listed(balancers), &mut []);
-    })?;
+    let listed = move |balancers| listed.handle(Event::Listed(balancers), &mut []);
+    membership::spawn(settings, clock, None, hears, |_| (), listed)?;
     let control = spawn_control(&shared, addresses.control)?;
     let metrics = spawn_metrics(settings.metrics, metrics)?;
     info!(event = "started", role = "agent", settings:? = settings, without:? = switched_off;
@@ -217,10 +220,12 @@
                 Event::Carry { from, head, known }
             }
             Message::Locate { flow } => Event::Locate(from, flow),
+            Message::Written { number } => Event::Written(number),
             Message::Declined { .. }
             | Message::Holds { .. }
             | Message::Absent { .. }
             | Message::Relay
+            | Message::Deposit(_)
             | Message::Announce(_) => {
                 link::drop_datagram("message");
                 return;
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -18,6 +18,7 @@
 use nutmegkeel_platform::{control, packet};
 use nutmegkeel_wire::l4 as wire;
 
+use super::collector;
 use super::configuration::{self, Fetcher, Source};
 use super::journal::Journal;
 use super::kept::{Packet, Packets};
@@ -49,6 +50,7 @@
     client_port: u16,
     link: Link,
     journal: Journal,
+    collector: collector::Writer,
     kept: Mutex<Packets>,
     last_packet: Mutex<Time>,
 }
@@ -78,6 +80,7 @@
     let switched_off = policy.switched_off();
     let domain = Arc::clone(&settings.domain);
     let core = Balancer::open(now, settings.ip, domain, &settings.seeds, policy);
+    let (writer, batches) = collector::channel();
     let shared = Arc::new(Shared {
         core: Mutex::new(core),
         clock,
@@ -85,6 +88,7 @@
         client_port: settings.packets.port(),
         link: Link::bind(settings.messages)?,
         journal: Journal::spawn(Arc::clone(&settings.host))?,
+        collector: writer,
         kept: Mutex::new(Packets::open(KEPT_MS)),
         last_packet: Mutex::new(now),
     });
@@ -92,6 +96,10 @@
     let fetcher = spawn_configuration(&shared, settings, &source)?;
     spawn_readers(&shared, fetcher)?;
     spawn_membership(&shared, settings)?;
+    let committed = Arc::clone(&shared);
+    collector::spawn(settings, clock, batches, move |written| {
+        committed.handle(Event::Committed(written), &[]);
+    })?;
     let readiness = spawn_readiness(&shared, settings.readiness)?;
     let peers = spawn_peers(&shared, settings.messages, source)?;
     let metrics = spawn_metrics(settings.metrics, metrics)?;
@@ -151,11 +159,25 @@
         let shared = Arc::clone(shared);
         move |table: Table| shared.handle(Event::Configured(table), &[])
     };
-    configuration::spawn_watch(settings.store, source.clone(), configured(shared))?;
+    let watching = Arc::clone(shared);
+    let watches = move || watching.watches();
+    configuration::spawn_watch(
+        settings,
+        source.clone(),
+        watches,
+        store_answered(shared),
+        configured(shared),
+    )?;
     let port = settings.messages.port();
     Ok(Fetcher::spawn(port, source.clone(), configured(shared))?)
 }
 
+/// Takes in whether the store answered a call of this process.
+fn store_answered(shared: &Arc<Shared>) -> impl Fn(bool) + Send + 'static {
+    let shared = Arc::clone(shared);
+    move |answered| shared.handle(Event::Store(answered), &[])
+}
+
 fn spawn_readers(shared: &Arc<Shared>, fetcher: Fetcher) -> Result<(), Fault> {
     let clients = Arc::clone(shared);
     link::spawn_reader("clients", Arc::clone(&shared.clients), move |bytes, _| {
@@ -170,10 +192,12 @@
 
 fn spawn_membership(shared: &Arc<Shared>, settings: &Settings) -> Result<(), Fault> {
     let registration = membership::registration(settings);
+    let hearing = Arc::clone(shared);
+    let hears = move || hearing.hears_others();
     let listed = Arc::clone(shared);
-    membership::spawn(settings, shared.clock, Some(registration), move |balancers| {
-        listed.handle(Event::Listed(balancers), &[]);
-    })?;
+    let listed = move |balancers| listed.handle(Event::Listed(balancers), &[]);
+    let (clock, answered) = (shared.clock, store_answered(shared));
+    membership::spawn(settings, clock, Some(registration), hears, answered, listed)?;
     Ok(())
 }
 
@@ -214,6 +238,16 @@
         lock(&self.core)
     }
 
+    fn watches(&self) -> bool {
+        let now = self.clock.now();
+        self.core().watches(now)
+    }
+
+    fn hears_others(&self) -> bool {
+        let now = self.clock.now();
+        self.core().hears_others(now)
+    }
+
     fn is_ready(&self) -> bool {
         let now = self.clock.now();
         self.core().is_ready(now)
@@ -248,7 +282,11 @@
             Message::Absent { flow, load } => Event::Absent { from, flow, load },
             Message::Announce(word) => Event::Announced(from, word),
             Message::Roster(roster) => Event::Roster(from, roster),
-            Message::Open { .. } | Message::Carry { .. } | Message::Locate { .. } => {
+            Message::Deposit(list) => Event::Deposited(from, list),
+            Message::Written { .. }
+            | Message::Open { .. }
+            | Message::Carry { .. }
+            | Message::Locate { .. } => {
                 link::drop_datagram("message");
                 return;
             }
@@ -300,6 +338,11 @@
                 Action::Recall => recalled.extend(lock(&self.kept).take_all(now)),
                 Action::RecallFlow(flow) => recalled.extend(lock(&self.kept).take(now, &flow)),
                 Action::Fetch(from) => fetch = Some(from),
+                Action::Commit(batch) => {
+                    if !self.collector.write(batch) {
+                        link::drop_datagram("checkpoint");
+                    }
+                }
                 Action::Note(note) => self.journal.note(now, note),
             }
         }
--- a/crates/nutmegkeel_node/src/l4/checkpoint.rs
+++ b/crates/nutmegkeel_node/src/l4/checkpoint.rs
@@ -9,22 +9,26 @@
 use metrics::counter;
 use nutmegkeel_core::l4::checkpoint::Checkpoint;
 use nutmegkeel_platform::settings::Settings;
-use nutmegkeel_platform::store::Client;
 use nutmegkeel_store::document::Document;
 use nutmegkeel_store::kv::Fault;
 use nutmegkeel_wire::checkpoint as wire;
 
 use super::membership::note_reachable;
+use super::metered::{Metered, Purpose};
 use crate::clock::Clock;
 use crate::metric;
 
 /// Lists that may wait for a store that does not answer; a newer one makes an older one needless.
 const QUEUE: usize = 2;
 
-/// Pause between two tries while the store does not answer. The list helps clients for a few seconds
-/// only, so the first read must not lag.
+/// Pause between two looks whether the store answers again. The list helps clients for a few seconds only,
+/// so the first read must not lag.
 const RETRY: Duration = Duration::from_millis(300);
 
+/// Looks after which a call is made though no balancer says that the store answers: each call is priced, and
+/// balancers look for all agents.
+const LOOKS: u32 = 7;
+
 /// Pause between two looks at the lease while nothing is written.
 const LOOK: Duration = Duration::from_secs(10);
 
@@ -47,7 +51,13 @@
     (Writer(sender), receiver)
 }
 
-/// Reads the predecessor's list, hands it to `recovered`, and writes lists from then on.
+/// Where the agents of a failure domain have their lists.
+pub(super) fn prefix(settings: &Settings) -> String {
+    format!("nutmegkeel/flows/{}/{}/", settings.region, settings.domain)
+}
+
+/// Reads the predecessor's list, hands it to `recovered`, and writes lists from then on. `answers` tells
+/// whether the store is known to answer others.
 ///
 /// # Errors
 /// When the thread cannot be started.
@@ -55,14 +65,18 @@
     settings: &Settings,
     clock: Clock,
     lists: Receiver<Checkpoint>,
+    answers: impl Fn() -> bool + Send + 'static,
     recovered: impl FnOnce(Option<Checkpoint>) + Send + 'static,
 ) -> io::Result<()> {
-    let store = Client::open(settings.store);
-    let key = format!("nutmegkeel/flows/{}/{}", settings.region, settings.ip);
+    let store = Metered::open(settings, Purpose::Flows);
+    let key = format!("{}{}", prefix(settings), settings.ip);
+    // When the whole system starts for the first time nobody has left a list.
+    let may_be_there = !settings.first_start;
     thread::Builder::new().name("checkpoint".to_owned()).spawn(move || {
         let mut reachable = true;
         let mut document = Document::open(key);
-        recovered(read(&mut document, &store, &mut reachable));
+        let left = if may_be_there { read(&mut document, &store, &answers) } else { None };
+        recovered(left);
         let mut pending = None;
         loop {
             let pause = if pending.is_some() { RETRY } else { LOOK };
@@ -84,18 +98,25 @@
     Ok(())
 }
 
-/// Tries until the store answers.
-fn read(document: &mut Document, store: &Client, reachable: &mut bool) -> Option<Checkpoint> {
+/// Tries until the store answers: at once, and then whenever it is said to answer others.
+fn read(
+    document: &mut Document,
+    store: &Metered,
+    answers: &impl Fn() -> bool,
+) -> Option<Checkpoint> {
+    let mut reachable = true;
     loop {
         match document.read(store) {
             Ok(value) => {
-                note_reachable(reachable, Ok(()));
+                note_reachable(&mut reachable, Ok(()));
                 return value.and_then(|bytes| decode(&bytes));
             }
-            Err(fault) => {
-                note_reachable(reachable, Err::<(), Fault>(fault));
-                thread::sleep(RETRY);
-            }
+            Err(fault) => note_reachable(&mut reachable, Err::<(), Fault>(fault)),
+        }
+        let mut looks = 0;
+        while looks == 0 || (looks < LOOKS && !answers()) {
+            thread::sleep(RETRY);
+            looks += 1;
         }
     }
 }
--- /dev/null
+++ b/crates/nutmegkeel_node/src/l4/collector.rs
@@ -0,0 +1,71 @@
+//! Writes the lists of flows that agents handed to this balancer.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::Ipv4Addr;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread;
+
+use nutmegkeel_core::l4::checkpoint::Checkpoint;
+use nutmegkeel_platform::settings::Settings;
+use nutmegkeel_store::group::{Entry, Group};
+use nutmegkeel_wire::checkpoint as wire;
+
+use super::checkpoint;
+use super::membership::note_reachable;
+use super::metered::{Metered, Purpose};
+use crate::clock::Clock;
+
+/// Lists by agent.
+pub(super) type Batch = Vec<(Ipv4Addr, Checkpoint)>;
+
+/// Hands batches to the thread that writes them, without waiting.
+#[derive(Clone, Debug)]
+pub(super) struct Writer(SyncSender<Batch>);
+
+impl Writer {
+    /// Writes a batch soon; false if the one before it is still being written.
+    pub(super) fn write(&self, batch: Batch) -> bool {
+        self.0.try_send(batch).is_ok()
+    }
+}
+
+/// A writer, and the end from which [`spawn`] takes its batches.
+pub(super) fn channel() -> (Writer, Receiver<Batch>) {
+    let (sender, receiver) = sync_channel(1);
+    (Writer(sender), receiver)
+}
+
+/// Writes batches, and hands the numbers of the lists that the store has to `committed`.
+///
+/// # Errors
+/// When the thread cannot be started.
+pub(super) fn spawn(
+    settings: &Settings,
+    clock: Clock,
+    batches: Receiver<Batch>,
+    committed: impl Fn(Vec<(Ipv4Addr, u64)>) + Send + 'static,
+) -> io::Result<()> {
+    let store = Metered::open(settings, Purpose::Flows);
+    let prefix = checkpoint::prefix(settings);
+    thread::Builder::new().name("collector".to_owned()).spawn(move || {
+        let mut reachable = true;
+        let mut group = Group::open(prefix.clone(), |bytes| Some(wire::decode(bytes)?.number));
+        while let Ok(batch) = batches.recv() {
+            let agents: BTreeMap<String, Ipv4Addr> =
+                batch.iter().map(|(agent, _)| (format!("{prefix}{agent}"), *agent)).collect();
+            let entries: Vec<Entry> = batch.iter().map(|one| entry(&prefix, one)).collect();
+            let outcome = group.write(&store, clock.now(), &entries);
+            let written = outcome.iter().flatten();
+            let told = written.filter_map(|(key, number)| Some((*agents.get(key)?, *number)));
+            committed(told.collect());
+            note_reachable(&mut reachable, outcome.map(|_| ()));
+            store.note_skipped();
+        }
+    })?;
+    Ok(())
+}
+
+fn entry(prefix: &str, (agent, list): &(Ipv4Addr, Checkpoint)) -> Entry {
+    Entry { key: format!("{prefix}{agent}"), number: list.number, value: wire::encode(list) }
+}
--- a/crates/nutmegkeel_node/src/l4/configuration.rs
+++ b/crates/nutmegkeel_node/src/l4/configuration.rs
@@ -10,24 +10,31 @@
 use log::{info, warn};
 use nutmegkeel_core::l4::route::Table;
 use nutmegkeel_platform::configuration;
-use nutmegkeel_platform::store::Client;
+use nutmegkeel_platform::settings::Settings;
 use nutmegkeel_store::kv::{Fault, Pair, Registry, Watched};
 
-use super::membership::{note_reachable, note_skipped};
+use super::membership::note_reachable;
+use super::metered::{Metered, Purpose};
 
 /// Path at which a balancer hands its configuration to others.
 pub(super) const PATH: &str = "/configuration";
 
 /// Longest wait of one watch. A connection that went silent is noticed this much and the client's
-/// timeout later.
-const WAIT: Duration = Duration::from_secs(5);
+/// timeout later; meanwhile changes come from the other balancers that watch.
+const WAIT: Duration = Duration::from_secs(8);
 
 /// Pause between two watches after a change. Each call is priced: in a burst of a change every 60 ms
 /// this makes 4 calls a second of 16, and a change is in force 0.4 s later at most.
 const COALESCE: Duration = Duration::from_millis(400);
 
-/// Pause before the next try when the store does not answer.
-const RETRY: Duration = Duration::from_millis(300);
+/// Pause before the next try when the store does not answer, the first time; it doubles from try to try.
+const RETRY: Duration = Duration::from_millis(150);
+
+/// Longest pause between two tries: a balancer that watches is back within this when the store is.
+const LONGEST_RETRY: Duration = Duration::from_millis(600);
+
+/// Pause between two looks whether this balancer is to watch.
+const LOOK: Duration = Duration::from_millis(100);
 
 /// A balancer answers within a few milliseconds; one that does not is asked again when it speaks.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -64,20 +71,28 @@
     }
 }
 
-/// Watches the store and hands every configuration to `configured`.
+/// Watches the store while `watches` says so, hands every configuration to `configured`, and tells
+/// `answered` whether the store answers.
 ///
 /// # Errors
 /// When the thread cannot be started.
 pub(super) fn spawn_watch(
-    store: SocketAddrV4,
+    settings: &Settings,
     source: Source,
+    watches: impl Fn() -> bool + Send + 'static,
+    answered: impl Fn(bool) + Send + 'static,
     configured: impl Fn(Table) + Send + 'static,
 ) -> io::Result<()> {
-    let store = Client::open(store);
+    let store = Metered::open(settings, Purpose::Configuration);
     thread::Builder::new().name("configuration".to_owned()).spawn(move || {
         let mut reachable = true;
         let mut after = None;
+        let mut retry = RETRY;
         loop {
+            if !watches() {
+                thread::sleep(LOOK);
+                continue;
+            }
             let outcome = next(&store, after).map(|(until, pairs)| {
                 after = until;
                 let tables = pairs.iter().filter(|pair| pair.key == configuration::KEY);
@@ -86,10 +101,12 @@
             let pause = match outcome {
                 Ok(0) if after.is_some() => Duration::ZERO,
                 Ok(_) if after.is_some() => COALESCE,
-                _ => RETRY,
+                _ => retry,
             };
+            retry = if outcome.is_ok() { RETRY } else { LONGEST_RETRY.min(retry * 2) };
+            answered(outcome.is_ok());
             note_reachable(&mut reachable, outcome.map(|_| ()));
-            note_skipped(&store);
+            store.note_skipped();
             thread::sleep(pause);
         }
     })?;
@@ -97,7 +114,7 @@
 }
 
 /// What comes behind revision `after`, and the revision to go on from.
-fn next(store: &Client, after: Option<u64>) -> Result<(Option<u64>, Vec<Pair>), Fault> {
+fn next(store: &Metered, after: Option<u64>) -> Result<(Option<u64>, Vec<Pair>), Fault> {
     let Some(after) = after else {
         let snapshot = store.snapshot(configuration::KEY)?;
         let until = snapshot.pair.as_ref().map(|_| snapshot.as_of);
--- /dev/null
+++ b/crates/nutmegkeel_node/src/l4/metered.rs
@@ -0,0 +1,103 @@
+//! The store's client, with its calls counted: they are priced, also those that fail.
+
+use std::time::Duration;
+
+use metrics::counter;
+use nutmegkeel_platform::settings::Settings;
+use nutmegkeel_platform::store::Client;
+use nutmegkeel_store::kv::{
+    Committed, Fault, Kept, Lease, Pair, Registry, Snapshot, Store, Watched, Write,
+};
+
+use crate::metric;
+
+/// What calls are made for.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Purpose {
+    /// To find other processes, and to be found.
+    Membership,
+    /// To learn the configuration.
+    Configuration,
+    /// To read and write lists of open flows.
+    Flows,
+}
+
+impl Purpose {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Membership => "membership",
+            Self::Configuration => "configuration",
+            Self::Flows => "flows",
+        }
+    }
+}
+
+/// A client whose calls are counted under one purpose.
+#[derive(Debug)]
+pub(super) struct Metered {
+    purpose: Purpose,
+    client: Client,
+}
+
+impl Metered {
+    /// A client of the store that the settings name.
+    pub(super) fn open(settings: &Settings, purpose: Purpose) -> Self {
+        Self { purpose, client: Client::open(settings.store) }
+    }
+
+    /// Counts entries that could not be read, and says why.
+    pub(super) fn note_skipped(&self) {
+        for reason in self.client.take_skipped() {
+            counter!(metric::ENTRIES_SKIPPED).increment(1);
+            log::info!(event = "entry_skipped", reason = &*reason; "an entry of the store cannot be read");
+        }
+    }
+
+    fn count<T>(&self, call: &'static str, outcome: Result<T, Fault>) -> Result<T, Fault> {
+        let result = match &outcome {
+            Ok(_) => "answered",
+            Err(Fault::NotSent(_)) => "refused",
+            Err(Fault::Lost(_)) => "lost",
+        };
+        let purpose = self.purpose.name();
+        counter!(metric::STORE_CALLS, "purpose" => purpose, "call" => call, "result" => result)
+            .increment(1);
+        outcome
+    }
+}
+
+impl Store for Metered {
+    fn get(&self, key: &str) -> Result<Option<Pair>, Fault> {
+        self.count("get", self.client.get(key))
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<Pair>, Fault> {
+        self.count("list", self.client.list(prefix))
+    }
+
+    fn commit(&self, writes: &[Write]) -> Result<Committed, Fault> {
+        self.count("commit", self.client.commit(writes))
+    }
+
+    fn grant(&self, seconds: u64) -> Result<Lease, Fault> {
+        self.count("grant", self.client.grant(seconds))
+    }
+}
+
+impl Registry for Metered {
+    fn list_recent(&self, prefix: &str) -> Result<Vec<Pair>, Fault> {
+        self.count("list_recent", self.client.list_recent(prefix))
+    }
+
+    fn snapshot(&self, key: &str) -> Result<Snapshot, Fault> {
+        self.count("get", self.client.snapshot(key))
+    }
+
+    fn keep(&self, lease: Lease) -> Result<Kept, Fault> {
+        self.count("keep", self.client.keep(lease))
+    }
+
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Watched, Fault> {
+        self.count("watch", self.client.watch(prefix, after, wait))
+    }
+}
--- a/crates/nutmegkeel_node/src/metric.rs
+++ b/crates/nutmegkeel_node/src/metric.rs
@@ -47,6 +47,8 @@
 pub const BUSY: &str = "nutmegkeel_busy";
 /// Log lines that were left out, by reason.
 pub const LINES_LEFT_OUT: &str = "nutmegkeel_log_lines_left_out_total";
+/// Calls to the store, by purpose, call and result.
+pub const STORE_CALLS: &str = "nutmegkeel_store_calls_total";
 /// Entries of the store that could not be read and were skipped.
 pub const ENTRIES_SKIPPED: &str = "nutmegkeel_entries_skipped_total";
 /// Heartbeats that were not understood.
--- a/crates/nutmegkeel_store/src/lib.rs
+++ b/crates/nutmegkeel_store/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod classes;
 pub mod document;
 pub mod etcd;
+pub mod group;
 pub mod http;
 pub mod kv;
 pub mod lease;
--- a/crates/nutmegkeel_wire/src/checkpoint.rs
+++ b/crates/nutmegkeel_wire/src/checkpoint.rs
@@ -3,7 +3,7 @@
 use nutmegkeel_core::l4::checkpoint::Checkpoint;
 
 /// Version of the encoding. A process of another version does without the list.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// Encodes a list.
 #[must_use]
--- a/crates/nutmegkeel_wire/tests/checkpoint.rs
+++ b/crates/nutmegkeel_wire/tests/checkpoint.rs
@@ -15,7 +15,7 @@
             service: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
         };
         let flows = ports.into_iter().map(|port| (ends(port), ack)).collect();
-        let list = Checkpoint { server: Incarnation { id: server.into(), started_ms }, flows };
+        let list = Checkpoint { number: 7, server: Incarnation { id: server.into(), started_ms }, flows };
         decode(&encode(&list)) == Some(list)
     }
 
