--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -414,7 +414,7 @@
         self.words.expire(now);
         self.acquainted.retain(|balancer| self.balancers.knows(*balancer));
         if now.since(self.announced) >= ANNOUNCE_MS {
-            actions.extend(self.announce(now));
+            actions.extend(self.announce_again(now));
         } else if self.uses(Mechanism::Introductions) {
             actions.extend(self.introduce(now));
         }
--- a/crates/nutmegkeel_core/src/l4/agent/balancers.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/balancers.rs
@@ -7,8 +7,14 @@
 use crate::clock::Time;
 use crate::l4::message::{Announcement, Message, Roster};
 use crate::l4::note::Note;
+use crate::l4::policy::Mechanism;
+use crate::l4::roster::TELL_NEAR_MS;
 use crate::l4::server::Server;
 
+/// A balancer of the own failure domain hears this agent if it spoke within this time, in milliseconds: one
+/// of its signs may be lost.
+const NEAR_MS: u64 = 2 * TELL_NEAR_MS + 500;
+
 impl Agent {
     /// A balancer that leaves still carries packets, so it must go on hearing of this agent: it would
     /// take the agent for dead and reset its flows. It drops out when nobody speaks of it any more.
@@ -21,6 +27,9 @@
             self.acquainted.insert(from);
             self.words.hear(now, from, roster);
         }
+        if roster.digest == self.balancers.digest() {
+            self.balancers.heard_all(now);
+        }
         let mut actions = self.listed(now, &roster.balancers);
         actions.extend(self.listed(now, &[from]));
         actions
@@ -49,11 +58,38 @@
         if strangers.is_empty() { Vec::new() } else { self.announce_to(now, strangers) }
     }
 
+    /// Announces this agent to all balancers, because something changed.
     pub(super) fn announce(&mut self, now: Time) -> Vec<Action> {
         self.announced = now;
         self.announce_to(now, self.balancers.iter().collect())
     }
 
+    /// Announces this agent as each 300 ms.
+    pub(super) fn announce_again(&mut self, now: Time) -> Vec<Action> {
+        self.announced = now;
+        self.announce_to(now, self.audience(now))
+    }
+
+    /// The balancers that must hear of this agent from itself: those of its own failure domain, which tell
+    /// the others, and those that have not spoken to it yet. All, while it hears of none of the former.
+    fn audience(&self, now: Time) -> Vec<Ipv4Addr> {
+        let all = self.balancers.iter();
+        if !self.uses(Mechanism::Summaries) || !self.is_near_a_balancer(now) {
+            return all.collect();
+        }
+        let is_far = |balancer: &Ipv4Addr| {
+            let domain = self.words.get(*balancer).map(|word| &word.domain);
+            domain.is_some_and(|domain| *domain != self.identity.domain)
+        };
+        all.filter(|balancer| !is_far(balancer) || !self.acquainted.contains(balancer)).collect()
+    }
+
+    fn is_near_a_balancer(&self, now: Time) -> bool {
+        self.words
+            .recent(now)
+            .any(|(_, word)| word.domain == self.identity.domain && now.since(word.said) <= NEAR_MS)
+    }
+
     fn announce_to(&mut self, now: Time, balancers: Vec<Ipv4Addr>) -> Vec<Action> {
         self.number += 1;
         let word = self.announcement_at(now);
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -5,6 +5,7 @@
 mod opening;
 mod peers;
 mod search;
+mod summary;
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -18,11 +19,11 @@
 use super::checkpoint::Checkpoint;
 use super::flow::{Flow, Head};
 use super::health::ANNOUNCE_MS;
-use super::message::{Announcement, Load, Message, Reason, Roster};
+use super::message::{Announcement, Load, Message, Reason, Roster, Summary};
 use super::note::{Cause, Note};
-use super::placement::{Change, Pool, Telling};
+use super::placement::{Pool, Telling};
 use super::policy::{Mechanism, Policy};
-use super::roster::{Book, TELL_MS, Told};
+use super::roster::{Book, TELL_MS, TELL_NEAR_MS, Told};
 use super::route::{Service, Table};
 use super::word::Words;
 use crate::clock::Time;
@@ -91,6 +92,8 @@
     },
     /// An agent spoke about itself.
     Announced(Ipv4Addr, Announcement),
+    /// A balancer of another failure domain, or one that passes it on, told of the agents there.
+    Summary(Summary),
     /// Another balancer spoke.
     Roster(Ipv4Addr, Roster),
     /// The store's list of balancers was read.
@@ -164,6 +167,8 @@
     /// What each other balancer was last told of the balancers.
     told: BTreeMap<Ipv4Addr, Told>,
     collector: Collector,
+    /// The last turn for a summary that was looked at.
+    slot: u64,
     leaving: bool,
     /// Whether packets are kept until the next change.
     keeps: bool,
@@ -205,6 +210,7 @@
             turn: 0,
             told: BTreeMap::new(),
             collector: Collector::default(),
+            slot: 0,
             leaving: false,
             keeps: false,
             view: View::default(),
@@ -277,6 +283,7 @@
             Event::Holds { from, flow, load } => self.holds(now, from, flow, load),
             Event::Absent { from, flow, load } => self.absent(now, from, flow, load),
             Event::Announced(from, word) => self.announced(now, from, word),
+            Event::Summary(summary) => self.summary(now, &summary),
             Event::Roster(from, roster) => self.roster(now, from, &roster),
             Event::Listed(balancers) => self.listed(now, &balancers),
             Event::Configured(table) => self.configured(now, table),
@@ -307,6 +314,7 @@
     fn review(&mut self, now: Time) -> Vec<Action> {
         let mut actions = self.recall_if_changed(now);
         actions.extend(self.collector.due(now).map(Action::Commit));
+        actions.extend(self.summarise(now));
         if self.pool.is_cut_off(now) {
             return actions;
         }
@@ -425,20 +433,15 @@
     }
 
     fn announced(&mut self, now: Time, from: Ipv4Addr, word: Announcement) -> Vec<Action> {
+        let is_near = word.domain == self.domain;
         let change = self.pool.announced(now, from, word);
-        if change == Change::Appeared {
-            self.grown = now;
-        }
-        let mut actions = Vec::new();
-        match self.pool.tell(now, from, self.digest(now), TELL_MS) {
+        let mut actions = Vec::from_iter(self.changed(now, from, change));
+        let pause_ms = if is_near { TELL_NEAR_MS } else { TELL_MS };
+        match self.pool.tell(now, from, self.digest(now), pause_ms) {
             Telling::Nothing => {}
             Telling::Sign => actions.push(Action::Send(from, self.sign(now))),
             Telling::Addresses => actions.push(Action::Send(from, self.own_roster(now))),
         }
-        if !matches!(change, Change::None | Change::Stale) {
-            actions.push(Action::Note(Note::Agent { agent: from, change }));
-        }
-        self.agent_came |= matches!(change, Change::Appeared | Change::Opened);
         actions
     }
 
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/balancer/summary.rs
@@ -0,0 +1,95 @@
+//! What balancers of different failure domains tell each other of their agents.
+//!
+//! The load pattern: an agent that announces itself to every balancer costs as many datagrams as there are
+//! pairs, 27,000 a second for 136 agents and 59 balancers, four in five of them between failure domains. So
+//! agents speak to the balancers of their own domain, which take turns to tell one balancer of each other
+//! domain of all, and that one passes it on at home. Nobody is elected: a balancer that dies misses its turns.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use super::{Action, Balancer};
+use crate::clock::Time;
+use crate::l4::health::SUMMARY_MS;
+use crate::l4::message::{Message, Report, Summary};
+use crate::l4::note::Note;
+use crate::l4::placement::Change;
+use crate::l4::policy::Mechanism;
+
+/// Agents told of in one datagram: at 35 bytes each they fit beside the rest.
+const REPORTS: usize = 48;
+
+/// Balancers of a failure domain that tell of its agents in one slot, each to another listener: one of them, or
+/// its listener, may have died.
+const SPEAKERS: usize = 2;
+
+impl Balancer {
+    /// Tells one balancer of each other failure domain of the agents of this one, if it is this balancer's
+    /// turn.
+    pub(super) fn summarise(&mut self, now: Time) -> Vec<Action> {
+        let slot = now.millis() / SUMMARY_MS;
+        if self.leaving || slot == self.slot || !self.policy.uses(Mechanism::Summaries) {
+            return Vec::new();
+        }
+        self.slot = slot;
+        let (near, far) = self.peers_of_domains(now);
+        let rank = near.iter().filter(|peer| **peer < self.own).count();
+        let slot = usize::try_from(slot).unwrap_or(usize::MAX);
+        let turns = near.len() + 1;
+        if (slot + turns - rank) % turns >= SPEAKERS {
+            return Vec::new();
+        }
+        let summaries = self.summaries(now);
+        let targets = far.values().filter_map(|peers| peers.get((slot + rank) % peers.len()));
+        targets.flat_map(|to| summaries.iter().map(|one| Action::Send(*to, one.clone()))).collect()
+    }
+
+    fn summaries(&self, now: Time) -> Vec<Message> {
+        let reports = self.pool.summary(now, &self.domain);
+        let message = |reports: &[Report]| {
+            let domain = Arc::clone(&self.domain);
+            Message::Summary(Summary { domain, reports: reports.to_vec(), passed_on: false })
+        };
+        reports.chunks(REPORTS).map(message).collect()
+    }
+
+    /// The other balancers that were heard of lately: those of this failure domain, and those of each
+    /// other one.
+    fn peers_of_domains(&self, now: Time) -> (Vec<Ipv4Addr>, BTreeMap<Arc<str>, Vec<Ipv4Addr>>) {
+        let mut domains: BTreeMap<Arc<str>, Vec<Ipv4Addr>> = BTreeMap::new();
+        for (peer, word) in self.words.recent(now) {
+            domains.entry(Arc::clone(&word.domain)).or_default().push(peer);
+        }
+        (domains.remove(&self.domain).unwrap_or_default(), domains)
+    }
+
+    /// Takes in what was heard of the agents of another failure domain, and passes it on at home.
+    pub(super) fn summary(&mut self, now: Time, summary: &Summary) -> Vec<Action> {
+        if summary.domain == self.domain {
+            return Vec::new();
+        }
+        self.pool.summarised(now, &summary.domain);
+        let mut actions = Vec::new();
+        for report in &summary.reports {
+            let change = self.pool.reported(now, &summary.domain, report);
+            actions.extend(self.changed(now, report.agent, change));
+        }
+        if !summary.passed_on {
+            let message = Message::Summary(Summary { passed_on: true, ..summary.clone() });
+            let (near, _) = self.peers_of_domains(now);
+            actions.extend(near.into_iter().map(|peer| Action::Send(peer, message.clone())));
+        }
+        actions
+    }
+
+    /// Takes in what a word of an agent changed.
+    pub(super) fn changed(&mut self, now: Time, agent: Ipv4Addr, change: Change) -> Option<Action> {
+        if change == Change::Appeared {
+            self.grown = now;
+        }
+        self.agent_came |= matches!(change, Change::Appeared | Change::Opened);
+        let is_news = !matches!(change, Change::None | Change::Stale);
+        is_news.then_some(Action::Note(Note::Agent { agent, change }))
+    }
+}
--- a/crates/nutmegkeel_core/src/l4/health.rs
+++ b/crates/nutmegkeel_core/src/l4/health.rs
@@ -19,6 +19,18 @@
 /// that nobody else holds may be at its backend server.
 pub const FORGET_MS: u64 = 60_000;
 
+/// Pause between two summaries of a failure domain's agents, in milliseconds: as between announcements. The
+/// last sign of an agent in another failure domain is so much older, and no more.
+pub const SUMMARY_MS: u64 = ANNOUNCE_MS;
+
+/// A failure domain whose agents no summary has told of for so long is out of sight: three summaries and
+/// some delay. Its agents get no new flows.
+pub const OUT_OF_SIGHT_MS: u64 = 3 * SUMMARY_MS + 100;
+
+/// A failure domain that is out of sight for so long is given up, with its agents. Its balancers come back
+/// within seconds if they were killed, and within three its agents find others if they do not.
+pub const LOST_MS: u64 = 8_000;
+
 /// What an agent's last sign says of it now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Health {
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -61,6 +61,8 @@
     Relay,
     /// Balancer to agents and balancers: who the balancers are, and which configuration it has.
     Roster(Roster),
+    /// Balancer to balancer: what the agents of the sender's failure domain last said.
+    Summary(Summary),
     /// Agent to balancer: write this list of open flows to the store, together with others.
     Deposit(Checkpoint),
     /// Balancer to agent: the store has a list of its with this number, or a later one.
@@ -172,6 +174,58 @@
     pub balancers: u64,
 }
 
+/// What the agents of one failure domain last said, as one of its balancers heard it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The failure domain.
+    pub domain: Arc<str>,
+    /// Its agents, or a part of them.
+    pub reports: Vec<Report>,
+    /// Whether a balancer of the receiver's failure domain passed it on.
+    pub passed_on: bool,
+}
+
+/// What one agent last said of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The agent.
+    pub agent: Ipv4Addr,
+    /// How long ago the sender of the summary had its last sign, in milliseconds.
+    pub age_ms: u32,
+    /// As in [`Announcement`].
+    pub incarnation: u64,
+    /// As in [`Announcement`].
+    pub number: u64,
+    /// As in [`Announcement`].
+    pub service: Option<Service>,
+    /// As in [`Announcement`].
+    pub slots: u16,
+    /// As in [`Announcement`].
+    pub cold: bool,
+    /// As in [`Announcement`].
+    pub state: State,
+    /// As in [`Announcement`].
+    pub load: Load,
+}
+
+impl Report {
+    /// What the agent said, for a receiver who knows its failure domain.
+    #[must_use]
+    pub fn announcement(&self, domain: &Arc<str>) -> Announcement {
+        Announcement {
+            incarnation: self.incarnation,
+            number: self.number,
+            domain: Arc::clone(domain),
+            service: self.service,
+            slots: self.slots,
+            cold: self.cold,
+            state: self.state,
+            load: self.load,
+            balancers: 0,
+        }
+    }
+}
+
 /// A balancer's word about itself and its peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Roster {
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -5,9 +5,10 @@
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 
-use super::health::{FORGET_MS, Health, LATE_MS};
-use super::message::{Announcement, Load, State};
+use super::health::{FORGET_MS, Health, LATE_MS, LOST_MS, OUT_OF_SIGHT_MS, SUMMARY_MS};
+use super::message::{Announcement, Load, Report, State};
 use super::roster::Told;
 use super::route::{Kind, Service};
 use crate::clock::Time;
@@ -65,6 +66,8 @@
     rival: Option<Rival>,
     /// Last sign of any kind.
     heard: Time,
+    /// Whether that came in a summary.
+    reported: bool,
     load_heard: Time,
     load: Load,
     placed_since: u16,
@@ -91,6 +94,7 @@
             announced: now,
             rival: None,
             heard: now,
+            reported: false,
             load_heard: now,
             load: word.load,
             announcement: word,
@@ -120,23 +124,51 @@
         if goes_on && is_silent { Change::Appeared } else { Change::Stale }
     }
 
-    fn health(&self, now: Time) -> Health {
-        Health::of(now.since(self.heard), self.announcement.state == State::Restarting)
+    /// Its health for a process that could see its signs until `seen`, and that hears of it by summaries or
+    /// by itself.
+    fn health(&self, seen: Sight) -> Health {
+        let delay_ms = if self.reported { SUMMARY_MS } else { 0 };
+        let silence_ms = seen.until.since(self.heard).saturating_sub(delay_ms);
+        let health = Health::of(silence_ms, self.announcement.state == State::Restarting);
+        if seen.is_blind { health.max(Health::Late) } else { health }
     }
 
     /// Whether it may hold flows: it can be asked, or is away for a moment beside a backend server.
-    fn may_hold(&self, now: Time) -> bool {
-        match self.health(now) {
+    fn may_hold(&self, seen: Sight) -> bool {
+        match self.health(seen) {
             Health::Fresh => true,
             Health::Late | Health::Restarting => self.announcement.service.is_some(),
             Health::Silent => false,
         }
     }
 
-    fn is_in(&self, now: Time, service: Service, state: State) -> bool {
+    fn is_in(&self, seen: Sight, service: Service, state: State) -> bool {
         self.announcement.service == Some(service)
             && self.announcement.state == state
-            && self.health(now) == Health::Fresh
+            && self.health(seen) == Health::Fresh
+    }
+
+    /// Takes over the later signs of what was known before.
+    fn keep_signs(&mut self, before: &Self) {
+        self.heard = self.heard.max(before.heard);
+        self.load_heard = before.load_heard;
+        self.load = before.load;
+        self.placed_since = before.placed_since;
+    }
+
+    fn report(&self, now: Time, agent: Ipv4Addr) -> Report {
+        let word = &self.announcement;
+        Report {
+            agent,
+            age_ms: u32::try_from(now.since(self.heard)).unwrap_or(u32::MAX),
+            incarnation: word.incarnation,
+            number: word.number,
+            service: word.service,
+            slots: word.slots,
+            cold: word.cold,
+            state: word.state,
+            load: self.load,
+        }
     }
 
     /// Expected load with one more flow, in thousandths of its slots. What was placed since the last
@@ -151,6 +183,14 @@
     }
 }
 
+/// Until when the signs of an agent could be seen.
+#[derive(Clone, Copy, Debug)]
+struct Sight {
+    until: Time,
+    /// Whether nothing is seen of its failure domain now.
+    is_blind: bool,
+}
+
 /// An agent chosen for a new flow, with what the choice rested on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -181,6 +221,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     agents: BTreeMap<Ipv4Addr, Candidate>,
+    /// When a summary of a failure domain's agents last came.
+    summaries: BTreeMap<Arc<str>, Time>,
 }
 
 impl Pool {
@@ -202,6 +244,69 @@
         change
     }
 
+    /// Takes in what a balancer of another failure domain heard of an agent there.
+    pub fn reported(&mut self, now: Time, domain: &Arc<str>, report: &Report) -> Change {
+        let word = report.announcement(domain);
+        let heard = now.before(u64::from(report.age_ms));
+        let before = self.agents.get(&report.agent).cloned();
+        let is_known = before.as_ref().is_some_and(|known| {
+            known.announcement.incarnation == word.incarnation
+                && known.announcement.number == word.number
+        });
+        let change =
+            if is_known { Change::None } else { self.announced(heard, report.agent, word) };
+        if change != Change::Stale
+            && let Some(known) = self.agents.get_mut(&report.agent)
+        {
+            known.reported = true;
+            known.heard = known.heard.max(heard);
+            // What the agent itself said since, with an answer, is newer.
+            if let Some(before) = before.filter(|before| before.load_heard > heard) {
+                known.keep_signs(&before);
+            }
+        }
+        change
+    }
+
+    /// Notes that a summary of a failure domain's agents came.
+    pub fn summarised(&mut self, now: Time, domain: &Arc<str>) {
+        self.summaries.insert(Arc::clone(domain), now);
+    }
+
+    /// What the agents of a failure domain last said, of those that speak to this process.
+    pub fn summary(&self, now: Time, domain: &str) -> Vec<Report> {
+        let is_meant = |candidate: &Candidate| {
+            *candidate.announcement.domain == *domain
+                && !candidate.reported
+                && candidate.health(self.sight(now, candidate)) != Health::Silent
+        };
+        let meant = self.agents.iter().filter(|(_, candidate)| is_meant(candidate));
+        meant.map(|(agent, candidate)| candidate.report(now, *agent)).collect()
+    }
+
+    /// Until when signs of an agent could be seen.
+    ///
+    /// Guards against taking the agents of a whole failure domain for dead, and resetting their flows, when
+    /// only the balancers that tell of them are gone: an agent is judged by its own silence alone.
+    fn sight(&self, now: Time, candidate: &Candidate) -> Sight {
+        let clear = Sight { until: now, is_blind: false };
+        if !candidate.reported {
+            return clear;
+        }
+        let Some(last) = self.summaries.get(&candidate.announcement.domain) else {
+            return clear;
+        };
+        match now.since(*last) {
+            0..=OUT_OF_SIGHT_MS => Sight { until: *last, is_blind: false },
+            blind_ms if blind_ms <= LOST_MS => Sight { until: *last, is_blind: true },
+            _ => clear,
+        }
+    }
+
+    fn health_of(&self, now: Time, candidate: &Candidate) -> Health {
+        candidate.health(self.sight(now, candidate))
+    }
+
     /// Takes in the load that an agent sent with an answer.
     pub fn heard(&mut self, now: Time, from: Ipv4Addr, load: Load) {
         if let Some(candidate) = self.agents.get_mut(&from) {
@@ -215,11 +320,14 @@
 
     /// Agents that fell silent without notice since the last call.
     pub fn newly_silent(&mut self, now: Time) -> Vec<Ipv4Addr> {
-        let mut silent = Vec::new();
-        for (agent, candidate) in &mut self.agents {
-            if !candidate.noticed && candidate.health(now) == Health::Silent {
+        let is_new = |candidate: &Candidate| {
+            !candidate.noticed && self.health_of(now, candidate) == Health::Silent
+        };
+        let silent = self.agents.iter().filter(|(_, candidate)| is_new(candidate));
+        let silent: Vec<Ipv4Addr> = silent.map(|(agent, _)| *agent).collect();
+        for agent in &silent {
+            if let Some(candidate) = self.agents.get_mut(agent) {
                 candidate.noticed = true;
-                silent.push(*agent);
             }
         }
         silent
@@ -245,7 +353,7 @@
     /// The health of an agent; none if it is not known.
     #[must_use]
     pub fn health(&self, now: Time, agent: Ipv4Addr) -> Option<Health> {
-        self.agents.get(&agent).map(|candidate| candidate.health(now))
+        self.agents.get(&agent).map(|candidate| self.health_of(now, candidate))
     }
 
     /// Service of an agent's backend server, as last announced.
@@ -261,8 +369,12 @@
         self.count(now, service, state)
     }
 
+    fn is_in(&self, now: Time, candidate: &Candidate, service: Service, state: State) -> bool {
+        candidate.is_in(self.sight(now, candidate), service, state)
+    }
+
     fn count(&self, now: Time, service: Service, state: State) -> usize {
-        self.agents.values().filter(|candidate| candidate.is_in(now, service, state)).count()
+        self.agents.values().filter(|candidate| self.is_in(now, candidate, service, state)).count()
     }
 
     /// Which agents of a service get its new flows: the healthy ones, unless most are failing. Guards
@@ -276,7 +388,7 @@
     /// Number of agents heard of lately.
     #[must_use]
     pub fn heard_of(&self, now: Time) -> usize {
-        self.agents.values().filter(|candidate| candidate.health(now) <= Health::Late).count()
+        self.agents.values().filter(|one| self.health_of(now, one) <= Health::Late).count()
     }
 
     /// What an agent must be told of the balancers, whose addresses have this digest; notes that it is.
@@ -311,7 +423,8 @@
     #[must_use]
     pub fn is_conclusive(&self, now: Time) -> bool {
         let undecided = |candidate: &Candidate| {
-            candidate.may_hold(now) && candidate.health(now) != Health::Fresh
+            let seen = self.sight(now, candidate);
+            candidate.may_hold(seen) && candidate.health(seen) != Health::Fresh
         };
         !self.is_cut_off(now) && !self.agents.values().any(undecided)
     }
@@ -325,7 +438,7 @@
     /// Whether an agent may hold flows.
     #[must_use]
     pub fn may_hold(&self, now: Time, agent: Ipv4Addr) -> bool {
-        self.agents.get(&agent).is_some_and(|candidate| candidate.may_hold(now))
+        self.agents.get(&agent).is_some_and(|one| one.may_hold(self.sight(now, one)))
     }
 
     /// Number of agents known.
@@ -350,6 +463,9 @@
         for candidate in self.agents.values_mut() {
             candidate.heard = candidate.heard.after(span_ms);
         }
+        for last in self.summaries.values_mut() {
+            *last = last.after(span_ms);
+        }
     }
 
     /// The best agent for a new flow among the first of its order, without those in `tried`; when
@@ -366,7 +482,8 @@
     ) -> Option<Choice> {
         let takers = self.takers(now, service);
         let order = self.order(key, domain, |candidate| {
-            candidate.is_in(now, service, State::Ready) || candidate.is_in(now, service, takers)
+            self.is_in(now, candidate, service, State::Ready)
+                || self.is_in(now, candidate, service, takers)
         });
         let near = order.iter().filter(|ranked| ranked.0.near).take(NEAR);
         let far = order.iter().filter(|ranked| !ranked.0.near).take(FAR);
--- a/crates/nutmegkeel_core/src/l4/policy.rs
+++ b/crates/nutmegkeel_core/src/l4/policy.rs
@@ -32,11 +32,13 @@
     Unrouted,
     /// Agents hand their lists of flows to balancers that write many with one call.
     Collectors,
+    /// Agents announce themselves in their own failure domain, and its balancers tell the others.
+    Summaries,
 }
 
 impl Mechanism {
     /// All mechanisms, in the order of the documentation.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::FlowLists,
         Self::AgentQueue,
         Self::NewestFirst,
@@ -49,6 +51,7 @@
         Self::Relay,
         Self::Unrouted,
         Self::Collectors,
+        Self::Summaries,
     ];
 
     /// The name on the command line and in logs.
@@ -67,6 +70,7 @@
             Self::Relay => "relay",
             Self::Unrouted => "unrouted",
             Self::Collectors => "collectors",
+            Self::Summaries => "summaries",
         }
     }
 }
--- a/crates/nutmegkeel_core/src/l4/roster.rs
+++ b/crates/nutmegkeel_core/src/l4/roster.rs
@@ -13,6 +13,10 @@
 /// span after which it drops a balancer that nobody speaks of.
 pub const TELL_MS: u64 = KEPT_MS / 3;
 
+/// The same for an agent of the own failure domain, in milliseconds: it must notice within seconds that no
+/// balancer there hears it, and speak to all others then.
+pub const TELL_NEAR_MS: u64 = 1_000;
+
 /// Which balancers another process was told of, and when.
 #[derive(Clone, Copy, Debug)]
 pub struct Told {
@@ -42,6 +46,13 @@
         self.balancers.insert(balancer, now).is_none()
     }
 
+    /// Notes that somebody spoke of all balancers known here.
+    pub fn heard_all(&mut self, now: Time) {
+        for heard in self.balancers.values_mut() {
+            *heard = now;
+        }
+    }
+
     /// Drops balancers that nobody has spoken of for long.
     pub fn expire(&mut self, now: Time) {
         self.balancers.retain(|_, heard| now.since(*heard) < KEPT_MS);
--- a/crates/nutmegkeel_core/tests/l4/balancer.rs
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -338,10 +338,10 @@
     };
     let mut agreeing = word(9_000, State::Ready, Load::default());
     agreeing.balancers = nutmegkeel_core::l4::roster::digest([BALANCER].into_iter());
-    balancer.handle(at(3_100), Event::Announced(host(1), agreeing.clone()));
+    balancer.handle(at(3_400), Event::Announced(host(1), agreeing.clone()));
 
-    let soon = balancer.handle(at(3_400), Event::Announced(host(1), agreeing.clone()));
-    let later = balancer.handle(at(7_500), Event::Announced(host(1), agreeing));
+    let soon = balancer.handle(at(4_300), Event::Announced(host(1), agreeing.clone()));
+    let later = balancer.handle(at(4_600), Event::Announced(host(1), agreeing));
 
     assert!(!told(soon));
     assert!(told(later));
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -13,4 +13,5 @@
 mod recovery;
 mod roster;
 mod server;
+mod summary;
 mod waiting;
--- /dev/null
+++ b/crates/nutmegkeel_core/tests/l4/summary.rs
@@ -0,0 +1,268 @@
+//! What balancers of different failure domains tell each other of their agents.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use nutmegkeel_core::l4::agent;
+use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
+use nutmegkeel_core::l4::health::Health;
+use nutmegkeel_core::l4::message::{Load, Message, Report, Roster, State, Summary};
+use nutmegkeel_core::l4::placement::{Change, Pool};
+use nutmegkeel_core::l4::policy::Policy;
+
+use crate::fixture::{BALANCER, DOMAIN, agent, at, desk, flow, heartbeat, host, roster, word};
+
+const FAR: &str = "tema";
+
+/// A balancer of another failure domain.
+const FAR_BALANCER: Ipv4Addr = Ipv4Addr::new(10, 0, 2, 1);
+
+fn report(number: u64, age_ms: u32) -> Report {
+    Report {
+        agent: host(1),
+        age_ms,
+        incarnation: 1,
+        number,
+        service: Some(desk()),
+        slots: 2,
+        cold: false,
+        state: State::Ready,
+        load: Load::default(),
+    }
+}
+
+/// Lets a pool hear summaries of one far agent each 300 ms; its last sign comes at `last_ms`.
+fn summarise(pool: &mut Pool, last_ms: u64, until_ms: u64) {
+    let domain = Arc::from(FAR);
+    for now in (0..=until_ms).step_by(300) {
+        let signed = now.min(last_ms);
+        let age_ms = u32::try_from(now - signed).expect("a short test");
+        pool.summarised(at(now), &domain);
+        pool.reported(at(now), &domain, &report(1 + signed / 300, age_ms));
+    }
+}
+
+#[test]
+fn an_agent_that_others_hear_is_fresh() {
+    let mut pool = Pool::default();
+
+    summarise(&mut pool, 3_000, 3_000);
+
+    assert_eq!(pool.health(at(3_200), host(1)), Some(Health::Fresh));
+    assert_eq!(pool.open_agents(at(3_200), desk()), 1);
+}
+
+/// An opening must not go to a dead host of another failure domain much longer than to one at home.
+#[test]
+fn an_agent_that_fell_silent_is_late_and_then_given_up() {
+    let mut pool = Pool::default();
+
+    summarise(&mut pool, 3_000, 4_200);
+    let late = pool.health(at(4_200), host(1));
+    summarise(&mut pool, 3_000, 5_400);
+    let silent = pool.health(at(5_400), host(1));
+
+    assert_eq!((late, silent), (Some(Health::Late), Some(Health::Silent)));
+}
+
+/// All feeds to another failure domain break off with resets although its servers live: its balancers were
+/// killed at one moment, and nobody told of the agents there.
+#[test]
+fn agents_out_of_sight_get_no_flows_and_lose_none() {
+    let mut pool = Pool::default();
+    summarise(&mut pool, 3_000, 3_000);
+
+    let blind: Vec<_> = [4_200, 7_000, 10_000].map(|now| pool.health(at(now), host(1))).into();
+    let open = pool.open_agents(at(4_200), desk());
+    let lost = pool.health(at(12_000), host(1));
+
+    assert_eq!(blind, vec![Some(Health::Late); 3]);
+    assert_eq!(open, 0);
+    assert_eq!(lost, Some(Health::Silent));
+}
+
+/// Loads that an agent sent with an answer are newer than those of a summary that was under way.
+#[test]
+fn a_summary_does_not_bring_an_older_load_back() {
+    let mut pool = Pool::default();
+    summarise(&mut pool, 3_000, 3_000);
+    pool.heard(at(3_250), host(1), Load { busy: 9, flows: 9 });
+
+    let change = pool.reported(at(3_300), &Arc::from(FAR), &report(12, 200));
+
+    let choice = pool.choose(
+        at(3_300),
+        flow(1).key(),
+        desk(),
+        nutmegkeel_core::l4::route::Kind::Once,
+        DOMAIN,
+        &[],
+    );
+    assert_eq!(change, Change::None);
+    assert_eq!(choice.map(|choice| choice.load.busy), Some(9));
+}
+
+#[test]
+fn an_older_summary_changes_nothing() {
+    let mut pool = Pool::default();
+    summarise(&mut pool, 3_000, 3_000);
+
+    let change = pool.reported(at(3_300), &Arc::from(FAR), &report(2, 2_900));
+
+    assert_eq!(change, Change::Stale);
+    assert_eq!(pool.health(at(3_300), host(1)), Some(Health::Fresh));
+}
+
+fn balancer(number: u8) -> Balancer {
+    Balancer::open(at(0), host(number), DOMAIN.into(), &[], Policy::default())
+}
+
+fn summaries(actions: &[Action]) -> Vec<(Ipv4Addr, Summary)> {
+    let summary = |action: &Action| match action {
+        Action::Send(to, Message::Summary(summary)) => Some((*to, summary.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(summary).collect()
+}
+
+fn far_roster() -> Roster {
+    Roster { domain: FAR.into(), ..roster(1, &[], 1) }
+}
+
+/// Balancers of one failure domain that know each other, a far balancer and one agent of theirs.
+fn domain(count: u8) -> Vec<Balancer> {
+    let mut balancers: Vec<_> = (1..=count).map(balancer).collect();
+    tell(&mut balancers, 0, &[]);
+    balancers
+}
+
+/// Lets all but the silent ones speak to each other, and the agent and a far balancer to all.
+fn tell(balancers: &mut [Balancer], now: u64, silent: &[u8]) {
+    let count = u8::try_from(balancers.len()).expect("few balancers");
+    for (index, balancer) in balancers.iter_mut().enumerate() {
+        for peer in (1..=count).filter(|peer| usize::from(*peer) != index + 1) {
+            if !silent.contains(&peer) {
+                balancer.handle(at(now), Event::Roster(host(peer), roster(1, &[], 1)));
+            }
+        }
+        balancer.handle(at(now), Event::Roster(FAR_BALANCER, far_roster()));
+        let word = word(1 + now, State::Ready, Load::default());
+        balancer.handle(at(now), Event::Announced(host(99), word));
+    }
+}
+
+/// The times at which a far balancer hears of the agent, in milliseconds, from `from_ms` on.
+fn heard(balancers: &mut [Balancer], from_ms: u64, until_ms: u64, silent: &[u8]) -> Vec<u64> {
+    let mut times = Vec::new();
+    for now in (from_ms..=until_ms).step_by(50) {
+        for (index, balancer) in balancers.iter_mut().enumerate() {
+            let is_silent = silent.iter().any(|number| usize::from(*number) == index + 1);
+            let sent = summaries(&balancer.handle(at(now), Event::Tick));
+            let to_far = sent.iter().any(|(to, summary)| {
+                *to == FAR_BALANCER && summary.reports.iter().any(|one| one.agent == host(99))
+            });
+            if to_far && !is_silent {
+                times.push(now);
+            }
+        }
+        if now.is_multiple_of(500) {
+            tell(balancers, now, silent);
+        }
+    }
+    times
+}
+
+fn longest_gap(times: &[u64]) -> u64 {
+    times.windows(2).map(|pair| pair[1] - pair[0]).max().expect("several times")
+}
+
+#[test]
+fn a_failure_domain_is_told_of_with_each_beat() {
+    let mut balancers = domain(12);
+
+    let times = heard(&mut balancers, 50, 8_000, &[]);
+
+    assert!(longest_gap(&times) <= 350, "{times:?}");
+    assert!(times.len() <= 2 * 8_000 / 300 + 4, "{times:?}");
+}
+
+/// The agents of a failure domain are out of sight for others, because the balancer whose turn it was has
+/// died. The next one in turn is enough.
+#[test]
+fn a_dead_balancer_misses_its_turn_and_no_more() {
+    let mut balancers = domain(12);
+
+    let times = heard(&mut balancers, 50, 8_000, &[5]);
+
+    assert!(longest_gap(&times) <= 350, "{times:?}");
+}
+
+/// Half of a domain's balancers are killed at once. The others go on within a second, before anybody takes
+/// the agents there for out of sight for long.
+#[test]
+fn the_rest_of_a_failure_domain_goes_on_telling() {
+    let mut balancers = domain(12);
+
+    let times = heard(&mut balancers, 50, 8_000, &[1, 3, 5, 7, 9, 11]);
+
+    assert!(longest_gap(&times) <= 650, "{times:?}");
+}
+
+#[test]
+fn a_summary_is_passed_on_at_home_once() {
+    let mut balancers = domain(3);
+    let summary = Summary { domain: FAR.into(), reports: vec![report(1, 10)], passed_on: false };
+
+    let first = summaries(&balancers[0].handle(at(10), Event::Summary(summary)));
+    let again = summaries(&balancers[1].handle(at(11), Event::Summary(first[0].1.clone())));
+
+    assert_eq!(first.iter().map(|(to, _)| *to).collect::<Vec<_>>(), vec![host(2), host(3)]);
+    assert_eq!(again, Vec::new());
+}
+
+fn announced_to(actions: &[agent::Action]) -> Vec<Ipv4Addr> {
+    let to = |action: &agent::Action| match action {
+        agent::Action::Send(to, Message::Announce(_)) => Some(*to),
+        _ => None,
+    };
+    actions.iter().filter_map(to).collect()
+}
+
+/// An agent that a balancer at home and a far one have spoken to.
+fn acquainted() -> agent::Agent {
+    let mut agent = agent();
+    agent.handle(at(1), agent::Event::Roster(BALANCER, roster(1, &[], 1)));
+    agent.handle(at(1), agent::Event::Roster(FAR_BALANCER, far_roster()));
+    agent
+}
+
+#[test]
+fn an_agent_speaks_to_its_own_failure_domain() {
+    let mut agent = acquainted();
+
+    let sent = announced_to(&agent.handle(at(600), agent::Event::Tick));
+
+    assert_eq!(sent, vec![BALANCER]);
+}
+
+/// A far balancer must hear at once that a server takes no more flows, or takes some again.
+#[test]
+fn a_change_is_told_to_all() {
+    let mut agent = acquainted();
+
+    let sent = announced_to(&agent.handle(at(600), agent::Event::Heartbeat(heartbeat("a", 1))));
+
+    assert_eq!(sent, vec![BALANCER, FAR_BALANCER]);
+}
+
+/// Flows of a whole failure domain are reset: all of its balancers are gone, and nobody hears its agents
+/// any more, though balancers elsewhere carry their flows.
+#[test]
+fn an_agent_without_balancers_at_home_speaks_to_all() {
+    let mut agent = acquainted();
+    agent.handle(at(3_000), agent::Event::Roster(FAR_BALANCER, far_roster()));
+
+    let sent = announced_to(&agent.handle(at(3_000), agent::Event::Tick));
+
+    assert_eq!(sent, vec![BALANCER, FAR_BALANCER]);
+}
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -226,6 +226,7 @@
             | Message::Absent { .. }
             | Message::Relay
             | Message::Deposit(_)
+            | Message::Summary(_)
             | Message::Announce(_) => {
                 link::drop_datagram("message");
                 return;
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -282,6 +282,7 @@
             Message::Absent { flow, load } => Event::Absent { from, flow, load },
             Message::Announce(word) => Event::Announced(from, word),
             Message::Roster(roster) => Event::Roster(from, roster),
+            Message::Summary(summary) => Event::Summary(summary),
             Message::Deposit(list) => Event::Deposited(from, list),
             Message::Written { .. }
             | Message::Open { .. }
