--- a/crates/nutmegkeel_core/src/l4/balancer/summary.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/summary.rs
@@ -17,7 +17,7 @@
 use crate::l4::placement::Change;
 use crate::l4::policy::Mechanism;
 
-/// Agents told of in one datagram: at 35 bytes each they fit beside the rest.
+/// Agents told of in one datagram: at 30 bytes each they fit beside the rest.
 const REPORTS: usize = 48;
 
 /// Balancers of a failure domain that tell of its agents in one slot, each to another listener: one of them, or
@@ -46,12 +46,12 @@
     }
 
     fn summaries(&self, now: Time) -> Vec<Message> {
-        let reports = self.pool.summary(now, &self.domain);
+        let summary = self.pool.summary(now, &self.domain);
         let message = |reports: &[Report]| {
-            let domain = Arc::clone(&self.domain);
-            Message::Summary(Summary { domain, reports: reports.to_vec(), passed_on: false })
+            let part = Summary { reports: reports.to_vec(), ..summary.clone() };
+            Message::Summary(part)
         };
-        reports.chunks(REPORTS).map(message).collect()
+        summary.reports.chunks(REPORTS).map(message).collect()
     }
 
     /// The other balancers that were heard of lately: those of this failure domain, and those of each
@@ -72,7 +72,7 @@
         self.pool.summarised(now, &summary.domain);
         let mut actions = Vec::new();
         for report in &summary.reports {
-            let change = self.pool.reported(now, &summary.domain, report);
+            let change = self.pool.reported(now, summary, report);
             actions.extend(self.changed(now, report.agent, change));
         }
         if !summary.passed_on {
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -179,6 +179,8 @@
 pub struct Summary {
     /// The failure domain.
     pub domain: Arc<str>,
+    /// The services that reports name by their place here: of one length each, where a domain has few.
+    pub services: Vec<Service>,
     /// Its agents, or a part of them.
     pub reports: Vec<Report>,
     /// Whether a balancer of the receiver's failure domain passed it on.
@@ -196,8 +198,8 @@
     pub incarnation: u64,
     /// As in [`Announcement`].
     pub number: u64,
-    /// As in [`Announcement`].
-    pub service: Option<Service>,
+    /// Place of its backend server's service in the summary.
+    pub service: Option<u8>,
     /// As in [`Announcement`].
     pub slots: u16,
     /// As in [`Announcement`].
@@ -208,15 +210,22 @@
     pub load: Load,
 }
 
-impl Report {
-    /// What the agent said, for a receiver who knows its failure domain.
+impl Summary {
+    /// What an agent said that one of the reports tells of.
     #[must_use]
-    pub fn announcement(&self, domain: &Arc<str>) -> Announcement {
+    pub fn announcement(&self, report: &Report) -> Announcement {
+        let service = report.service.and_then(|place| self.services.get(usize::from(place)));
+        report.announcement(&self.domain, service.copied())
+    }
+}
+
+impl Report {
+    fn announcement(&self, domain: &Arc<str>, service: Option<Service>) -> Announcement {
         Announcement {
             incarnation: self.incarnation,
             number: self.number,
             domain: Arc::clone(domain),
-            service: self.service,
+            service,
             slots: self.slots,
             cold: self.cold,
             state: self.state,
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use super::health::{FORGET_MS, Health, LATE_MS, LOST_MS, OUT_OF_SIGHT_MS, SUMMARY_MS};
-use super::message::{Announcement, Load, Report, State};
+use super::message::{Announcement, Load, Report, State, Summary};
 use super::roster::Told;
 use super::route::{Kind, Service};
 use crate::clock::Time;
@@ -156,14 +156,15 @@
         self.placed_since = before.placed_since;
     }
 
-    fn report(&self, now: Time, agent: Ipv4Addr) -> Report {
+    fn report(&self, now: Time, agent: Ipv4Addr, services: &mut Vec<Service>) -> Report {
         let word = &self.announcement;
+        let place = word.service.map(|service| place_of(service, services));
         Report {
             agent,
             age_ms: u32::try_from(now.since(self.heard)).unwrap_or(u32::MAX),
             incarnation: word.incarnation,
             number: word.number,
-            service: word.service,
+            service: place.and_then(|place| u8::try_from(place).ok()),
             slots: word.slots,
             cold: word.cold,
             state: word.state,
@@ -245,8 +246,8 @@
     }
 
     /// Takes in what a balancer of another failure domain heard of an agent there.
-    pub fn reported(&mut self, now: Time, domain: &Arc<str>, report: &Report) -> Change {
-        let word = report.announcement(domain);
+    pub fn reported(&mut self, now: Time, summary: &Summary, report: &Report) -> Change {
+        let word = summary.announcement(report);
         let heard = now.before(u64::from(report.age_ms));
         let before = self.agents.get(&report.agent).cloned();
         let is_known = before.as_ref().is_some_and(|known| {
@@ -274,14 +275,20 @@
     }
 
     /// What the agents of a failure domain last said, of those that speak to this process.
-    pub fn summary(&self, now: Time, domain: &str) -> Vec<Report> {
+    #[must_use]
+    pub fn summary(&self, now: Time, domain: &Arc<str>) -> Summary {
         let is_meant = |candidate: &Candidate| {
-            *candidate.announcement.domain == *domain
+            candidate.announcement.domain == *domain
                 && !candidate.reported
                 && candidate.health(self.sight(now, candidate)) != Health::Silent
         };
-        let meant = self.agents.iter().filter(|(_, candidate)| is_meant(candidate));
-        meant.map(|(agent, candidate)| candidate.report(now, *agent)).collect()
+        let (domain, services, passed_on) = (Arc::clone(domain), Vec::new(), false);
+        let mut summary = Summary { domain, services, reports: Vec::new(), passed_on };
+        for (agent, candidate) in self.agents.iter().filter(|(_, candidate)| is_meant(candidate)) {
+            let report = candidate.report(now, *agent, &mut summary.services);
+            summary.reports.push(report);
+        }
+        summary
     }
 
     /// Until when signs of an agent could be seen.
@@ -578,6 +585,14 @@
     }
 }
 
+/// The place of a service in a list, to which it is added if it is new.
+fn place_of(service: Service, services: &mut Vec<Service>) -> usize {
+    services.iter().position(|known| *known == service).unwrap_or_else(|| {
+        services.push(service);
+        services.len() - 1
+    })
+}
+
 /// What a word changes that comes of the known process or of one with a later start.
 fn change_by_later(known: &Announcement, word: &Announcement) -> Change {
     if word.incarnation != known.incarnation {
--- a/crates/nutmegkeel_core/tests/l4/summary.rs
+++ b/crates/nutmegkeel_core/tests/l4/summary.rs
@@ -23,7 +23,7 @@
         age_ms,
         incarnation: 1,
         number,
-        service: Some(desk()),
+        service: Some(0),
         slots: 2,
         cold: false,
         state: State::Ready,
@@ -31,6 +31,10 @@
     }
 }
 
+fn summary(reports: Vec<Report>) -> Summary {
+    Summary { domain: FAR.into(), services: vec![desk()], reports, passed_on: false }
+}
+
 /// Lets a pool hear summaries of one far agent each 300 ms; its last sign comes at `last_ms`.
 fn summarise(pool: &mut Pool, last_ms: u64, until_ms: u64) {
     let domain = Arc::from(FAR);
@@ -38,7 +42,7 @@
         let signed = now.min(last_ms);
         let age_ms = u32::try_from(now - signed).expect("a short test");
         pool.summarised(at(now), &domain);
-        pool.reported(at(now), &domain, &report(1 + signed / 300, age_ms));
+        pool.reported(at(now), &summary(Vec::new()), &report(1 + signed / 300, age_ms));
     }
 }
 
@@ -88,7 +92,7 @@
     summarise(&mut pool, 3_000, 3_000);
     pool.heard(at(3_250), host(1), Load { busy: 9, flows: 9 });
 
-    let change = pool.reported(at(3_300), &Arc::from(FAR), &report(12, 200));
+    let change = pool.reported(at(3_300), &summary(Vec::new()), &report(12, 200));
 
     let choice = pool.choose(
         at(3_300),
@@ -107,7 +111,7 @@
     let mut pool = Pool::default();
     summarise(&mut pool, 3_000, 3_000);
 
-    let change = pool.reported(at(3_300), &Arc::from(FAR), &report(2, 2_900));
+    let change = pool.reported(at(3_300), &summary(Vec::new()), &report(2, 2_900));
 
     assert_eq!(change, Change::Stale);
     assert_eq!(pool.health(at(3_300), host(1)), Some(Health::Fresh));
@@ -211,9 +215,9 @@
 #[test]
 fn a_summary_is_passed_on_at_home_once() {
     let mut balancers = domain(3);
-    let summary = Summary { domain: FAR.into(), reports: vec![report(1, 10)], passed_on: false };
 
-    let first = summaries(&balancers[0].handle(at(10), Event::Summary(summary)));
+    let heard = Event::Summary(summary(vec![report(1, 10)]));
+    let first = summaries(&balancers[0].handle(at(10), heard));
     let again = summaries(&balancers[1].handle(at(11), Event::Summary(first[0].1.clone())));
 
     assert_eq!(first.iter().map(|(to, _)| *to).collect::<Vec<_>>(), vec![host(2), host(3)]);
