--- a/crates/nutmegkeel_core/src/l4.rs
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -12,6 +12,7 @@
 pub mod handover;
 pub mod health;
 pub mod message;
+pub mod mute;
 pub mod note;
 pub mod outlier;
 pub mod placement;
--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -19,6 +19,7 @@
 use super::handover::{Handover, Step};
 use super::health::ANNOUNCE_MS;
 use super::message::{Demand, Insistence, Load, Message, Reason, Roster, State};
+use super::mute;
 use super::note::{Cause, Note, ServerChange};
 use super::outlier::Record;
 use super::policy::{Mechanism, Policy};
@@ -148,6 +149,7 @@
     waiting: Queue,
     pace: Pace,
     record: Record,
+    mute: mute::Watch,
     unanswered_since: Option<Time>,
     unresponsive: bool,
     leaving: bool,
@@ -189,6 +191,7 @@
             probes: Probes::default(),
             pace: Pace::default(),
             record: Record::default(),
+            mute: mute::Watch::open(now),
             unanswered_since: None,
             unresponsive: false,
             leaving: false,
@@ -213,9 +216,7 @@
             _ if self.leaving => State::Restarting,
             Some(server) if server.draining || self.unresponsive => State::Closed,
             Some(_) if self.beside.is_contested() => State::Closed,
-            Some(_) if self.uses(Mechanism::Outliers) && self.record.is_failing(now) => {
-                State::Failing
-            }
+            Some(_) if self.record.is_failing(now) => State::Failing,
             Some(_) => State::Ready,
             None => State::Closed,
         }
@@ -347,12 +348,13 @@
         match outcome {
             Outcome::Answered { after_ms, behind } => {
                 self.record.answered();
+                self.mute.answered(now);
                 if behind < slots {
                     self.pace.learn(after_ms);
                 }
                 vec![Action::CountAnswer(after_ms)]
             }
-            Outcome::Broken if self.record.broken(now) => {
+            Outcome::Broken if self.uses(Mechanism::Outliers) && self.record.broken(now) => {
                 let mut actions = vec![self.changed(ServerChange::Failing)];
                 actions.extend(self.announce(now));
                 actions
@@ -406,6 +408,7 @@
 
     fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = self.judge_server(now);
+        actions.extend(self.notice_mute(now));
         actions.extend(self.notice_absence(now));
         actions.extend(self.save(now));
         self.table.expire(now);
--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -180,7 +180,7 @@
     /// Gives a request up that waits and never reached the server. If the server has not seen the end
     /// of the handshake, or is gone, the client is told by a reset. On a flow that is open nothing is
     /// sent: a reset would break a flow of a server that is well, and the client's time is over.
-    fn give_up(&mut self, now: Time, waiting: &Waiting, cause: Cause) -> Vec<Action> {
+    pub(super) fn give_up(&mut self, now: Time, waiting: &Waiting, cause: Cause) -> Vec<Action> {
         if waiting.request.is_none() {
             return Vec::new();
         }
--- a/crates/nutmegkeel_core/src/l4/agent/standing.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/standing.rs
@@ -121,6 +121,31 @@
         actions
     }
 
+    /// Notices a server that takes requests and never answers: it gets no new flows for a while, and clients
+    /// whose requests may run again are told, so that they come back while there is time.
+    ///
+    /// Guards against clients that wait in silence until their deadline on an open flow, which cannot be
+    /// moved. What must run once is left where it is: it may be running.
+    pub(super) fn notice_mute(&mut self, now: Time) -> Vec<Action> {
+        let outstanding = self.table.outstanding();
+        let limit = self.mute.look(now, outstanding, self.pace.most_us());
+        let Some(limit) = limit.filter(|_| self.uses(Mechanism::Mute)) else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        if self.record.spare(now) {
+            actions.push(self.changed(ServerChange::Mute));
+            actions.extend(self.announce(now));
+        }
+        for (flow, held) in self.table.take_stuck(limit) {
+            actions.extend(reset(flow, held.client_ack, Cause::ServerMute));
+        }
+        for waiting in self.waiting.take_all() {
+            actions.extend(self.give_up(now, &waiting, Cause::ServerMute));
+        }
+        actions
+    }
+
     /// Notices that no server stands beside this process, and says so to who asked. Guards against
     /// clients of lost flows that wait for seconds for the answer of a host without a server.
     pub(super) fn notice_absence(&mut self, now: Time) -> Vec<Action> {
--- a/crates/nutmegkeel_core/src/l4/note.rs
+++ b/crates/nutmegkeel_core/src/l4/note.rs
@@ -138,6 +138,8 @@
     Responsive,
     /// It breaks requests off.
     Failing,
+    /// It takes requests and never answers.
+    Mute,
     /// It neither answers nor sends heartbeats; its flows are gone.
     Dead,
 }
@@ -165,6 +167,8 @@
     ServerRestarted,
     /// The backend server is dead.
     ServerDead,
+    /// The backend server takes requests and never answers.
+    ServerMute,
     /// The request waited for a slot, and its answer would come too late.
     Late,
     /// The host came back with another backend server; its flows were noted in the store.
@@ -186,6 +190,7 @@
             Self::Undecided => "undecided",
             Self::ServerRestarted => "server_restarted",
             Self::ServerDead => "server_dead",
+            Self::ServerMute => "server_mute",
             Self::Late => "late",
             Self::HostRestarted => "host_restarted",
         }
--- a/crates/nutmegkeel_core/src/l4/outlier.rs
+++ b/crates/nutmegkeel_core/src/l4/outlier.rs
@@ -47,7 +47,12 @@
         const { assert!(WINDOW == u16::BITS, "the outcomes fill their bits") };
         self.outcomes = self.outcomes << 1 | 1;
         self.answered_in_a_row = 0;
-        if self.is_failing(now) || self.outcomes.count_ones() < BROKEN {
+        self.outcomes.count_ones() >= BROKEN && self.spare(now)
+    }
+
+    /// Spares the server from now on; false if it is spared already.
+    pub fn spare(&mut self, now: Time) -> bool {
+        if self.is_failing(now) {
             return false;
         }
         let pause = FIRST_PAUSE_MS << self.pauses.min(3);
--- a/crates/nutmegkeel_core/src/l4/policy.rs
+++ b/crates/nutmegkeel_core/src/l4/policy.rs
@@ -34,11 +34,13 @@
     Collectors,
     /// Agents announce themselves in their own failure domain, and its balancers tell the others.
     Summaries,
+    /// A server that never answers gets no new flows, and clients whose requests may run again are told.
+    Mute,
 }
 
 impl Mechanism {
     /// All mechanisms, in the order of the documentation.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::FlowLists,
         Self::AgentQueue,
         Self::NewestFirst,
@@ -52,6 +54,7 @@
         Self::Unrouted,
         Self::Collectors,
         Self::Summaries,
+        Self::Mute,
     ];
 
     /// The name on the command line and in logs.
@@ -71,6 +74,7 @@
             Self::Unrouted => "unrouted",
             Self::Collectors => "collectors",
             Self::Summaries => "summaries",
+            Self::Mute => "mute",
         }
     }
 }
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -6,6 +6,7 @@
 use super::flow::{Flow, Head, follows};
 use super::health::FORGET_MS;
 use super::message::{Demand, Load};
+use super::mute::Outstanding;
 use crate::clock::Time;
 
 /// An opening that is not followed up within this time came to nothing: clients give an opening up
@@ -105,6 +106,12 @@
         Weight { busy: self.request_since.is_some() as usize, open: 1 }
     }
 
+    /// The request that is at the server: since when, and what it asks for if that is known.
+    fn in_progress(&self) -> Option<(Time, Option<Demand>)> {
+        let is_there = self.stage == Stage::Open && !self.is_over() && !self.waits;
+        Some((self.request_since.filter(|_| is_there)?, self.demand))
+    }
+
     /// Whether a client's packet brings data that did not come before.
     fn brings_data(&self, head: &Head) -> bool {
         let is_new = |next| follows(head.next_seq(), next, DATA_REACH);
@@ -290,14 +297,42 @@
         open.map(|(flow, held)| (*flow, held.client_ack))
     }
 
+    /// What waits for the server's answer.
+    #[must_use]
+    pub fn outstanding(&self) -> Outstanding {
+        let mut outstanding = Outstanding::default();
+        for (since, demand) in self.flows.values().filter_map(Held::in_progress) {
+            outstanding.requests += 1;
+            outstanding.since = Some(outstanding.since.map_or(since, |oldest| oldest.min(since)));
+            let objective_ms = demand.map_or(0, |demand| u64::from(demand.objective_ms));
+            outstanding.objective_ms = outstanding.objective_ms.max(objective_ms);
+        }
+        outstanding
+    }
+
+    /// Takes out the flows whose request has been with the server since before `limit` and may run again.
+    pub fn take_stuck(&mut self, limit: Time) -> Vec<(Flow, Held)> {
+        let is_stuck = |held: &Held| {
+            let request = held.in_progress();
+            request.is_some_and(|(since, demand)| {
+                since < limit && demand.is_some_and(|demand| !demand.once)
+            })
+        };
+        self.take_if(is_stuck)
+    }
+
     /// Takes out the open flows whose server has sent nothing for `silent_ms`.
     pub fn take_silent(&mut self, now: Time, silent_ms: u64) -> Vec<(Flow, Held)> {
         let is_silent = |held: &Held| {
             held.stage == Stage::Open && !held.is_over() && now.since(held.server_heard) > silent_ms
         };
-        let silent: Vec<Flow> =
-            self.flows.iter().filter(|(_, held)| is_silent(held)).map(|(flow, _)| *flow).collect();
-        silent.into_iter().filter_map(|flow| Some((flow, self.remove(&flow)?))).collect()
+        self.take_if(is_silent)
+    }
+
+    fn take_if(&mut self, is_meant: impl Fn(&Held) -> bool) -> Vec<(Flow, Held)> {
+        let meant = self.flows.iter().filter(|(_, held)| is_meant(held));
+        let meant: Vec<Flow> = meant.map(|(flow, _)| *flow).collect();
+        meant.into_iter().filter_map(|flow| Some((flow, self.remove(&flow)?))).collect()
     }
 
     /// Drops what is over, and requests that no client waits for any more.
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -6,6 +6,7 @@
 mod checkpoint;
 mod delegate;
 mod fixture;
+mod mute;
 mod outlier;
 mod overload;
 mod placement;
--- /dev/null
+++ b/crates/nutmegkeel_core/tests/l4/mute.rs
@@ -0,0 +1,138 @@
+//! Backend servers that take requests and never answer.
+
+use nutmegkeel_core::l4::agent::{Action, Agent, Event};
+use nutmegkeel_core::l4::flow::Flow;
+use nutmegkeel_core::l4::message::{Demand, Insistence, State};
+
+use crate::fixture::{BALANCER, accepted, agent, at, data, desk, flow, heartbeat, opening};
+
+/// Time of an answer while the server is well, in milliseconds.
+const ANSWER_MS: u64 = 60;
+
+const IDEMPOTENT: Demand = Demand { objective_ms: 250, deadline_ms: 2_500, once: false };
+const ONCE: Demand = Demand { objective_ms: 250, deadline_ms: 2_500, once: true };
+
+fn open(agent: &mut Agent, now: u64, flow: Flow, demand: Demand) {
+    let (head, service) = (opening(flow, 0), desk());
+    let insistence = Insistence::IfInTime;
+    let from = BALANCER;
+    agent.handle(at(now), Event::Open { from, head, service, insistence, demand, waited_ms: 0 });
+    agent.handle(at(now + 1), Event::FromServer(accepted(flow, 500)));
+}
+
+fn ask(agent: &mut Agent, now: u64, flow: Flow, seq: u32) {
+    let head = data(flow, seq, 501);
+    agent.handle(at(now), Event::Carry { from: BALANCER, head, known: true });
+}
+
+fn answer(agent: &mut Agent, now: u64, flow: Flow) {
+    agent.handle(at(now), Event::FromServer(data(flow, 501, 1_101)));
+}
+
+/// Lets time pass in ticks, and returns what the agent did.
+fn pass(agent: &mut Agent, from_ms: u64, until_ms: u64) -> Vec<Action> {
+    let ticks = (from_ms..=until_ms).step_by(100);
+    ticks.flat_map(|now| agent.handle(at(now), Event::Tick)).collect()
+}
+
+/// An agent whose server has answered `answers` requests, the last one just before 3 s.
+fn learnt(answers: u32) -> Agent {
+    let mut agent = agent();
+    agent.handle(at(0), Event::Recovered(None));
+    agent.handle(at(0), Event::Heartbeat(heartbeat("a", 1)));
+    open(&mut agent, 1, flow(1), IDEMPOTENT);
+    for number in 0..answers {
+        let now = 100 + 100 * u64::from(number);
+        agent.handle(at(now), Event::Tick);
+        ask(&mut agent, now, flow(1), 1_001 + 100 * number);
+        answer(&mut agent, now + ANSWER_MS, flow(1));
+    }
+    pass(&mut agent, 100 + 100 * u64::from(answers), 3_000);
+    agent
+}
+
+fn resets(actions: &[Action]) -> Vec<Flow> {
+    let reset = |action: &Action| match action {
+        Action::Reset { flow, .. } => Some(*flow),
+        _ => None,
+    };
+    actions.iter().filter_map(reset).collect()
+}
+
+/// Two status checks and two filings go to a server that answers nothing from then on.
+fn go_mute(agent: &mut Agent, now: u64) {
+    for (port, demand) in [(2, IDEMPOTENT), (3, IDEMPOTENT), (4, ONCE), (5, ONCE)] {
+        open(agent, now, flow(port), demand);
+        ask(agent, now + 2, flow(port), 1_001);
+    }
+}
+
+/// Status checks hang until their deadline on open flows: the server accepts, acknowledges and sends its
+/// heartbeats, but answers nothing. Told in time, their clients ask elsewhere. Filings may be running.
+#[test]
+fn clients_of_a_mute_server_are_told_while_there_is_time() {
+    let mut agent = learnt(16);
+    go_mute(&mut agent, 3_000);
+
+    let early = pass(&mut agent, 3_100, 3_200);
+    let later = pass(&mut agent, 3_300, 4_200);
+
+    assert_eq!(resets(&early), Vec::new());
+    assert_eq!(resets(&later), vec![flow(2), flow(3)]);
+    assert_eq!(agent.state(at(4_200)), State::Failing);
+}
+
+/// One filing of a client with a bad link lacks a packet for seconds; the server is well.
+#[test]
+fn one_request_that_waits_is_no_sign() {
+    let mut agent = learnt(16);
+    open(&mut agent, 3_000, flow(2), IDEMPOTENT);
+    ask(&mut agent, 3_002, flow(2), 1_001);
+
+    let actions = pass(&mut agent, 3_100, 6_000);
+
+    assert_eq!(resets(&actions), Vec::new());
+    assert_eq!(agent.state(at(6_000)), State::Ready);
+}
+
+/// A server that became slow answers now and then; its clients keep their flows.
+#[test]
+fn a_slow_server_is_not_mute() {
+    let mut agent = learnt(16);
+    go_mute(&mut agent, 3_000);
+    ask(&mut agent, 3_002, flow(1), 10_001);
+
+    let mut actions = Vec::new();
+    for now in (3_100..=7_000).step_by(100) {
+        actions.extend(agent.handle(at(now), Event::Tick));
+        if now % 300 == 0 {
+            answer(&mut agent, now, flow(1));
+            ask(&mut agent, now, flow(1), u32::try_from(now).expect("a short test") + 50_000);
+        }
+    }
+
+    assert_eq!(resets(&actions), Vec::new());
+}
+
+/// All flows of a host are reset because its process stood still for two seconds: the answers that came
+/// meanwhile wait to be read.
+#[test]
+fn a_process_that_stood_still_judges_nobody() {
+    let mut agent = learnt(16);
+    go_mute(&mut agent, 3_000);
+
+    let actions = pass(&mut agent, 5_200, 5_300);
+
+    assert_eq!(resets(&actions), Vec::new());
+}
+
+/// Flows of a cold server are reset after a restart: the agent knew no usual time yet.
+#[test]
+fn a_server_whose_usual_time_is_not_known_is_not_judged() {
+    let mut agent = learnt(15);
+    go_mute(&mut agent, 3_000);
+
+    let actions = pass(&mut agent, 3_100, 6_000);
+
+    assert_eq!(resets(&actions), Vec::new());
+}
