--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -474,9 +474,6 @@
         self.told.retain(|peer, _| self.peers.knows(*peer));
         // Who has waited too long is answered now, though nothing has changed.
         let mut actions = self.recall(now);
-        if self.leaving {
-            return actions;
-        }
         actions.extend(self.gossip(now));
         actions
     }
--- a/crates/nutmegkeel_core/src/l4/balancer/peers.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/peers.rs
@@ -65,9 +65,11 @@
     pub(super) fn roster(&mut self, now: Time, from: Ipv4Addr, roster: &Roster) -> Vec<Action> {
         let mut actions = Vec::new();
         if roster.leaving {
-            self.peers.remove(from);
-            self.words.remove(from);
-            actions.push(Action::Note(Note::Balancer { balancer: from, known: false }));
+            self.words.hear(now, from, roster);
+            if self.peers.knows(from) {
+                self.peers.remove(from);
+                actions.push(Action::Note(Note::Balancer { balancer: from, known: false }));
+            }
             return actions;
         }
         let news = self.words.get(from).is_none_or(|word| word.version == 0);
@@ -91,7 +93,8 @@
     pub(super) fn listed(&mut self, now: Time, balancers: &[Ipv4Addr]) -> Vec<Action> {
         let mut actions = Vec::new();
         for balancer in balancers {
-            if *balancer != self.own && !self.peers.knows(*balancer) {
+            let is_leaving = self.words.get(*balancer).is_some_and(|word| word.leaving);
+            if *balancer != self.own && !is_leaving && !self.peers.knows(*balancer) {
                 self.peers.heard(now, *balancer);
                 actions.extend(self.introduce(now, *balancer));
             }
--- a/crates/nutmegkeel_core/src/l4/balancer/search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -132,23 +132,39 @@
         }
     }
 
-    /// The next agent to ask for a flow. One whose process is being replaced is asked last: the
-    /// others can be ruled out meanwhile, and what is left must be there.
+    /// The next agent to ask for a flow: usually one of the few that its opening was offered to. One whose
+    /// process is being replaced is asked last: the others can be ruled out meanwhile, and what is left must
+    /// be there.
     fn next_to_ask(&mut self, now: Time, flow: Flow) -> Option<Ipv4Addr> {
         let services = self.services(&flow)?;
-        let order = self.pool.search(flow.key(), &services, &self.domain);
+        let first = self.pool.search_first(flow.key(), &services, &self.domain);
+        let agent = match self.first_unasked(now, flow, first) {
+            Some((health, agent)) if health != Health::Restarting => agent,
+            _ => {
+                let all = self.pool.search(flow.key(), &services, &self.domain);
+                self.first_unasked(now, flow, all)?.1
+            }
+        };
+        self.cache.entry(now, flow).ask(now, agent);
+        Some(agent)
+    }
+
+    /// The first of these agents that may hold a flow and has not said that it does not.
+    fn first_unasked(
+        &mut self,
+        now: Time,
+        flow: Flow,
+        agents: Vec<Ipv4Addr>,
+    ) -> Option<(Health, Ipv4Addr)> {
         let entry = self.cache.entry(now, flow);
         // Who refused the opening may have taken a later copy of it, so only an answer to this
         // question counts.
         let asked = |agent: &Ipv4Addr| entry.declined.contains(&(*agent, Reason::NotHeld));
-        let (_, agent) = order
+        agents
             .into_iter()
-            .filter(|agent| !asked(agent))
+            .filter(|agent| !asked(agent) && self.pool.may_hold(now, *agent))
             .filter_map(|agent| Some((self.pool.health(now, agent)?, agent)))
-            .filter(|(_, agent)| self.pool.may_hold(now, *agent))
-            .min_by_key(|(health, _)| *health == Health::Restarting)?;
-        entry.ask(now, agent);
-        Some(agent)
+            .min_by_key(|(health, _)| *health == Health::Restarting)
     }
 
     /// Goes on without an agent that has not answered: it may be dead, and the flow elsewhere.
--- a/crates/nutmegkeel_core/src/l4/balancer/summary.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/summary.rs
@@ -54,11 +54,11 @@
         summary.reports.chunks(REPORTS).map(message).collect()
     }
 
-    /// The other balancers that were heard of lately: those of this failure domain, and those of each
-    /// other one.
+    /// The other balancers that were heard of lately and stay: those of this failure domain, and those of
+    /// each other one.
     fn peers_of_domains(&self, now: Time) -> (Vec<Ipv4Addr>, BTreeMap<Arc<str>, Vec<Ipv4Addr>>) {
         let mut domains: BTreeMap<Arc<str>, Vec<Ipv4Addr>> = BTreeMap::new();
-        for (peer, word) in self.words.recent(now) {
+        for (peer, word) in self.words.staying(now) {
             domains.entry(Arc::clone(&word.domain)).or_default().push(peer);
         }
         (domains.remove(&self.domain).unwrap_or_default(), domains)
@@ -77,8 +77,8 @@
         }
         if !summary.passed_on {
             let message = Message::Summary(Summary { passed_on: true, ..summary.clone() });
-            let (near, _) = self.peers_of_domains(now);
-            actions.extend(near.into_iter().map(|peer| Action::Send(peer, message.clone())));
+            let near = self.words.recent(now).filter(|(_, word)| word.domain == self.domain);
+            actions.extend(near.map(|(peer, _)| Action::Send(peer, message.clone())));
         }
         actions
     }
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -3,195 +3,25 @@
 //! Every balancer of a failure domain computes the same order for a flow, so that a packet which
 //! reaches another balancer than the opening did finds its agent among the first ones asked.
 
-use std::collections::BTreeMap;
+mod candidate;
+mod order;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-use super::health::{FORGET_MS, Health, LATE_MS, LOST_MS, OUT_OF_SIGHT_MS, SUMMARY_MS};
+use candidate::{Candidate, Sight};
+
+use super::health::{FORGET_MS, Health, LOST_MS, OUT_OF_SIGHT_MS};
 use super::message::{Announcement, Load, Report, State, Summary};
 use super::roster::Told;
-use super::route::{Kind, Service};
+use super::route::Service;
 use crate::clock::Time;
-use crate::placement::{Key, mix};
-
-/// Agents of the client's own failure domain that a new flow chooses from. Two would leave one bad
-/// choice in four at 80% load; with more, a search asks more agents before it meets the right one.
-const NEAR: usize = 3;
-
-/// Agents of other failure domains that a new flow chooses from besides.
-const FAR: usize = 2;
-
-/// Part of its slots that a cold backend server is worth, in percent: it works 1.6 times as long.
-const COLD_PERCENT: u64 = 60;
 
 /// An agent that has announced itself no more often than this has started within one to three seconds:
 /// each of its ticks counts while a balancer has not answered it.
 const YOUNG: u64 = 10;
 
-/// How one more request or flow weighs at a choice, in thousandths of a slot.
-#[derive(Clone, Copy, Debug)]
-struct Weights {
-    busy: u64,
-    flow: u64,
-    far: u64,
-}
-
-impl Weights {
-    /// Short flows follow what is in progress now. Long ones follow the number of flows: each brings
-    /// about one request of 50 ms a second for as long as it lives, whatever is in progress now.
-    /// Crossing a failure domain costs bytes: a download is 20 times as large as other answers.
-    const fn of(kind: Kind) -> Self {
-        match kind {
-            Kind::Idempotent => Self { busy: 250, flow: 250, far: 150 },
-            Kind::Once => Self { busy: 1_000, flow: 50, far: 150 },
-            Kind::Download => Self { busy: 1_000, flow: 50, far: 1_500 },
-        }
-    }
-}
-
-/// A process that may have taken the place of another at its address.
-#[derive(Clone, Copy, Debug)]
-struct Rival {
-    incarnation: u64,
-    number: u64,
-}
-
-/// What a balancer knows of one agent.
-#[derive(Clone, Debug)]
-pub struct Candidate {
-    announcement: Announcement,
-    /// When that came.
-    announced: Time,
-    /// A process at the same address whose number says that it is older, as last heard of.
-    rival: Option<Rival>,
-    /// Last sign of any kind.
-    heard: Time,
-    /// Whether that came in a summary.
-    reported: bool,
-    load_heard: Time,
-    load: Load,
-    placed_since: u16,
-    /// Whether its silence was noticed.
-    noticed: bool,
-    /// What this balancer last told it of the balancers.
-    told: Option<Told>,
-}
-
-/// What an agent must be told of the balancers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Telling {
-    /// Nothing: it was told lately, and nothing has changed since.
-    Nothing,
-    /// That this balancer lives.
-    Sign,
-    /// Who the balancers are.
-    Addresses,
-}
-
-impl Candidate {
-    fn new(now: Time, word: Announcement, told: Option<Told>) -> Self {
-        Self {
-            announced: now,
-            rival: None,
-            heard: now,
-            reported: false,
-            load_heard: now,
-            load: word.load,
-            announcement: word,
-            placed_since: 0,
-            noticed: false,
-            told,
-        }
-    }
-
-    /// What an announcement from this agent's address changes. One with an earlier start than the
-    /// known process's is old, unless that process fell silent and this one goes on counting.
-    ///
-    /// Guards against a host whose time of day was set back before its agent started again: its number
-    /// is the smaller one for good, and its server would get no flow until the old process is
-    /// forgotten. A datagram that was held up cannot pass for it, since a dead process counts no more.
-    fn change(&mut self, now: Time, word: &Announcement) -> Change {
-        let known = &self.announcement;
-        if word.incarnation >= known.incarnation {
-            return change_by_later(known, word);
-        }
-        let rival = Rival { incarnation: word.incarnation, number: word.number };
-        let before = self.rival.replace(rival);
-        let goes_on = before.is_some_and(|before| {
-            before.incarnation == rival.incarnation && before.number < rival.number
-        });
-        let is_silent = now.since(self.announced) > LATE_MS;
-        if goes_on && is_silent { Change::Appeared } else { Change::Stale }
-    }
-
-    /// Its health for a process that could see its signs until `seen`, and that hears of it by summaries or
-    /// by itself.
-    fn health(&self, seen: Sight) -> Health {
-        let delay_ms = if self.reported { SUMMARY_MS } else { 0 };
-        let silence_ms = seen.until.since(self.heard).saturating_sub(delay_ms);
-        let health = Health::of(silence_ms, self.announcement.state == State::Restarting);
-        if seen.is_blind { health.max(Health::Late) } else { health }
-    }
-
-    /// Whether it may hold flows: it can be asked, or is away for a moment beside a backend server.
-    fn may_hold(&self, seen: Sight) -> bool {
-        match self.health(seen) {
-            Health::Fresh => true,
-            Health::Late | Health::Restarting => self.announcement.service.is_some(),
-            Health::Silent => false,
-        }
-    }
-
-    fn is_in(&self, seen: Sight, service: Service, state: State) -> bool {
-        self.announcement.service == Some(service)
-            && self.announcement.state == state
-            && self.health(seen) == Health::Fresh
-    }
-
-    /// Takes over the later signs of what was known before.
-    fn keep_signs(&mut self, before: &Self) {
-        self.heard = self.heard.max(before.heard);
-        self.load_heard = before.load_heard;
-        self.load = before.load;
-        self.placed_since = before.placed_since;
-    }
-
-    fn report(&self, now: Time, agent: Ipv4Addr, services: &mut Vec<Service>) -> Report {
-        let word = &self.announcement;
-        let place = word.service.map(|service| place_of(service, services));
-        Report {
-            agent,
-            age_ms: u32::try_from(now.since(self.heard)).unwrap_or(u32::MAX),
-            incarnation: word.incarnation,
-            number: word.number,
-            service: place.and_then(|place| u8::try_from(place).ok()),
-            slots: word.slots,
-            cold: word.cold,
-            state: word.state,
-            load: self.load,
-        }
-    }
-
-    /// Expected load with one more flow, in thousandths of its slots. What was placed since the last
-    /// report counts as if it were in progress, or all flows between two reports would go one way.
-    fn pressure(&self, weights: Weights, domain: &str) -> u64 {
-        let percent = if self.announcement.cold { COLD_PERCENT } else { 100 };
-        let slots = (u64::from(self.announcement.slots) * percent).max(100);
-        let busy = u64::from(self.load.busy) + u64::from(self.placed_since) + 1;
-        let flows = u64::from(self.load.flows) + u64::from(self.placed_since);
-        let far = if *self.announcement.domain == *domain { 0 } else { weights.far };
-        (busy * weights.busy + flows * weights.flow) * 100 / slots + far
-    }
-}
-
-/// Until when the signs of an agent could be seen.
-#[derive(Clone, Copy, Debug)]
-struct Sight {
-    until: Time,
-    /// Whether nothing is seen of its failure domain now.
-    is_blind: bool,
-}
-
 /// An agent chosen for a new flow, with what the choice rested on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -218,10 +48,24 @@
     Stale,
 }
 
+/// What an agent must be told of the balancers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Telling {
+    /// Nothing: it was told lately, and nothing has changed since.
+    Nothing,
+    /// That this balancer lives.
+    Sign,
+    /// Who the balancers are.
+    Addresses,
+}
+
 /// The agents that a balancer knows, by address.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     agents: BTreeMap<Ipv4Addr, Candidate>,
+    /// The agents of each service, and those that have none: a flow concerns those of one service, whatever
+    /// the size of the fleet.
+    members: BTreeMap<Option<Service>, BTreeSet<Ipv4Addr>>,
     /// When a summary of a failure domain's agents last came.
     summaries: BTreeMap<Arc<str>, Time>,
 }
@@ -236,15 +80,49 @@
             return change;
         }
         if word.state == State::Gone {
-            self.agents.remove(&from);
+            self.remove(from);
             return Change::Closed;
         }
         // A new process knows nothing of what the one before it was told.
         let told = told.filter(|_| change != Change::Appeared);
-        self.agents.insert(from, Candidate::new(now, word, told));
+        self.insert(from, Candidate::new(now, word, told));
         change
     }
 
+    fn insert(&mut self, agent: Ipv4Addr, candidate: Candidate) {
+        let service = candidate.announcement.service;
+        let before = self.agents.insert(agent, candidate);
+        let moved_from = before.map(|before| before.announcement.service);
+        if moved_from == Some(service) {
+            return;
+        }
+        if let Some(before) = moved_from {
+            self.leave(agent, before);
+        }
+        self.members.entry(service).or_default().insert(agent);
+    }
+
+    fn remove(&mut self, agent: Ipv4Addr) {
+        if let Some(candidate) = self.agents.remove(&agent) {
+            self.leave(agent, candidate.announcement.service);
+        }
+    }
+
+    fn leave(&mut self, agent: Ipv4Addr, service: Option<Service>) {
+        if let Some(members) = self.members.get_mut(&service) {
+            members.remove(&agent);
+            if members.is_empty() {
+                self.members.remove(&service);
+            }
+        }
+    }
+
+    /// The agents of a service, with what is known of them.
+    fn members(&self, service: Option<Service>) -> impl Iterator<Item = (Ipv4Addr, &Candidate)> {
+        let members = self.members.get(&service).into_iter().flatten();
+        members.filter_map(|agent| Some((*agent, self.agents.get(agent)?)))
+    }
+
     /// Takes in what a balancer of another failure domain heard of an agent there.
     pub fn reported(&mut self, now: Time, summary: &Summary, report: &Report) -> Change {
         let word = summary.announcement(report);
@@ -259,7 +137,6 @@
         if change != Change::Stale
             && let Some(known) = self.agents.get_mut(&report.agent)
         {
-            known.reported = true;
             known.heard = known.heard.max(heard);
             // What the agent itself said since, with an answer, is newer.
             if let Some(before) = before.filter(|before| before.load_heard > heard) {
@@ -274,12 +151,11 @@
         self.summaries.insert(Arc::clone(domain), now);
     }
 
-    /// What the agents of a failure domain last said, of those that speak to this process.
+    /// What the agents of the own failure domain last said, which speak to this process themselves.
     #[must_use]
     pub fn summary(&self, now: Time, domain: &Arc<str>) -> Summary {
         let is_meant = |candidate: &Candidate| {
             candidate.announcement.domain == *domain
-                && !candidate.reported
                 && candidate.health(self.sight(now, candidate)) != Health::Silent
         };
         let (domain, services, passed_on) = (Arc::clone(domain), Vec::new(), false);
@@ -296,17 +172,15 @@
     /// Guards against taking the agents of a whole failure domain for dead, and resetting their flows, when
     /// only the balancers that tell of them are gone: an agent is judged by its own silence alone.
     fn sight(&self, now: Time, candidate: &Candidate) -> Sight {
-        let clear = Sight { until: now, is_blind: false };
-        if !candidate.reported {
-            return clear;
-        }
-        let Some(last) = self.summaries.get(&candidate.announcement.domain) else {
-            return clear;
+        let Some(summarised) = self.summaries.get(&candidate.announcement.domain) else {
+            return Sight { until: now, is_elsewhere: false, is_blind: false };
         };
-        match now.since(*last) {
-            0..=OUT_OF_SIGHT_MS => Sight { until: *last, is_blind: false },
-            blind_ms if blind_ms <= LOST_MS => Sight { until: *last, is_blind: true },
-            _ => clear,
+        // An agent elsewhere that speaks for itself may stop at any time, when balancers there hear it again.
+        let until = candidate.heard.max(*summarised);
+        match now.since(until) {
+            0..=OUT_OF_SIGHT_MS => Sight { until, is_elsewhere: true, is_blind: false },
+            blind_ms if blind_ms <= LOST_MS => Sight { until, is_elsewhere: true, is_blind: true },
+            _ => Sight { until: now, is_elsewhere: true, is_blind: false },
         }
     }
 
@@ -381,7 +255,8 @@
     }
 
     fn count(&self, now: Time, service: Service, state: State) -> usize {
-        self.agents.values().filter(|candidate| self.is_in(now, candidate, service, state)).count()
+        let members = self.members(Some(service));
+        members.filter(|(_, candidate)| self.is_in(now, candidate, service, state)).count()
     }
 
     /// Which agents of a service get its new flows: the healthy ones, unless most are failing. Guards
@@ -462,7 +337,10 @@
 
     /// Forgets agents that are gone for longer than any flow lives.
     pub fn forget(&mut self, now: Time) {
-        self.agents.retain(|_, candidate| now.since(candidate.heard) < FORGET_MS);
+        let is_gone = |candidate: &Candidate| now.since(candidate.heard) >= FORGET_MS;
+        let gone = self.agents.iter().filter(|(_, candidate)| is_gone(candidate));
+        let gone: Vec<Ipv4Addr> = gone.map(|(agent, _)| *agent).collect();
+        gone.into_iter().for_each(|agent| self.remove(agent));
     }
 
     /// Shifts all waiting by a span in which this process stood still: it could not have heard.
@@ -474,137 +352,4 @@
             *last = last.after(span_ms);
         }
     }
-
-    /// The best agent for a new flow among the first of its order, without those in `tried`; when
-    /// all of these were tried, the best of all others.
-    #[must_use]
-    pub fn choose(
-        &self,
-        now: Time,
-        key: Key,
-        service: Service,
-        kind: Kind,
-        domain: &str,
-        tried: &[Ipv4Addr],
-    ) -> Option<Choice> {
-        let takers = self.takers(now, service);
-        let order = self.order(key, domain, |candidate| {
-            self.is_in(now, candidate, service, State::Ready)
-                || self.is_in(now, candidate, service, takers)
-        });
-        let near = order.iter().filter(|ranked| ranked.0.near).take(NEAR);
-        let far = order.iter().filter(|ranked| !ranked.0.near).take(FAR);
-        let untried = |ranked: &&(Rank, Ipv4Addr)| !tried.contains(&ranked.1);
-        let first = self.least(near.chain(far).filter(untried), kind, domain);
-        let agent = first.or_else(|| self.least(order.iter().filter(untried), kind, domain))?;
-        self.choice(now, agent)
-    }
-
-    /// All agents in the order in which they are asked for a flow: those of the given services
-    /// first, then the others, because a route may have moved since the flow was opened.
-    #[must_use]
-    pub fn search(&self, key: Key, services: &[Service], domain: &str) -> Vec<Ipv4Addr> {
-        let likely = |candidate: &Candidate| {
-            candidate.announcement.service.is_some_and(|service| services.contains(&service))
-        };
-        let mut order = self.search_among(key, domain, likely);
-        order.extend(self.search_among(key, domain, |candidate| !likely(candidate)));
-        order
-    }
-
-    /// Agents in the order of a search: first those that the opening was offered to before all others, in
-    /// each service, then the rest.
-    ///
-    /// Guards against searches that ask a whole failure domain before the two agents of other domains
-    /// that openings go to: with 22 agents in each of five domains that is 20 questions for two flows in
-    /// five, each a round trip while the client waits.
-    fn search_among(
-        &self,
-        key: Key,
-        domain: &str,
-        keep: impl Fn(&Candidate) -> bool,
-    ) -> Vec<Ipv4Addr> {
-        let mut seen: BTreeMap<(Option<Service>, bool), usize> = BTreeMap::new();
-        let (first, rest): (Vec<_>, Vec<_>) =
-            self.order(key, domain, keep).into_iter().partition(|(rank, agent)| {
-                let place = seen.entry((self.service(*agent), rank.near)).or_default();
-                *place += 1;
-                *place <= if rank.near { NEAR } else { FAR }
-            });
-        first.into_iter().chain(rest).map(|ranked| ranked.1).collect()
-    }
-
-    fn choice(&self, now: Time, agent: Ipv4Addr) -> Option<Choice> {
-        let candidate = self.agents.get(&agent)?;
-        Some(Choice { agent, load: candidate.load, age_ms: now.since(candidate.load_heard) })
-    }
-
-    fn least<'a>(
-        &self,
-        order: impl Iterator<Item = &'a (Rank, Ipv4Addr)>,
-        kind: Kind,
-        domain: &str,
-    ) -> Option<Ipv4Addr> {
-        let weights = Weights::of(kind);
-        order
-            .filter_map(|(_, agent)| {
-                Some((self.agents.get(agent)?.pressure(weights, domain), agent))
-            })
-            .min_by_key(|(pressure, _)| *pressure)
-            .map(|(_, agent)| *agent)
-    }
-
-    fn order(
-        &self,
-        key: Key,
-        domain: &str,
-        keep: impl Fn(&Candidate) -> bool,
-    ) -> Vec<(Rank, Ipv4Addr)> {
-        let mut order: Vec<(Rank, Ipv4Addr)> = self
-            .agents
-            .iter()
-            .filter(|(_, candidate)| keep(candidate))
-            .map(|(agent, candidate)| (Rank::of(key, *agent, candidate, domain), *agent))
-            .collect();
-        order.sort_unstable_by(|one, two| two.cmp(one));
-        order
-    }
-}
-
-/// Order of an agent for one key: the client's own failure domain first, then the higher hash.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
-    near: bool,
-    weight: u64,
-}
-
-impl Rank {
-    fn of(key: Key, agent: Ipv4Addr, candidate: &Candidate, domain: &str) -> Self {
-        let near = *candidate.announcement.domain == *domain;
-        Self { near, weight: mix(key.number() ^ mix(u64::from(agent.to_bits()))) }
-    }
-}
-
-/// The place of a service in a list, to which it is added if it is new.
-fn place_of(service: Service, services: &mut Vec<Service>) -> usize {
-    services.iter().position(|known| *known == service).unwrap_or_else(|| {
-        services.push(service);
-        services.len() - 1
-    })
-}
-
-/// What a word changes that comes of the known process or of one with a later start.
-fn change_by_later(known: &Announcement, word: &Announcement) -> Change {
-    if word.incarnation != known.incarnation {
-        return Change::Appeared;
-    }
-    if word.number < known.number {
-        return Change::Stale;
-    }
-    let opens = |word: &Announcement| word.state == State::Ready;
-    match (opens(known), opens(word)) {
-        (false, true) => Change::Opened,
-        (true, false) => Change::Closed,
-        _ => Change::None,
-    }
 }
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -0,0 +1,188 @@
+//! What a balancer knows of one agent.
+
+use std::net::Ipv4Addr;
+
+use super::Change;
+use crate::clock::Time;
+use crate::l4::health::{Health, LATE_MS, SUMMARY_MS};
+use crate::l4::message::{Announcement, Load, Report, State};
+use crate::l4::roster::Told;
+use crate::l4::route::{Kind, Service};
+
+/// Part of its slots that a cold backend server is worth, in percent: it works 1.6 times as long.
+const COLD_PERCENT: u64 = 60;
+
+/// How one more request or flow weighs at a choice, in thousandths of a slot.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Weights {
+    busy: u64,
+    flow: u64,
+    far: u64,
+}
+
+impl Weights {
+    /// Short flows follow what is in progress now. Long ones follow the number of flows: each brings
+    /// about one request of 50 ms a second for as long as it lives, whatever is in progress now.
+    /// Crossing a failure domain costs bytes: a download is 20 times as large as other answers.
+    pub(super) const fn of(kind: Kind) -> Self {
+        match kind {
+            Kind::Idempotent => Self { busy: 250, flow: 250, far: 150 },
+            Kind::Once => Self { busy: 1_000, flow: 50, far: 150 },
+            Kind::Download => Self { busy: 1_000, flow: 50, far: 1_500 },
+        }
+    }
+}
+
+/// A process that may have taken the place of another at its address.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Rival {
+    incarnation: u64,
+    number: u64,
+}
+
+/// What a balancer knows of one agent.
+#[derive(Clone, Debug)]
+pub(super) struct Candidate {
+    pub(super) announcement: Announcement,
+    /// When that came.
+    pub(super) announced: Time,
+    /// A process at the same address whose number says that it is older, as last heard of.
+    pub(super) rival: Option<Rival>,
+    /// Last sign of any kind.
+    pub(super) heard: Time,
+    pub(super) load_heard: Time,
+    pub(super) load: Load,
+    pub(super) placed_since: u16,
+    /// Whether its silence was noticed.
+    pub(super) noticed: bool,
+    /// What this balancer last told it of the balancers.
+    pub(super) told: Option<Told>,
+}
+
+impl Candidate {
+    pub(super) fn new(now: Time, word: Announcement, told: Option<Told>) -> Self {
+        Self {
+            announced: now,
+            rival: None,
+            heard: now,
+            load_heard: now,
+            load: word.load,
+            announcement: word,
+            placed_since: 0,
+            noticed: false,
+            told,
+        }
+    }
+
+    /// What an announcement from this agent's address changes. One with an earlier start than the
+    /// known process's is old, unless that process fell silent and this one goes on counting.
+    ///
+    /// Guards against a host whose time of day was set back before its agent started again: its number
+    /// is the smaller one for good, and its server would get no flow until the old process is
+    /// forgotten. A datagram that was held up cannot pass for it, since a dead process counts no more.
+    pub(super) fn change(&mut self, now: Time, word: &Announcement) -> Change {
+        let known = &self.announcement;
+        if word.incarnation >= known.incarnation {
+            return change_by_later(known, word);
+        }
+        let rival = Rival { incarnation: word.incarnation, number: word.number };
+        let before = self.rival.replace(rival);
+        let goes_on = before.is_some_and(|before| {
+            before.incarnation == rival.incarnation && before.number < rival.number
+        });
+        let is_silent = now.since(self.announced) > LATE_MS;
+        if goes_on && is_silent { Change::Appeared } else { Change::Stale }
+    }
+
+    /// Its health for a process that could see its signs until `seen`.
+    pub(super) fn health(&self, seen: Sight) -> Health {
+        let delay_ms = if seen.is_elsewhere { SUMMARY_MS } else { 0 };
+        let silence_ms = seen.until.since(self.heard).saturating_sub(delay_ms);
+        let health = Health::of(silence_ms, self.announcement.state == State::Restarting);
+        if seen.is_blind { health.max(Health::Late) } else { health }
+    }
+
+    /// Whether it may hold flows: it can be asked, or is away for a moment beside a backend server.
+    pub(super) fn may_hold(&self, seen: Sight) -> bool {
+        match self.health(seen) {
+            Health::Fresh => true,
+            Health::Late | Health::Restarting => self.announcement.service.is_some(),
+            Health::Silent => false,
+        }
+    }
+
+    pub(super) fn is_in(&self, seen: Sight, service: Service, state: State) -> bool {
+        self.announcement.service == Some(service)
+            && self.announcement.state == state
+            && self.health(seen) == Health::Fresh
+    }
+
+    /// Takes over the later signs of what was known before.
+    pub(super) fn keep_signs(&mut self, before: &Self) {
+        self.heard = self.heard.max(before.heard);
+        self.load_heard = before.load_heard;
+        self.load = before.load;
+        self.placed_since = before.placed_since;
+    }
+
+    pub(super) fn report(&self, now: Time, agent: Ipv4Addr, services: &mut Vec<Service>) -> Report {
+        let word = &self.announcement;
+        let place = word.service.map(|service| place_of(service, services));
+        Report {
+            agent,
+            age_ms: u32::try_from(now.since(self.heard)).unwrap_or(u32::MAX),
+            incarnation: word.incarnation,
+            number: word.number,
+            service: place.and_then(|place| u8::try_from(place).ok()),
+            slots: word.slots,
+            cold: word.cold,
+            state: word.state,
+            load: self.load,
+        }
+    }
+
+    /// Expected load with one more flow, in thousandths of its slots. What was placed since the last
+    /// report counts as if it were in progress, or all flows between two reports would go one way.
+    pub(super) fn pressure(&self, weights: Weights, domain: &str) -> u64 {
+        let percent = if self.announcement.cold { COLD_PERCENT } else { 100 };
+        let slots = (u64::from(self.announcement.slots) * percent).max(100);
+        let busy = u64::from(self.load.busy) + u64::from(self.placed_since) + 1;
+        let flows = u64::from(self.load.flows) + u64::from(self.placed_since);
+        let far = if *self.announcement.domain == *domain { 0 } else { weights.far };
+        (busy * weights.busy + flows * weights.flow) * 100 / slots + far
+    }
+}
+
+/// Until when the signs of an agent could be seen.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sight {
+    pub(super) until: Time,
+    /// Whether summaries tell of it, in which its signs are older.
+    pub(super) is_elsewhere: bool,
+    /// Whether nothing is seen of its failure domain now.
+    pub(super) is_blind: bool,
+}
+
+/// The place of a service in a list, to which it is added if it is new.
+fn place_of(service: Service, services: &mut Vec<Service>) -> usize {
+    services.iter().position(|known| *known == service).unwrap_or_else(|| {
+        services.push(service);
+        services.len() - 1
+    })
+}
+
+/// What a word changes that comes of the known process or of one with a later start.
+fn change_by_later(known: &Announcement, word: &Announcement) -> Change {
+    if word.incarnation != known.incarnation {
+        return Change::Appeared;
+    }
+    if word.number < known.number {
+        return Change::Stale;
+    }
+    let opens = |word: &Announcement| word.state == State::Ready;
+    match (opens(known), opens(word)) {
+        (false, true) => Change::Opened,
+        (true, false) => Change::Closed,
+        _ => Change::None,
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/placement/order.rs
@@ -0,0 +1,125 @@
+//! The order of agents for a flow: which get a new one, and which are asked for an open one.
+
+use std::cmp::Reverse;
+use std::net::Ipv4Addr;
+
+use super::candidate::{Candidate, Weights};
+use super::{Choice, Pool};
+use crate::clock::Time;
+use crate::l4::message::State;
+use crate::l4::route::{Kind, Service};
+use crate::placement::{Key, mix};
+
+/// Agents of the client's own failure domain that a new flow chooses from. Two would leave one bad
+/// choice in four at 80% load; with more, a search asks more agents before it meets the right one.
+const NEAR: usize = 3;
+
+/// Agents of other failure domains that a new flow chooses from besides.
+const FAR: usize = 2;
+
+impl Pool {
+    /// The best agent for a new flow among the first of its order, without those in `tried`; when
+    /// all of these were tried, the best of all others.
+    #[must_use]
+    pub fn choose(
+        &self,
+        now: Time,
+        key: Key,
+        service: Service,
+        kind: Kind,
+        domain: &str,
+        tried: &[Ipv4Addr],
+    ) -> Option<Choice> {
+        let takers = self.takers(now, service);
+        let is_open = |candidate: &Candidate| {
+            self.is_in(now, candidate, service, State::Ready)
+                || self.is_in(now, candidate, service, takers)
+        };
+        let open = || self.members(Some(service)).filter(|(_, candidate)| is_open(candidate));
+        let ranked = open().map(|(agent, candidate)| Ranked::of(key, agent, candidate, domain));
+        let weights = Weights::of(kind);
+        let untried = |agent: &Ipv4Addr| !tried.contains(agent);
+        let first = first_of(ranked).into_iter().filter(untried);
+        let first = first.filter_map(|agent| Some((agent, self.agents.get(&agent)?)));
+        // Of equals the first in the order is taken, so that all balancers agree.
+        let first = first.min_by_key(|(_, candidate)| candidate.pressure(weights, domain));
+        let least = |(agent, candidate): &(Ipv4Addr, &Candidate)| {
+            let ranked = Ranked::of(key, *agent, candidate, domain);
+            (candidate.pressure(weights, domain), Reverse(ranked))
+        };
+        let any = || open().filter(|(agent, _)| untried(agent)).min_by_key(least);
+        let (agent, candidate) = first.or_else(any)?;
+        Some(Choice { agent, load: candidate.load, age_ms: now.since(candidate.load_heard) })
+    }
+
+    /// The agents that are asked first for a flow: those that its opening was offered to before all others,
+    /// of each of the given services, or of each service there is if none is given.
+    ///
+    /// Guards against searches that ask a whole failure domain before the two agents of other domains
+    /// that openings go to: with 22 agents in each of five domains that is 20 questions for two flows in
+    /// five, each a round trip while the client waits.
+    #[must_use]
+    pub fn search_first(&self, key: Key, services: &[Service], domain: &str) -> Vec<Ipv4Addr> {
+        let given = services.iter().map(|service| Some(*service));
+        let all = self.members.keys().copied().filter(|_| services.is_empty());
+        let first = |service| {
+            let members = self.members(service);
+            first_of(members.map(|(agent, known)| Ranked::of(key, agent, known, domain)))
+        };
+        given.chain(all).flat_map(first).collect()
+    }
+
+    /// All agents in the order in which they are asked for a flow: after [`Self::search_first`] those of the
+    /// given services, then the others, because a route may have moved since the flow was opened.
+    #[must_use]
+    pub fn search(&self, key: Key, services: &[Service], domain: &str) -> Vec<Ipv4Addr> {
+        let first = self.search_first(key, services, domain);
+        let is_likely = |candidate: &Candidate| {
+            candidate.announcement.service.is_some_and(|service| services.contains(&service))
+        };
+        let rest = self.agents.iter().filter(|(agent, _)| !first.contains(agent));
+        let mut rest: Vec<_> = rest
+            .map(|(agent, known)| (is_likely(known), Ranked::of(key, *agent, known, domain)))
+            .collect();
+        rest.sort_unstable_by(|one, two| two.cmp(one));
+        first.into_iter().chain(rest.into_iter().map(|(_, ranked)| ranked.agent)).collect()
+    }
+}
+
+/// Place of an agent in the order for one key: the client's own failure domain first, then the higher hash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Ranked {
+    near: bool,
+    weight: u64,
+    agent: Ipv4Addr,
+}
+
+impl Ranked {
+    fn of(key: Key, agent: Ipv4Addr, candidate: &Candidate, domain: &str) -> Self {
+        let near = *candidate.announcement.domain == *domain;
+        let weight = mix(key.number() ^ mix(u64::from(agent.to_bits())));
+        Self { near, weight, agent }
+    }
+}
+
+/// The first agents of the client's own failure domain, then the first of others.
+fn first_of(ranked: impl Iterator<Item = Ranked>) -> Vec<Ipv4Addr> {
+    let (mut near, mut far) = (Vec::new(), Vec::new());
+    for one in ranked {
+        if one.near {
+            insert_among_first(&mut near, NEAR, one);
+        } else {
+            insert_among_first(&mut far, FAR, one);
+        }
+    }
+    near.into_iter().chain(far).map(|one| one.agent).collect()
+}
+
+/// Inserts into a list in descending order that keeps its first `most`.
+fn insert_among_first(first: &mut Vec<Ranked>, most: usize, one: Ranked) {
+    let place = first.partition_point(|other| *other > one);
+    if place < most {
+        first.insert(place, one);
+        first.truncate(most);
+    }
+}
--- a/crates/nutmegkeel_core/src/l4/word.rs
+++ b/crates/nutmegkeel_core/src/l4/word.rs
@@ -31,6 +31,8 @@
     pub version: u64,
     /// Whether the store answered its last call.
     pub reaches_store: bool,
+    /// Whether it is about to stop. It still carries packets, and hears of agents.
+    pub leaving: bool,
 }
 
 /// The last word of each balancer.
@@ -50,6 +52,7 @@
             agents: usize::try_from(roster.agents).unwrap_or(usize::MAX),
             version: roster.version,
             reaches_store: roster.reaches_store,
+            leaving: roster.leaving,
         };
         self.words.insert(from, word);
     }
@@ -85,6 +88,11 @@
         recent.map(|(balancer, word)| (*balancer, word))
     }
 
+    /// The words that count, of balancers that are not about to stop.
+    pub fn staying(&self, now: Time) -> impl Iterator<Item = (Ipv4Addr, &Word)> + '_ {
+        self.recent(now).filter(|(_, word)| !word.leaving)
+    }
+
     /// The balancers that act for a failure domain towards the store, by the words that count and `own`, the
     /// asking balancer itself: a hash names the first two among those that the store answers, or among all
     /// if it answers none of them.
@@ -98,7 +106,7 @@
         domain: &str,
         own: Option<(Ipv4Addr, bool)>,
     ) -> Vec<Ipv4Addr> {
-        let near = self.recent(now).filter(|(_, word)| *word.domain == *domain);
+        let near = self.staying(now).filter(|(_, word)| *word.domain == *domain);
         let near = near.map(|(balancer, word)| (balancer, word.reaches_store));
         let mut ranked: Vec<_> = near
             .chain(own)
--- a/crates/nutmegkeel_core/tests/l4/summary.rs
+++ b/crates/nutmegkeel_core/tests/l4/summary.rs
@@ -85,6 +85,23 @@
     assert_eq!(lost, Some(Health::Silent));
 }
 
+/// A download to another failure domain breaks off with a reset although its server lives. For a moment
+/// there was no balancer there, its agent spoke to all others itself, and then to its own again; the
+/// balancer that carried the download was being stopped and heard no summaries.
+#[test]
+fn an_agent_elsewhere_that_spoke_for_itself_is_not_given_up_when_it_stops() {
+    let mut pool = Pool::default();
+    summarise(&mut pool, 3_000, 3_000);
+    let mut direct = word(50, State::Ready, Load::default());
+    direct.domain = FAR.into();
+    pool.announced(at(3_900), host(1), direct);
+
+    let later: Vec<_> = [5_200, 6_500, 11_000].map(|now| pool.health(at(now), host(1))).into();
+
+    assert_eq!(later, vec![Some(Health::Late); 3]);
+    assert_eq!(pool.newly_silent(at(11_000)), Vec::<Ipv4Addr>::new());
+}
+
 /// Loads that an agent sent with an answer are newer than those of a summary that was under way.
 #[test]
 fn a_summary_does_not_bring_an_older_load_back() {
@@ -224,6 +241,34 @@
     assert_eq!(again, Vec::new());
 }
 
+/// A balancer that is being stopped still carries flows of other failure domains, and must go on hearing of
+/// their agents; it tells nobody of its own any more.
+#[test]
+fn a_leaving_balancer_goes_on_hearing_of_others() {
+    let mut balancers = domain(3);
+    let leaving = Roster { leaving: true, ..roster(1, &[], 1) };
+    balancers[0].handle(at(10), Event::Roster(host(2), leaving));
+
+    let passed = balancers[0].handle(at(20), Event::Summary(summary(vec![report(1, 10)])));
+    let listed = balancers[0].handle(at(30), Event::Roster(host(3), roster(1, &[host(2)], 1)));
+
+    let to: Vec<_> = summaries(&passed).into_iter().map(|(to, _)| to).collect();
+    assert_eq!(to, vec![host(2), host(3)]);
+    assert!(!listed.iter().any(|action| matches!(action, Action::Send(to, _) if *to == host(2))));
+}
+
+#[test]
+fn a_leaving_balancer_says_so_until_it_ends() {
+    let mut balancers = domain(3);
+    balancers[0].handle(at(10), Event::Leave);
+
+    let actions = balancers[0].handle(at(510), Event::Tick);
+
+    let is_leaving =
+        |action: &&Action| matches!(action, Action::Send(_, Message::Roster(word)) if word.leaving);
+    assert_eq!(actions.iter().filter(is_leaving).count(), 3, "{actions:?}");
+}
+
 fn announced_to(actions: &[agent::Action]) -> Vec<Ipv4Addr> {
     let to = |action: &agent::Action| match action {
         agent::Action::Send(to, Message::Announce(_)) => Some(*to),
--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -84,6 +84,7 @@
     let membership = decided("membership", "Detection and traffic", Measurement::Membership);
     let configuration = decided("configuration", "Spread of a change", Measurement::Configuration);
     let leaving = decided("leaving", "Last new flow at a leaving agent", Measurement::Leaving);
+    let finding = decided("finding", "Agent of a flow, by size of the fleet", Measurement::Finding);
     let capacity = decided("capacity", "Slopes for docs/CAPACITY.md", Measurement::Capacity);
     bpaf::construct!([
         path_measurement(),
@@ -95,6 +96,7 @@
         membership,
         configuration,
         leaving,
+        finding,
         capacity,
         capacity_point()
     ])
--- a/crates/nutmegkeel_dev/src/measure.rs
+++ b/crates/nutmegkeel_dev/src/measure.rs
@@ -5,6 +5,7 @@
 
 pub mod capacity;
 pub mod configuration;
+pub mod finding;
 pub mod forward;
 pub mod leaving;
 pub mod limits;
@@ -39,6 +40,8 @@
     Configuration,
     /// Last new flow at a leaving agent.
     Leaving,
+    /// Time to place and to look for a flow without a routing token.
+    Finding,
     /// Slopes for docs/CAPACITY.md.
     Capacity,
     /// One point of them.
@@ -60,6 +63,7 @@
         Measurement::Membership => membership::run(),
         Measurement::Configuration => configuration::run(),
         Measurement::Leaving => leaving::run(),
+        Measurement::Finding => finding::run(),
         Measurement::Capacity => capacity::run()?,
         Measurement::CapacityPoint(point) => capacity::run_point(*point),
     })
--- /dev/null
+++ b/crates/nutmegkeel_dev/src/measure/finding.rs
@@ -0,0 +1,91 @@
+//! Processor time to place and to look for a flow without a routing token, against the size of the fleet.
+
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Instant;
+
+use nutmegkeel_core::clock::Time;
+use nutmegkeel_core::l4::flow::Flow;
+use nutmegkeel_core::l4::message::{Announcement, Load, State};
+use nutmegkeel_core::l4::placement::Pool;
+use nutmegkeel_core::l4::route::{Kind, Service};
+use serde_json::{Map, json};
+
+/// Agents that a balancer knows.
+const AGENTS: [u32; 3] = [100, 1_000, 10_000];
+
+/// Agents of one service in a fleet of many; two services in all are measured besides.
+const MEMBERS: u32 = 10;
+
+/// Failure domains that the agents are spread over.
+const DOMAINS: u32 = 5;
+
+/// Flows over which the time of one is taken.
+const FLOWS: u16 = 2_000;
+
+/// Runs the measurement; it has no aim of its own.
+pub(super) fn run() -> bool {
+    let mut line = Map::new();
+    for agents in AGENTS {
+        for (name, services) in [("two_services", 2), ("many_services", agents / MEMBERS)] {
+            let pool = pool(agents, services);
+            let (choose_us, search_us) = (choose_us(&pool), search_us(&pool));
+            println!(
+                "{agents:>6} agents, {name:<13} choose {choose_us:>8.2} us, ask {search_us:>8.2} us"
+            );
+            line.insert(
+                format!("{name}_{agents}"),
+                json!({"choose_us": choose_us, "ask_us": search_us}),
+            );
+        }
+    }
+    super::print_line(line);
+    true
+}
+
+fn pool(agents: u32, services: u32) -> Pool {
+    let mut pool = Pool::default();
+    for number in 0..agents {
+        let word = Announcement {
+            incarnation: 1,
+            number: 100,
+            domain: format!("domain-{}", number % DOMAINS).into(),
+            service: Some(service(number / DOMAINS % services)),
+            slots: 2,
+            cold: false,
+            state: State::Ready,
+            load: Load { busy: 1, flows: 20 },
+            balancers: 0,
+        };
+        pool.announced(Time::ZERO, Ipv4Addr::from_bits(0x0a00_0000 + number), word);
+    }
+    pool
+}
+
+fn service(number: u32) -> Service {
+    Service::named(&format!("service-{number}"))
+}
+
+fn flow(port: u16) -> Flow {
+    let end = |address, port| SocketAddrV4::new(Ipv4Addr::from_bits(address), port);
+    Flow { client: end(0x6440_0001, port), service: end(0xc612_0001, 443) }
+}
+
+fn choose_us(pool: &Pool) -> f64 {
+    mean_us(|port| {
+        let key = flow(port).key();
+        black_box(pool.choose(Time::ZERO, key, service(0), Kind::Once, "domain-0", &[]));
+    })
+}
+
+fn search_us(pool: &Pool) -> f64 {
+    mean_us(|port| {
+        black_box(pool.search_first(flow(port).key(), &[service(0)], "domain-0"));
+    })
+}
+
+fn mean_us(mut step: impl FnMut(u16)) -> f64 {
+    let began = Instant::now();
+    (0..FLOWS).for_each(&mut step);
+    began.elapsed().as_secs_f64() * 1e6 / f64::from(FLOWS)
+}
