--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -5,7 +5,7 @@
 mod opening;
 mod peers;
 mod search;
-mod summary;
+pub mod summary;
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
--- a/crates/nutmegkeel_core/src/l4/balancer/summary.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/summary.rs
@@ -17,8 +17,8 @@
 use crate::l4::placement::Change;
 use crate::l4::policy::Mechanism;
 
-/// Agents told of in one datagram: at 30 bytes each they fit beside the rest.
-const REPORTS: usize = 48;
+/// Agents told of in one datagram: at some 20 bytes each they fit beside the rest.
+pub const REPORTS: usize = 48;
 
 /// Balancers of a failure domain that tell of its agents in one slot, each to another listener: one of them, or
 /// its listener, may have died.
@@ -29,7 +29,7 @@
     /// turn.
     pub(super) fn summarise(&mut self, now: Time) -> Vec<Action> {
         let slot = now.millis() / SUMMARY_MS;
-        if self.leaving || slot == self.slot || !self.policy.uses(Mechanism::Summaries) {
+        if slot == self.slot || !self.policy.uses(Mechanism::Summaries) {
             return Vec::new();
         }
         self.slot = slot;
--- a/crates/nutmegkeel_core/src/l4/handover.rs
+++ b/crates/nutmegkeel_core/src/l4/handover.rs
@@ -13,6 +13,10 @@
 /// a second, and the store answers within some milliseconds.
 const CONFIRM_MS: u64 = 2_000;
 
+/// Flows of a list that fits into one datagram: 21 bytes each in two kilobytes. A longer list is written by the
+/// agent itself, because every balancer would drop it.
+pub const LONGEST: usize = 80;
+
 /// What to do with a list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -43,6 +47,10 @@
     /// list waits while the store answers none of them.
     pub fn step(&mut self, now: Time, delegates: &[Ipv4Addr], reaches_store: bool) -> Option<Step> {
         let list = self.list.clone()?;
+        if list.flows.len() > LONGEST {
+            self.list = None;
+            return Some(Step::Write(list));
+        }
         let is_asked = !self.asked.is_empty();
         if is_asked && now.since(self.asked_at) <= CONFIRM_MS {
             return None;
--- a/crates/nutmegkeel_core/tests/l4/delegate.rs
+++ b/crates/nutmegkeel_core/tests/l4/delegate.rs
@@ -250,6 +250,19 @@
     assert_eq!(handover.step(at(9_000), &[host(1)], true), None);
 }
 
+/// Lists of busy servers never reach the store: they do not fit into a datagram, and no balancer answers.
+#[test]
+fn a_list_too_long_for_a_datagram_is_written_at_once() {
+    let flows = (0..=80).map(|port| (flow(port), 1)).collect();
+    let list = Checkpoint { flows, ..list(1) };
+    let mut handover = Handover::default();
+    handover.begin(list.clone());
+
+    let step = handover.step(at(0), &[host(1)], true);
+
+    assert_eq!(step, Some(Step::Write(list)));
+}
+
 /// While the store is away every agent would go on trying by itself, and each try is priced.
 #[test]
 fn a_list_waits_while_the_store_answers_no_balancer() {
--- a/crates/nutmegkeel_core/tests/l4/summary.rs
+++ b/crates/nutmegkeel_core/tests/l4/summary.rs
@@ -257,6 +257,20 @@
     assert!(!listed.iter().any(|action| matches!(action, Action::Send(to, _) if *to == host(2))));
 }
 
+/// All balancers of a failure domain are being stopped at once, which may take as long as downloads do. Their
+/// agents must not pass for dead meanwhile.
+#[test]
+fn a_leaving_balancer_goes_on_telling_of_its_agents() {
+    let mut balancers = domain(2);
+    for balancer in &mut balancers {
+        balancer.handle(at(10), Event::Leave);
+    }
+
+    let times = heard(&mut balancers, 50, 4_000, &[]);
+
+    assert!(longest_gap(&times) <= 350, "{times:?}");
+}
+
 #[test]
 fn a_leaving_balancer_says_so_until_it_ends() {
     let mut balancers = domain(3);
--- a/crates/nutmegkeel_wire/tests/l4.rs
+++ b/crates/nutmegkeel_wire/tests/l4.rs
@@ -1,7 +1,15 @@
 //! Datagrams between balancers and agents.
 
-use nutmegkeel_core::l4::message::{Load, Message, Reason};
-use nutmegkeel_wire::l4::{Fault, decode, encode};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use nutmegkeel_core::l4::balancer::summary;
+use nutmegkeel_core::l4::checkpoint::Checkpoint;
+use nutmegkeel_core::l4::flow::Flow;
+use nutmegkeel_core::l4::handover;
+use nutmegkeel_core::l4::message::{Load, Message, Reason, Report, State, Summary};
+use nutmegkeel_core::l4::route::Service;
+use nutmegkeel_core::l4::server::Incarnation;
+use nutmegkeel_wire::l4::{Fault, LONGEST, decode, encode};
 use quickcheck::QuickCheck;
 
 fn declined() -> Message {
@@ -31,8 +39,52 @@
 fn no_bytes_end_the_process() {
     fn holds(bytes: Vec<u8>) -> bool {
         let _ = decode(&bytes);
-        let _ = decode(&[&[1], bytes.as_slice()].concat());
+        let _ = decode(&[&version(), bytes.as_slice()].concat());
         true
     }
     QuickCheck::new().tests(5_000).quickcheck(holds as fn(Vec<u8>) -> bool);
 }
+
+/// The first byte of every datagram.
+fn version() -> [u8; 1] {
+    let mut datagram = Vec::new();
+    encode(&declined(), b"", &mut datagram);
+    [datagram[0]]
+}
+
+/// Lists of open flows, and the agents of a whole failure domain, vanish on their way: the reader's buffer
+/// is shorter than the datagram.
+#[test]
+fn the_longest_messages_fit_into_a_datagram() {
+    let end = |number: u16| SocketAddrV4::new(Ipv4Addr::new(203, 0, 113, 200), 60_000 + number);
+    let flow = |number| (Flow { client: end(number), service: end(0) }, u32::MAX);
+    let count = u16::try_from(handover::LONGEST).expect("a short list");
+    let server = Incarnation { id: "i-0123456789abcdef".into(), started_ms: Some(u64::MAX >> 20) };
+    let flows = (0..count).map(flow).collect();
+    let list = Message::Deposit(Checkpoint { number: u64::MAX >> 20, server, flows });
+    let report = Report {
+        agent: Ipv4Addr::new(203, 0, 113, 200),
+        age_ms: 10_000,
+        incarnation: u64::MAX >> 20,
+        number: 1 << 20,
+        service: Some(3),
+        slots: 1_000,
+        cold: true,
+        state: State::Restarting,
+        load: Load { busy: 1_000, flows: 10_000 },
+    };
+    let services = (0..4).map(|number| Service::named(&format!("service-{number}"))).collect();
+    let summary = Message::Summary(Summary {
+        domain: "a-failure-domain-with-a-long-name".into(),
+        services,
+        reports: vec![report; summary::REPORTS],
+        passed_on: false,
+    });
+
+    for message in [list, summary] {
+        let mut datagram = Vec::new();
+        encode(&message, b"", &mut datagram);
+
+        assert!(datagram.len() <= LONGEST, "{} bytes", datagram.len());
+    }
+}
