--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -315,6 +315,7 @@
         let mut actions = self.recall_if_changed(now);
         actions.extend(self.collector.due(now).map(Action::Commit));
         actions.extend(self.summarise(now));
+        actions.extend(self.tell_late(now));
         if self.pool.is_cut_off(now) {
             return actions;
         }
@@ -380,7 +381,7 @@
     /// that has not yet learnt of this balancer: the others know it.
     fn has_heard_of_all(&self, now: Time) -> bool {
         let own = self.pool.heard_of(now);
-        self.words.recent(now).map(|(_, word)| word.agents).max().is_none_or(|most| own >= most)
+        self.words.fresh(now).map(|(_, word)| word.agents).max().is_none_or(|most| own >= most)
     }
 
     /// Whether agents are still appearing.
--- a/crates/nutmegkeel_core/src/l4/balancer/kept.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/kept.rs
@@ -51,7 +51,7 @@
 
     /// Other balancers that have a configuration.
     fn able(&self, now: Time) -> impl Iterator<Item = Ipv4Addr> + '_ {
-        self.words.staying(now).filter(|(_, word)| word.version > 0).map(|(peer, _)| peer)
+        self.words.fresh(now).filter(|(_, word)| word.version > 0).map(|(peer, _)| peer)
     }
 
     /// Hands a packet to a balancer that has a configuration, if one is known.
--- a/crates/nutmegkeel_core/src/l4/balancer/summary.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/summary.rs
@@ -46,12 +46,23 @@
     }
 
     fn summaries(&self, now: Time) -> Vec<Message> {
-        let summary = self.pool.summary(now, &self.domain);
-        let message = |reports: &[Report]| {
-            let part = Summary { reports: reports.to_vec(), ..summary.clone() };
-            Message::Summary(part)
-        };
-        summary.reports.chunks(REPORTS).map(message).collect()
+        messages(&self.pool.summary(now, &self.domain))
+    }
+
+    /// Tells all balancers of the other failure domains of agents here that became late.
+    ///
+    /// Guards against openings that go to a dead host elsewhere until the next summary: with their last copy,
+    /// 600 ms after the first, their clients would have lost the try.
+    pub(super) fn tell_late(&mut self, now: Time) -> Vec<Action> {
+        let late = self.pool.newly_late(now, &self.domain);
+        if late.reports.is_empty() || !self.policy.uses(Mechanism::Summaries) || !self.watches(now)
+        {
+            return Vec::new();
+        }
+        let messages = messages(&Summary { passed_on: true, ..late });
+        let far = self.words.recent(now).filter(|(_, word)| word.domain != self.domain);
+        far.flat_map(|(to, _)| messages.iter().map(move |one| Action::Send(to, one.clone())))
+            .collect()
     }
 
     /// The other balancers that were heard of lately and stay: those of this failure domain, and those of
@@ -93,3 +104,12 @@
         is_news.then_some(Action::Note(Note::Agent { agent, change }))
     }
 }
+
+/// A summary in datagrams of bounded length.
+fn messages(summary: &Summary) -> Vec<Message> {
+    let message = |reports: &[Report]| {
+        let part = Summary { reports: reports.to_vec(), ..summary.clone() };
+        Message::Summary(part)
+    };
+    summary.reports.chunks(REPORTS).map(message).collect()
+}
--- a/crates/nutmegkeel_core/src/l4/health.rs
+++ b/crates/nutmegkeel_core/src/l4/health.rs
@@ -19,8 +19,8 @@
 /// that nobody else holds may be at its backend server.
 pub const FORGET_MS: u64 = 60_000;
 
-/// Pause between two summaries of a failure domain's agents, in milliseconds: as between announcements. The
-/// last sign of an agent in another failure domain is so much older, and no more.
+/// Pause between two summaries of a failure domain's agents, in milliseconds: as between announcements, so that
+/// loads elsewhere are known half as well as at home.
 pub const SUMMARY_MS: u64 = ANNOUNCE_MS;
 
 /// A failure domain whose agents no summary has told of for so long is out of sight: three summaries and
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -211,6 +211,13 @@
 }
 
 impl Summary {
+    /// A summary of a failure domain that tells of nobody yet.
+    #[must_use]
+    pub fn open(domain: &Arc<str>) -> Self {
+        let domain = Arc::clone(domain);
+        Self { domain, services: Vec::new(), reports: Vec::new(), passed_on: false }
+    }
+
     /// What an agent said that one of the reports tells of.
     #[must_use]
     pub fn announcement(&self, report: &Report) -> Announcement {
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -158,8 +158,7 @@
             candidate.announcement.domain == *domain
                 && candidate.health(self.sight(now, candidate)) != Health::Silent
         };
-        let (domain, services, passed_on) = (Arc::clone(domain), Vec::new(), false);
-        let mut summary = Summary { domain, services, reports: Vec::new(), passed_on };
+        let mut summary = Summary::open(domain);
         for (agent, candidate) in self.agents.iter().filter(|(_, candidate)| is_meant(candidate)) {
             let report = candidate.report(now, *agent, &mut summary.services);
             summary.reports.push(report);
@@ -173,14 +172,14 @@
     /// only the balancers that tell of them are gone: an agent is judged by its own silence alone.
     fn sight(&self, now: Time, candidate: &Candidate) -> Sight {
         let Some(summarised) = self.summaries.get(&candidate.announcement.domain) else {
-            return Sight { until: now, is_elsewhere: false, is_blind: false };
+            return Sight { until: now, is_blind: false };
         };
         // An agent elsewhere that speaks for itself may stop at any time, when balancers there hear it again.
         let until = candidate.heard.max(*summarised);
         match now.since(until) {
-            0..=OUT_OF_SIGHT_MS => Sight { until, is_elsewhere: true, is_blind: false },
-            blind_ms if blind_ms <= LOST_MS => Sight { until, is_elsewhere: true, is_blind: true },
-            _ => Sight { until: now, is_elsewhere: true, is_blind: false },
+            0..=OUT_OF_SIGHT_MS => Sight { until, is_blind: false },
+            blind_ms if blind_ms <= LOST_MS => Sight { until, is_blind: true },
+            _ => Sight { until: now, is_blind: false },
         }
     }
 
@@ -193,6 +192,7 @@
         if let Some(candidate) = self.agents.get_mut(&from) {
             candidate.heard = now;
             candidate.noticed = false;
+            candidate.noticed_late = false;
             candidate.load_heard = now;
             candidate.load = load;
             candidate.placed_since = 0;
@@ -214,6 +214,28 @@
         silent
     }
 
+    /// What is known of the agents of the own failure domain that became late since the last call.
+    pub fn newly_late(&mut self, now: Time, domain: &Arc<str>) -> Summary {
+        let is_new = |candidate: &Candidate| {
+            !candidate.noticed_late
+                && candidate.announcement.domain == *domain
+                && self.health_of(now, candidate) == Health::Late
+        };
+        let late = self.agents.iter().filter(|(_, candidate)| is_new(candidate));
+        let late: BTreeSet<Ipv4Addr> = late.map(|(agent, _)| *agent).collect();
+        for agent in &late {
+            if let Some(candidate) = self.agents.get_mut(agent) {
+                candidate.noticed_late = true;
+            }
+        }
+        let mut summary = Summary::open(domain);
+        if !late.is_empty() {
+            summary = self.summary(now, domain);
+            summary.reports.retain(|report| late.contains(&report.agent));
+        }
+        summary
+    }
+
     /// Notes a flow that was sent there.
     pub fn placed(&mut self, agent: Ipv4Addr) {
         if let Some(candidate) = self.agents.get_mut(&agent) {
--- a/crates/nutmegkeel_core/src/l4/placement/candidate.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -4,7 +4,7 @@
 
 use super::Change;
 use crate::clock::Time;
-use crate::l4::health::{Health, LATE_MS, SUMMARY_MS};
+use crate::l4::health::{Health, LATE_MS};
 use crate::l4::message::{Announcement, Load, Report, State};
 use crate::l4::roster::Told;
 use crate::l4::route::{Kind, Service};
@@ -55,6 +55,8 @@
     pub(super) placed_since: u16,
     /// Whether its silence was noticed.
     pub(super) noticed: bool,
+    /// Whether it was noticed that signs are missing.
+    pub(super) noticed_late: bool,
     /// What this balancer last told it of the balancers.
     pub(super) told: Option<Told>,
 }
@@ -70,6 +72,7 @@
             announcement: word,
             placed_since: 0,
             noticed: false,
+            noticed_late: false,
             told,
         }
     }
@@ -96,8 +99,7 @@
 
     /// Its health for a process that could see its signs until `seen`.
     pub(super) fn health(&self, seen: Sight) -> Health {
-        let delay_ms = if seen.is_elsewhere { SUMMARY_MS } else { 0 };
-        let silence_ms = seen.until.since(self.heard).saturating_sub(delay_ms);
+        let silence_ms = seen.until.since(self.heard);
         let health = Health::of(silence_ms, self.announcement.state == State::Restarting);
         if seen.is_blind { health.max(Health::Late) } else { health }
     }
@@ -157,8 +159,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Sight {
     pub(super) until: Time,
-    /// Whether summaries tell of it, in which its signs are older.
-    pub(super) is_elsewhere: bool,
     /// Whether nothing is seen of its failure domain now.
     pub(super) is_blind: bool,
 }
--- a/crates/nutmegkeel_core/src/l4/word.rs
+++ b/crates/nutmegkeel_core/src/l4/word.rs
@@ -88,6 +88,12 @@
         recent.map(|(balancer, word)| (*balancer, word))
     }
 
+    /// The words of the last moment: what depends on the present, such as how many agents a balancer hears of,
+    /// is out of date sooner than who the balancers are.
+    pub fn fresh(&self, now: Time) -> impl Iterator<Item = (Ipv4Addr, &Word)> + '_ {
+        self.staying(now).filter(move |(_, word)| now.since(word.said) <= COUNTED_MS)
+    }
+
     /// The words that count, of balancers that are not about to stop.
     pub fn staying(&self, now: Time) -> impl Iterator<Item = (Ipv4Addr, &Word)> + '_ {
         self.recent(now).filter(|(_, word)| !word.leaving)
--- a/crates/nutmegkeel_core/tests/l4/delegate.rs
+++ b/crates/nutmegkeel_core/tests/l4/delegate.rs
@@ -6,7 +6,7 @@
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
 use nutmegkeel_core::l4::checkpoint::Checkpoint;
 use nutmegkeel_core::l4::handover::{Handover, Step};
-use nutmegkeel_core::l4::message::{Message, Roster};
+use nutmegkeel_core::l4::message::{Load, Message, Reason, Roster};
 use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::word::{DELEGATES, Words};
 
@@ -134,6 +134,29 @@
     assert_eq!(rosters(&told).iter().filter(|(_, word)| word.version == 3).count(), 11);
 }
 
+/// Clients of lost flows wait for seconds after a server was taken away: a balancer of another failure domain,
+/// which speaks only each few seconds, had said that it hears of one agent more.
+#[test]
+fn an_old_count_of_agents_does_not_delay_resets() {
+    let mut balancer = crate::fixture::balancer(&[1, 2]);
+    for now in (0..=3_000).step_by(500) {
+        for number in 40..=80 {
+            balancer.handle(at(now), Event::Roster(host(number), roster(1, &[], 3)));
+        }
+        balancer.handle(at(now), Event::Tick);
+    }
+    crate::fixture::announce(&mut balancer, &[1, 2], 3_300, 5_100);
+    let head = data(flow(1), 1_001, 501);
+    balancer.handle(at(5_100), Event::Client(head));
+    let reason = Reason::NotHeld;
+    let load = Load::default();
+    balancer.handle(at(5_101), Event::Declined { from: host(1), head, reason, load });
+
+    let actions = balancer.handle(at(5_102), Event::Declined { from: host(2), head, reason, load });
+
+    assert!(crate::fixture::resets(&actions), "{actions:?}");
+}
+
 /// Answers with all addresses go to and fro for seconds after a balancer has died, because one side has
 /// not dropped it yet: one answer for each view is enough, and another when the first may have been lost.
 #[test]
--- a/crates/nutmegkeel_core/tests/l4/summary.rs
+++ b/crates/nutmegkeel_core/tests/l4/summary.rs
@@ -61,10 +61,10 @@
 fn an_agent_that_fell_silent_is_late_and_then_given_up() {
     let mut pool = Pool::default();
 
-    summarise(&mut pool, 3_000, 4_200);
-    let late = pool.health(at(4_200), host(1));
-    summarise(&mut pool, 3_000, 5_400);
-    let silent = pool.health(at(5_400), host(1));
+    summarise(&mut pool, 3_000, 3_900);
+    let late = pool.health(at(3_900), host(1));
+    summarise(&mut pool, 3_000, 5_100);
+    let silent = pool.health(at(5_100), host(1));
 
     assert_eq!((late, silent), (Some(Health::Late), Some(Health::Silent)));
 }
@@ -229,6 +229,28 @@
     assert!(longest_gap(&times) <= 650, "{times:?}");
 }
 
+/// Openings go to a dead host of another failure domain with their last copies too, and their clients lose a
+/// try: nobody there knew of its silence before the next summary.
+#[test]
+fn a_late_agent_is_told_of_at_once() {
+    let mut balancers = domain(2);
+
+    let told: Vec<u64> = (50..=1_500)
+        .step_by(50)
+        .filter(|now| {
+            let actions: Vec<Action> = balancers
+                .iter_mut()
+                .flat_map(|balancer| balancer.handle(at(*now), Event::Tick))
+                .collect();
+            let of_late = |summary: &Summary| summary.reports.iter().any(|one| one.age_ms > 700);
+            let told = summaries(&actions);
+            told.iter().any(|(to, one)| *to == FAR_BALANCER && one.passed_on && of_late(one))
+        })
+        .collect();
+
+    assert_eq!(told, vec![750]);
+}
+
 #[test]
 fn a_summary_is_passed_on_at_home_once() {
     let mut balancers = domain(3);
