--- a/crates/nutmegkeel_core/tests/l4/delegate.rs
+++ b/crates/nutmegkeel_core/tests/l4/delegate.rs
@@ -11,7 +11,8 @@
 use nutmegkeel_core::l4::word::{DELEGATES, Words};
 
 use crate::fixture::{
-    BALANCER, DOMAIN, accepted, agent, at, data, desk, flow, heartbeat, host, opening, roster,
+    self, BALANCER, DOMAIN, PORT, agent, ask, at, data, demand, desk, flow, heartbeat, host, open,
+    resets, roster, table,
 };
 
 /// Pause between two ticks of the balancers here, in milliseconds.
@@ -126,10 +127,9 @@
 #[test]
 fn a_new_configuration_is_told_to_the_whole_failure_domain_at_once() {
     let mut balancers = domain(12);
-    balancers[0].handle(at(10), Event::Configured(crate::fixture::table(2, &[(443, desk())])));
+    balancers[0].handle(at(10), Event::Configured(table(2, &[(PORT, desk())])));
 
-    let told =
-        balancers[0].handle(at(20), Event::Configured(crate::fixture::table(3, &[(443, desk())])));
+    let told = balancers[0].handle(at(20), Event::Configured(table(3, &[(PORT, desk())])));
 
     assert_eq!(rosters(&told).iter().filter(|(_, word)| word.version == 3).count(), 11);
 }
@@ -138,14 +138,14 @@
 /// which speaks only each few seconds, had said that it hears of one agent more.
 #[test]
 fn an_old_count_of_agents_does_not_delay_resets() {
-    let mut balancer = crate::fixture::balancer(&[1, 2]);
+    let mut balancer = fixture::balancer(&[1, 2]);
     for now in (0..=3_000).step_by(500) {
         for number in 40..=80 {
             balancer.handle(at(now), Event::Roster(host(number), roster(1, &[], 3)));
         }
         balancer.handle(at(now), Event::Tick);
     }
-    crate::fixture::announce(&mut balancer, &[1, 2], 3_300, 5_100);
+    fixture::announce(&mut balancer, &[1, 2], 3_300, 5_100);
     let head = data(flow(1), 1_001, 501);
     balancer.handle(at(5_100), Event::Client(head));
     let reason = Reason::NotHeld;
@@ -154,7 +154,7 @@
 
     let actions = balancer.handle(at(5_102), Event::Declined { from: host(2), head, reason, load });
 
-    assert!(crate::fixture::resets(&actions), "{actions:?}");
+    assert!(resets(&actions), "{actions:?}");
 }
 
 /// Answers with all addresses go to and fro for seconds after a balancer has died, because one side has
@@ -320,7 +320,8 @@
     agent.handle(at(0), agent::Event::Recovered(None));
     agent.handle(at(1), agent::Event::Heartbeat(heartbeat("a", 1)));
     agent.handle(at(3_000), agent::Event::Roster(BALANCER, roster(1, &[], 1)));
-    open_flow(&mut agent, 3_000);
+    open(&mut agent, 3_000, flow(1), demand(false));
+    ask(&mut agent, 3_002, flow(1), 1_001);
 
     let actions = agent.handle(at(3_100), agent::Event::Tick);
 
@@ -328,23 +329,3 @@
     assert_eq!(actions.iter().filter(deposits).count(), 1, "{actions:?}");
     assert!(!actions.iter().any(|action| matches!(action, agent::Action::Save(_))));
 }
-
-fn open_flow(agent: &mut agent::Agent, now: u64) {
-    let head = opening(flow(1), 0);
-    let demand =
-        nutmegkeel_core::l4::message::Demand { objective_ms: 250, deadline_ms: 2_500, once: false };
-    agent.handle(
-        at(now),
-        agent::Event::Open {
-            from: BALANCER,
-            head,
-            service: desk(),
-            insistence: nutmegkeel_core::l4::message::Insistence::IfInTime,
-            demand,
-            waited_ms: 0,
-        },
-    );
-    agent.handle(at(now + 1), agent::Event::FromServer(accepted(flow(1), 500)));
-    let head = data(flow(1), 1_001, 501);
-    agent.handle(at(now + 2), agent::Event::Carry { from: BALANCER, head, known: true });
-}
--- a/crates/nutmegkeel_core/tests/l4/fixture.rs
+++ b/crates/nutmegkeel_core/tests/l4/fixture.rs
@@ -4,10 +4,10 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use nutmegkeel_core::clock::Time;
-use nutmegkeel_core::l4::agent::{Agent, Identity};
+use nutmegkeel_core::l4::agent::{self, Agent, Identity};
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
 use nutmegkeel_core::l4::flow::{Flags, Flow, Head};
-use nutmegkeel_core::l4::message::{Announcement, Load, Roster, State};
+use nutmegkeel_core::l4::message::{Announcement, Demand, Insistence, Load, Roster, State};
 use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::route::{Kind, Route, Service, Share, Table};
 use nutmegkeel_core::l4::server::{Heartbeat, Incarnation};
@@ -151,6 +151,26 @@
     Heartbeat { incarnation, ..heartbeat(id, seq) }
 }
 
+/// Requests that may run again, or must run once.
+pub(crate) const fn demand(once: bool) -> Demand {
+    Demand { objective_ms: 250, deadline_ms: 2_500, once }
+}
+
+/// Lets an agent take a flow that its server accepts with the number 500.
+pub(crate) fn open(agent: &mut Agent, now: u64, flow: Flow, demand: Demand) {
+    let (from, head, service) = (BALANCER, opening(flow, 0), desk());
+    let insistence = Insistence::IfInTime;
+    let event = agent::Event::Open { from, head, service, insistence, demand, waited_ms: 0 };
+    agent.handle(at(now), event);
+    agent.handle(at(now + 1), agent::Event::FromServer(accepted(flow, 500)));
+}
+
+/// Lets a client send data on a flow that was opened so.
+pub(crate) fn ask(agent: &mut Agent, now: u64, flow: Flow, seq: u32) {
+    let head = data(flow, seq, 501);
+    agent.handle(at(now), agent::Event::Carry { from: BALANCER, head, known: true });
+}
+
 /// An agent that knows one balancer and nothing of its backend server.
 pub(crate) fn agent() -> Agent {
     let identity = Identity {
--- a/crates/nutmegkeel_core/tests/l4/mute.rs
+++ b/crates/nutmegkeel_core/tests/l4/mute.rs
@@ -2,29 +2,13 @@
 
 use nutmegkeel_core::l4::agent::{Action, Agent, Event};
 use nutmegkeel_core::l4::flow::Flow;
-use nutmegkeel_core::l4::message::{Demand, Insistence, State};
+use nutmegkeel_core::l4::message::State;
 
-use crate::fixture::{BALANCER, accepted, agent, at, data, desk, flow, heartbeat, opening};
+use crate::fixture::{agent, ask, at, data, demand, flow, heartbeat, open};
 
 /// Time of an answer while the server is well, in milliseconds.
 const ANSWER_MS: u64 = 60;
 
-const IDEMPOTENT: Demand = Demand { objective_ms: 250, deadline_ms: 2_500, once: false };
-const ONCE: Demand = Demand { objective_ms: 250, deadline_ms: 2_500, once: true };
-
-fn open(agent: &mut Agent, now: u64, flow: Flow, demand: Demand) {
-    let (head, service) = (opening(flow, 0), desk());
-    let insistence = Insistence::IfInTime;
-    let from = BALANCER;
-    agent.handle(at(now), Event::Open { from, head, service, insistence, demand, waited_ms: 0 });
-    agent.handle(at(now + 1), Event::FromServer(accepted(flow, 500)));
-}
-
-fn ask(agent: &mut Agent, now: u64, flow: Flow, seq: u32) {
-    let head = data(flow, seq, 501);
-    agent.handle(at(now), Event::Carry { from: BALANCER, head, known: true });
-}
-
 fn answer(agent: &mut Agent, now: u64, flow: Flow) {
     agent.handle(at(now), Event::FromServer(data(flow, 501, 1_101)));
 }
@@ -40,7 +24,7 @@
     let mut agent = agent();
     agent.handle(at(0), Event::Recovered(None));
     agent.handle(at(0), Event::Heartbeat(heartbeat("a", 1)));
-    open(&mut agent, 1, flow(1), IDEMPOTENT);
+    open(&mut agent, 1, flow(1), demand(false));
     for number in 0..answers {
         let now = 100 + 100 * u64::from(number);
         agent.handle(at(now), Event::Tick);
@@ -61,8 +45,8 @@
 
 /// Two status checks and two filings go to a server that answers nothing from then on.
 fn go_mute(agent: &mut Agent, now: u64) {
-    for (port, demand) in [(2, IDEMPOTENT), (3, IDEMPOTENT), (4, ONCE), (5, ONCE)] {
-        open(agent, now, flow(port), demand);
+    for (port, once) in [(2, false), (3, false), (4, true), (5, true)] {
+        open(agent, now, flow(port), demand(once));
         ask(agent, now + 2, flow(port), 1_001);
     }
 }
@@ -86,7 +70,7 @@
 #[test]
 fn one_request_that_waits_is_no_sign() {
     let mut agent = learnt(16);
-    open(&mut agent, 3_000, flow(2), IDEMPOTENT);
+    open(&mut agent, 3_000, flow(2), demand(false));
     ask(&mut agent, 3_002, flow(2), 1_001);
 
     let actions = pass(&mut agent, 3_100, 6_000);
--- a/crates/nutmegkeel_core/tests/l4/summary.rs
+++ b/crates/nutmegkeel_core/tests/l4/summary.rs
@@ -9,6 +9,7 @@
 use nutmegkeel_core::l4::message::{Load, Message, Report, Roster, State, Summary};
 use nutmegkeel_core::l4::placement::{Change, Pool};
 use nutmegkeel_core::l4::policy::Policy;
+use nutmegkeel_core::l4::route::Kind;
 
 use crate::fixture::{BALANCER, DOMAIN, agent, at, desk, flow, heartbeat, host, roster, word};
 
@@ -111,14 +112,7 @@
 
     let change = pool.reported(at(3_300), &summary(Vec::new()), &report(12, 200));
 
-    let choice = pool.choose(
-        at(3_300),
-        flow(1).key(),
-        desk(),
-        nutmegkeel_core::l4::route::Kind::Once,
-        DOMAIN,
-        &[],
-    );
+    let choice = pool.choose(at(3_300), flow(1).key(), desk(), Kind::Once, DOMAIN, &[]);
     assert_eq!(change, Change::None);
     assert_eq!(choice.map(|choice| choice.load.busy), Some(9));
 }
--- a/crates/nutmegkeel_node/src/agent/shared.rs
+++ b/crates/nutmegkeel_node/src/agent/shared.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 
 use log::info;
 use metrics::counter;
@@ -26,6 +26,7 @@
 use super::announcement::Announcement;
 use crate::address;
 use crate::clock::Clock;
+use crate::lock::lock;
 use crate::metric;
 use crate::settings;
 
@@ -116,7 +117,7 @@
 impl Shared {
     pub(super) fn core(&self) -> MutexGuard<'_, Core> {
         // A poisoned lock means that an invariant failed on another task; the process must end.
-        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.core)
     }
 
     pub(super) fn now(&self) -> Time {
@@ -141,7 +142,7 @@
 
     /// The groups of claims to write; there is one taker.
     pub(super) fn take_claim_groups(&self) -> Option<Receiver<Vec<Claim>>> {
-        self.claim_groups.lock().unwrap_or_else(PoisonError::into_inner).take()
+        lock(&self.claim_groups).take()
     }
 
     /// Takes an event to the core and carries out what it decides.
@@ -164,7 +165,7 @@
     }
 
     fn waiting(&self) -> MutexGuard<'_, BTreeMap<Id, oneshot::Sender<Go>>> {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.waiting)
     }
 
     fn tell(&self, id: Id, go: Go) {
--- a/crates/nutmegkeel_node/src/balancer.rs
+++ b/crates/nutmegkeel_node/src/balancer.rs
@@ -29,6 +29,7 @@
 
 use crate::address;
 use crate::clock::Clock;
+use crate::lock::lock;
 use crate::metric;
 use crate::settings;
 use crate::web::{self, Answer, Call};
@@ -149,7 +150,7 @@
 impl Shared {
     pub(crate) fn core(&self) -> MutexGuard<'_, Core> {
         // A poisoned lock means that an invariant failed on another thread, which ends the process.
-        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.core)
     }
 
     pub(crate) fn now(&self) -> Time {
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -1,7 +1,7 @@
 //! A running agent: packets between balancers, the backend server beside it, and clients.
 
 use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::Duration;
 
@@ -21,6 +21,7 @@
 use super::reload::Reload;
 use super::{Fault, checkpoint, membership, spawn_metrics};
 use crate::clock::Clock;
+use crate::lock::lock;
 use crate::metric;
 use crate::web::{self, Answer, Call};
 
@@ -182,11 +183,11 @@
 
 impl Shared {
     fn core(&self) -> MutexGuard<'_, Agent> {
-        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.core)
     }
 
     fn kept(&self) -> MutexGuard<'_, Packets> {
-        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.kept)
     }
 
     fn server_packet(&self, bytes: &mut [u8]) {
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::Duration;
 
@@ -26,6 +26,7 @@
 use super::reload::Reload;
 use super::{Fault, membership, spawn_metrics};
 use crate::clock::Clock;
+use crate::lock::lock;
 use crate::metric;
 use crate::web::{self, Answer, Call};
 
@@ -366,7 +367,3 @@
         gauge!(metric::AGENTS).set(core.agents() as f64);
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/nutmegkeel_node/src/l4/configuration.rs
+++ b/crates/nutmegkeel_node/src/l4/configuration.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 
 use super::membership::note_reachable;
 use super::metered::{Metered, Purpose};
+use crate::lock::lock;
 
 /// Path at which a balancer hands its configuration to others.
 pub(super) const PATH: &str = "/configuration";
@@ -48,7 +49,7 @@
 impl Source {
     /// The newest text.
     pub(super) fn text(&self) -> Arc<str> {
-        Arc::clone(&self.text.lock().unwrap_or_else(PoisonError::into_inner).1)
+        Arc::clone(&lock(&self.text).1)
     }
 
     /// Takes in a text; returns its routes. One that cannot be read changes nothing.
@@ -63,7 +64,7 @@
         for fault in &decoded.faults {
             warn!(event = "route_left_out", fault:% = fault; "route not understood");
         }
-        let mut text = self.text.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = lock(&self.text);
         if decoded.table.version > text.0 {
             *text = (decoded.table.version, String::from_utf8_lossy(bytes).into());
         }
--- a/crates/nutmegkeel_node/src/l4/journal.rs
+++ b/crates/nutmegkeel_node/src/l4/journal.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread;
 
 use log::{info, warn};
@@ -13,6 +13,7 @@
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::l4::note::Note;
 
+use crate::lock::lock;
 use crate::metric;
 
 /// Lines that may wait for the writer. At the budgets below, some seconds' worth.
@@ -90,7 +91,7 @@
         limit: u32,
         entry: impl FnOnce() -> Entry,
     ) {
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut budgets = lock(&self.budgets);
         for (kind, left_out) in budgets.turn(now.millis() / 1_000) {
             self.push(Entry::LeftOut(kind, left_out));
         }
--- a/crates/nutmegkeel_node/src/lib.rs
+++ b/crates/nutmegkeel_node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod balancer;
 pub mod clock;
 pub mod l4;
+mod lock;
 pub mod metric;
 pub mod output;
 pub mod settings;
--- a/crates/nutmegkeel_node/src/metric/recorder.rs
+++ b/crates/nutmegkeel_node/src/metric/recorder.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use metrics::atomics::AtomicU64;
 use metrics::{
@@ -20,6 +20,7 @@
 use metrics_util::storage::Histogram;
 
 use super::BUCKETS;
+use crate::lock::lock;
 
 /// What metrics are kept in.
 #[derive(Debug)]
@@ -49,7 +50,7 @@
 
 impl Buckets {
     fn lock(&self) -> MutexGuard<'_, Option<Histogram>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 }
 
