--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -125,6 +125,37 @@
     assert_eq!(told, Outcome::Reset);
 }
 
+/// Feeds hang for as long as the store is away, although their servers live: every process of the system was
+/// killed meanwhile and started again, and none has a configuration. Openings have to wait for it.
+#[test]
+fn a_flow_goes_on_when_everything_is_killed_while_the_store_is_down() {
+    let mut fleet = fleet("all-killed", 13, &["desk", "desk", "vault"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+    let hosts: Vec<_> = through.iter().copied().chain(fleet.agents()).collect();
+    let mut open = client.open(30_000, 443, &through).expect("the flow opens");
+    let before = client.request(&mut open, &through, SOON);
+
+    fleet.store.set_mood(Mood::Down);
+    for host in &hosts {
+        fleet.signal(*host, Signal::Kill);
+    }
+    for host in &hosts {
+        assert!(fleet.ended(*host, SOON));
+        fleet.start(*host);
+    }
+    let during = client.request(&mut open, &through, LATER);
+    let refused = client.open(30_001, 443, &through).map(|_| ());
+    fleet.store.set_mood(Mood::Well);
+    assert!(fleet.is_ready_within(LATER));
+    let opened = client.open(30_002, 443, &through).map(|_| ());
+
+    assert!(served_by(&before, "desk"), "{before:?}");
+    assert_eq!(during, before);
+    assert_eq!(refused, Err(Outcome::Silence));
+    assert_eq!(opened, Ok(()));
+}
+
 /// A backend server crashed and started again under its old id, with its counts from the start. A client
 /// that listens is told at once, and new flows go to the new start: taken for late, its heartbeats would
 /// be refused until their count passes the old one.
