--- a/crates/nutmegkeel_node/src/l4/configuration.rs
+++ b/crates/nutmegkeel_node/src/l4/configuration.rs
@@ -118,7 +118,9 @@
 fn next(store: &Metered, after: Option<u64>) -> Result<(Option<u64>, Vec<Pair>), Fault> {
     let Some(after) = after else {
         let snapshot = store.snapshot(configuration::KEY)?;
-        let until = snapshot.pair.as_ref().map(|_| snapshot.as_of);
+        // While there is none yet, a watch waits for it: to ask again and again costs a call each time.
+        let is_known = snapshot.pair.is_some() || snapshot.as_of > 0;
+        let until = is_known.then_some(snapshot.as_of);
         return Ok((until, snapshot.pair.into_iter().collect()));
     };
     match store.watch(configuration::KEY, after, WAIT)? {
