--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -437,12 +437,8 @@
         let is_near = word.domain == self.domain;
         let change = self.pool.announced(now, from, word);
         let mut actions = Vec::from_iter(self.changed(now, from, change));
-        let told = if is_near {
-            self.pool.tell(now, from, self.digest(now), TELL_NEAR_MS)
-        } else {
-            self.pool.tell_elsewhere(now, from, self.digest(now), TELL_MS)
-        };
-        match told {
+        let pause_ms = if is_near { TELL_NEAR_MS } else { TELL_MS };
+        match self.pool.tell(now, from, self.digest(now), pause_ms) {
             Telling::Nothing => {}
             Telling::Sign => actions.push(Action::Send(from, self.sign(now))),
             Telling::Addresses => actions.push(Action::Send(from, self.own_roster(now))),
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -314,25 +314,6 @@
         telling
     }
 
-    /// The same for an agent of another failure domain: it is told of balancers that come and go only with
-    /// the next sign of life. These hear of it by summaries.
-    ///
-    /// Guards against hosts that are busy with lists while clients come back: after a loss of power 59
-    /// balancers come one after the other, and each would send 136 agents a list for each of the others.
-    pub fn tell_elsewhere(
-        &mut self,
-        now: Time,
-        agent: Ipv4Addr,
-        digest: u64,
-        pause_ms: u64,
-    ) -> Telling {
-        let told = self.agents.get(&agent).and_then(|candidate| candidate.told);
-        if told.is_some_and(|told| now.since(told.at) < pause_ms) {
-            return Telling::Nothing;
-        }
-        self.tell(now, agent, digest, pause_ms)
-    }
-
     /// Whether less than half of the agents heard of within a minute are heard of now. Then it is
     /// likelier that this process is cut off than that they all died at once.
     #[must_use]
