--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -194,12 +194,17 @@
         for seed in seeds.iter().filter(|seed| **seed != own) {
             peers.heard(now, *seed);
         }
+        let pool = if policy.uses(Mechanism::Summaries) {
+            Pool::open(Arc::clone(&domain))
+        } else {
+            Pool::default()
+        };
         Self {
             own,
             domain,
             policy,
             table: Table::default(),
-            pool: Pool::default(),
+            pool,
             cache: Cache::default(),
             peers,
             words: Words::default(),
--- a/crates/nutmegkeel_core/src/l4/balancer/summary.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/summary.rs
@@ -80,7 +80,6 @@
         if summary.domain == self.domain {
             return Vec::new();
         }
-        self.pool.summarised(now, &summary.domain);
         let mut actions = Vec::new();
         for report in &summary.reports {
             let change = self.pool.reported(now, summary, report);
--- a/crates/nutmegkeel_core/src/l4/health.rs
+++ b/crates/nutmegkeel_core/src/l4/health.rs
@@ -23,12 +23,12 @@
 /// loads elsewhere are known half as well as at home.
 pub const SUMMARY_MS: u64 = ANNOUNCE_MS;
 
-/// A failure domain whose agents no summary has told of for so long is out of sight: three summaries and
-/// some delay. Its agents get no new flows.
+/// An agent of another failure domain that no summary has told of for so long is out of sight: three summaries
+/// and some delay. It gets no new flows.
 pub const OUT_OF_SIGHT_MS: u64 = 3 * SUMMARY_MS + 100;
 
-/// A failure domain that is out of sight for so long is given up, with its agents. Its balancers come back
-/// within seconds if they were killed, and within three its agents find others if they do not.
+/// An agent that is out of sight for so long is given up. The balancers of its domain come back within seconds
+/// if they were killed, and within three it speaks to all others if they do not.
 pub const LOST_MS: u64 = 8_000;
 
 /// What an agent's last sign says of it now.
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -12,7 +12,7 @@
 
 use candidate::{Candidate, Sight};
 
-use super::health::{FORGET_MS, Health, LOST_MS, OUT_OF_SIGHT_MS};
+use super::health::{FORGET_MS, Health, LOST_MS, OUT_OF_SIGHT_MS, SILENT_MS};
 use super::message::{Announcement, Load, Report, State, Summary};
 use super::roster::Told;
 use super::route::Service;
@@ -22,6 +22,10 @@
 /// each of its ticks counts while a balancer has not answered it.
 const YOUNG: u64 = 10;
 
+/// Balancers elsewhere are told of an agent for so long after its last sign, in milliseconds: past the time
+/// after which they give it up too.
+const TOLD_MS: u64 = 2 * SILENT_MS;
+
 /// An agent chosen for a new flow, with what the choice rested on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -66,11 +70,17 @@
     /// The agents of each service, and those that have none: a flow concerns those of one service, whatever
     /// the size of the fleet.
     members: BTreeMap<Option<Service>, BTreeSet<Ipv4Addr>>,
-    /// When a summary of a failure domain's agents last came.
-    summaries: BTreeMap<Arc<str>, Time>,
+    /// The own failure domain, whose agents speak to this process themselves. None where all agents do.
+    domain: Option<Arc<str>>,
 }
 
 impl Pool {
+    /// A pool of a balancer in this failure domain, which hears of agents elsewhere by summaries.
+    #[must_use]
+    pub fn open(domain: Arc<str>) -> Self {
+        Self { domain: Some(domain), ..Self::default() }
+    }
+
     /// Takes in an agent's word about itself.
     pub fn announced(&mut self, now: Time, from: Ipv4Addr, word: Announcement) -> Change {
         let known = self.agents.get_mut(&from);
@@ -138,6 +148,7 @@
             && let Some(known) = self.agents.get_mut(&report.agent)
         {
             known.heard = known.heard.max(heard);
+            known.seen = now;
             // What the agent itself said since, with an answer, is newer.
             if let Some(before) = before.filter(|before| before.load_heard > heard) {
                 known.keep_signs(&before);
@@ -146,17 +157,11 @@
         change
     }
 
-    /// Notes that a summary of a failure domain's agents came.
-    pub fn summarised(&mut self, now: Time, domain: &Arc<str>) {
-        self.summaries.insert(Arc::clone(domain), now);
-    }
-
     /// What the agents of the own failure domain last said, which speak to this process themselves.
     #[must_use]
     pub fn summary(&self, now: Time, domain: &Arc<str>) -> Summary {
         let is_meant = |candidate: &Candidate| {
-            candidate.announcement.domain == *domain
-                && candidate.health(self.sight(now, candidate)) != Health::Silent
+            candidate.announcement.domain == *domain && now.since(candidate.heard) <= TOLD_MS
         };
         let mut summary = Summary::open(domain);
         for (agent, candidate) in self.agents.iter().filter(|(_, candidate)| is_meant(candidate)) {
@@ -166,16 +171,17 @@
         summary
     }
 
-    /// Until when signs of an agent could be seen.
+    /// Until when signs of an agent could be seen: one elsewhere speaks for itself only at times, and otherwise
+    /// a summary tells how old its last sign is.
     ///
-    /// Guards against taking the agents of a whole failure domain for dead, and resetting their flows, when
-    /// only the balancers that tell of them are gone: an agent is judged by its own silence alone.
+    /// Guards against taking agents for dead, and resetting their flows, when only those who tell of them are
+    /// gone, or have just come back and leave some out: an agent is judged by its own silence alone.
     fn sight(&self, now: Time, candidate: &Candidate) -> Sight {
-        let Some(summarised) = self.summaries.get(&candidate.announcement.domain) else {
+        let own = self.domain.as_ref();
+        if own.is_none_or(|own| *own == candidate.announcement.domain) {
             return Sight { until: now, is_blind: false };
-        };
-        // An agent elsewhere that speaks for itself may stop at any time, when balancers there hear it again.
-        let until = candidate.heard.max(*summarised);
+        }
+        let until = candidate.heard.max(candidate.seen);
         match now.since(until) {
             0..=OUT_OF_SIGHT_MS => Sight { until, is_blind: false },
             blind_ms if blind_ms <= LOST_MS => Sight { until, is_blind: true },
@@ -369,9 +375,7 @@
     pub fn forgive(&mut self, span_ms: u64) {
         for candidate in self.agents.values_mut() {
             candidate.heard = candidate.heard.after(span_ms);
-        }
-        for last in self.summaries.values_mut() {
-            *last = last.after(span_ms);
+            candidate.seen = candidate.seen.after(span_ms);
         }
     }
 }
--- a/crates/nutmegkeel_core/src/l4/placement/candidate.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -50,6 +50,8 @@
     pub(super) rival: Option<Rival>,
     /// Last sign of any kind.
     pub(super) heard: Time,
+    /// When a summary last told of it.
+    pub(super) seen: Time,
     pub(super) load_heard: Time,
     pub(super) load: Load,
     pub(super) placed_since: u16,
@@ -67,6 +69,7 @@
             announced: now,
             rival: None,
             heard: now,
+            seen: now,
             load_heard: now,
             load: word.load,
             announcement: word,
--- a/crates/nutmegkeel_core/tests/l4/summary.rs
+++ b/crates/nutmegkeel_core/tests/l4/summary.rs
@@ -1,7 +1,6 @@
 //! What balancers of different failure domains tell each other of their agents.
 
 use std::net::Ipv4Addr;
-use std::sync::Arc;
 
 use nutmegkeel_core::l4::agent;
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
@@ -32,24 +31,27 @@
     }
 }
 
+/// A pool of a balancer in the own failure domain.
+fn pool() -> Pool {
+    Pool::open(DOMAIN.into())
+}
+
 fn summary(reports: Vec<Report>) -> Summary {
     Summary { domain: FAR.into(), services: vec![desk()], reports, passed_on: false }
 }
 
 /// Lets a pool hear summaries of one far agent each 300 ms; its last sign comes at `last_ms`.
 fn summarise(pool: &mut Pool, last_ms: u64, until_ms: u64) {
-    let domain = Arc::from(FAR);
     for now in (0..=until_ms).step_by(300) {
         let signed = now.min(last_ms);
         let age_ms = u32::try_from(now - signed).expect("a short test");
-        pool.summarised(at(now), &domain);
         pool.reported(at(now), &summary(Vec::new()), &report(1 + signed / 300, age_ms));
     }
 }
 
 #[test]
 fn an_agent_that_others_hear_is_fresh() {
-    let mut pool = Pool::default();
+    let mut pool = pool();
 
     summarise(&mut pool, 3_000, 3_000);
 
@@ -60,7 +62,7 @@
 /// An opening must not go to a dead host of another failure domain much longer than to one at home.
 #[test]
 fn an_agent_that_fell_silent_is_late_and_then_given_up() {
-    let mut pool = Pool::default();
+    let mut pool = pool();
 
     summarise(&mut pool, 3_000, 3_900);
     let late = pool.health(at(3_900), host(1));
@@ -74,7 +76,7 @@
 /// killed at one moment, and nobody told of the agents there.
 #[test]
 fn agents_out_of_sight_get_no_flows_and_lose_none() {
-    let mut pool = Pool::default();
+    let mut pool = pool();
     summarise(&mut pool, 3_000, 3_000);
 
     let blind: Vec<_> = [4_200, 7_000, 10_000].map(|now| pool.health(at(now), host(1))).into();
@@ -86,12 +88,41 @@
     assert_eq!(lost, Some(Health::Silent));
 }
 
+/// Feeds to another failure domain break off with resets although its servers live. Most balancers there had
+/// lost power, nobody told of its agents for two seconds, and the first to come back told of the few that it
+/// had heard of: the others passed for silent all the while.
+#[test]
+fn an_agent_that_a_summary_leaves_out_is_not_given_up() {
+    let mut pool = pool();
+    summarise(&mut pool, 3_000, 3_000);
+
+    for now in [5_200, 5_500] {
+        let other = Report { agent: host(2), ..report(1, 10) };
+        pool.reported(at(now), &summary(Vec::new()), &other);
+    }
+
+    assert_eq!(pool.health(at(5_500), host(1)), Some(Health::Late));
+    assert_eq!(pool.newly_silent(at(5_500)), Vec::<Ipv4Addr>::new());
+}
+
+/// The first word of an agent elsewhere is its own; then it speaks to the balancers there, and their first
+/// summary may come late.
+#[test]
+fn an_agent_elsewhere_that_introduced_itself_is_not_given_up() {
+    let mut pool = pool();
+    let mut direct = word(1, State::Ready, Load::default());
+    direct.domain = FAR.into();
+    pool.announced(at(0), host(1), direct);
+
+    assert_eq!(pool.health(at(2_500), host(1)), Some(Health::Late));
+}
+
 /// A download to another failure domain breaks off with a reset although its server lives. For a moment
 /// there was no balancer there, its agent spoke to all others itself, and then to its own again; the
 /// balancer that carried the download was being stopped and heard no summaries.
 #[test]
 fn an_agent_elsewhere_that_spoke_for_itself_is_not_given_up_when_it_stops() {
-    let mut pool = Pool::default();
+    let mut pool = pool();
     summarise(&mut pool, 3_000, 3_000);
     let mut direct = word(50, State::Ready, Load::default());
     direct.domain = FAR.into();
@@ -106,7 +137,7 @@
 /// Loads that an agent sent with an answer are newer than those of a summary that was under way.
 #[test]
 fn a_summary_does_not_bring_an_older_load_back() {
-    let mut pool = Pool::default();
+    let mut pool = pool();
     summarise(&mut pool, 3_000, 3_000);
     pool.heard(at(3_250), host(1), Load { busy: 9, flows: 9 });
 
@@ -119,7 +150,7 @@
 
 #[test]
 fn an_older_summary_changes_nothing() {
-    let mut pool = Pool::default();
+    let mut pool = pool();
     summarise(&mut pool, 3_000, 3_000);
 
     let change = pool.reported(at(3_300), &summary(Vec::new()), &report(2, 2_900));
