--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -28,7 +28,7 @@
 use super::server::{Beside, Heartbeat, Incarnation};
 use super::table::{Outcome, Probes, Stage, Table};
 use super::waiting::Queue;
-use super::word::{Word, Words};
+use super::word::Words;
 use crate::admission::Pace;
 use crate::clock::Time;
 
@@ -437,6 +437,9 @@
             }
             self.handover.begin(list);
         }
+        if !self.handover.is_pending() {
+            return None;
+        }
         let delegates = self.words.delegates(now, &self.identity.domain, None);
         match self.handover.step(now, &delegates, self.reaches_store(now))? {
             Step::Deposit(balancer, list) => Some(Action::Send(balancer, Message::Deposit(list))),
@@ -447,8 +450,7 @@
     /// Whether a balancer of this failure domain said lately that the store answers it.
     #[must_use]
     pub fn reaches_store(&self, now: Time) -> bool {
-        let near = |word: &Word| *word.domain == *self.identity.domain;
-        self.words.recent(now).any(|(_, word)| near(word) && word.reaches_store)
+        self.words.of_domain(now, &self.identity.domain).any(|(_, word)| word.reaches_store)
     }
 
     fn decline(&self, to: Ipv4Addr, reason: Reason) -> Action {
--- a/crates/nutmegkeel_core/src/l4/agent/balancers.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/balancers.rs
@@ -85,9 +85,8 @@
     }
 
     fn is_near_a_balancer(&self, now: Time) -> bool {
-        self.words
-            .recent(now)
-            .any(|(_, word)| word.domain == self.identity.domain && now.since(word.said) <= NEAR_MS)
+        let mut near = self.words.of_domain(now, &self.identity.domain);
+        near.any(|(_, word)| now.since(word.said) <= NEAR_MS)
     }
 
     fn announce_to(&mut self, now: Time, balancers: Vec<Ipv4Addr>) -> Vec<Action> {
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -371,6 +371,11 @@
         self.carry(now, head)
     }
 
+    /// Whether a configuration is in force that has no route for a flow.
+    fn has_no_route(&self, flow: &Flow) -> bool {
+        self.table.version > 0 && !self.table.routes.contains_key(&flow.service)
+    }
+
     /// Services whose agents are asked first for a flow: those of its route. Without a configuration no
     /// service comes first, and all agents are asked. None if a configuration is in force that has no
     /// route for the flow.
@@ -412,7 +417,7 @@
         if reason == Reason::Leaving {
             self.pool.closed(from);
         }
-        if self.services(&head.flow).is_none() {
+        if self.has_no_route(&head.flow) {
             return self.reset(head, Cause::NoRoute, 0);
         }
         let route = self.table.routes.get(&head.flow.service).cloned();
--- a/crates/nutmegkeel_core/src/l4/balancer/collector.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/collector.rs
@@ -17,7 +17,7 @@
 const GATHER_MS: u64 = 1_000;
 
 /// Lists that go at once: as many as one transaction takes.
-pub(super) const FULL: usize = 16;
+const FULL: usize = 16;
 
 /// A write that has not ended after this is forgotten, in milliseconds: its agents have turned elsewhere.
 const WRITING_MS: u64 = 5_000;
--- a/crates/nutmegkeel_core/src/l4/balancer/search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -13,7 +13,7 @@
 impl Balancer {
     /// Goes on with a search for which no packet is at hand.
     pub(super) fn decide(&mut self, now: Time, flow: Flow) -> Vec<Action> {
-        if self.services(&flow).is_none() {
+        if self.has_no_route(&flow) {
             self.cache.remove(&flow);
             return Vec::new();
         }
--- a/crates/nutmegkeel_core/src/l4/balancer/summary.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/summary.rs
@@ -33,22 +33,18 @@
             return Vec::new();
         }
         self.slot = slot;
-        let (near, far) = self.peers_of_domains(now);
+        let (near, far) = self.staying_peers(now);
         let rank = near.iter().filter(|peer| **peer < self.own).count();
         let slot = usize::try_from(slot).unwrap_or(usize::MAX);
         let turns = near.len() + 1;
         if (slot + turns - rank) % turns >= SPEAKERS {
             return Vec::new();
         }
-        let summaries = self.summaries(now);
+        let summaries = messages(&self.pool.summary(now, &self.domain));
         let targets = far.values().filter_map(|peers| peers.get((slot + rank) % peers.len()));
         targets.flat_map(|to| summaries.iter().map(|one| Action::Send(*to, one.clone()))).collect()
     }
 
-    fn summaries(&self, now: Time) -> Vec<Message> {
-        messages(&self.pool.summary(now, &self.domain))
-    }
-
     /// Tells all balancers of the other failure domains of agents here that became late.
     ///
     /// Guards against openings that go to a dead host elsewhere until the next summary: with their last copy,
@@ -67,7 +63,7 @@
 
     /// The other balancers that were heard of lately and stay: those of this failure domain, and those of
     /// each other one.
-    fn peers_of_domains(&self, now: Time) -> (Vec<Ipv4Addr>, BTreeMap<Arc<str>, Vec<Ipv4Addr>>) {
+    fn staying_peers(&self, now: Time) -> (Vec<Ipv4Addr>, BTreeMap<Arc<str>, Vec<Ipv4Addr>>) {
         let mut domains: BTreeMap<Arc<str>, Vec<Ipv4Addr>> = BTreeMap::new();
         for (peer, word) in self.words.staying(now) {
             domains.entry(Arc::clone(&word.domain)).or_default().push(peer);
@@ -87,7 +83,7 @@
         }
         if !summary.passed_on {
             let message = Message::Summary(Summary { passed_on: true, ..summary.clone() });
-            let near = self.words.recent(now).filter(|(_, word)| word.domain == self.domain);
+            let near = self.words.of_domain(now, &self.domain);
             actions.extend(near.map(|(peer, _)| Action::Send(peer, message.clone())));
         }
         actions
@@ -107,8 +103,9 @@
 /// A summary in datagrams of bounded length.
 fn messages(summary: &Summary) -> Vec<Message> {
     let message = |reports: &[Report]| {
-        let part = Summary { reports: reports.to_vec(), ..summary.clone() };
-        Message::Summary(part)
+        let (domain, services) = (Arc::clone(&summary.domain), summary.services.clone());
+        let (reports, passed_on) = (reports.to_vec(), summary.passed_on);
+        Message::Summary(Summary { domain, services, reports, passed_on })
     };
     summary.reports.chunks(REPORTS).map(message).collect()
 }
--- a/crates/nutmegkeel_core/src/l4/handover.rs
+++ b/crates/nutmegkeel_core/src/l4/handover.rs
@@ -43,13 +43,18 @@
         self.asked.clear();
     }
 
+    /// Whether a list is on its way.
+    #[must_use]
+    pub const fn is_pending(&self) -> bool {
+        self.list.is_some()
+    }
+
     /// What to do now. `delegates` are the balancers that write for others, none if none is known; the
     /// list waits while the store answers none of them.
     pub fn step(&mut self, now: Time, delegates: &[Ipv4Addr], reaches_store: bool) -> Option<Step> {
-        let list = self.list.clone()?;
+        let list = self.list.as_ref()?;
         if list.flows.len() > LONGEST {
-            self.list = None;
-            return Some(Step::Write(list));
+            return self.list.take().map(Step::Write);
         }
         let is_asked = !self.asked.is_empty();
         if is_asked && now.since(self.asked_at) <= CONFIRM_MS {
@@ -61,12 +66,11 @@
         }
         let next = delegates.iter().find(|delegate| !self.asked.contains(delegate));
         let Some(next) = next else {
-            self.list = None;
-            return Some(Step::Write(list));
+            return self.list.take().map(Step::Write);
         };
         self.asked.push(*next);
         self.asked_at = now;
-        Some(Step::Deposit(*next, list))
+        Some(Step::Deposit(*next, list.clone()))
     }
 
     /// Takes in that the store has a list with this number. If it is later than the one on its way, a
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -137,21 +137,22 @@
     pub fn reported(&mut self, now: Time, summary: &Summary, report: &Report) -> Change {
         let word = summary.announcement(report);
         let heard = now.before(u64::from(report.age_ms));
-        let before = self.agents.get(&report.agent).cloned();
-        let is_known = before.as_ref().is_some_and(|known| {
-            known.announcement.incarnation == word.incarnation
-                && known.announcement.number == word.number
-        });
-        let change =
-            if is_known { Change::None } else { self.announced(heard, report.agent, word) };
+        if let Some(known) = self.agents.get_mut(&report.agent)
+            && known.has_said(&word)
+        {
+            known.heard = known.heard.max(heard);
+            known.seen = now;
+            return Change::None;
+        }
+        let signs = self.agents.get(&report.agent).map(Candidate::signs);
+        let change = self.announced(heard, report.agent, word);
         if change != Change::Stale
             && let Some(known) = self.agents.get_mut(&report.agent)
         {
-            known.heard = known.heard.max(heard);
             known.seen = now;
             // What the agent itself said since, with an answer, is newer.
-            if let Some(before) = before.filter(|before| before.load_heard > heard) {
-                known.keep_signs(&before);
+            if let Some(signs) = signs.filter(|signs| signs.load_heard > heard) {
+                known.keep(signs);
             }
         }
         change
@@ -210,13 +211,8 @@
         let is_new = |candidate: &Candidate| {
             !candidate.noticed && self.health_of(now, candidate) == Health::Silent
         };
-        let silent = self.agents.iter().filter(|(_, candidate)| is_new(candidate));
-        let silent: Vec<Ipv4Addr> = silent.map(|(agent, _)| *agent).collect();
-        for agent in &silent {
-            if let Some(candidate) = self.agents.get_mut(agent) {
-                candidate.noticed = true;
-            }
-        }
+        let silent = self.find(is_new);
+        self.mark(&silent, |candidate| candidate.noticed = true);
         silent
     }
 
@@ -227,19 +223,27 @@
                 && candidate.announcement.domain == *domain
                 && self.health_of(now, candidate) == Health::Late
         };
-        let late = self.agents.iter().filter(|(_, candidate)| is_new(candidate));
-        let late: BTreeSet<Ipv4Addr> = late.map(|(agent, _)| *agent).collect();
-        for agent in &late {
+        let late = self.find(is_new);
+        if late.is_empty() {
+            return Summary::open(domain);
+        }
+        self.mark(&late, |candidate| candidate.noticed_late = true);
+        let mut summary = self.summary(now, domain);
+        summary.reports.retain(|report| late.contains(&report.agent));
+        summary
+    }
+
+    fn find(&self, is_meant: impl Fn(&Candidate) -> bool) -> Vec<Ipv4Addr> {
+        let meant = self.agents.iter().filter(|(_, candidate)| is_meant(candidate));
+        meant.map(|(agent, _)| *agent).collect()
+    }
+
+    fn mark(&mut self, agents: &[Ipv4Addr], note: impl Fn(&mut Candidate)) {
+        for agent in agents {
             if let Some(candidate) = self.agents.get_mut(agent) {
-                candidate.noticed_late = true;
+                note(candidate);
             }
         }
-        let mut summary = Summary::open(domain);
-        if !late.is_empty() {
-            summary = self.summary(now, domain);
-            summary.reports.retain(|report| late.contains(&report.agent));
-        }
-        summary
     }
 
     /// Notes a flow that was sent there.
@@ -365,9 +369,7 @@
 
     /// Forgets agents that are gone for longer than any flow lives.
     pub fn forget(&mut self, now: Time) {
-        let is_gone = |candidate: &Candidate| now.since(candidate.heard) >= FORGET_MS;
-        let gone = self.agents.iter().filter(|(_, candidate)| is_gone(candidate));
-        let gone: Vec<Ipv4Addr> = gone.map(|(agent, _)| *agent).collect();
+        let gone = self.find(|candidate| now.since(candidate.heard) >= FORGET_MS);
         gone.into_iter().for_each(|agent| self.remove(agent));
     }
 
--- a/crates/nutmegkeel_core/src/l4/placement/candidate.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -50,7 +50,7 @@
     pub(super) rival: Option<Rival>,
     /// Last sign of any kind.
     pub(super) heard: Time,
-    /// When a summary last told of it.
+    /// When a summary last told of it, or it spoke for itself.
     pub(super) seen: Time,
     pub(super) load_heard: Time,
     pub(super) load: Load,
@@ -122,12 +122,28 @@
             && self.health(seen) == Health::Fresh
     }
 
-    /// Takes over the later signs of what was known before.
-    pub(super) fn keep_signs(&mut self, before: &Self) {
-        self.heard = self.heard.max(before.heard);
-        self.load_heard = before.load_heard;
-        self.load = before.load;
-        self.placed_since = before.placed_since;
+    /// Whether this is its last word.
+    pub(super) fn has_said(&self, word: &Announcement) -> bool {
+        let known = &self.announcement;
+        (known.incarnation, known.number) == (word.incarnation, word.number)
+    }
+
+    /// What its answers showed of it.
+    pub(super) const fn signs(&self) -> Signs {
+        Signs {
+            heard: self.heard,
+            load_heard: self.load_heard,
+            load: self.load,
+            placed_since: self.placed_since,
+        }
+    }
+
+    /// Takes over later signs that were known before.
+    pub(super) fn keep(&mut self, signs: Signs) {
+        self.heard = self.heard.max(signs.heard);
+        self.load_heard = signs.load_heard;
+        self.load = signs.load;
+        self.placed_since = signs.placed_since;
     }
 
     pub(super) fn report(&self, now: Time, agent: Ipv4Addr, services: &mut Vec<Service>) -> Report {
@@ -158,11 +174,20 @@
     }
 }
 
+/// What an agent's answers showed of it, which may be later than what is told of it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Signs {
+    heard: Time,
+    pub(super) load_heard: Time,
+    load: Load,
+    placed_since: u16,
+}
+
 /// Until when the signs of an agent could be seen.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Sight {
     pub(super) until: Time,
-    /// Whether nothing is seen of its failure domain now.
+    /// Whether nothing was heard or told of it lately.
     pub(super) is_blind: bool,
 }
 
--- a/crates/nutmegkeel_core/src/l4/word.rs
+++ b/crates/nutmegkeel_core/src/l4/word.rs
@@ -88,6 +88,15 @@
         recent.map(|(balancer, word)| (*balancer, word))
     }
 
+    /// The words that count, of balancers of one failure domain.
+    pub fn of_domain<'a>(
+        &'a self,
+        now: Time,
+        domain: &'a str,
+    ) -> impl Iterator<Item = (Ipv4Addr, &'a Word)> + 'a {
+        self.recent(now).filter(move |(_, word)| *word.domain == *domain)
+    }
+
     /// The words of the last moment: what depends on the present, such as how many agents a balancer hears of,
     /// is out of date sooner than who the balancers are.
     pub fn fresh(&self, now: Time) -> impl Iterator<Item = (Ipv4Addr, &Word)> + '_ {
@@ -112,7 +121,7 @@
         domain: &str,
         own: Option<(Ipv4Addr, bool)>,
     ) -> Vec<Ipv4Addr> {
-        let near = self.staying(now).filter(|(_, word)| *word.domain == *domain);
+        let near = self.of_domain(now, domain).filter(|(_, word)| !word.leaving);
         let near = near.map(|(balancer, word)| (balancer, word.reaches_store));
         let mut ranked: Vec<_> = near
             .chain(own)
--- a/crates/nutmegkeel_node/src/l4/collector.rs
+++ b/crates/nutmegkeel_node/src/l4/collector.rs
@@ -1,6 +1,5 @@
 //! Writes the lists of flows that agents handed to this balancer.
 
-use std::collections::BTreeMap;
 use std::io;
 use std::net::Ipv4Addr;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
@@ -52,12 +51,10 @@
         let mut reachable = true;
         let mut group = Group::open(prefix.clone(), |bytes| Some(wire::decode(bytes)?.number));
         while let Ok(batch) = batches.recv() {
-            let agents: BTreeMap<String, Ipv4Addr> =
-                batch.iter().map(|(agent, _)| (format!("{prefix}{agent}"), *agent)).collect();
             let entries: Vec<Entry> = batch.iter().map(|one| entry(&prefix, one)).collect();
             let outcome = group.write(&store, clock.now(), &entries);
             let written = outcome.iter().flatten();
-            let told = written.filter_map(|(key, number)| Some((*agents.get(key)?, *number)));
+            let told = written.filter_map(|(key, number)| Some((agent_of(&prefix, key)?, *number)));
             committed(told.collect());
             note_reachable(&mut reachable, outcome.map(|_| ()));
             store.note_skipped();
@@ -66,6 +63,11 @@
     Ok(())
 }
 
+/// The agent that a key belongs to.
+fn agent_of(prefix: &str, key: &str) -> Option<Ipv4Addr> {
+    key.strip_prefix(prefix)?.parse().ok()
+}
+
 fn entry(prefix: &str, (agent, list): &(Ipv4Addr, Checkpoint)) -> Entry {
     Entry { key: format!("{prefix}{agent}"), number: list.number, value: wire::encode(list) }
 }
--- a/crates/nutmegkeel_store/src/document.rs
+++ b/crates/nutmegkeel_store/src/document.rs
@@ -7,10 +7,10 @@
 
 /// Life of the lease, in seconds: twice as long as any flow lives, so that the document of a host that
 /// comes back is there, and that of one that does not vanishes.
-const LEASE_S: u64 = 120;
+pub(crate) const LEASE_S: u64 = 120;
 
 /// Pause between two renewals, in milliseconds: three fit into a lease.
-const RENEW_MS: u64 = 40_000;
+pub(crate) const RENEW_MS: u64 = 40_000;
 
 /// The key and its lease.
 #[derive(Debug)]
--- a/crates/nutmegkeel_store/src/group.rs
+++ b/crates/nutmegkeel_store/src/group.rs
@@ -4,6 +4,7 @@
 
 use nutmegkeel_core::clock::Time;
 
+use crate::document::{LEASE_S, RENEW_MS};
 use crate::kv::{Committed, Fault, Registry, Write};
 use crate::lease::Holder;
 
@@ -11,13 +12,6 @@
 /// that its key has not changed.
 const MOST: usize = 16;
 
-/// Life of the lease, in seconds, as that of a [`Document`](crate::document::Document): what a writer
-/// that died has written is still there for as long as it may be of use.
-const LEASE_S: u64 = 120;
-
-/// Pause between two renewals, in milliseconds: three fit into a lease.
-const RENEW_MS: u64 = 40_000;
-
 /// A value to be written.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -43,6 +37,8 @@
     prefix: String,
     /// Reads the number out of a value; none if the value cannot be read.
     number: fn(&[u8]) -> Option<u64>,
+    /// Lives as long as a [`Document`](crate::document::Document)'s: what a writer that died has written is
+    /// still there for as long as it may be of use.
     lease: Holder,
     /// The keys as last read or written; none before the first read.
     known: Option<BTreeMap<String, Known>>,
