--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -6,6 +6,7 @@
 
 use nutmegkeel_standin::client::{Client, Outcome};
 use nutmegkeel_standin::fleet::{Fleet, Plan, Signal};
+use nutmegkeel_standin::host::DOMAIN;
 use nutmegkeel_standin::store::Mood;
 
 const SOON: Duration = Duration::from_secs(3);
@@ -240,6 +241,43 @@
     assert_eq!(dropped, Err(Outcome::Reset));
 }
 
+/// A hall is switched off by an operator who had it evacuated, and filings that were still sent there are
+/// lost. The order holds within a second on every process, over a restart of all of them, and until it is
+/// taken back, also when that happens in a part of the history that the store drops. Feeds that are open
+/// go on.
+#[test]
+fn an_evacuated_domain_gets_no_new_flow_until_it_is_taken_back() {
+    let mut fleet = fleet("evacuated", 14, &["desk", "desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+    let hosts: Vec<_> = through.iter().copied().chain(fleet.agents()).collect();
+    let mut open = client.open(30_000, 443, &through).expect("the flow opens");
+    let before = client.request(&mut open, &through, SOON);
+
+    fleet.evacuate(DOMAIN);
+    std::thread::sleep(Duration::from_secs(1));
+    let refused = client.open(30_001, 443, &through).map(|_| ());
+    let during = client.request(&mut open, &through, SOON);
+    for host in &hosts {
+        fleet.signal(*host, Signal::Kill);
+        assert!(fleet.ended(*host, SOON));
+    }
+    for host in &hosts {
+        fleet.start(*host);
+    }
+    assert!(fleet.is_ready_within(LATER));
+    let restarted = client.open(30_002, 443, &through).map(|_| ());
+    fleet.store.forget_history();
+    fleet.take_back(DOMAIN);
+    std::thread::sleep(Duration::from_secs(1));
+    let opened = client.open(30_003, 443, &through).map(|_| ());
+
+    assert_eq!(refused, Err(Outcome::Reset));
+    assert_eq!(during, before);
+    assert_eq!(restarted, Err(Outcome::Reset));
+    assert_eq!(opened, Ok(()));
+}
+
 /// The store takes a balancer's entry away while its lease runs on. Renewals succeed and nobody finds
 /// the balancer by the store any more, unless it looks.
 #[test]
--- a/crates/nutmegkeel_core/src/l4.rs
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -8,6 +8,7 @@
 pub mod balancer;
 pub mod cache;
 pub mod checkpoint;
+pub mod evacuation;
 pub mod flow;
 pub mod handover;
 pub mod health;
--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -5,6 +5,7 @@
 //! not hold comes back.
 
 mod balancers;
+mod evacuation;
 mod request;
 mod standing;
 
@@ -12,19 +13,19 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
+use evacuation::Standing;
 use request::Opening;
 
 use super::checkpoint::{Checkpoint, Keeper};
 use super::flow::{Flow, Head};
 use super::handover::{Handover, Step};
 use super::health::ANNOUNCE_MS;
-use super::message::{Demand, Insistence, Load, Message, Reason, Roster, State};
+use super::message::{Load, Message, Offer, Reason, Roster, State};
 use super::mute;
 use super::note::{Cause, Note, ServerChange};
 use super::outlier::Record;
 use super::policy::{Mechanism, Policy};
 use super::roster::{Book, TELL_MS};
-use super::route::Service;
 use super::server::{Beside, Heartbeat, Incarnation};
 use super::table::{Outcome, Probes, Stage, Table};
 use super::waiting::Queue;
@@ -44,14 +45,8 @@
         from: Ipv4Addr,
         /// The packet.
         head: Head,
-        /// Service that the flow belongs to.
-        service: Service,
-        /// How to weigh it.
-        insistence: Insistence,
-        /// What its requests ask for.
-        demand: Demand,
-        /// How long it has waited elsewhere, in milliseconds.
-        waited_ms: u32,
+        /// What the balancer says of it.
+        offer: Offer,
     },
     /// A balancer sent another packet of a client.
     Carry {
@@ -159,6 +154,8 @@
     words: Words,
     /// Agents that a balancer last said it hears of.
     fleet: u64,
+    /// Whether the own failure domain is evacuated.
+    evacuation: Standing,
     /// Whether a packet to the server got no answer while nothing was heard of a server.
     deserted: bool,
     number: u64,
@@ -181,6 +178,7 @@
             words,
             keeper: Keeper::open(now, identity.checkpoints_per_s),
             fleet: 0,
+            evacuation: Standing::default(),
             deserted: false,
             waiting: Queue::open(&identity.policy),
             identity,
@@ -252,9 +250,9 @@
 
     fn take_in(&mut self, now: Time, event: Event) -> Vec<Action> {
         match event {
-            Event::Open { from, head, service, insistence, demand, waited_ms } => {
-                let since = now.before(u64::from(waited_ms));
-                self.open_flow(now, &Opening { from, head, service, insistence, demand, since })
+            Event::Open { from, head, offer } => {
+                let since = now.before(u64::from(offer.waited_ms));
+                self.open_flow(now, &Opening { from, head, offer, since })
             }
             Event::Carry { from, head, known } => self.carry(now, from, &head, known),
             Event::Locate(from, flow) => self.locate(now, from, flow),
--- a/crates/nutmegkeel_core/src/l4/agent/balancers.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/balancers.rs
@@ -30,7 +30,9 @@
         if roster.digest == self.balancers.digest() {
             self.balancers.heard_all(now);
         }
-        let mut actions = self.listed(now, &roster.balancers);
+        let orders = roster.orders.as_ref();
+        let mut actions = orders.map(|orders| self.ordered(orders)).unwrap_or_default();
+        actions.extend(self.listed(now, &roster.balancers));
         actions.extend(self.listed(now, &[from]));
         actions
     }
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/agent/evacuation.rs
@@ -0,0 +1,56 @@
+//! Whether an agent's own failure domain is evacuated: the agent is the last to see an opening before
+//! the backend server does.
+
+use super::{Action, Agent};
+use crate::l4::evacuation::{Ledger, Orders};
+use crate::l4::message::Message;
+use crate::l4::note::Note;
+
+use std::net::Ipv4Addr;
+
+/// What an agent knows of the evacuation of its own failure domain.
+#[derive(Debug, Default)]
+pub(super) struct Standing {
+    ledger: Ledger,
+    /// Newest revision of orders by which a balancer sent an opening here: the failure domain was not
+    /// evacuated then.
+    offered: u64,
+}
+
+impl Standing {
+    /// Takes in that a balancer chose this agent by the orders of this revision.
+    fn note_offer(&mut self, revision: u64) {
+        self.offered = self.offered.max(revision);
+    }
+
+    /// The orders that forbid an opening, if they are later than those of every balancer that sent one.
+    fn forbidden_by(&self, domain: &str) -> Option<&Orders> {
+        let orders = self.ledger.orders()?;
+        let is_latest = orders.revision > self.offered;
+        (is_latest && orders.domains.contains(domain)).then_some(orders)
+    }
+}
+
+impl Agent {
+    /// Takes in the orders that a balancer told.
+    pub(super) fn ordered(&mut self, orders: &Orders) -> Vec<Action> {
+        let changes = self.evacuation.ledger.take(orders).into_iter();
+        changes.map(|change| Action::Note(Note::Evacuation(change))).collect()
+    }
+
+    /// The orders that forbid an opening which a balancer offered by those of `revision`.
+    ///
+    /// Guards against openings from a balancer that has not heard of an evacuation, because it stood
+    /// still or was cut off: the failure domain would go on getting work after everybody else has
+    /// stopped. The later orders decide, so that a domain that was taken back serves with the first
+    /// opening of a balancer that knows it.
+    pub(super) fn evacuated_since(&mut self, revision: u64) -> Option<Orders> {
+        self.evacuation.note_offer(revision);
+        self.evacuation.forbidden_by(&self.identity.domain).cloned()
+    }
+
+    /// Teaches a balancer the orders that it lacks.
+    pub(super) fn teach(&self, balancer: Ipv4Addr, orders: Orders) -> Action {
+        Action::Send(balancer, Message::Orders(orders))
+    }
+}
--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -5,10 +5,9 @@
 use super::{Action, Agent, reset};
 use crate::clock::Time;
 use crate::l4::flow::Head;
-use crate::l4::message::{Demand, Insistence, Reason};
+use crate::l4::message::{Insistence, Offer, Reason};
 use crate::l4::note::{Cause, Note};
 use crate::l4::policy::Mechanism;
-use crate::l4::route::Service;
 use crate::l4::waiting::Waiting;
 
 /// Requests that may wait at the backend server itself before others wait at the agent: one to take the
@@ -20,9 +19,7 @@
 pub(super) struct Opening {
     pub(super) from: Ipv4Addr,
     pub(super) head: Head,
-    pub(super) service: Service,
-    pub(super) insistence: Insistence,
-    pub(super) demand: Demand,
+    pub(super) offer: Offer,
     /// When it first came to a balancer.
     pub(super) since: Time,
 }
@@ -30,12 +27,16 @@
 impl Agent {
     /// The server accepts the opening at once; the first request may have to wait for a slot.
     pub(super) fn open_flow(&mut self, now: Time, opening: &Opening) -> Vec<Action> {
-        let (flow, demand) = (opening.head.flow, opening.demand);
+        let (flow, demand) = (opening.head.flow, opening.offer.demand);
         let known = self.table.get(&flow);
         let is_copy = known.is_some_and(|held| held.opened_with == opening.head.seq);
         if let Some(reason) = self.refusal(now, opening, is_copy) {
             return vec![self.decline(opening.from, reason)];
         }
+        if let Some(orders) = self.evacuated_since(opening.offer.orders).filter(|_| !is_copy) {
+            let refusal = self.decline(opening.from, Reason::Evacuated);
+            return vec![self.teach(opening.from, orders), refusal];
+        }
         let action = self.hand_over(now, flow, opening.from);
         if is_copy {
             return vec![action];
@@ -59,7 +60,7 @@
         let Some(server) = self.beside.server() else {
             return Some(Reason::Leaving);
         };
-        if server.service != opening.service {
+        if server.service != opening.offer.service {
             return Some(Reason::WrongService);
         }
         if !self.is_open(now) {
@@ -69,9 +70,9 @@
             return None;
         }
         let (busy, slots) = (self.load().busy, server.slots.max(1));
-        let demand = opening.demand;
+        let Offer { demand, insistence, .. } = opening.offer;
         let is_late = !demand.once && self.expected_ms() > u64::from(demand.deadline_ms);
-        match opening.insistence {
+        match insistence {
             Insistence::IfIdle if busy >= slots => Some(Reason::Busy),
             Insistence::IfInTime if is_late => Some(Reason::Late),
             _ => None,
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -1,6 +1,7 @@
 //! Decisions of a balancer for flows without a routing token.
 
 mod collector;
+mod evacuation;
 mod kept;
 mod opening;
 mod peers;
@@ -17,6 +18,7 @@
 
 use super::cache::{Cache, Place};
 use super::checkpoint::Checkpoint;
+use super::evacuation::{Ledger, Orders};
 use super::flow::{Flow, Head};
 use super::health::ANNOUNCE_MS;
 use super::message::{Announcement, Load, Message, Reason, Roster, Summary};
@@ -100,6 +102,8 @@
     Listed(Vec<Ipv4Addr>),
     /// A configuration was read.
     Configured(Table),
+    /// The operator's orders of evacuation were read, or an agent told of newer ones.
+    Ordered(Orders),
     /// The store answered a call, or did not.
     Store(bool),
     /// An agent handed its list of open flows over.
@@ -152,6 +156,7 @@
     domain: Arc<str>,
     policy: Policy,
     table: Table,
+    ledger: Ledger,
     pool: Pool,
     cache: Cache,
     peers: Book,
@@ -204,6 +209,7 @@
             domain,
             policy,
             table: Table::default(),
+            ledger: Ledger::default(),
             pool,
             cache: Cache::default(),
             peers,
@@ -254,6 +260,12 @@
         self.pool.len()
     }
 
+    /// Number of failure domains that are evacuated.
+    #[must_use]
+    pub fn evacuated(&self) -> usize {
+        self.ledger.orders().map_or(0, |orders| orders.domains.len())
+    }
+
     /// Number of flows in the cache.
     #[must_use]
     pub fn cached(&self) -> usize {
@@ -292,6 +304,7 @@
             Event::Roster(from, roster) => self.roster(now, from, &roster),
             Event::Listed(balancers) => self.listed(now, &balancers),
             Event::Configured(table) => self.configured(now, table),
+            Event::Ordered(orders) => self.ordered(now, &orders),
             Event::Store(answered) => self.store_answered(now, answered),
             Event::Deposited(from, list) => {
                 self.collector.take(now, from, list);
@@ -448,7 +461,8 @@
         let change = self.pool.announced(now, from, word);
         let mut actions = Vec::from_iter(self.changed(now, from, change));
         let pause_ms = if is_near { TELL_NEAR_MS } else { TELL_MS };
-        match self.pool.tell(now, from, self.digest(now), pause_ms) {
+        let view = Told { at: now, digest: self.digest(now), orders: self.ledger.revision() };
+        match self.pool.tell(from, view, pause_ms) {
             Telling::Nothing => {}
             Telling::Sign => actions.push(Action::Send(from, self.sign(now))),
             Telling::Addresses => actions.push(Action::Send(from, self.own_roster(now))),
--- a/crates/nutmegkeel_core/src/l4/balancer/opening.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/opening.rs
@@ -7,7 +7,7 @@
 use crate::l4::cache::Place;
 use crate::l4::flow::Head;
 use crate::l4::health::Health;
-use crate::l4::message::{Demand, Insistence, Message, Reason};
+use crate::l4::message::{Demand, Insistence, Message, Offer, Reason};
 use crate::l4::note::{Cause, Note};
 use crate::l4::policy::Mechanism;
 use crate::l4::route::{Kind, Route, Service};
@@ -36,7 +36,11 @@
             && self.pool.service(agent) == Some(service)
         {
             let waited_ms = now.since(entry.began);
-            return vec![forward_open(agent, service, route, Insistence::IfInTime, waited_ms)];
+            let offer = self.offer(service, route, Insistence::IfInTime, waited_ms);
+            return vec![Action::Forward(agent, Message::Open(offer))];
+        }
+        if self.ledger.orders().is_none() {
+            return self.keep(head, Cause::NoConfiguration);
         }
         self.place(now, head, service, route)
     }
@@ -64,7 +68,7 @@
             .then(|| self.pool.choose(now, key, service, route.kind, &self.domain, &excluded))
             .flatten();
         let Some(choice) = choice else {
-            return self.refuse(now, head, tries);
+            return self.refuse(now, head, service, tries);
         };
         entry.place = Some(Place::Placed(choice.agent));
         self.pool.placed(choice.agent);
@@ -72,34 +76,39 @@
         let insistence = if for_idle && !alone { Insistence::IfIdle } else { Insistence::IfInTime };
         let note =
             Note::Placed { flow: head.flow, choice, attempt: tries, version: self.table.version };
-        vec![forward_open(choice.agent, service, route, insistence, waited_ms), Action::Note(note)]
+        let offer = self.offer(service, route, insistence, waited_ms);
+        vec![Action::Forward(choice.agent, Message::Open(offer)), Action::Note(note)]
     }
 
     /// No agent takes the opening. The client learns it at once, unless this balancer may simply not
     /// have heard of an agent yet.
-    fn refuse(&mut self, now: Time, head: &Head, tries: usize) -> Vec<Action> {
+    fn refuse(&mut self, now: Time, head: &Head, service: Service, tries: usize) -> Vec<Action> {
         let waited_ms = now.since(self.cache.entry(now, head.flow).began);
         if tries == 0 && !self.is_settled(now) && waited_ms <= LONGEST_MS {
             return self.keep(head, Cause::NoAgent);
         }
         self.cache.remove(&head.flow);
-        let cause = if tries == 0 { Cause::NoAgent } else { Cause::AllDeclined };
+        let cause = match tries {
+            0 if self.pool.is_evacuated(now, service) => Cause::Evacuated,
+            0 => Cause::NoAgent,
+            _ => Cause::AllDeclined,
+        };
         self.reset(head, cause, tries)
     }
-}
 
-fn forward_open(
-    agent: Ipv4Addr,
-    service: Service,
-    route: &Route,
-    insistence: Insistence,
-    waited_ms: u64,
-) -> Action {
-    let demand = Demand {
-        objective_ms: u32::try_from(route.objective_ms).unwrap_or(u32::MAX),
-        deadline_ms: u32::try_from(route.deadline_ms).unwrap_or(u32::MAX),
-        once: route.kind == Kind::Once,
-    };
-    let waited_ms = u32::try_from(waited_ms).unwrap_or(u32::MAX);
-    Action::Forward(agent, Message::Open { service, insistence, demand, waited_ms })
+    fn offer(
+        &self,
+        service: Service,
+        route: &Route,
+        insistence: Insistence,
+        waited_ms: u64,
+    ) -> Offer {
+        let demand = Demand {
+            objective_ms: u32::try_from(route.objective_ms).unwrap_or(u32::MAX),
+            deadline_ms: u32::try_from(route.deadline_ms).unwrap_or(u32::MAX),
+            once: route.kind == Kind::Once,
+        };
+        let waited_ms = u32::try_from(waited_ms).unwrap_or(u32::MAX);
+        Offer { service, insistence, demand, waited_ms, orders: self.ledger.revision() }
+    }
 }
--- a/crates/nutmegkeel_core/src/l4/balancer/peers.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/peers.rs
@@ -64,6 +64,9 @@
 
     pub(super) fn roster(&mut self, now: Time, from: Ipv4Addr, roster: &Roster) -> Vec<Action> {
         let mut actions = Vec::new();
+        if let Some(orders) = &roster.orders {
+            actions.extend(self.hear_orders(now, roster, orders));
+        }
         if roster.leaving {
             self.words.hear(now, from, roster);
             if self.peers.knows(from) {
@@ -113,7 +116,7 @@
     /// go on to differ, because one of them has not yet dropped a balancer that died, a list with every
     /// sign would cost ten times what the signs do.
     fn tell_addresses(&mut self, now: Time, peer: Ipv4Addr) -> Option<Action> {
-        let told = Told { at: now, digest: self.digest(now) };
+        let told = Told { at: now, digest: self.digest(now), orders: self.ledger.revision() };
         let before = self.told.insert(peer, told);
         if let Some(before) = before.filter(|before| before.covers(&told, TELL_MS)) {
             self.told.insert(peer, before);
@@ -162,6 +165,7 @@
             agents: u32::try_from(self.pool.heard_of(now)).unwrap_or(u32::MAX),
             reaches_store: self.reaches_store,
             leaving: self.leaving,
+            orders: self.ledger.orders().cloned(),
         })
     }
 }
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::checkpoint::Checkpoint;
+use super::evacuation::Orders;
 use super::flow::Flow;
 use super::route::Service;
 
@@ -14,16 +15,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Balancer to agent: take this opening.
-    Open {
-        /// Service that the route names; the agent refuses if its backend server is of another.
-        service: Service,
-        /// How urgently the flow needs this agent.
-        insistence: Insistence,
-        /// What its requests ask for.
-        demand: Demand,
-        /// How long the opening has waited elsewhere, in milliseconds.
-        waited_ms: u32,
-    },
+    Open(Offer),
     /// Balancer to agent: a packet of an open flow.
     Carry {
         /// Whether the balancer knows that the agent holds the flow; if not, the agent says so.
@@ -63,6 +55,8 @@
     Roster(Roster),
     /// Balancer to balancer: what the agents of the sender's failure domain last said.
     Summary(Summary),
+    /// Agent to balancer, with a refusal: the orders of evacuation that it rests on.
+    Orders(Orders),
     /// Agent to balancer: write this list of open flows to the store, together with others.
     Deposit(Checkpoint),
     /// Balancer to agent: the store has a list of its with this number, or a later one.
@@ -72,6 +66,21 @@
     },
 }
 
+/// An opening that a balancer offers to an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Offer {
+    /// Service that the route names; the agent refuses if its backend server is of another.
+    pub service: Service,
+    /// How urgently the flow needs this agent.
+    pub insistence: Insistence,
+    /// What its requests ask for.
+    pub demand: Demand,
+    /// How long the opening has waited elsewhere, in milliseconds.
+    pub waited_ms: u32,
+    /// Revision of the orders of evacuation by which the balancer chose the agent.
+    pub orders: u64,
+}
+
 /// How an agent should weigh an opening.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Insistence {
@@ -108,6 +117,8 @@
     Late,
     /// The backend server turned the opening away.
     Full,
+    /// The operator has evacuated its failure domain.
+    Evacuated,
 }
 
 impl Reason {
@@ -121,6 +132,7 @@
             Self::Busy => "busy",
             Self::Late => "late",
             Self::Full => "full",
+            Self::Evacuated => "evacuated",
         }
     }
 }
@@ -259,4 +271,6 @@
     pub reaches_store: bool,
     /// Whether the sender is about to stop.
     pub leaving: bool,
+    /// The orders of evacuation in force; none while it has heard of none.
+    pub orders: Option<Orders>,
 }
--- a/crates/nutmegkeel_core/src/l4/note.rs
+++ b/crates/nutmegkeel_core/src/l4/note.rs
@@ -4,6 +4,7 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
+use super::evacuation;
 use super::flow::Flow;
 use super::message::{Load, Reason};
 use super::placement::{Change, Choice};
@@ -86,6 +87,8 @@
         /// Number of its routes.
         routes: usize,
     },
+    /// A failure domain was evacuated or taken back.
+    Evacuation(evacuation::Change),
     /// A balancer became known or unknown.
     Balancer {
         /// The balancer.
@@ -171,6 +174,8 @@
     ServerMute,
     /// The request waited for a slot, and its answer would come too late.
     Late,
+    /// The only backend servers of the service are in evacuated failure domains.
+    Evacuated,
     /// The host came back with another backend server; its flows were noted in the store.
     HostRestarted,
 }
@@ -192,6 +197,7 @@
             Self::ServerDead => "server_dead",
             Self::ServerMute => "server_mute",
             Self::Late => "late",
+            Self::Evacuated => "evacuated",
             Self::HostRestarted => "host_restarted",
         }
     }
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -72,6 +72,8 @@
     members: BTreeMap<Option<Service>, BTreeSet<Ipv4Addr>>,
     /// The own failure domain, whose agents speak to this process themselves. None where all agents do.
     domain: Option<Arc<str>>,
+    /// Failure domains whose agents take no new flows, because the operator has evacuated them.
+    evacuated: BTreeSet<Arc<str>>,
 }
 
 impl Pool {
@@ -282,8 +284,27 @@
         self.count(now, service, state)
     }
 
+    /// Sets which failure domains are evacuated from now on.
+    pub fn set_evacuated(&mut self, domains: BTreeSet<Arc<str>>) {
+        self.evacuated = domains;
+    }
+
+    /// Whether a service has agents that would take new flows if their failure domain were not evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, now: Time, service: Service) -> bool {
+        let takes = |candidate: &Candidate| {
+            candidate.is_in(self.sight(now, candidate), service, State::Ready)
+        };
+        self.members(Some(service)).any(|(_, one)| self.is_spared(one) && takes(one))
+    }
+
+    /// Whether an agent's failure domain is evacuated.
+    fn is_spared(&self, candidate: &Candidate) -> bool {
+        self.evacuated.contains(&candidate.announcement.domain)
+    }
+
     fn is_in(&self, now: Time, candidate: &Candidate, service: Service, state: State) -> bool {
-        candidate.is_in(self.sight(now, candidate), service, state)
+        !self.is_spared(candidate) && candidate.is_in(self.sight(now, candidate), service, state)
     }
 
     fn count(&self, now: Time, service: Service, state: State) -> usize {
@@ -305,19 +326,19 @@
         self.agents.values().filter(|one| self.health_of(now, one) <= Health::Late).count()
     }
 
-    /// What an agent must be told of the balancers, whose addresses have this digest; notes that it is.
+    /// What an agent must be told of the balancers and of evacuations, if `next` is what there is to
+    /// tell; notes that it is.
     ///
     /// Guards against answering every announcement with all addresses: after the death of one balancer
     /// the views differ for seconds, and with 59 balancers and 136 agents that would be 26,000 lists a
     /// second. A list is sent once when it is new, and again only with the next sign of life.
-    pub fn tell(&mut self, now: Time, agent: Ipv4Addr, digest: u64, pause_ms: u64) -> Telling {
+    pub fn tell(&mut self, agent: Ipv4Addr, next: Told, pause_ms: u64) -> Telling {
         let Some(candidate) = self.agents.get_mut(&agent) else {
             return Telling::Addresses;
         };
-        let next = Told { at: now, digest };
         let telling = match candidate.told {
             Some(told) if told.covers(&next, pause_ms) => return Telling::Nothing,
-            Some(_) if candidate.announcement.balancers == digest => Telling::Sign,
+            Some(_) if candidate.announcement.balancers == next.digest => Telling::Sign,
             _ => Telling::Addresses,
         };
         candidate.told = Some(next);
--- a/crates/nutmegkeel_core/src/l4/roster.rs
+++ b/crates/nutmegkeel_core/src/l4/roster.rs
@@ -24,13 +24,17 @@
     pub at: Time,
     /// Digest of the addresses.
     pub digest: u64,
+    /// Revision of the orders of evacuation that it was told of.
+    pub orders: u64,
 }
 
 impl Told {
     /// Whether this makes another telling needless: the same view, less than `pause_ms` ago.
     #[must_use]
     pub const fn covers(&self, next: &Self, pause_ms: u64) -> bool {
-        self.digest == next.digest && next.at.since(self.at) < pause_ms
+        self.digest == next.digest
+            && self.orders == next.orders
+            && next.at.since(self.at) < pause_ms
     }
 }
 
--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -1,25 +1,21 @@
 use nutmegkeel_core::l4::agent::{Action, Agent, Event};
 use nutmegkeel_core::l4::flow::{Flow, Head};
-use nutmegkeel_core::l4::message::{Demand, Insistence, Load, Message, Reason, Roster, State};
+use nutmegkeel_core::l4::message::{
+    Demand, Insistence, Load, Message, Offer, Reason, Roster, State,
+};
 use nutmegkeel_core::l4::route::Service;
 
 use crate::fixture::{
-    BALANCER, accepted, agent, at, bounced, data, desk, flow, heartbeat, heartbeat_of, incarnation,
-    opening, roster,
+    BALANCER, accepted, agent, at, bounced, data, flow, heartbeat, heartbeat_of, incarnation,
+    offer, opening, roster,
 };
 
 const WAITS: Insistence = Insistence::IfInTime;
 const FEED: Demand = Demand { objective_ms: 250, deadline_ms: 2_500, once: false };
 
 fn open(flow: Flow, copies: u32, insistence: Insistence) -> Event {
-    Event::Open {
-        from: BALANCER,
-        head: opening(flow, copies),
-        service: desk(),
-        insistence,
-        demand: FEED,
-        waited_ms: 0,
-    }
+    let offer = Offer { insistence, ..offer(FEED) };
+    Event::Open { from: BALANCER, head: opening(flow, copies), offer }
 }
 
 /// An agent beside a server that it has known since the server's start.
@@ -92,14 +88,8 @@
 #[test]
 fn an_opening_for_another_service_never_reaches_the_server() {
     let mut agent = serving();
-    let wrong = Event::Open {
-        from: BALANCER,
-        head: opening(flow(1), 0),
-        service: Service::named("vault"),
-        insistence: WAITS,
-        demand: FEED,
-        waited_ms: 0,
-    };
+    let offer = Offer { service: Service::named("vault"), ..offer(FEED) };
+    let wrong = Event::Open { from: BALANCER, head: opening(flow(1), 0), offer };
 
     let actions = agent.handle(at(10), wrong);
 
@@ -418,12 +408,8 @@
         request(&mut agent, 100, flow(port));
     }
 
-    let Event::Open { from, head, service, insistence, waited_ms, .. } = open(flow(9), 0, WAITS)
-    else {
-        panic!("an opening");
-    };
     let demand = Demand { objective_ms: 300, deadline_ms: 3_000, once: true };
-    let opening = Event::Open { from, head, service, insistence, demand, waited_ms };
+    let opening = Event::Open { from: BALANCER, head: opening(flow(9), 0), offer: offer(demand) };
     agent.handle(at(101), opening);
     agent.handle(at(102), Event::FromServer(accepted(flow(9), 500)));
     let head = data(flow(9), 1_001, 501);
--- a/crates/nutmegkeel_core/tests/l4/balancer.rs
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -1,5 +1,6 @@
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
-use nutmegkeel_core::l4::message::{Insistence, Load, Message, Reason, State};
+use nutmegkeel_core::l4::evacuation::Orders;
+use nutmegkeel_core::l4::message::{Insistence, Load, Message, Offer, Reason, State};
 use nutmegkeel_core::l4::policy::{Mechanism, Policy};
 use nutmegkeel_core::l4::route::Service;
 
@@ -162,7 +163,7 @@
         let (agent, insistence) = actions
             .iter()
             .find_map(|action| match action {
-                Action::Forward(agent, Message::Open { insistence, .. }) => {
+                Action::Forward(agent, Message::Open(Offer { insistence, .. })) => {
                     Some((*agent, *insistence))
                 }
                 _ => None,
@@ -396,6 +397,7 @@
     let head = opening(flow(1), 0);
 
     let first = balancer.handle(at(10), Event::Client(head));
+    balancer.handle(at(20), Event::Ordered(Orders::default()));
     let configured = balancer.handle(at(20), Event::Configured(table(1, &[(PORT, desk())])));
     let again = balancer.handle(at(20), Event::Again(head));
 
@@ -408,6 +410,7 @@
 #[test]
 fn a_kept_opening_is_answered_in_the_end() {
     let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    balancer.handle(at(0), Event::Ordered(Orders::default()));
     balancer.handle(at(0), Event::Configured(table(1, &[(PORT, desk())])));
     let head = opening(flow(1), 0);
     let kept = balancer.handle(at(10), Event::Client(head));
@@ -425,6 +428,7 @@
 #[test]
 fn openings_are_placed_at_once_while_servers_come_back() {
     let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    balancer.handle(at(0), Event::Ordered(Orders::default()));
     balancer.handle(at(0), Event::Configured(table(1, &[(PORT, desk())])));
     balancer.handle(at(1), Event::Announced(host(1), word(1, State::Ready, Load::default())));
 
--- /dev/null
+++ b/crates/nutmegkeel_core/tests/l4/evacuation.rs
@@ -0,0 +1,328 @@
+//! Evacuated failure domains: what balancers and agents do with new flows, and which word wins.
+
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use nutmegkeel_core::l4::agent;
+use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
+use nutmegkeel_core::l4::evacuation::{Feed, Ledger, Orders};
+use nutmegkeel_core::l4::message::{Announcement, Load, Message, Offer, Reason, Roster, State};
+use nutmegkeel_core::l4::note::{Cause, Note};
+use nutmegkeel_core::l4::policy::Policy;
+use quickcheck::{TestResult, quickcheck};
+
+use crate::fixture::{
+    BALANCER, DOMAIN, PORT, accepted, agent, announce, at, balancer, data, demand, desk, flow,
+    forwarded, heartbeat, host, offer, opening, resets, roster, table, word,
+};
+
+/// Another failure domain.
+const FAR: &str = "tema";
+
+fn orders(revision: u64, domains: &[&str]) -> Orders {
+    Orders { revision, domains: domains.iter().map(|domain| Arc::from(*domain)).collect() }
+}
+
+/// Lets an agent of the other failure domain announce itself each 300 ms.
+fn announce_far(balancer: &mut Balancer, agent: u8, from_ms: u64, until_ms: u64) {
+    for millis in (from_ms..=until_ms).step_by(300) {
+        let word = word(millis + 100, State::Ready, Load::default());
+        let word = Event::Announced(host(agent), Announcement { domain: FAR.into(), ..word });
+        balancer.handle(at(millis), word);
+    }
+}
+
+/// A balancer with three agents at home, and a fourth in the other failure domain.
+fn balancer_of_two() -> Balancer {
+    let mut balancer = balancer(&[1, 2, 3]);
+    announce_far(&mut balancer, 4, 0, 3_000);
+    balancer
+}
+
+fn open(port: u16) -> Event {
+    Event::Client(opening(flow(port), 0))
+}
+
+fn targets(balancer: &mut Balancer, now: u64, ports: std::ops::Range<u16>) -> BTreeSet<Ipv4Addr> {
+    ports.filter_map(|port| forwarded(&balancer.handle(at(now), open(port)))).collect()
+}
+
+fn reset_cause(actions: &[Action]) -> Option<Cause> {
+    actions.iter().find_map(|action| match action {
+        Action::Note(Note::Reset { cause, .. }) => Some(*cause),
+        _ => None,
+    })
+}
+
+/// Clerks lose their filings because the operator switches a hall off that still got work. It had been
+/// evacuated, and the balancers there placed by load alone.
+#[test]
+fn an_evacuated_domain_gets_no_new_flow() {
+    let mut balancer = balancer_of_two();
+    let before = targets(&mut balancer, 3_000, 1..40);
+
+    balancer.handle(at(3_010), Event::Ordered(orders(5, &[DOMAIN])));
+    let during = targets(&mut balancer, 3_010, 41..80);
+    balancer.handle(at(3_020), Event::Ordered(orders(6, &[])));
+    let after = targets(&mut balancer, 3_020, 81..120);
+
+    assert!(before.contains(&host(1)), "{before:?}");
+    assert_eq!(during, BTreeSet::from([host(4)]));
+    assert!(after.contains(&host(1)), "{after:?}");
+}
+
+#[test]
+fn an_open_flow_stays_where_it_is() {
+    let mut balancer = balancer_of_two();
+    let agent = forwarded(&balancer.handle(at(3_000), open(1))).expect("it is placed");
+    let (from, flow, load) = (agent, flow(1), Load::default());
+    balancer.handle(at(3_002), Event::Holds { from, flow, load });
+
+    balancer.handle(at(3_010), Event::Ordered(orders(5, &[DOMAIN, FAR])));
+    let carried = balancer.handle(at(3_020), Event::Client(data(flow, 1_001, 501)));
+
+    assert_eq!(forwarded(&carried), Some(agent));
+}
+
+/// The copy of an opening that an evacuated server has already accepted goes there: sent elsewhere,
+/// two servers would hold the flow.
+#[test]
+fn a_copy_goes_where_its_first_was_accepted() {
+    let mut balancer = balancer_of_two();
+    let first = forwarded(&balancer.handle(at(3_000), open(1)));
+
+    balancer.handle(at(3_010), Event::Ordered(orders(5, &[DOMAIN, FAR])));
+    let copy = forwarded(&balancer.handle(at(3_200), Event::Client(opening(flow(1), 1))));
+
+    assert_eq!(copy, first);
+}
+
+/// All servers of a service are in evacuated failure domains: clients are told at once, and the log
+/// says why.
+#[test]
+fn a_service_without_a_domain_left_is_refused_at_once() {
+    let mut balancer = balancer_of_two();
+    balancer.handle(at(3_010), Event::Ordered(orders(5, &[DOMAIN, FAR])));
+
+    let refused = balancer.handle(at(3_020), open(1));
+
+    assert!(resets(&refused), "{refused:?}");
+    assert_eq!(reset_cause(&refused), Some(Cause::Evacuated));
+}
+
+#[test]
+fn an_order_for_an_unknown_domain_changes_nothing() {
+    let mut balancer = balancer_of_two();
+    balancer.handle(at(3_010), Event::Ordered(orders(5, &["nowhere"])));
+
+    assert!(forwarded(&balancer.handle(at(3_020), open(1))).is_some());
+}
+
+/// Work comes back to an evacuated hall after its balancers were killed: a new one has the
+/// configuration from another balancer and has not heard of the orders.
+#[test]
+fn a_balancer_that_has_heard_of_no_orders_places_nothing() {
+    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    balancer.handle(at(0), Event::Configured(table(1, &[(PORT, desk())])));
+    announce(&mut balancer, &[1, 2], 0, 300);
+    announce_far(&mut balancer, 4, 0, 300);
+
+    let kept = balancer.handle(at(310), open(1));
+    let recalled =
+        balancer.handle(at(320), Event::Roster(host(9), word_with(orders(5, &[DOMAIN]))));
+    let placed = balancer.handle(at(321), Event::Again(opening(flow(1), 0)));
+
+    assert!(kept.contains(&Action::Keep(opening(flow(1), 0))), "{kept:?}");
+    assert!(recalled.contains(&Action::Recall), "{recalled:?}");
+    assert_eq!(forwarded(&placed), Some(host(4)));
+}
+
+fn word_with(orders: Orders) -> Roster {
+    Roster { orders: Some(orders), ..roster(1, &[], 3) }
+}
+
+#[test]
+fn orders_from_another_domain_are_passed_on_at_home() {
+    let mut balancer = balancer(&[1]);
+    balancer.handle(at(3_000), Event::Roster(host(8), roster(1, &[], 1)));
+
+    let far = Roster { domain: FAR.into(), ..word_with(orders(5, &[FAR])) };
+    let told = balancer.handle(at(3_010), Event::Roster(host(9), far));
+    let word = Roster { balancers: vec![host(8)], ..word_with(orders(6, &[])) };
+    let near = balancer.handle(at(3_020), Event::Roster(host(8), word));
+
+    let tells = |actions: &[Action], revision| {
+        actions.iter().any(|action| match action {
+            Action::Send(to, Message::Roster(roster)) => {
+                let known = roster.orders.as_ref().map(|orders| orders.revision);
+                *to == host(8) && known == Some(revision)
+            }
+            _ => false,
+        })
+    };
+    assert!(tells(&told, 5), "{told:?}");
+    assert!(!tells(&near, 6), "{near:?}");
+}
+
+/// An agent is told of new orders with its next announcement, not only with the next sign of life.
+#[test]
+fn agents_are_told_of_new_orders_with_their_next_word() {
+    let mut balancer = balancer(&[1]);
+
+    balancer.handle(at(3_010), Event::Ordered(orders(5, &[FAR])));
+    let word = word(9_000, State::Ready, Load::default());
+    let told = balancer.handle(at(3_020), Event::Announced(host(1), word));
+
+    let is_told = |action: &Action| match action {
+        Action::Send(to, Message::Roster(roster)) => {
+            *to == host(1) && roster.orders == Some(orders(5, &[FAR]))
+        }
+        _ => false,
+    };
+    assert!(told.iter().any(is_told), "{told:?}");
+}
+
+fn serving() -> agent::Agent {
+    let mut agent = agent();
+    agent.handle(at(0), agent::Event::Heartbeat(heartbeat("a", 1)));
+    agent
+}
+
+fn offered(port: u16, revision: u64) -> agent::Event {
+    let offer = Offer { orders: revision, ..offer(demand(false)) };
+    agent::Event::Open { from: BALANCER, head: opening(flow(port), 0), offer }
+}
+
+fn takes(actions: &[agent::Action]) -> bool {
+    actions.iter().any(|action| matches!(action, agent::Action::ToServer(_)))
+}
+
+/// A balancer stood still while a hall was evacuated, wakes up and goes on sending work there. The
+/// agent, the last hop, refuses and teaches it.
+#[test]
+fn an_agent_refuses_what_an_older_view_sends_and_teaches_its_sender() {
+    let mut agent = serving();
+    agent.handle(at(10), agent::Event::Roster(host(9), word_with(orders(5, &[DOMAIN]))));
+
+    let refused = agent.handle(at(20), offered(1, 4));
+
+    let reason = Reason::Evacuated;
+    let declined = Message::Declined { reason, load: Load::default() };
+    assert!(!takes(&refused), "{refused:?}");
+    assert!(refused.contains(&agent::Action::Return(BALANCER, declined)), "{refused:?}");
+    let taught = Message::Orders(orders(5, &[DOMAIN]));
+    assert!(refused.contains(&agent::Action::Send(BALANCER, taught)), "{refused:?}");
+}
+
+#[test]
+fn a_balancer_that_was_refused_places_elsewhere_and_learns() {
+    let mut balancer = balancer_of_two();
+    let port = (1..).find(|port| {
+        forwarded(&balancer.handle(at(3_000), open(*port))).is_some_and(|agent| agent != host(4))
+    });
+    let flow = flow(port.expect("one goes to the own domain"));
+    let head = opening(flow, 0);
+    let from = forwarded(&balancer.handle(at(3_001), Event::Client(head))).expect("placed");
+
+    balancer.handle(at(3_010), Event::Ordered(orders(5, &[DOMAIN])));
+    let (reason, load) = (Reason::Evacuated, Load::default());
+    let next = balancer.handle(at(3_010), Event::Declined { from, head, reason, load });
+
+    assert_eq!(forwarded(&next), Some(host(4)));
+}
+
+/// A hall is taken back, and its servers serve with the first opening of a balancer that knows it.
+#[test]
+fn an_agent_takes_what_a_newer_view_sends() {
+    let mut agent = serving();
+    agent.handle(at(10), agent::Event::Roster(host(9), word_with(orders(5, &[DOMAIN]))));
+
+    let newer = agent.handle(at(20), offered(1, 6));
+    agent.handle(at(21), agent::Event::FromServer(accepted(flow(1), 500)));
+    let older = agent.handle(at(30), offered(2, 4));
+
+    assert!(takes(&newer), "{newer:?}");
+    // The domain is not evacuated any more, whoever sends.
+    assert!(takes(&older), "{older:?}");
+}
+
+#[test]
+fn a_copy_of_what_an_agent_has_accepted_passes() {
+    let mut agent = serving();
+    agent.handle(at(5), offered(1, 4));
+
+    agent.handle(at(10), agent::Event::Roster(host(9), word_with(orders(5, &[DOMAIN]))));
+    let copy = agent.handle(at(205), offered(1, 4));
+
+    assert!(takes(&copy), "{copy:?}");
+}
+
+#[test]
+fn a_feed_reads_anew_what_happened_out_of_sight() {
+    let mut feed = Feed::default();
+    feed.read(10, orders(0, &[FAR]).domains);
+    feed.change(12, DOMAIN.into(), true);
+    let seen = feed.orders().clone();
+
+    feed.read(20, orders(0, &[DOMAIN]).domains);
+    // Told again from before the read.
+    feed.change(12, FAR.into(), true);
+
+    assert_eq!(seen, orders(12, &[DOMAIN, FAR]));
+    assert_eq!(*feed.orders(), orders(20, &[DOMAIN]));
+}
+
+/// What the operator did, one step at each revision: which domain, and whether it was evacuated.
+fn history(steps: &[(u8, bool)]) -> Vec<Orders> {
+    let mut feed = Feed::default();
+    let mut states = vec![feed.orders().clone()];
+    for (revision, (domain, evacuated)) in (1..).zip(steps) {
+        feed.change(revision, format!("domain-{}", domain % 3).into(), *evacuated);
+        states.push(feed.orders().clone());
+    }
+    states
+}
+
+quickcheck! {
+    /// Words arrive in any order, some more than once, and the process starts again in between: it never
+    /// goes back behind a word that it has heard since its start, and holds the last of them at the end.
+    fn an_older_order_never_wins(steps: Vec<(u8, bool)>, heard: Vec<usize>, restart: usize) -> TestResult {
+        if steps.is_empty() || heard.is_empty() {
+            return TestResult::discard();
+        }
+        let states = history(&steps);
+        let heard: Vec<&Orders> = heard.iter().map(|number| &states[number % states.len()]).collect();
+        let restart = restart % heard.len();
+
+        let mut ledger = Ledger::default();
+        let mut latest = 0;
+        for (number, orders) in heard.iter().enumerate() {
+            if number == restart {
+                (ledger, latest) = (Ledger::default(), 0);
+            }
+            ledger.take(orders);
+            latest = latest.max(orders.revision);
+            let known = ledger.orders().expect("it has heard of orders");
+            if known.revision != latest || *known != states[usize::try_from(latest).expect("few")] {
+                return TestResult::failed();
+            }
+        }
+        TestResult::passed()
+    }
+
+    /// Every process knows of an evacuation; then any of them starts again, hears old words, is offered
+    /// openings by balancers that know or do not. As long as the balancer that sends has not placed by a
+    /// later state in which the domain was taken back, the agent hands none to its server.
+    fn no_opening_reaches_a_server_after_its_agent_knew(old: Vec<u8>) -> bool {
+        let mut agent = serving();
+        agent.handle(at(1), agent::Event::Roster(host(9), word_with(orders(300, &[DOMAIN]))));
+        let mut ports = 1..;
+        old.iter().zip(2..).all(|(revision, now)| {
+            let stale = word_with(orders(u64::from(*revision), &[]));
+            agent.handle(at(now), agent::Event::Roster(host(8), stale));
+            let port = ports.next().expect("few openings");
+            !takes(&agent.handle(at(now), offered(port, u64::from(*revision))))
+        })
+    }
+}
--- a/crates/nutmegkeel_core/tests/l4/fixture.rs
+++ b/crates/nutmegkeel_core/tests/l4/fixture.rs
@@ -6,8 +6,9 @@
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::l4::agent::{self, Agent, Identity};
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
+use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::flow::{Flags, Flow, Head};
-use nutmegkeel_core::l4::message::{Announcement, Demand, Insistence, Load, Roster, State};
+use nutmegkeel_core::l4::message::{Announcement, Demand, Insistence, Load, Offer, Roster, State};
 use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::route::{Kind, Route, Service, Share, Table};
 use nutmegkeel_core::l4::server::{Heartbeat, Incarnation};
@@ -102,6 +103,7 @@
         agents,
         reaches_store: true,
         leaving: false,
+        orders: Some(Orders::default()),
     }
 }
 
@@ -118,6 +120,7 @@
 /// A balancer with a route to the desk and these agents, all known for three seconds at `at(3_000)`.
 pub(crate) fn balancer(agents: &[u8]) -> Balancer {
     let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    balancer.handle(at(0), Event::Ordered(Orders::default()));
     balancer.handle(at(0), Event::Configured(table(1, &[(PORT, desk())])));
     announce(&mut balancer, agents, 0, 3_000);
     balancer
@@ -156,11 +159,16 @@
     Demand { objective_ms: 250, deadline_ms: 2_500, once }
 }
 
+/// An offer of the desk's, by a balancer that knows of no order.
+pub(crate) fn offer(demand: Demand) -> Offer {
+    let (service, insistence) = (desk(), Insistence::IfInTime);
+    Offer { service, insistence, demand, waited_ms: 0, orders: 0 }
+}
+
 /// Lets an agent take a flow that its server accepts with the number 500.
 pub(crate) fn open(agent: &mut Agent, now: u64, flow: Flow, demand: Demand) {
-    let (from, head, service) = (BALANCER, opening(flow, 0), desk());
-    let insistence = Insistence::IfInTime;
-    let event = agent::Event::Open { from, head, service, insistence, demand, waited_ms: 0 };
+    let (from, head) = (BALANCER, opening(flow, 0));
+    let event = agent::Event::Open { from, head, offer: offer(demand) };
     agent.handle(at(now), event);
     agent.handle(at(now + 1), agent::Event::FromServer(accepted(flow, 500)));
 }
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -5,6 +5,7 @@
 mod balancer;
 mod checkpoint;
 mod delegate;
+mod evacuation;
 mod fixture;
 mod mute;
 mod outlier;
--- a/crates/nutmegkeel_core/tests/l4/overload.rs
+++ b/crates/nutmegkeel_core/tests/l4/overload.rs
@@ -4,10 +4,10 @@
 
 use nutmegkeel_core::l4::agent::{Action, Agent, Event};
 use nutmegkeel_core::l4::flow::{Flow, Head};
-use nutmegkeel_core::l4::message::{Demand, Insistence};
+use nutmegkeel_core::l4::message::{Demand, Insistence, Offer};
 
 use crate::backend::{COLD_UNTIL_MS, Server};
-use crate::fixture::{BALANCER, accepted, agent, at, data, desk, flow, heartbeat, opening};
+use crate::fixture::{BALANCER, accepted, agent, at, data, flow, heartbeat, offer, opening};
 
 /// An answer within this is in time, in milliseconds.
 const AIM_MS: u64 = 400;
@@ -37,9 +37,8 @@
         agent.handle(at(0), Event::Recovered(None));
         agent.handle(at(0), Event::Heartbeat(heartbeat("a", 1)));
         for port in 1..=FLOWS {
-            let (from, head, insistence) = (BALANCER, opening(flow(port), 0), Insistence::IfIdle);
-            let service = desk();
-            let event = Event::Open { from, head, service, insistence, demand, waited_ms: 0 };
+            let offer = Offer { insistence: Insistence::IfIdle, ..offer(demand) };
+            let event = Event::Open { from: BALANCER, head: opening(flow(port), 0), offer };
             agent.handle(at(0), event);
             agent.handle(at(0), Event::FromServer(accepted(flow(port), 500)));
         }
--- a/crates/nutmegkeel_core/tests/l4/recovery.rs
+++ b/crates/nutmegkeel_core/tests/l4/recovery.rs
@@ -6,6 +6,7 @@
 
 use nutmegkeel_core::l4::agent::{self, Agent, Identity};
 use nutmegkeel_core::l4::balancer::{self, Balancer};
+use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::flow::{Flow, Head};
 use nutmegkeel_core::l4::message::Message;
 use nutmegkeel_core::l4::policy::{Mechanism, Policy};
@@ -103,6 +104,7 @@
             let policy = self.policy.clone();
             let balancer = Balancer::open(at(now), BALANCER, DOMAIN.into(), &[], policy);
             self.balancer = Some(balancer);
+            self.balance(now, balancer::Event::Ordered(Orders::default()), None);
             self.balance(now, balancer::Event::Configured(table(1, &[(PORT, desk())])), None);
         }
         for number in 0..self.hosts.len() {
@@ -160,9 +162,7 @@
                     (Message::Carry { known }, Some(head)) => {
                         agent::Event::Carry { from, head, known }
                     }
-                    (Message::Open { service, insistence, demand, waited_ms }, Some(head)) => {
-                        agent::Event::Open { from, head, service, insistence, demand, waited_ms }
-                    }
+                    (Message::Open(offer), Some(head)) => agent::Event::Open { from, head, offer },
                     _ => return,
                 };
                 self.act(now, number, event, head);
--- a/crates/nutmegkeel_fake/src/store.rs
+++ b/crates/nutmegkeel_fake/src/store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use nutmegkeel_store::kv::{
-    Committed, Fault, Kept, Lease, Pair, Registry, Snapshot, Store, Watched, Write,
+    Committed, Fault, Image, Kept, Lease, Pair, Registry, Store, Watched, Write,
 };
 
 /// How one call goes.
@@ -184,8 +184,8 @@
         self.memory.list(prefix)
     }
 
-    fn snapshot(&self, key: &str) -> Result<Snapshot, Fault> {
-        Ok(Snapshot { pair: self.memory.get(key)?, as_of: 0 })
+    fn image(&self, prefix: &str) -> Result<Image, Fault> {
+        Ok(Image { pairs: self.memory.list(prefix)?, as_of: 0 })
     }
 
     fn keep(&self, _lease: Lease) -> Result<Kept, Fault> {
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -212,9 +212,9 @@
         let at = bytes.len() - packet.len();
         let event = match message {
             Message::Roster(roster) => Event::Roster(from, roster),
-            Message::Open { service, insistence, demand, waited_ms } => {
+            Message::Open(offer) => {
                 let Some(head) = link::client_head(packet) else { return };
-                Event::Open { from, head, service, insistence, demand, waited_ms }
+                Event::Open { from, head, offer }
             }
             Message::Carry { known } => {
                 let Some(head) = link::client_head(packet) else { return };
@@ -226,6 +226,7 @@
             | Message::Holds { .. }
             | Message::Absent { .. }
             | Message::Relay
+            | Message::Orders(_)
             | Message::Deposit(_)
             | Message::Summary(_)
             | Message::Announce(_) => {
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -19,7 +19,7 @@
 use nutmegkeel_wire::l4 as wire;
 
 use super::collector;
-use super::configuration::{self, Fetcher, Source};
+use super::configuration::{self, Fetcher, News, Source};
 use super::journal::Journal;
 use super::kept::{Packet, Packets};
 use super::link::{self, Link};
@@ -156,21 +156,20 @@
     settings: &Settings,
     source: &Source,
 ) -> Result<Fetcher, Fault> {
-    let configured = |shared: &Arc<Shared>| {
-        let shared = Arc::clone(shared);
-        move |table: Table| shared.handle(Event::Configured(table), &[])
-    };
     let watching = Arc::clone(shared);
     let watches = move || watching.watches();
-    configuration::spawn_watch(
-        settings,
-        source.clone(),
-        watches,
-        store_answered(shared),
-        configured(shared),
-    )?;
-    let port = settings.messages.port();
-    Ok(Fetcher::spawn(port, source.clone(), configured(shared))?)
+    let told = Arc::clone(shared);
+    let take = move |news| {
+        let event = match news {
+            News::Orders(orders) => Event::Ordered(orders),
+            News::Configuration(table) => Event::Configured(table),
+        };
+        told.handle(event, &[]);
+    };
+    configuration::spawn_watch(settings, source.clone(), watches, store_answered(shared), take)?;
+    let fetched = Arc::clone(shared);
+    let configured = move |table: Table| fetched.handle(Event::Configured(table), &[]);
+    Ok(Fetcher::spawn(settings.messages.port(), source.clone(), configured)?)
 }
 
 /// Takes in whether the store answered a call of this process.
@@ -284,9 +283,10 @@
             Message::Announce(word) => Event::Announced(from, word),
             Message::Roster(roster) => Event::Roster(from, roster),
             Message::Summary(summary) => Event::Summary(summary),
+            Message::Orders(orders) => Event::Ordered(orders),
             Message::Deposit(list) => Event::Deposited(from, list),
             Message::Written { .. }
-            | Message::Open { .. }
+            | Message::Open(_)
             | Message::Carry { .. }
             | Message::Locate { .. } => {
                 link::drop_datagram("message");
@@ -365,5 +365,7 @@
         gauge!(metric::CONFIGURATION).set(core.version() as f64);
         #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
         gauge!(metric::AGENTS).set(core.agents() as f64);
+        #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
+        gauge!(metric::EVACUATED).set(core.evacuated() as f64);
     }
 }
--- a/crates/nutmegkeel_node/src/l4/configuration.rs
+++ b/crates/nutmegkeel_node/src/l4/configuration.rs
@@ -1,5 +1,7 @@
-//! Brings the operator's configuration from the store, or from another balancer, into force.
+//! Brings what the operator wrote from the store into force: the configuration, which other balancers
+//! hand over too, and orders of evacuation.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
@@ -8,10 +10,11 @@
 use std::time::Duration;
 
 use log::{info, warn};
+use nutmegkeel_core::l4::evacuation::{Feed, Orders};
 use nutmegkeel_core::l4::route::Table;
-use nutmegkeel_platform::configuration;
+use nutmegkeel_platform::configuration::{self, Entry};
 use nutmegkeel_platform::settings::Settings;
-use nutmegkeel_store::kv::{Fault, Pair, Registry, Watched};
+use nutmegkeel_store::kv::{Change, Fault, Image, Pair, Registry, Watched};
 
 use super::membership::note_reachable;
 use super::metered::{Metered, Purpose};
@@ -72,8 +75,17 @@
     }
 }
 
-/// Watches the store while `watches` says so, hands every configuration to `configured`, and tells
-/// `answered` whether the store answers.
+/// What a watch brings.
+#[derive(Debug)]
+pub(super) enum News {
+    /// Orders of evacuation, all that are in force.
+    Orders(Orders),
+    /// A configuration.
+    Configuration(Table),
+}
+
+/// Watches the store while `watches` says so, hands all news to `take`, and tells `answered` whether
+/// the store answers.
 ///
 /// # Errors
 /// When the thread cannot be started.
@@ -82,53 +94,124 @@
     source: Source,
     watches: impl Fn() -> bool + Send + 'static,
     answered: impl Fn(bool) + Send + 'static,
-    configured: impl Fn(Table) + Send + 'static,
+    take: impl Fn(News) + Send + 'static,
 ) -> io::Result<()> {
     let store = Metered::open(settings, Purpose::Configuration);
     thread::Builder::new().name("configuration".to_owned()).spawn(move || {
         let mut reachable = true;
-        let mut after = None;
+        let mut watch = Watch { store, source, after: None, feed: Feed::default() };
         let mut retry = RETRY;
         loop {
             if !watches() {
                 thread::sleep(LOOK);
                 continue;
             }
-            let outcome = next(&store, after).map(|(until, pairs)| {
-                after = until;
-                let tables = pairs.iter().filter(|pair| pair.key == configuration::KEY);
-                tables.filter_map(|pair| source.take(&pair.value)).map(&configured).count()
-            });
+            let outcome = watch.next();
+            let outcome = outcome.map(|news| news.into_iter().map(&take).count());
             let pause = match outcome {
-                Ok(0) if after.is_some() => Duration::ZERO,
-                Ok(_) if after.is_some() => COALESCE,
+                Ok(0) if watch.after.is_some() => Duration::ZERO,
+                Ok(_) if watch.after.is_some() => COALESCE,
                 _ => retry,
             };
             retry = if outcome.is_ok() { RETRY } else { LONGEST_RETRY.min(retry * 2) };
             answered(outcome.is_ok());
             note_reachable(&mut reachable, outcome.map(|_| ()));
-            store.note_skipped();
+            watch.store.note_skipped();
             thread::sleep(pause);
         }
     })?;
     Ok(())
 }
 
-/// What comes behind revision `after`, and the revision to go on from.
-fn next(store: &Metered, after: Option<u64>) -> Result<(Option<u64>, Vec<Pair>), Fault> {
-    let Some(after) = after else {
-        let snapshot = store.snapshot(configuration::KEY)?;
-        // While there is none yet, a watch waits for it: to ask again and again costs a call each time.
-        let is_known = snapshot.pair.is_some() || snapshot.as_of > 0;
-        let until = is_known.then_some(snapshot.as_of);
-        return Ok((until, snapshot.pair.into_iter().collect()));
-    };
-    match store.watch(configuration::KEY, after, WAIT)? {
-        Watched::Until(until, pairs) => Ok((Some(until), pairs)),
-        Watched::Forgotten => next(store, None),
+/// A watch of all that the operator writes.
+struct Watch {
+    store: Metered,
+    source: Source,
+    /// Revision to go on from; none before the first read, and after the history was lost.
+    after: Option<u64>,
+    feed: Feed,
+}
+
+impl Watch {
+    /// What is new. Orders come before a configuration, so that a process which has one knows of them.
+    fn next(&mut self) -> Result<Vec<News>, Fault> {
+        let Some(after) = self.after else {
+            let image = self.store.image(configuration::PREFIX)?;
+            return Ok(self.read(image));
+        };
+        match self.store.watch(configuration::PREFIX, after, WAIT)? {
+            Watched::Until(until, changes) => {
+                self.after = Some(until);
+                Ok(self.follow(changes))
+            }
+            Watched::Forgotten => {
+                self.after = None;
+                self.next()
+            }
+        }
+    }
+
+    /// Takes in all that there is.
+    fn read(&mut self, image: Image) -> Vec<News> {
+        // While there is no configuration yet a watch waits for it: to ask again and again costs a call
+        // each time.
+        let is_known = !image.pairs.is_empty() || image.as_of > 0;
+        self.after = is_known.then_some(image.as_of);
+        let mut domains = BTreeSet::new();
+        let mut tables = Vec::new();
+        for pair in image.pairs {
+            match entry(&pair.key) {
+                Some(Entry::Evacuation(domain)) => {
+                    domains.insert(domain);
+                }
+                Some(Entry::Configuration) => tables.extend(self.table(&pair)),
+                None => {}
+            }
+        }
+        self.feed.read(image.as_of, domains);
+        self.news(true, tables)
+    }
+
+    /// Takes in what has changed.
+    fn follow(&mut self, changes: Vec<Change>) -> Vec<News> {
+        let mut ordered = false;
+        let mut tables = Vec::new();
+        for change in changes {
+            let (key, revision, pair) = match change {
+                Change::Written(pair) => (pair.key.clone(), pair.revision, Some(pair)),
+                Change::Deleted { key, revision } => (key, revision, None),
+            };
+            match (entry(&key), pair) {
+                (Some(Entry::Evacuation(domain)), pair) => {
+                    self.feed.change(revision, domain, pair.is_some());
+                    ordered = true;
+                }
+                (Some(Entry::Configuration), Some(pair)) => tables.extend(self.table(&pair)),
+                // The operator never takes the configuration away; the one in force stays.
+                (Some(Entry::Configuration) | None, _) => {}
+            }
+        }
+        self.news(ordered, tables)
+    }
+
+    fn news(&self, ordered: bool, tables: Vec<Table>) -> Vec<News> {
+        let orders = ordered.then(|| News::Orders(self.feed.orders().clone()));
+        orders.into_iter().chain(tables.into_iter().map(News::Configuration)).collect()
+    }
+
+    fn table(&self, pair: &Pair) -> Option<Table> {
+        self.source.take(&pair.value)
     }
 }
 
+/// What a key of the operator's holds, if it is needed and understood.
+fn entry(key: &str) -> Option<Entry> {
+    configuration::entry(key).unwrap_or_else(|fault| {
+        warn!(event = "order_unreadable", fault:% = fault; "order left out, the others hold");
+        None
+    })
+}
+
 /// Fetches configurations from other balancers on request.
 #[derive(Clone, Debug)]
 pub(super) struct Fetcher {
--- a/crates/nutmegkeel_node/src/l4/journal.rs
+++ b/crates/nutmegkeel_node/src/l4/journal.rs
@@ -146,6 +146,7 @@
         Note::Expired { .. } => ("expired", UNUSUAL),
         Note::Agent { .. } | Note::AgentSilent { .. } => ("agent", UNUSUAL),
         Note::InForce { .. } => ("in_force", UNUSUAL),
+        Note::Evacuation(_) => ("evacuation", UNUSUAL),
         Note::Balancer { .. } => ("balancer", UNUSUAL),
         Note::Server { .. } => ("server", UNUSUAL),
     }
@@ -215,6 +216,14 @@
             info!(event = "in_force", configuration = version, routes = routes;
                 "configuration in force");
         }
+        Note::Evacuation(change) if change.evacuated => {
+            warn!(event = "evacuated", domain = &*change.domain, revision = change.revision;
+                "failure domain takes no new flows");
+        }
+        Note::Evacuation(change) => {
+            warn!(event = "taken_back", domain = &*change.domain, revision = change.revision;
+                "failure domain takes new flows again");
+        }
         Note::Balancer { balancer, known } => {
             info!(event = "balancer", balancer:% = balancer, known = known; "balancer changed");
         }
--- a/crates/nutmegkeel_node/src/l4/metered.rs
+++ b/crates/nutmegkeel_node/src/l4/metered.rs
@@ -6,7 +6,7 @@
 use nutmegkeel_platform::settings::Settings;
 use nutmegkeel_platform::store::Client;
 use nutmegkeel_store::kv::{
-    Committed, Fault, Kept, Lease, Pair, Registry, Snapshot, Store, Watched, Write,
+    Committed, Fault, Image, Kept, Lease, Pair, Registry, Store, Watched, Write,
 };
 
 use crate::metric;
@@ -89,8 +89,8 @@
         self.count("list_recent", self.client.list_recent(prefix))
     }
 
-    fn snapshot(&self, key: &str) -> Result<Snapshot, Fault> {
-        self.count("get", self.client.snapshot(key))
+    fn image(&self, prefix: &str) -> Result<Image, Fault> {
+        self.count("list", self.client.image(prefix))
     }
 
     fn keep(&self, lease: Lease) -> Result<Kept, Fault> {
--- a/crates/nutmegkeel_node/src/metric.rs
+++ b/crates/nutmegkeel_node/src/metric.rs
@@ -41,6 +41,8 @@
 pub const STORE_AGE: &str = "nutmegkeel_store_answer_age_ms";
 /// Version of the configuration in force at a balancer.
 pub const CONFIGURATION: &str = "nutmegkeel_configuration_version";
+/// Failure domains that are evacuated, as far as a balancer has heard.
+pub const EVACUATED: &str = "nutmegkeel_evacuated_domains";
 /// Agents that a balancer knows.
 pub const AGENTS: &str = "nutmegkeel_agents";
 /// Requests in progress at an agent, openings included.
--- a/crates/nutmegkeel_store/src/kv.rs
+++ b/crates/nutmegkeel_store/src/kv.rs
@@ -102,17 +102,31 @@
 /// What a watch saw.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Watched {
-    /// What was written up to this revision; nothing if the wait passed first.
-    Until(u64, Vec<Pair>),
+    /// What changed up to this revision; nothing if the wait passed first.
+    Until(u64, Vec<Change>),
     /// The service no longer knows what came behind the given revision; read anew.
     Forgotten,
 }
 
-/// A key as it was at one revision of the whole service.
+/// One change that a watch saw.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Snapshot {
-    /// The key's value, if it exists.
-    pub pair: Option<Pair>,
+pub enum Change {
+    /// A key was written.
+    Written(Pair),
+    /// A key was taken away.
+    Deleted {
+        /// The key.
+        key: String,
+        /// Revision of the change.
+        revision: u64,
+    },
+}
+
+/// The keys that begin with a prefix, and the revision of the whole service that they are no older than.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Image {
+    /// The keys.
+    pub pairs: Vec<Pair>,
     /// The revision; a watch behind it misses nothing.
     pub as_of: u64,
 }
@@ -125,12 +139,12 @@
     /// When the service does not answer.
     fn list_recent(&self, prefix: &str) -> Result<Vec<Pair>, Fault>;
 
-    /// Reads one key, with the revision from which a watch goes on. The key's own revision will not
-    /// do: the service may have dropped the history behind it.
+    /// Reads all keys that begin with `prefix`, with the revision from which a watch goes on. The keys'
+    /// own revisions will not do: the service may have dropped the history behind them.
     ///
     /// # Errors
     /// When the service does not answer.
-    fn snapshot(&self, key: &str) -> Result<Snapshot, Fault>;
+    fn image(&self, prefix: &str) -> Result<Image, Fault>;
 
     /// Renews a lease.
     ///
@@ -138,7 +152,7 @@
     /// When the service does not answer.
     fn keep(&self, lease: Lease) -> Result<Kept, Fault>;
 
-    /// Waits at most `wait` for a write behind revision `after` to a key with this prefix.
+    /// Waits at most `wait` for a change behind revision `after` of a key with this prefix.
     ///
     /// # Errors
     /// When the service does not answer.
