--- a/crates/nutmegkeel_core/src/l4.rs
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -23,4 +23,5 @@
 pub mod server;
 pub mod table;
 pub mod waiting;
+pub mod warmup;
 pub mod word;
--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -8,6 +8,7 @@
 mod evacuation;
 mod request;
 mod standing;
+mod warmup;
 
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
@@ -29,6 +30,7 @@
 use super::server::{Beside, Heartbeat, Incarnation};
 use super::table::{Outcome, Probes, Stage, Table};
 use super::waiting::Queue;
+use super::warmup::Budget;
 use super::word::Words;
 use crate::admission::Pace;
 use crate::clock::Time;
@@ -156,6 +158,10 @@
     fleet: u64,
     /// Whether the own failure domain is evacuated.
     evacuation: Standing,
+    /// When the own failure domain was last taken back.
+    taken_back: Option<Time>,
+    /// What the server was given lately.
+    budget: Budget,
     /// Whether a packet to the server got no answer while nothing was heard of a server.
     deserted: bool,
     number: u64,
@@ -179,6 +185,8 @@
             keeper: Keeper::open(now, identity.checkpoints_per_s),
             fleet: 0,
             evacuation: Standing::default(),
+            taken_back: None,
+            budget: Budget::default(),
             deserted: false,
             waiting: Queue::open(&identity.policy),
             identity,
--- a/crates/nutmegkeel_core/src/l4/agent/balancers.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/balancers.rs
@@ -9,7 +9,6 @@
 use crate::l4::note::Note;
 use crate::l4::policy::Mechanism;
 use crate::l4::roster::TELL_NEAR_MS;
-use crate::l4::server::Server;
 
 /// A balancer of the own failure domain hears this agent if it spoke within this time, in milliseconds: one
 /// of its signs may be lost.
@@ -31,7 +30,7 @@
             self.balancers.heard_all(now);
         }
         let orders = roster.orders.as_ref();
-        let mut actions = orders.map(|orders| self.ordered(orders)).unwrap_or_default();
+        let mut actions = orders.map(|orders| self.ordered(now, orders)).unwrap_or_default();
         actions.extend(self.listed(now, &roster.balancers));
         actions.extend(self.listed(now, &[from]));
         actions
@@ -103,14 +102,14 @@
 
     fn announcement_at(&self, now: Time) -> Message {
         let server = self.beside.server();
-        let is_cold = |server: &Server| now < server.warm_at;
         Message::Announce(Announcement {
             incarnation: self.identity.incarnation,
             number: self.number,
             domain: Arc::clone(&self.identity.domain),
             service: server.map(|server| server.service),
             slots: server.map_or(0, |server| server.slots),
-            cold: server.is_some_and(is_cold),
+            cold: self.is_cold(now),
+            room: self.room(now),
             state: self.state(now),
             load: self.load(),
             balancers: self.balancers.digest(),
--- a/crates/nutmegkeel_core/src/l4/agent/evacuation.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/evacuation.rs
@@ -1,13 +1,14 @@
 //! Whether an agent's own failure domain is evacuated: the agent is the last to see an opening before
 //! the backend server does.
 
+use std::net::Ipv4Addr;
+
 use super::{Action, Agent};
+use crate::clock::Time;
 use crate::l4::evacuation::{Ledger, Orders};
 use crate::l4::message::Message;
 use crate::l4::note::Note;
 
-use std::net::Ipv4Addr;
-
 /// What an agent knows of the evacuation of its own failure domain.
 #[derive(Debug, Default)]
 pub(super) struct Standing {
@@ -33,19 +34,33 @@
 
 impl Agent {
     /// Takes in the orders that a balancer told.
-    pub(super) fn ordered(&mut self, orders: &Orders) -> Vec<Action> {
+    pub(super) fn ordered(&mut self, now: Time, orders: &Orders) -> Vec<Action> {
+        let was_evacuated = self.is_evacuated();
         let changes = self.evacuation.ledger.take(orders).into_iter();
+        self.note_return(now, was_evacuated);
         changes.map(|change| Action::Note(Note::Evacuation(change))).collect()
     }
 
+    fn is_evacuated(&self) -> bool {
+        self.evacuation.forbidden_by(&self.identity.domain).is_some()
+    }
+
+    fn note_return(&mut self, now: Time, was_evacuated: bool) {
+        if was_evacuated && !self.is_evacuated() {
+            self.taken_back = Some(now);
+        }
+    }
+
     /// The orders that forbid an opening which a balancer offered by those of `revision`.
     ///
     /// Guards against openings from a balancer that has not heard of an evacuation, because it stood
     /// still or was cut off: the failure domain would go on getting work after everybody else has
     /// stopped. The later orders decide, so that a domain that was taken back serves with the first
     /// opening of a balancer that knows it.
-    pub(super) fn evacuated_since(&mut self, revision: u64) -> Option<Orders> {
+    pub(super) fn evacuated_since(&mut self, now: Time, revision: u64) -> Option<Orders> {
+        let was_evacuated = self.is_evacuated();
         self.evacuation.note_offer(revision);
+        self.note_return(now, was_evacuated);
         self.evacuation.forbidden_by(&self.identity.domain).cloned()
     }
 
--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -33,14 +33,19 @@
         if let Some(reason) = self.refusal(now, opening, is_copy) {
             return vec![self.decline(opening.from, reason)];
         }
-        if let Some(orders) = self.evacuated_since(opening.offer.orders).filter(|_| !is_copy) {
+        if let Some(orders) = self.evacuated_since(now, opening.offer.orders).filter(|_| !is_copy) {
             let refusal = self.decline(opening.from, Reason::Evacuated);
             return vec![self.teach(opening.from, orders), refusal];
         }
+        self.budget.set_rate(opening.offer.cold_per_s);
+        if !is_copy && self.room(now) == Some(0) {
+            return vec![self.decline(opening.from, Reason::Cold)];
+        }
         let action = self.hand_over(now, flow, opening.from);
         if is_copy {
             return vec![action];
         }
+        self.budget.give(now);
         self.waiting.remove(&flow);
         self.table.open(now, flow, opening.head.seq, demand);
         if !demand.once && self.is_saturated() {
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -149,12 +149,23 @@
     Note(Note),
 }
 
+/// What a balancer knows of itself, fixed at start.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Its address.
+    pub address: Ipv4Addr,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Region of each failure domain there is.
+    pub regions: BTreeMap<Arc<str>, Arc<str>>,
+    /// The mechanisms that it uses.
+    pub policy: Policy,
+}
+
 /// The balancer.
 #[derive(Debug)]
 pub struct Balancer {
-    own: Ipv4Addr,
-    domain: Arc<str>,
-    policy: Policy,
+    identity: Identity,
     table: Table,
     ledger: Ledger,
     pool: Pool,
@@ -188,26 +199,19 @@
 impl Balancer {
     /// A balancer that knows nothing yet but its seeds.
     #[must_use]
-    pub fn open(
-        now: Time,
-        own: Ipv4Addr,
-        domain: Arc<str>,
-        seeds: &[Ipv4Addr],
-        policy: Policy,
-    ) -> Self {
+    pub fn open(now: Time, identity: Identity, seeds: &[Ipv4Addr]) -> Self {
         let mut peers = Book::default();
-        for seed in seeds.iter().filter(|seed| **seed != own) {
+        for seed in seeds.iter().filter(|seed| **seed != identity.address) {
             peers.heard(now, *seed);
         }
-        let pool = if policy.uses(Mechanism::Summaries) {
-            Pool::open(Arc::clone(&domain))
+        let mut pool = if identity.policy.uses(Mechanism::Summaries) {
+            Pool::open(Arc::clone(&identity.domain))
         } else {
             Pool::default()
         };
+        pool.set_regions(identity.regions.clone());
         Self {
-            own,
-            domain,
-            policy,
+            identity,
             table: Table::default(),
             ledger: Ledger::default(),
             pool,
@@ -378,7 +382,7 @@
     /// back. A packet of an open flow needs no route, because the agent that holds the flow says so. Only
     /// an opening does.
     fn unrouted(&mut self, now: Time, head: &Head) -> Vec<Action> {
-        if head.opens() || !self.policy.uses(Mechanism::Unrouted) {
+        if head.opens() || !self.identity.policy.uses(Mechanism::Unrouted) {
             return self.keep(head, Cause::NoConfiguration);
         }
         self.carry(now, head)
@@ -427,8 +431,10 @@
         load: Load,
     ) -> Vec<Action> {
         self.pool.heard(now, from, load);
-        if reason == Reason::Leaving {
-            self.pool.closed(from);
+        match reason {
+            Reason::Leaving => self.pool.closed(from),
+            Reason::Cold => self.pool.filled(from),
+            _ => {}
         }
         if self.has_no_route(&head.flow) {
             return self.reset(head, Cause::NoRoute, 0);
@@ -457,7 +463,7 @@
     }
 
     fn announced(&mut self, now: Time, from: Ipv4Addr, word: Announcement) -> Vec<Action> {
-        let is_near = word.domain == self.domain;
+        let is_near = word.domain == self.identity.domain;
         let change = self.pool.announced(now, from, word);
         let mut actions = Vec::from_iter(self.changed(now, from, change));
         let pause_ms = if is_near { TELL_NEAR_MS } else { TELL_MS };
--- a/crates/nutmegkeel_core/src/l4/balancer/evacuation.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/evacuation.rs
@@ -19,7 +19,7 @@
     /// Takes in orders that another balancer has. What comes from another failure domain is passed on at
     /// home: the delegates here may be the ones that the store turns away.
     pub(super) fn hear_orders(&mut self, now: Time, word: &Roster, orders: &Orders) -> Vec<Action> {
-        if word.domain == self.domain {
+        if word.domain == self.identity.domain {
             return self.take_orders(now, orders);
         }
         self.ordered(now, orders)
--- a/crates/nutmegkeel_core/src/l4/balancer/kept.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/kept.rs
@@ -30,7 +30,7 @@
     /// Calls for the packets that are kept, if there are any and something could be done with them.
     pub(super) fn recall(&mut self, now: Time) -> Vec<Action> {
         let has_routes = self.table.version > 0 || self.able(now).next().is_some();
-        if !has_routes && !self.policy.uses(Mechanism::Unrouted) {
+        if !has_routes && !self.identity.policy.uses(Mechanism::Unrouted) {
             return Vec::new();
         }
         if std::mem::take(&mut self.keeps) { vec![Action::Recall] } else { Vec::new() }
@@ -38,7 +38,7 @@
 
     /// Keeps the packet at hand until something changes. Only its first time is noted.
     pub(super) fn keep(&mut self, head: &Head, cause: Cause) -> Vec<Action> {
-        if !self.policy.uses(Mechanism::KeptPackets) {
+        if !self.identity.policy.uses(Mechanism::KeptPackets) {
             return Vec::new();
         }
         self.keeps = true;
@@ -62,7 +62,7 @@
         let key = head.flow.key().number();
         let rank = |peer: &Ipv4Addr| mix(key ^ mix(u64::from(peer.to_bits())));
         let to = self.able(now).max_by_key(rank);
-        let Some(to) = to.filter(|_| self.policy.uses(Mechanism::Relay)) else {
+        let Some(to) = to.filter(|_| self.identity.policy.uses(Mechanism::Relay)) else {
             return self.unrouted(now, head);
         };
         let note = Note::Relayed { flow: head.flow, to };
--- a/crates/nutmegkeel_core/src/l4/balancer/opening.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/opening.rs
@@ -9,6 +9,7 @@
 use crate::l4::health::Health;
 use crate::l4::message::{Demand, Insistence, Message, Offer, Reason};
 use crate::l4::note::{Cause, Note};
+use crate::l4::placement::Wish;
 use crate::l4::policy::Mechanism;
 use crate::l4::route::{Kind, Route, Service};
 
@@ -56,7 +57,7 @@
         let entry = self.cache.entry(now, head.flow);
         let key = head.flow.key();
         let tries = entry.declined.len();
-        let for_idle = tries < IDLE_TRIES && self.policy.uses(Mechanism::FreeSlotFirst);
+        let for_idle = tries < IDLE_TRIES && self.identity.policy.uses(Mechanism::FreeSlotFirst);
         let excluded: Vec<Ipv4Addr> = entry
             .declined
             .iter()
@@ -64,15 +65,22 @@
             .map(|(agent, _)| *agent)
             .collect();
         let waited_ms = now.since(entry.began);
-        let choice = (tries < OPEN_TRIES && waited_ms <= LONGEST_MS)
-            .then(|| self.pool.choose(now, key, service, route.kind, &self.domain, &excluded))
-            .flatten();
+        let wish = Wish {
+            key,
+            service,
+            kind: route.kind,
+            regions: &route.regions,
+            domain: &self.identity.domain,
+            tried: &excluded,
+        };
+        let may_try = tries < OPEN_TRIES && waited_ms <= LONGEST_MS;
+        let choice = may_try.then(|| self.pool.choose(now, &wish)).flatten();
         let Some(choice) = choice else {
             return self.refuse(now, head, service, tries);
         };
         entry.place = Some(Place::Placed(choice.agent));
         self.pool.placed(choice.agent);
-        let alone = self.pool.open_agents(now, service) <= excluded.len() + 1;
+        let alone = self.pool.open_agents(now, &wish) <= excluded.len() + 1;
         let insistence = if for_idle && !alone { Insistence::IfIdle } else { Insistence::IfInTime };
         let note =
             Note::Placed { flow: head.flow, choice, attempt: tries, version: self.table.version };
@@ -109,6 +117,13 @@
             once: route.kind == Kind::Once,
         };
         let waited_ms = u32::try_from(waited_ms).unwrap_or(u32::MAX);
-        Offer { service, insistence, demand, waited_ms, orders: self.ledger.revision() }
+        Offer {
+            service,
+            insistence,
+            demand,
+            waited_ms,
+            orders: self.ledger.revision(),
+            cold_per_s: self.table.cold_per_s.get(&service).copied().unwrap_or(0),
+        }
     }
 }
--- a/crates/nutmegkeel_core/src/l4/balancer/peers.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/peers.rs
@@ -33,7 +33,7 @@
     /// The peers of the own failure domain, and the others.
     fn peers_by_domain(&self) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
         let is_near = |peer: &Ipv4Addr| {
-            self.words.get(*peer).is_some_and(|word| *word.domain == *self.domain)
+            self.words.get(*peer).is_some_and(|word| *word.domain == *self.identity.domain)
         };
         self.peers.iter().partition(is_near)
     }
@@ -49,8 +49,12 @@
     /// Whether this balancer watches the store for its failure domain.
     #[must_use]
     pub fn watches(&self, now: Time) -> bool {
-        let own = Some((self.own, self.reaches_store));
-        !self.leaving && self.words.delegates(now, &self.domain, own).contains(&self.own)
+        let own = Some((self.identity.address, self.reaches_store));
+        !self.leaving
+            && self
+                .words
+                .delegates(now, &self.identity.domain, own)
+                .contains(&self.identity.address)
     }
 
     /// Takes in whether the store answered.
@@ -97,7 +101,7 @@
         let mut actions = Vec::new();
         for balancer in balancers {
             let is_leaving = self.words.get(*balancer).is_some_and(|word| word.leaving);
-            if *balancer != self.own && !is_leaving && !self.peers.knows(*balancer) {
+            if *balancer != self.identity.address && !is_leaving && !self.peers.knows(*balancer) {
                 self.peers.heard(now, *balancer);
                 actions.extend(self.introduce(now, *balancer));
             }
@@ -135,7 +139,7 @@
     fn known(&self, now: Time) -> Vec<Ipv4Addr> {
         let mut balancers = self.peers.heard_within(now, self.words.counted_ms().max(SPOKEN_OF_MS));
         if !self.leaving {
-            balancers.push(self.own);
+            balancers.push(self.identity.address);
         }
         balancers.sort_unstable();
         balancers
@@ -159,7 +163,7 @@
         let balancers = self.known(now);
         Message::Roster(Roster {
             version: self.table.version,
-            domain: Arc::clone(&self.domain),
+            domain: Arc::clone(&self.identity.domain),
             digest: roster::digest(balancers.iter().copied()),
             balancers: if with_addresses { balancers } else { Vec::new() },
             agents: u32::try_from(self.pool.heard_of(now)).unwrap_or(u32::MAX),
--- a/crates/nutmegkeel_core/src/l4/balancer/search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -137,11 +137,11 @@
     /// be there.
     fn next_to_ask(&mut self, now: Time, flow: Flow) -> Option<Ipv4Addr> {
         let services = self.services(&flow)?;
-        let first = self.pool.search_first(flow.key(), &services, &self.domain);
+        let first = self.pool.search_first(flow.key(), &services, &self.identity.domain);
         let agent = match self.first_unasked(now, flow, first) {
             Some((health, agent)) if health != Health::Restarting => agent,
             _ => {
-                let all = self.pool.search(flow.key(), &services, &self.domain);
+                let all = self.pool.search(flow.key(), &services, &self.identity.domain);
                 self.first_unasked(now, flow, all)?.1
             }
         };
--- a/crates/nutmegkeel_core/src/l4/balancer/summary.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/summary.rs
@@ -29,18 +29,18 @@
     /// turn.
     pub(super) fn summarise(&mut self, now: Time) -> Vec<Action> {
         let slot = now.millis() / SUMMARY_MS;
-        if slot == self.slot || !self.policy.uses(Mechanism::Summaries) {
+        if slot == self.slot || !self.identity.policy.uses(Mechanism::Summaries) {
             return Vec::new();
         }
         self.slot = slot;
         let (near, far) = self.staying_peers(now);
-        let rank = near.iter().filter(|peer| **peer < self.own).count();
+        let rank = near.iter().filter(|peer| **peer < self.identity.address).count();
         let slot = usize::try_from(slot).unwrap_or(usize::MAX);
         let turns = near.len() + 1;
         if (slot + turns - rank) % turns >= SPEAKERS {
             return Vec::new();
         }
-        let summaries = messages(&self.pool.summary(now, &self.domain));
+        let summaries = messages(&self.pool.summary(now, &self.identity.domain));
         let targets = far.values().filter_map(|peers| peers.get((slot + rank) % peers.len()));
         targets.flat_map(|to| summaries.iter().map(|one| Action::Send(*to, one.clone()))).collect()
     }
@@ -50,13 +50,15 @@
     /// Guards against openings that go to a dead host elsewhere until the next summary: with their last copy,
     /// 600 ms after the first, their clients would have lost the try.
     pub(super) fn tell_late(&mut self, now: Time) -> Vec<Action> {
-        let late = self.pool.newly_late(now, &self.domain);
-        if late.reports.is_empty() || !self.policy.uses(Mechanism::Summaries) || !self.watches(now)
+        let late = self.pool.newly_late(now, &self.identity.domain);
+        if late.reports.is_empty()
+            || !self.identity.policy.uses(Mechanism::Summaries)
+            || !self.watches(now)
         {
             return Vec::new();
         }
         let messages = messages(&Summary { passed_on: true, ..late });
-        let far = self.words.recent(now).filter(|(_, word)| word.domain != self.domain);
+        let far = self.words.recent(now).filter(|(_, word)| word.domain != self.identity.domain);
         far.flat_map(|(to, _)| messages.iter().map(move |one| Action::Send(to, one.clone())))
             .collect()
     }
@@ -68,12 +70,12 @@
         for (peer, word) in self.words.staying(now) {
             domains.entry(Arc::clone(&word.domain)).or_default().push(peer);
         }
-        (domains.remove(&self.domain).unwrap_or_default(), domains)
+        (domains.remove(&self.identity.domain).unwrap_or_default(), domains)
     }
 
     /// Takes in what was heard of the agents of another failure domain, and passes it on at home.
     pub(super) fn summary(&mut self, now: Time, summary: &Summary) -> Vec<Action> {
-        if summary.domain == self.domain {
+        if summary.domain == self.identity.domain {
             return Vec::new();
         }
         let mut actions = Vec::new();
@@ -83,7 +85,7 @@
         }
         if !summary.passed_on {
             let message = Message::Summary(Summary { passed_on: true, ..summary.clone() });
-            let near = self.words.of_domain(now, &self.domain);
+            let near = self.words.of_domain(now, &self.identity.domain);
             actions.extend(near.map(|(peer, _)| Action::Send(peer, message.clone())));
         }
         actions
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -79,6 +79,9 @@
     pub waited_ms: u32,
     /// Revision of the orders of evacuation by which the balancer chose the agent.
     pub orders: u64,
+    /// Openings a second that a backend server of the service bears while it is cold; zero where no
+    /// rate is given.
+    pub cold_per_s: u32,
 }
 
 /// How an agent should weigh an opening.
@@ -119,6 +122,8 @@
     Full,
     /// The operator has evacuated its failure domain.
     Evacuated,
+    /// Its backend server is cold and has been given what it bears.
+    Cold,
 }
 
 impl Reason {
@@ -133,6 +138,7 @@
             Self::Late => "late",
             Self::Full => "full",
             Self::Evacuated => "evacuated",
+            Self::Cold => "cold",
         }
     }
 }
@@ -178,6 +184,8 @@
     pub slots: u16,
     /// Whether the backend server is still slow after its start.
     pub cold: bool,
+    /// Openings that it may be given now because it is cold; none where nothing bounds them.
+    pub room: Option<u32>,
     /// Whether it takes new flows.
     pub state: State,
     /// Its load.
@@ -217,6 +225,8 @@
     /// As in [`Announcement`].
     pub cold: bool,
     /// As in [`Announcement`].
+    pub room: Option<u32>,
+    /// As in [`Announcement`].
     pub state: State,
     /// As in [`Announcement`].
     pub load: Load,
@@ -247,6 +257,7 @@
             service,
             slots: self.slots,
             cold: self.cold,
+            room: self.room,
             state: self.state,
             load: self.load,
             balancers: 0,
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -15,8 +15,9 @@
 use super::health::{FORGET_MS, Health, LOST_MS, OUT_OF_SIGHT_MS, SILENT_MS};
 use super::message::{Announcement, Load, Report, State, Summary};
 use super::roster::Told;
-use super::route::Service;
+use super::route::{Kind, Service};
 use crate::clock::Time;
+use crate::placement::Key;
 
 /// An agent that has announced itself no more often than this has started within one to three seconds:
 /// each of its ticks counts while a balancer has not answered it.
@@ -37,6 +38,23 @@
     pub age_ms: u64,
 }
 
+/// What a new flow needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// Its key.
+    pub key: Key,
+    /// Its service.
+    pub service: Service,
+    /// What its requests are.
+    pub kind: Kind,
+    /// Regions that it may go to; empty where it may go to all.
+    pub regions: &'a BTreeSet<Arc<str>>,
+    /// Failure domain of its client.
+    pub domain: &'a str,
+    /// Agents that are not to be chosen.
+    pub tried: &'a [Ipv4Addr],
+}
+
 /// What an announcement changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -72,6 +90,8 @@
     members: BTreeMap<Option<Service>, BTreeSet<Ipv4Addr>>,
     /// The own failure domain, whose agents speak to this process themselves. None where all agents do.
     domain: Option<Arc<str>>,
+    /// Region of each failure domain.
+    regions: BTreeMap<Arc<str>, Arc<str>>,
     /// Failure domains whose agents take no new flows, because the operator has evacuated them.
     evacuated: BTreeSet<Arc<str>>,
 }
@@ -83,6 +103,11 @@
         Self { domain: Some(domain), ..Self::default() }
     }
 
+    /// Sets the region of each failure domain.
+    pub fn set_regions(&mut self, regions: BTreeMap<Arc<str>, Arc<str>>) {
+        self.regions = regions;
+    }
+
     /// Takes in an agent's word about itself.
     pub fn announced(&mut self, now: Time, from: Ipv4Addr, word: Announcement) -> Change {
         let known = self.agents.get_mut(&from);
@@ -251,7 +276,7 @@
     /// Notes a flow that was sent there.
     pub fn placed(&mut self, agent: Ipv4Addr) {
         if let Some(candidate) = self.agents.get_mut(&agent) {
-            candidate.placed_since = candidate.placed_since.saturating_add(1);
+            candidate.give();
         }
     }
 
@@ -265,6 +290,14 @@
         }
     }
 
+    /// An agent that refused because its backend server is cold gets openings only if no other has room,
+    /// until it says that it has.
+    pub fn filled(&mut self, agent: Ipv4Addr) {
+        if let Some(candidate) = self.agents.get_mut(&agent) {
+            candidate.announcement.room = Some(0);
+        }
+    }
+
     /// The health of an agent; none if it is not known.
     #[must_use]
     pub fn health(&self, now: Time, agent: Ipv4Addr) -> Option<Health> {
@@ -277,11 +310,21 @@
         self.agents.get(&agent)?.announcement.service
     }
 
-    /// Agents that take new flows of a service now.
+    /// Agents that may take a new flow now.
     #[must_use]
-    pub fn open_agents(&self, now: Time, service: Service) -> usize {
-        let state = self.takers(now, service);
-        self.count(now, service, state)
+    pub fn open_agents(&self, now: Time, wish: &Wish) -> usize {
+        let state = self.takers(now, wish.service);
+        let members = self.members(Some(wish.service));
+        let is_open = |candidate: &Candidate| {
+            self.is_in(now, candidate, wish.service, state) && self.is_allowed(candidate, wish)
+        };
+        members.filter(|(_, candidate)| is_open(candidate)).count()
+    }
+
+    /// Whether a flow may go to an agent's region.
+    fn is_allowed(&self, candidate: &Candidate, wish: &Wish) -> bool {
+        let region = || self.regions.get(&candidate.announcement.domain);
+        wish.regions.is_empty() || region().is_some_and(|region| wish.regions.contains(region))
     }
 
     /// Sets which failure domains are evacuated from now on.
--- a/crates/nutmegkeel_core/src/l4/placement/candidate.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -157,11 +157,25 @@
             service: place.and_then(|place| u8::try_from(place).ok()),
             slots: word.slots,
             cold: word.cold,
+            room: word.room,
             state: word.state,
             load: self.load,
         }
     }
 
+    /// Whether it may be given nothing more now, because its server is cold.
+    pub(super) fn is_full(&self) -> bool {
+        self.announcement.room == Some(0)
+    }
+
+    /// Takes one opening of what a cold server may be given.
+    pub(super) fn give(&mut self) {
+        self.placed_since = self.placed_since.saturating_add(1);
+        if let Some(room) = &mut self.announcement.room {
+            *room = room.saturating_sub(1);
+        }
+    }
+
     /// Expected load with one more flow, in thousandths of its slots. What was placed since the last
     /// report counts as if it were in progress, or all flows between two reports would go one way.
     pub(super) fn pressure(&self, weights: Weights, domain: &str) -> u64 {
--- a/crates/nutmegkeel_core/src/l4/placement/order.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/order.rs
@@ -4,10 +4,10 @@
 use std::net::Ipv4Addr;
 
 use super::candidate::{Candidate, Weights};
-use super::{Choice, Pool};
+use super::{Choice, Pool, Wish};
 use crate::clock::Time;
 use crate::l4::message::State;
-use crate::l4::route::{Kind, Service};
+use crate::l4::route::Service;
 use crate::placement::{Key, mix};
 
 /// Agents of the client's own failure domain that a new flow chooses from. Two would leave one bad
@@ -18,34 +18,29 @@
 const FAR: usize = 2;
 
 impl Pool {
-    /// The best agent for a new flow among the first of its order, without those in `tried`; when
-    /// all of these were tried, the best of all others.
+    /// The best agent for a new flow among the first of its order, without those that were tried; when
+    /// all of these were tried, the best of all others. A cold one that has been given what it bears comes
+    /// last.
     #[must_use]
-    pub fn choose(
-        &self,
-        now: Time,
-        key: Key,
-        service: Service,
-        kind: Kind,
-        domain: &str,
-        tried: &[Ipv4Addr],
-    ) -> Option<Choice> {
+    pub fn choose(&self, now: Time, wish: &Wish) -> Option<Choice> {
+        let Wish { key, service, domain, tried, .. } = *wish;
         let takers = self.takers(now, service);
         let is_open = |candidate: &Candidate| {
-            self.is_in(now, candidate, service, State::Ready)
-                || self.is_in(now, candidate, service, takers)
+            let is_in = |state| self.is_in(now, candidate, service, state);
+            (is_in(State::Ready) || is_in(takers)) && self.is_allowed(candidate, wish)
         };
         let open = || self.members(Some(service)).filter(|(_, candidate)| is_open(candidate));
         let ranked = open().map(|(agent, candidate)| Ranked::of(key, agent, candidate, domain));
-        let weights = Weights::of(kind);
+        let weights = Weights::of(wish.kind);
         let untried = |agent: &Ipv4Addr| !tried.contains(agent);
         let first = first_of(ranked).into_iter().filter(untried);
         let first = first.filter_map(|agent| Some((agent, self.agents.get(&agent)?)));
         // Of equals the first in the order is taken, so that all balancers agree.
+        let first = first.filter(|(_, candidate)| !candidate.is_full());
         let first = first.min_by_key(|(_, candidate)| candidate.pressure(weights, domain));
         let least = |(agent, candidate): &(Ipv4Addr, &Candidate)| {
             let ranked = Ranked::of(key, *agent, candidate, domain);
-            (candidate.pressure(weights, domain), Reverse(ranked))
+            (candidate.is_full(), candidate.pressure(weights, domain), Reverse(ranked))
         };
         let any = || open().filter(|(agent, _)| untried(agent)).min_by_key(least);
         let (agent, candidate) = first.or_else(any)?;
--- a/crates/nutmegkeel_core/src/l4/route.rs
+++ b/crates/nutmegkeel_core/src/l4/route.rs
@@ -1,6 +1,6 @@
 //! Routes: which service the flows to an address belong to.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -61,6 +61,8 @@
     pub deadline_ms: u64,
     /// Time within which an answer is worth most, in milliseconds.
     pub objective_ms: u64,
+    /// Regions whose backend servers may take its flows; empty where all may.
+    pub regions: BTreeSet<Arc<str>>,
 }
 
 impl Route {
@@ -88,6 +90,9 @@
     pub version: u64,
     /// Routes by the address that clients open.
     pub routes: BTreeMap<SocketAddrV4, Route>,
+    /// Openings a second that a cold backend server of a service bears; a service without an entry has
+    /// no such rate.
+    pub cold_per_s: BTreeMap<Service, u32>,
     /// A flow that is idle longer may be forgotten, in milliseconds.
     pub idle_ms: u64,
 }
--- a/crates/nutmegkeel_core/tests/l4/balancer.rs
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -5,7 +5,7 @@
 use nutmegkeel_core::l4::route::Service;
 
 use crate::fixture::{
-    BALANCER, DOMAIN, PORT, announce, at, balancer, data, desk, flow, forwarded, host, opening,
+    BALANCER, PORT, announce, at, balancer, data, desk, flow, forwarded, host, identity, opening,
     resets, roster, table, word,
 };
 
@@ -392,7 +392,7 @@
 /// milliseconds, dropped what came, and clients send their copies ever more rarely.
 #[test]
 fn a_packet_that_came_before_the_configuration_is_handled_with_it() {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    let mut balancer = Balancer::open(at(0), identity(BALANCER, Policy::default()), &[]);
     announce(&mut balancer, &[1], 0, 0);
     let head = opening(flow(1), 0);
 
@@ -409,7 +409,7 @@
 /// A kept packet must not be forgotten: when nothing changes any more, its client still gets an answer.
 #[test]
 fn a_kept_opening_is_answered_in_the_end() {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    let mut balancer = Balancer::open(at(0), identity(BALANCER, Policy::default()), &[]);
     balancer.handle(at(0), Event::Ordered(Orders::default()));
     balancer.handle(at(0), Event::Configured(table(1, &[(PORT, desk())])));
     let head = opening(flow(1), 0);
@@ -427,7 +427,7 @@
 /// until all hosts were back, went to agents in one moment, and nobody among them was answered in time.
 #[test]
 fn openings_are_placed_at_once_while_servers_come_back() {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    let mut balancer = Balancer::open(at(0), identity(BALANCER, Policy::default()), &[]);
     balancer.handle(at(0), Event::Ordered(Orders::default()));
     balancer.handle(at(0), Event::Configured(table(1, &[(PORT, desk())])));
     balancer.handle(at(1), Event::Announced(host(1), word(1, State::Ready, Load::default())));
@@ -451,7 +451,7 @@
 /// configuration, while others have it and could place their packets.
 #[test]
 fn a_balancer_without_a_configuration_hands_packets_to_one_that_has_it() {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    let mut balancer = Balancer::open(at(0), identity(BALANCER, Policy::default()), &[]);
     let head = opening(flow(1), 0);
     let roster = |version| roster(version, &[], 3);
     balancer.handle(at(1), Event::Roster(host(8), roster(0)));
@@ -468,7 +468,7 @@
 /// Two balancers without a configuration hand one packet to and fro for ever.
 #[test]
 fn a_packet_is_handed_over_once() {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    let mut balancer = Balancer::open(at(0), identity(BALANCER, Policy::default()), &[]);
     let roster = roster(4, &[], 3);
     balancer.handle(at(1), Event::Roster(host(9), roster));
     let head = opening(flow(1), 0);
@@ -483,7 +483,7 @@
 /// away, balancers had no configuration, and kept every packet until one came.
 #[test]
 fn a_packet_of_an_open_flow_needs_no_configuration() {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    let mut balancer = Balancer::open(at(0), identity(BALANCER, Policy::default()), &[]);
     let head = data(flow(1), 1_001, 501);
     let early = balancer.handle(at(10), Event::Client(head));
     balancer.handle(at(20), Event::Announced(host(1), word(1, State::Ready, Load::default())));
@@ -510,7 +510,7 @@
 /// configuration, took the word of the agents that it knew for that of all.
 #[test]
 fn a_balancer_without_a_configuration_resets_nothing_that_it_does_not_find() {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    let mut balancer = Balancer::open(at(0), identity(BALANCER, Policy::default()), &[]);
     announce(&mut balancer, &[1, 2], 0, 3_000);
     let head = data(flow(1), 1_001, 501);
     balancer.handle(at(3_000), Event::Client(head));
@@ -527,7 +527,7 @@
 #[test]
 fn without_the_mechanism_packets_wait_for_a_configuration() {
     let policy = Policy::without([Mechanism::Unrouted]);
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], policy);
+    let mut balancer = Balancer::open(at(0), identity(BALANCER, policy), &[]);
     announce(&mut balancer, &[1], 0, 0);
     let head = data(flow(1), 1_001, 501);
 
--- a/crates/nutmegkeel_core/tests/l4/delegate.rs
+++ b/crates/nutmegkeel_core/tests/l4/delegate.rs
@@ -11,15 +11,15 @@
 use nutmegkeel_core::l4::word::{DELEGATES, Words};
 
 use crate::fixture::{
-    self, BALANCER, DOMAIN, PORT, agent, ask, at, data, demand, desk, flow, heartbeat, host, open,
-    resets, roster, table,
+    self, BALANCER, DOMAIN, PORT, agent, ask, at, data, demand, desk, flow, heartbeat, host,
+    identity, open, resets, roster, table,
 };
 
 /// Pause between two ticks of the balancers here, in milliseconds.
 const TICK_MS: usize = 500;
 
 fn balancer(number: u8) -> Balancer {
-    Balancer::open(at(0), host(number), DOMAIN.into(), &[], Policy::default())
+    Balancer::open(at(0), identity(host(number), Policy::default()), &[])
 }
 
 /// Balancers 1 to `count` of one failure domain that have all heard of each other.
--- a/crates/nutmegkeel_core/tests/l4/evacuation.rs
+++ b/crates/nutmegkeel_core/tests/l4/evacuation.rs
@@ -14,7 +14,7 @@
 
 use crate::fixture::{
     BALANCER, DOMAIN, PORT, accepted, agent, announce, at, balancer, data, demand, desk, flow,
-    forwarded, heartbeat, host, offer, opening, resets, roster, table, word,
+    forwarded, heartbeat, host, identity, offer, opening, resets, roster, table, word,
 };
 
 /// Another failure domain.
@@ -123,7 +123,7 @@
 /// configuration from another balancer and has not heard of the orders.
 #[test]
 fn a_balancer_that_has_heard_of_no_orders_places_nothing() {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    let mut balancer = Balancer::open(at(0), identity(BALANCER, Policy::default()), &[]);
     balancer.handle(at(0), Event::Configured(table(1, &[(PORT, desk())])));
     announce(&mut balancer, &[1, 2], 0, 300);
     announce_far(&mut balancer, 4, 0, 300);
--- a/crates/nutmegkeel_core/tests/l4/fixture.rs
+++ b/crates/nutmegkeel_core/tests/l4/fixture.rs
@@ -1,17 +1,20 @@
 //! What the tests are made of.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
 
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::l4::agent::{self, Agent, Identity};
-use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
+use nutmegkeel_core::l4::balancer::{self, Action, Balancer, Event};
 use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::flow::{Flags, Flow, Head};
 use nutmegkeel_core::l4::message::{Announcement, Demand, Insistence, Load, Offer, Roster, State};
+use nutmegkeel_core::l4::placement::Wish;
 use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::route::{Kind, Route, Service, Share, Table};
 use nutmegkeel_core::l4::server::{Heartbeat, Incarnation};
+use nutmegkeel_core::placement::Key;
 
 pub(crate) const DOMAIN: &str = "osu";
 pub(crate) const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
@@ -68,6 +71,7 @@
         kind,
         deadline_ms: 2_500,
         objective_ms: 250,
+        regions: BTreeSet::new(),
     }
 }
 
@@ -76,7 +80,7 @@
         .iter()
         .map(|(port, service)| (service_address(*port), route(*service, Kind::Idempotent)))
         .collect();
-    Table { version, routes, idle_ms: 15_000 }
+    Table { version, routes, cold_per_s: BTreeMap::new(), idle_ms: 15_000 }
 }
 
 pub(crate) fn word(number: u64, state: State, load: Load) -> Announcement {
@@ -87,6 +91,7 @@
         service: Some(desk()),
         slots: 4,
         cold: false,
+        room: None,
         state,
         load,
         balancers: 0,
@@ -117,9 +122,20 @@
     }
 }
 
+/// A balancer at this address, in the only failure domain.
+pub(crate) fn identity(address: Ipv4Addr, policy: Policy) -> balancer::Identity {
+    balancer::Identity { address, domain: DOMAIN.into(), regions: BTreeMap::new(), policy }
+}
+
+/// What a flow to the desk needs that may go anywhere.
+pub(crate) fn wish(key: Key, kind: Kind, tried: &[Ipv4Addr]) -> Wish<'_> {
+    static ANYWHERE: BTreeSet<Arc<str>> = BTreeSet::new();
+    Wish { key, service: desk(), kind, regions: &ANYWHERE, domain: DOMAIN, tried }
+}
+
 /// A balancer with a route to the desk and these agents, all known for three seconds at `at(3_000)`.
 pub(crate) fn balancer(agents: &[u8]) -> Balancer {
-    let mut balancer = Balancer::open(at(0), BALANCER, DOMAIN.into(), &[], Policy::default());
+    let mut balancer = Balancer::open(at(0), identity(BALANCER, Policy::default()), &[]);
     balancer.handle(at(0), Event::Ordered(Orders::default()));
     balancer.handle(at(0), Event::Configured(table(1, &[(PORT, desk())])));
     announce(&mut balancer, agents, 0, 3_000);
@@ -162,7 +178,7 @@
 /// An offer of the desk's, by a balancer that knows of no order.
 pub(crate) fn offer(demand: Demand) -> Offer {
     let (service, insistence) = (desk(), Insistence::IfInTime);
-    Offer { service, insistence, demand, waited_ms: 0, orders: 0 }
+    Offer { service, insistence, demand, waited_ms: 0, orders: 0, cold_per_s: 0 }
 }
 
 /// Lets an agent take a flow that its server accepts with the number 500.
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -17,3 +17,4 @@
 mod server;
 mod summary;
 mod waiting;
+mod warmup;
--- a/crates/nutmegkeel_core/tests/l4/placement.rs
+++ b/crates/nutmegkeel_core/tests/l4/placement.rs
@@ -2,7 +2,7 @@
 use nutmegkeel_core::l4::placement::{Change, Pool};
 use nutmegkeel_core::l4::route::Kind;
 
-use crate::fixture::{DOMAIN, at, desk, flow, host, word};
+use crate::fixture::{DOMAIN, at, desk, flow, host, wish, word};
 
 fn pool(loads: &[(u8, Load)]) -> Pool {
     let mut pool = Pool::default();
@@ -20,7 +20,7 @@
 fn a_short_flow_goes_to_the_least_busy_agent() {
     let pool = pool(&[(1, load(4, 10)), (2, load(0, 12)), (3, load(4, 10))]);
 
-    let chosen = pool.choose(at(1), flow(1).key(), desk(), Kind::Once, DOMAIN, &[]);
+    let chosen = pool.choose(at(1), &wish(flow(1).key(), Kind::Once, &[]));
 
     assert_eq!(chosen.map(|choice| choice.agent), Some(host(2)));
 }
@@ -29,7 +29,7 @@
 fn a_long_flow_goes_to_the_agent_with_the_fewest_flows() {
     let pool = pool(&[(1, load(0, 40)), (2, load(2, 10)), (3, load(0, 40))]);
 
-    let chosen = pool.choose(at(1), flow(1).key(), desk(), Kind::Idempotent, DOMAIN, &[]);
+    let chosen = pool.choose(at(1), &wish(flow(1).key(), Kind::Idempotent, &[]));
 
     assert_eq!(chosen.map(|choice| choice.agent), Some(host(2)));
 }
@@ -41,7 +41,7 @@
         pool.placed(host(1));
     }
 
-    let chosen = pool.choose(at(1), flow(1).key(), desk(), Kind::Once, DOMAIN, &[]);
+    let chosen = pool.choose(at(1), &wish(flow(1).key(), Kind::Once, &[]));
 
     assert_eq!(chosen.map(|choice| choice.agent), Some(host(2)));
 }
@@ -53,7 +53,7 @@
     far.domain = "tema".into();
     pool.announced(at(0), host(2), far);
 
-    let chosen = pool.choose(at(1), flow(1).key(), desk(), Kind::Download, DOMAIN, &[]);
+    let chosen = pool.choose(at(1), &wish(flow(1).key(), Kind::Download, &[]));
 
     assert_eq!(chosen.map(|choice| choice.agent), Some(host(1)));
 }
@@ -64,7 +64,7 @@
     pool.announced(at(900), host(2), word(2, State::Closed, load(0, 0)));
     pool.announced(at(900), host(3), word(2, State::Ready, load(9, 99)));
 
-    let chosen = pool.choose(at(1_000), flow(1).key(), desk(), Kind::Once, DOMAIN, &[]);
+    let chosen = pool.choose(at(1_000), &wish(flow(1).key(), Kind::Once, &[]));
 
     assert_eq!(chosen.map(|choice| choice.agent), Some(host(3)));
 }
@@ -77,7 +77,7 @@
     let change = pool.announced(at(1), host(1), word(4, State::Ready, load(0, 0)));
 
     assert_eq!(change, Change::Stale);
-    assert_eq!(pool.open_agents(at(1), desk()), 0);
+    assert_eq!(pool.open_agents(at(1), &wish(flow(1).key(), Kind::Once, &[])), 0);
 }
 
 #[test]
@@ -114,7 +114,7 @@
     let mut pool = pool(&[(1, load(3, 9)), (2, load(3, 9))]);
     pool.announced(at(1), host(3), word(1, State::Failing, load(0, 0)));
 
-    let chosen = pool.choose(at(1), flow(1).key(), desk(), Kind::Once, DOMAIN, &[]);
+    let chosen = pool.choose(at(1), &wish(flow(1).key(), Kind::Once, &[]));
 
     assert_ne!(chosen.map(|choice| choice.agent), Some(host(3)));
 }
@@ -126,7 +126,7 @@
         pool.announced(at(1), host(number), word(1, State::Failing, load(0, 0)));
     }
 
-    let chosen = pool.choose(at(1), flow(1).key(), desk(), Kind::Once, DOMAIN, &[]);
+    let chosen = pool.choose(at(1), &wish(flow(1).key(), Kind::Once, &[]));
 
     assert_ne!(chosen.map(|choice| choice.agent), Some(host(1)));
 }
@@ -169,7 +169,7 @@
     let second = pool.announced(at(900), host(1), late);
 
     assert_eq!((first, second), (Change::Stale, Change::Stale));
-    assert_eq!(pool.open_agents(at(900), desk()), 1);
+    assert_eq!(pool.open_agents(at(900), &wish(flow(1).key(), Kind::Once, &[])), 1);
 }
 
 /// Feeds stall for a moment whenever the fabric changes its choice: openings also go to the first two agents
@@ -189,7 +189,7 @@
         .map(|port| {
             let key = flow(port).key();
             let busy: Vec<_> = (0..20).map(host).collect();
-            let placed = pool.choose(at(1), key, desk(), Kind::Once, DOMAIN, &busy);
+            let placed = pool.choose(at(1), &wish(key, Kind::Once, &busy));
             let order = pool.search(key, &[desk()], DOMAIN);
             let agent = placed.expect("another domain is open").agent;
             order.iter().position(|asked| *asked == agent).expect("all are asked")
--- a/crates/nutmegkeel_core/tests/l4/recovery.rs
+++ b/crates/nutmegkeel_core/tests/l4/recovery.rs
@@ -13,7 +13,8 @@
 
 use crate::backend::Server;
 use crate::fixture::{
-    BALANCER, DOMAIN, PORT, accepted, at, data, desk, flow, heartbeat, host, opening, table,
+    BALANCER, DOMAIN, PORT, accepted, at, data, desk, flow, heartbeat, host, identity, opening,
+    table,
 };
 
 /// Agents; the first is back at once, the last after 0.2 s.
@@ -102,7 +103,7 @@
     fn start_hosts(&mut self, now: u64) {
         if now == BALANCER_UP_MS {
             let policy = self.policy.clone();
-            let balancer = Balancer::open(at(now), BALANCER, DOMAIN.into(), &[], policy);
+            let balancer = Balancer::open(at(now), identity(BALANCER, policy), &[]);
             self.balancer = Some(balancer);
             self.balance(now, balancer::Event::Ordered(Orders::default()), None);
             self.balance(now, balancer::Event::Configured(table(1, &[(PORT, desk())])), None);
--- /dev/null
+++ b/crates/nutmegkeel_core/tests/l4/warmup.rs
@@ -0,0 +1,235 @@
+//! Cold servers: what they are given in any second, and where the rest goes.
+
+use std::collections::BTreeSet;
+
+use nutmegkeel_core::l4::agent::{self, Agent};
+use nutmegkeel_core::l4::balancer::{Action, Balancer, Event, Identity};
+use nutmegkeel_core::l4::evacuation::Orders;
+use nutmegkeel_core::l4::message::{Announcement, Load, Message, Offer, Reason, Roster, State};
+use nutmegkeel_core::l4::policy::Policy;
+use nutmegkeel_core::l4::route::{Kind, Route, Table};
+use nutmegkeel_core::l4::server::Heartbeat;
+use nutmegkeel_core::l4::warmup::Budget;
+use quickcheck::quickcheck;
+
+use crate::fixture::{
+    BALANCER, DOMAIN, PORT, agent, at, demand, desk, flow, forwarded, heartbeat, host, identity,
+    offer, opening, resets, roster, route, service_address, table, word,
+};
+
+/// Most of the openings given in any span of a second, bounds included.
+fn most_in_a_second(given: &[u64]) -> usize {
+    let within =
+        |start: &u64| given.iter().filter(|at| (*start..=*start + 1_000).contains(*at)).count();
+    given.iter().map(within).max().unwrap_or(0)
+}
+
+fn offered(port: u16, cold_per_s: u32) -> agent::Event {
+    let offer = Offer { cold_per_s, ..offer(demand(true)) };
+    agent::Event::Open { from: BALANCER, head: opening(flow(port), 0), offer }
+}
+
+fn takes(actions: &[agent::Action]) -> bool {
+    actions.iter().any(|action| matches!(action, agent::Action::ToServer(_)))
+}
+
+fn declined_as_cold(actions: &[agent::Action]) -> bool {
+    actions.iter().any(|action| {
+        matches!(action, agent::Action::Return(_, Message::Declined { reason: Reason::Cold, .. }))
+    })
+}
+
+/// An agent beside a server that is cold for two seconds.
+fn cold_agent() -> Agent {
+    let mut agent = agent();
+    let beat = Heartbeat { warmup_ms: 2_000, ..heartbeat("a", 1) };
+    agent.handle(at(0), agent::Event::Heartbeat(beat));
+    agent
+}
+
+/// Servers that come back at full load are sent everything that is new, because they are empty, and
+/// answer late or not at all. In no second may one get more than it bears; what is too much is refused in
+/// the same moment, so that it can go elsewhere.
+#[test]
+fn a_cold_server_gets_its_rate_in_any_second_and_the_rest_is_refused_at_once() {
+    for rate in [2, 20, 200] {
+        let mut agent = cold_agent();
+        let mut given = Vec::new();
+        for now in 0..2_000 {
+            let port = u16::try_from(now + 1).expect("a short replay");
+            let actions = agent.handle(at(now), offered(port, rate));
+            if takes(&actions) {
+                given.push(now);
+            } else {
+                assert!(declined_as_cold(&actions), "{actions:?}");
+            }
+        }
+
+        let most = most_in_a_second(&given);
+
+        assert_eq!(most, usize::try_from(rate).expect("small"), "{given:?}");
+    }
+}
+
+#[test]
+fn a_warm_server_and_one_without_a_rate_are_not_bounded() {
+    let mut warm = agent();
+    warm.handle(at(0), agent::Event::Heartbeat(heartbeat("a", 1)));
+    let mut without = cold_agent();
+
+    let all = |agent: &mut Agent, rate| {
+        (1..40).all(|port| takes(&agent.handle(at(u64::from(port)), offered(port, rate))))
+    };
+
+    assert!(all(&mut warm, 2));
+    assert!(all(&mut without, 0));
+}
+
+/// A hall is taken back after its servers were switched off and on. Their agents still believe the
+/// heartbeats from before, which call them warm.
+#[test]
+fn a_server_taken_back_is_cold_until_it_says_otherwise() {
+    let mut agent = agent();
+    agent.handle(at(0), agent::Event::Heartbeat(heartbeat("a", 1)));
+    let told = |revision, domains: &[&str]| {
+        let domains = domains.iter().map(|domain| (*domain).into()).collect();
+        let orders = Some(Orders { revision, domains });
+        agent::Event::Roster(BALANCER, Roster { orders, ..roster(1, &[], 1) })
+    };
+    let offered_by = |port, revision| match offered(port, 2) {
+        agent::Event::Open { from, head, offer } => {
+            agent::Event::Open { from, head, offer: Offer { orders: revision, ..offer } }
+        }
+        other => other,
+    };
+
+    agent.handle(at(100), told(5, &[DOMAIN]));
+    agent.handle(at(1_000), told(6, &[]));
+    let taken =
+        (1..=5).filter(|port| takes(&agent.handle(at(1_010), offered_by(*port, 6)))).count();
+    agent.handle(at(1_200), agent::Event::Heartbeat(heartbeat("a", 2)));
+    let warm = takes(&agent.handle(at(1_210), offered_by(6, 6)));
+
+    assert_eq!(taken, 2);
+    assert!(warm);
+}
+
+fn cold_word(number: u64, room: u32) -> Announcement {
+    Announcement { cold: true, room: Some(room), ..word(number, State::Ready, Load::default()) }
+}
+
+fn cold_balancer(rooms: &[(u8, u32)]) -> Balancer {
+    let mut balancer = Balancer::open(at(0), identity(BALANCER, Policy::default()), &[]);
+    balancer.handle(at(0), Event::Ordered(Orders::default()));
+    let mut table = table(1, &[(PORT, desk())]);
+    table.cold_per_s.insert(desk(), 20);
+    balancer.handle(at(0), Event::Configured(table));
+    for millis in (0..=3_000).step_by(300) {
+        for (agent, room) in rooms {
+            let word = cold_word(millis + 1, *room);
+            balancer.handle(at(millis), Event::Announced(host(*agent), word));
+        }
+    }
+    balancer
+}
+
+#[test]
+fn openings_go_to_those_that_have_room() {
+    let mut balancer = cold_balancer(&[(1, 0), (2, 3), (3, 0)]);
+
+    let targets: Vec<_> = (1..=3)
+        .filter_map(|port| {
+            forwarded(&balancer.handle(at(3_000), Event::Client(opening(flow(port), 0))))
+        })
+        .collect();
+
+    assert_eq!(targets, [host(2); 3]);
+}
+
+/// All servers of a service are cold and have been given what they bear. The client is told that its
+/// request has not run, and does not wait until its opening times out.
+#[test]
+fn what_no_cold_server_takes_is_refused_at_once() {
+    let mut balancer = cold_balancer(&[(1, 0), (2, 0)]);
+    let head = opening(flow(1), 0);
+    let mut actions = balancer.handle(at(3_000), Event::Client(head));
+    let mut tried = BTreeSet::new();
+
+    while let Some(from) = forwarded(&actions) {
+        assert!(tried.insert(from), "{from} is asked twice");
+        let (reason, load) = (Reason::Cold, Load::default());
+        actions = balancer.handle(at(3_001), Event::Declined { from, head, reason, load });
+    }
+
+    assert_eq!(tried, BTreeSet::from([host(1), host(2)]));
+    assert!(resets(&actions), "{actions:?}");
+}
+
+#[test]
+fn balancers_tell_agents_the_rate() {
+    let mut balancer = cold_balancer(&[(1, 3)]);
+
+    let actions = balancer.handle(at(3_000), Event::Client(opening(flow(1), 0)));
+
+    let is_told = |action: &Action| {
+        matches!(action, Action::Forward(_, Message::Open(Offer { cold_per_s: 20, .. })))
+    };
+    assert!(actions.iter().any(is_told), "{actions:?}");
+}
+
+/// Records that may not leave a region are filed in another one: the route names where its requests may
+/// go, and the nearest server was taken all the same.
+#[test]
+fn a_route_with_regions_is_placed_in_them_only() {
+    let regions = [(DOMAIN, "accra"), ("tema", "accra"), ("leeds", "shires")];
+    let regions = regions.map(|(domain, region)| (domain.into(), region.into())).into();
+    let own = Identity { regions, ..identity(BALANCER, Policy::default()) };
+    let mut balancer = Balancer::open(at(0), own, &[]);
+    balancer.handle(at(0), Event::Ordered(Orders::default()));
+    let bound = |region: &str| {
+        let regions = BTreeSet::from([region.into()]);
+        Route { regions, ..route(desk(), Kind::Once) }
+    };
+    let routes = [(443, bound("shires")), (444, bound("accra")), (445, bound("nowhere"))];
+    let routes = routes.map(|(port, route)| (service_address(port), route)).into();
+    balancer.handle(at(0), Event::Configured(Table { routes, ..table(1, &[]) }));
+    for millis in (0..=3_000).step_by(300) {
+        for (agent, domain) in [(1, DOMAIN), (2, "leeds"), (3, "tema")] {
+            let word = word(millis + 1, State::Ready, Load::default());
+            let word = Announcement { domain: domain.into(), ..word };
+            balancer.handle(at(millis), Event::Announced(host(agent), word));
+        }
+    }
+
+    let mut targets = |port: u16| -> BTreeSet<_> {
+        let to = |client: u16| {
+            let mut head = opening(flow(client), 0);
+            head.flow.service = service_address(port);
+            forwarded(&balancer.handle(at(3_000), Event::Client(head)))
+        };
+        (1..30).filter_map(to).collect()
+    };
+
+    assert_eq!(targets(443), BTreeSet::from([host(2)]));
+    assert_eq!(targets(444), BTreeSet::from([host(1), host(3)]));
+    assert_eq!(targets(445), BTreeSet::new());
+}
+
+quickcheck! {
+    /// Openings come at any moments: in no second are more given than the rate.
+    fn no_second_holds_more_than_the_rate(pauses: Vec<u8>, rate: u8) -> bool {
+        let rate = u32::from(rate % 40) + 1;
+        let mut budget = Budget::default();
+        budget.set_rate(rate);
+        let mut now = 0;
+        let mut given = Vec::new();
+        for pause in pauses {
+            now += u64::from(pause);
+            if budget.room(at(now)) != Some(0) {
+                budget.give(at(now));
+                given.push(now);
+            }
+        }
+        most_in_a_second(&given) <= usize::try_from(rate).expect("small")
+    }
+}
--- a/crates/nutmegkeel_dev/src/measure/finding.rs
+++ b/crates/nutmegkeel_dev/src/measure/finding.rs
@@ -1,14 +1,17 @@
 //! Processor time to place and to look for a flow without a routing token, against the size of the fleet.
 
+use std::collections::BTreeSet;
 use std::hint::black_box;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
 use std::time::Instant;
 
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::l4::flow::Flow;
 use nutmegkeel_core::l4::message::{Announcement, Load, State};
-use nutmegkeel_core::l4::placement::Pool;
+use nutmegkeel_core::l4::placement::{Pool, Wish};
 use nutmegkeel_core::l4::route::{Kind, Service};
+use nutmegkeel_core::placement::Key;
 use serde_json::{Map, json};
 
 /// Agents that a balancer knows.
@@ -52,6 +55,7 @@
             domain: format!("domain-{}", number % DOMAINS).into(),
             service: Some(service(number / DOMAINS % services)),
             slots: 2,
+            room: None,
             cold: false,
             state: State::Ready,
             load: Load { busy: 1, flows: 20 },
@@ -74,7 +78,7 @@
 fn choose_us(pool: &Pool) -> f64 {
     mean_us(|port| {
         let key = flow(port).key();
-        black_box(pool.choose(Time::ZERO, key, service(0), Kind::Once, "domain-0", &[]));
+        black_box(pool.choose(Time::ZERO, &wish(key)));
     })
 }
 
@@ -89,3 +93,10 @@
     (0..FLOWS).for_each(&mut step);
     began.elapsed().as_secs_f64() * 1e6 / f64::from(FLOWS)
 }
+
+/// A flow that must run once, from a client in the first failure domain.
+fn wish(key: Key) -> Wish<'static> {
+    static ANYWHERE: BTreeSet<Arc<str>> = BTreeSet::new();
+    let (kind, domain) = (Kind::Once, "domain-0");
+    Wish { key, service: service(0), kind, regions: &ANYWHERE, domain, tried: &[] }
+}
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -9,7 +9,7 @@
 use log::info;
 use metrics::{counter, gauge};
 use nutmegkeel_core::clock::Time;
-use nutmegkeel_core::l4::balancer::{Action, Balancer, Event, TICK_MS};
+use nutmegkeel_core::l4::balancer::{Action, Balancer, Event, Identity, TICK_MS};
 use nutmegkeel_core::l4::flow::{Direction, Head};
 use nutmegkeel_core::l4::message::Message;
 use nutmegkeel_core::l4::policy::Policy;
@@ -79,8 +79,13 @@
     let clock = Clock::open();
     let now = clock.now();
     let switched_off = policy.switched_off();
-    let domain = Arc::clone(&settings.domain);
-    let core = Balancer::open(now, settings.ip, domain, &settings.seeds, policy);
+    let identity = Identity {
+        address: settings.ip,
+        domain: Arc::clone(&settings.domain),
+        regions: settings.regions.clone(),
+        policy,
+    };
+    let core = Balancer::open(now, identity, &settings.seeds);
     let (writer, batches) = collector::channel();
     let shared = Arc::new(Shared {
         core: Mutex::new(core),
--- a/crates/nutmegkeel_wire/tests/l4.rs
+++ b/crates/nutmegkeel_wire/tests/l4.rs
@@ -70,6 +70,7 @@
         service: Some(3),
         slots: 1_000,
         cold: true,
+        room: Some(1_000),
         state: State::Restarting,
         load: Load { busy: 1_000, flows: 10_000 },
     };
