--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -278,6 +278,33 @@
     assert_eq!(opened, Ok(()));
 }
 
+/// Servers that have just started are drowned by all that is new, because they are empty. They are given
+/// what the operator says they bear, and the rest is refused at once, not left to time out.
+#[test]
+fn cold_servers_get_what_they_bear_and_the_rest_is_refused_at_once() {
+    let fleet = fleet("cold", 15, &["desk", "desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+    let servers: Vec<_> = fleet.agents().into_iter().map(|ip| fleet.server(ip)).collect();
+    fleet.configure_cold(2, &[(443, "desk")], &[("desk", 2)]);
+    servers.iter().for_each(|server| server.cool(60_000));
+    std::thread::sleep(Duration::from_secs(1));
+
+    let began = std::time::Instant::now();
+    let outcomes: Vec<_> =
+        (30_000..30_020).map(|port| client.open(port, 443, &through).map(|_| ())).collect();
+    let took = began.elapsed();
+    servers.iter().for_each(|server| server.cool(0));
+    std::thread::sleep(Duration::from_secs(1));
+    let warm = (30_100..30_120).all(|port| client.open(port, 443, &through).is_ok());
+
+    let opened = outcomes.iter().filter(|outcome| outcome.is_ok()).count();
+    assert!(took < Duration::from_secs(1), "refused at once, not in {took:?}");
+    assert!((1..=4).contains(&opened), "two a second for each of two servers: {outcomes:?}");
+    assert!(outcomes.iter().all(|outcome| *outcome != Err(Outcome::Silence)), "{outcomes:?}");
+    assert!(warm);
+}
+
 /// The store takes a balancer's entry away while its lease runs on. Renewals succeed and nobody finds
 /// the balancer by the store any more, unless it looks.
 #[test]
