--- /dev/null
+++ b/crates/nutmegkeel_dev/src/compare/play.rs
@@ -0,0 +1,137 @@
+//! One day of the users' bench, and what it reports.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use super::{Fault, Options, Way};
+
+/// A day of a deployment with one seed.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Day {
+    /// File of the deployment.
+    pub site: PathBuf,
+    /// Name of the day, or the file of one of our own.
+    pub name: String,
+    /// The seed.
+    pub seed: u64,
+}
+
+impl Day {
+    /// Name of the deployment.
+    #[must_use]
+    pub fn deployment(&self) -> String {
+        stem(&self.site)
+    }
+
+    /// Name of the day, without the folder of one of our own.
+    #[must_use]
+    pub fn label(&self) -> String {
+        stem(Path::new(&self.name))
+    }
+}
+
+impl fmt::Display for Day {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} {} seed {}", self.deployment(), self.label(), self.seed)
+    }
+}
+
+fn stem(path: &Path) -> String {
+    path.file_stem().map_or_else(String::new, |stem| stem.to_string_lossy().into_owned())
+}
+
+/// What the bench reports of a day. Its names are decoded here.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Report {
+    /// Worth of the day, the share of owed value that was delivered, less prices.
+    #[serde(rename = "G")]
+    pub worth: f64,
+    /// What became of the requests.
+    #[serde(rename = "all")]
+    pub requests: Requests,
+    /// Rules that were broken, and how often.
+    pub breaks: BTreeMap<String, Value>,
+    /// Why the day counts for nothing, if it does.
+    pub fault: Option<String>,
+}
+
+impl Report {
+    /// Whether no rule was broken.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        self.breaks.is_empty() && self.fault.is_none()
+    }
+}
+
+/// Requests of a day by what became of them.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+pub struct Requests {
+    /// Answered after their objective.
+    pub late: u64,
+    /// Not answered.
+    pub failed: u64,
+}
+
+/// How a play ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// With a report.
+    Played(Report),
+    /// Without one, and why.
+    Failed(String),
+}
+
+/// Has the bench build a checkout, so that no build runs beside a play.
+pub(super) fn build(bench: &Path, way: &Way) -> Result<(), Fault> {
+    call(bench, way, &["build".to_owned()]).map(|_| ())
+}
+
+/// Plays a day with a way. Processor time is not charged: it differs from play to play.
+pub(super) fn play(options: &Options, day: &Day, way: &Way) -> Result<Outcome, Fault> {
+    let name = format!("{}-{}-{}-{}", way.name, day.deployment(), day.label(), day.seed);
+    let file = std::env::temp_dir().join(format!("nutmegkeel-{}-{name}.json", std::process::id()));
+    let words = [
+        "run".to_owned(),
+        day.site.display().to_string(),
+        day.name.clone(),
+        "--seed".to_owned(),
+        day.seed.to_string(),
+        "--no-cpu".to_owned(),
+        "--report".to_owned(),
+        file.display().to_string(),
+        "--why".to_owned(),
+        options.why.clone(),
+    ];
+    let said = call(&options.bench, way, &words)?;
+    let Ok(text) = std::fs::read_to_string(&file) else {
+        return Ok(Outcome::Failed(last_line(&said)));
+    };
+    // Nobody reads it again; one that cannot be removed is only left behind.
+    let _ = std::fs::remove_file(&file);
+    Ok(read(&text))
+}
+
+/// Reads a report.
+#[must_use]
+pub fn read(text: &str) -> Outcome {
+    match serde_json::from_str(text) {
+        Ok(report) => Outcome::Played(report),
+        Err(error) => Outcome::Failed(format!("report not understood: {error}")),
+    }
+}
+
+fn call(bench: &Path, way: &Way, words: &[String]) -> Result<String, Fault> {
+    let fault = |error| Fault::Io { what: format!("{} in {}", bench.display(), way.name), error };
+    let ended = Command::new(bench).args(words).current_dir(&way.folder).output().map_err(fault)?;
+    Ok(String::from_utf8_lossy(&ended.stdout).into_owned()
+        + &String::from_utf8_lossy(&ended.stderr))
+}
+
+fn last_line(said: &str) -> String {
+    said.lines().rev().find(|line| !line.trim().is_empty()).unwrap_or("it said nothing").to_owned()
+}
--- a/crates/nutmegkeel_dev/src/lib.rs
+++ b/crates/nutmegkeel_dev/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod body;
 pub mod caller;
+pub mod compare;
 pub mod demo;
 pub mod measure;
 pub mod model;
--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -6,13 +6,14 @@
 
 use bpaf::Parser;
 use nutmegkeel_dev::measure::Measurement;
-use nutmegkeel_dev::{demo, measure, model, soak, standin};
+use nutmegkeel_dev::{compare, demo, measure, model, soak, standin};
 
 #[derive(Clone, Debug)]
 enum Command {
     Demo(demo::Options),
     Measure(Measurement),
     Model,
+    Compare(compare::Options),
     Soak(u64, u64),
     SoakProcesses(u64, u64, u64),
     Platform(SocketAddr),
@@ -26,6 +27,7 @@
         demo_command(),
         measure_command(),
         model_command(),
+        compare_command(),
         soak_command(),
         soak_processes(),
         platform(),
@@ -38,6 +40,7 @@
         Command::Demo(options) => demo::run(&options),
         Command::Measure(measurement) => measure::run(&measurement),
         Command::Model => model::run(),
+        Command::Compare(options) => compare::run(&options).map_err(std::io::Error::other),
         Command::SoakProcesses(seed, count, seconds) => soak::run_processes(seed, count, seconds),
         Command::Soak(seed, minutes) => Ok(soak::run(seed, minutes)),
         Command::Platform(address) => standin::platform::spawn(address).map(|_handle| {
@@ -113,6 +116,24 @@
         .command("model")
 }
 
+fn compare_command() -> impl Parser<Command> {
+    let bench = bpaf::long("bench").help("The users' bench").argument::<PathBuf>("PROGRAM");
+    let sites = bpaf::long("site").help("File of a deployment").argument::<PathBuf>("FILE").many();
+    let days = bpaf::long("day").help("A day, by name").argument::<String>("DAY").many();
+    let seeds = bpaf::long("seeds").help("Seeds of each day").argument("COUNT").fallback(3);
+    let ways = bpaf::long("way")
+        .help("A checkout and its name in the table; the first is the standing one")
+        .argument::<compare::Way>("NAME=FOLDER")
+        .many();
+    let jobs = bpaf::long("jobs").help("Plays at once").argument("COUNT").fallback(2);
+    let why = bpaf::long("why").help("Purpose, for the journal").argument::<String>("TEXT");
+    bpaf::construct!(compare::Options { bench, sites, days, seeds, ways, jobs, why })
+        .map(Command::Compare)
+        .to_options()
+        .descr("Compare versions of the system on the same days and seeds of the users' bench")
+        .command("compare")
+}
+
 fn soak_command() -> impl Parser<Command> {
     let seed = bpaf::long("seed").help("First seed").argument("SEED").fallback(1);
     let minutes = bpaf::long("minutes").help("How long").argument("MINUTES").fallback(1);
