--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -447,7 +447,8 @@
             return None;
         }
         let delegates = self.words.delegates(now, &self.identity.domain, None);
-        match self.handover.step(now, &delegates, self.reaches_store(now))? {
+        let agents = self.fleet.div_ceil(self.words.domains(now).max(1));
+        match self.handover.step(now, &delegates, self.reaches_store(now), agents)? {
             Step::Deposit(balancer, list) => Some(Action::Send(balancer, Message::Deposit(list))),
             Step::Write(list) => Some(Action::Save(list)),
         }
--- a/crates/nutmegkeel_core/src/l4/balancer/collector.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/collector.rs
@@ -10,12 +10,9 @@
 use super::{Action, Balancer};
 use crate::clock::Time;
 use crate::l4::checkpoint::Checkpoint;
+use crate::l4::handover::GATHER_MS;
 use crate::l4::message::Message;
 
-/// Lists wait at most so long for others to go with them, in milliseconds: a list is written each 3 s, so
-/// one of a failure domain of 27 agents goes with eight others on the mean.
-const GATHER_MS: u64 = 1_000;
-
 /// Lists that go at once: as many as one transaction takes.
 const FULL: usize = 16;
 
--- a/crates/nutmegkeel_core/src/l4/handover.rs
+++ b/crates/nutmegkeel_core/src/l4/handover.rs
@@ -6,7 +6,7 @@
 
 use std::net::Ipv4Addr;
 
-use super::checkpoint::Checkpoint;
+use super::checkpoint::{self, Checkpoint};
 use crate::clock::Time;
 
 /// A balancer that has not confirmed a list within this is passed over, in milliseconds: it gathers lists for
@@ -17,6 +17,10 @@
 /// agent itself, because every balancer would drop it.
 pub const LONGEST: usize = 80;
 
+/// Lists wait at a balancer at most so long for others to go with them, in milliseconds: a list is written
+/// each 3 s, so one of a failure domain of 27 agents goes with eight others on the mean.
+pub const GATHER_MS: u64 = 1_000;
+
 /// What to do with a list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -50,17 +54,24 @@
     }
 
     /// What to do now. `delegates` are the balancers that write for others, none if none is known; the
-    /// list waits while the store answers none of them.
-    pub fn step(&mut self, now: Time, delegates: &[Ipv4Addr], reaches_store: bool) -> Option<Step> {
+    /// list waits while the store answers none of them. `agents` are those of the failure domain.
+    pub fn step(
+        &mut self,
+        now: Time,
+        delegates: &[Ipv4Addr],
+        reaches_store: bool,
+        agents: u64,
+    ) -> Option<Step> {
         let list = self.list.as_ref()?;
-        if list.flows.len() > LONGEST {
+        let is_away = !delegates.is_empty() && !reaches_store;
+        if list.flows.len() > LONGEST || (!gathers(agents) && !is_away) {
             return self.list.take().map(Step::Write);
         }
         let is_asked = !self.asked.is_empty();
         if is_asked && now.since(self.asked_at) <= CONFIRM_MS {
             return None;
         }
-        if !delegates.is_empty() && !reaches_store {
+        if is_away {
             self.asked.clear();
             return None;
         }
@@ -89,3 +100,12 @@
         }
     }
 }
+
+/// Whether a balancer would find other lists to write with one.
+///
+/// The load pattern: a few agents in each failure domain. A balancer that waits for a second finds no
+/// second list, so it saves no call, makes each list a second older, and is one more process whose death
+/// costs lists.
+const fn gathers(agents: u64) -> bool {
+    agents * GATHER_MS >= 2 * checkpoint::PAUSE_MS
+}
--- a/crates/nutmegkeel_core/src/l4/word.rs
+++ b/crates/nutmegkeel_core/src/l4/word.rs
@@ -1,6 +1,6 @@
 //! What balancers say of themselves to each other.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
@@ -97,6 +97,13 @@
         self.recent(now).filter(move |(_, word)| *word.domain == *domain)
     }
 
+    /// Number of failure domains of the balancers whose words count.
+    #[must_use]
+    pub fn domains(&self, now: Time) -> u64 {
+        let domains: BTreeSet<&str> = self.recent(now).map(|(_, word)| &*word.domain).collect();
+        u64::try_from(domains.len()).unwrap_or(u64::MAX)
+    }
+
     /// The words of the last moment: what depends on the present, such as how many agents a balancer hears of,
     /// is out of date sooner than who the balancers are.
     pub fn fresh(&self, now: Time) -> impl Iterator<Item = (Ipv4Addr, &Word)> + '_ {
--- a/crates/nutmegkeel_core/tests/l4/delegate.rs
+++ b/crates/nutmegkeel_core/tests/l4/delegate.rs
@@ -18,6 +18,9 @@
 /// Pause between two ticks of the balancers here, in milliseconds.
 const TICK_MS: usize = 500;
 
+/// Agents of a failure domain in which lists are gathered.
+const MANY: u64 = 20;
+
 fn balancer(number: u8) -> Balancer {
     Balancer::open(at(0), identity(host(number), Policy::default()), &[])
 }
@@ -249,11 +252,11 @@
     let delegates = [host(1), host(2)];
     handover.begin(list(1));
 
-    let first = handover.step(at(0), &delegates, true);
-    let waits = handover.step(at(1_900), &delegates, true);
-    let second = handover.step(at(2_100), &delegates, true);
-    let own = handover.step(at(4_200), &delegates, true);
-    let done = handover.step(at(9_000), &delegates, true);
+    let first = handover.step(at(0), &delegates, true, MANY);
+    let waits = handover.step(at(1_900), &delegates, true, MANY);
+    let second = handover.step(at(2_100), &delegates, true, MANY);
+    let own = handover.step(at(4_200), &delegates, true, MANY);
+    let done = handover.step(at(9_000), &delegates, true, MANY);
 
     assert_eq!(first, Some(Step::Deposit(host(1), list(1))));
     assert_eq!(waits, None);
@@ -266,11 +269,11 @@
 fn a_confirmed_list_is_done() {
     let mut handover = Handover::default();
     handover.begin(list(1));
-    handover.step(at(0), &[host(1)], true);
+    handover.step(at(0), &[host(1)], true, MANY);
 
     handover.written(1);
 
-    assert_eq!(handover.step(at(9_000), &[host(1)], true), None);
+    assert_eq!(handover.step(at(9_000), &[host(1)], true, MANY), None);
 }
 
 /// Lists of busy servers never reach the store: they do not fit into a datagram, and no balancer answers.
@@ -281,7 +284,7 @@
     let mut handover = Handover::default();
     handover.begin(list.clone());
 
-    let step = handover.step(at(0), &[host(1)], true);
+    let step = handover.step(at(0), &[host(1)], true, MANY);
 
     assert_eq!(step, Some(Step::Write(list)));
 }
@@ -291,10 +294,10 @@
 fn a_list_waits_while_the_store_answers_no_balancer() {
     let mut handover = Handover::default();
     handover.begin(list(1));
-    handover.step(at(0), &[host(1)], true);
+    handover.step(at(0), &[host(1)], true, MANY);
 
-    let away = handover.step(at(3_000), &[host(1)], false);
-    let back = handover.step(at(3_100), &[host(1)], true);
+    let away = handover.step(at(3_000), &[host(1)], false, MANY);
+    let back = handover.step(at(3_100), &[host(1)], true, MANY);
 
     assert_eq!(away, None);
     assert_eq!(back, Some(Step::Deposit(host(1), list(1))));
@@ -306,11 +309,14 @@
 fn a_list_gets_a_number_behind_the_one_that_is_there() {
     let mut handover = Handover::default();
     handover.begin(list(3));
-    handover.step(at(0), &[host(1)], true);
+    handover.step(at(0), &[host(1)], true, MANY);
 
     handover.written(8);
 
-    assert_eq!(handover.step(at(10), &[host(1)], true), Some(Step::Deposit(host(1), list(9))));
+    assert_eq!(
+        handover.step(at(10), &[host(1)], true, MANY),
+        Some(Step::Deposit(host(1), list(9)))
+    );
 }
 
 /// An agent that knows a balancer of its failure domain hands its list to it and makes no call of its own.
@@ -319,7 +325,7 @@
     let mut agent = agent();
     agent.handle(at(0), agent::Event::Recovered(None));
     agent.handle(at(1), agent::Event::Heartbeat(heartbeat("a", 1)));
-    agent.handle(at(3_000), agent::Event::Roster(BALANCER, roster(1, &[], 1)));
+    agent.handle(at(3_000), agent::Event::Roster(BALANCER, roster(1, &[], 20)));
     open(&mut agent, 3_000, flow(1), demand(false));
     ask(&mut agent, 3_002, flow(1), 1_001);
 
@@ -329,3 +335,49 @@
     assert_eq!(actions.iter().filter(deposits).count(), 1, "{actions:?}");
     assert!(!actions.iter().any(|action| matches!(action, agent::Action::Save(_))));
 }
+
+/// Clients of a small deployment wait in silence after a loss of power: their lists had been on the way to
+/// a balancer that was killed, which would have written each of them alone anyway.
+#[test]
+fn lists_of_few_agents_are_written_by_themselves() {
+    let delegates = [host(1), host(2)];
+    let first = |agents| {
+        let mut handover = Handover::default();
+        handover.begin(list(1));
+        handover.step(at(0), &delegates, true, agents)
+    };
+
+    assert_eq!(first(3), Some(Step::Write(list(1))));
+    assert_eq!(first(5), Some(Step::Write(list(1))));
+    assert_eq!(first(6), Some(Step::Deposit(host(1), list(1))));
+}
+
+#[test]
+fn a_list_of_few_agents_waits_while_the_store_answers_nobody() {
+    let mut handover = Handover::default();
+    handover.begin(list(1));
+
+    let away = handover.step(at(0), &[host(1)], false, 3);
+    let back = handover.step(at(500), &[host(1)], true, 3);
+
+    assert_eq!(away, None);
+    assert_eq!(back, Some(Step::Write(list(1))));
+}
+
+/// An agent knows how many agents its failure domain has by what balancers of all domains say.
+#[test]
+fn an_agent_of_a_small_domain_writes_its_list() {
+    let mut agent = agent();
+    agent.handle(at(0), agent::Event::Recovered(None));
+    agent.handle(at(1), agent::Event::Heartbeat(heartbeat("a", 1)));
+    agent.handle(at(3_000), agent::Event::Roster(BALANCER, roster(1, &[], 10)));
+    let far = Roster { domain: "tema".into(), ..roster(1, &[], 10) };
+    agent.handle(at(3_000), agent::Event::Roster(host(9), far));
+    open(&mut agent, 3_000, flow(1), demand(false));
+    ask(&mut agent, 3_002, flow(1), 1_001);
+
+    let actions = agent.handle(at(3_100), agent::Event::Tick);
+
+    let saves = |action: &agent::Action| matches!(action, agent::Action::Save(_));
+    assert!(actions.iter().any(saves), "{actions:?}");
+}
