--- a/crates/nutmegkeel/src/arguments.rs
+++ b/crates/nutmegkeel/src/arguments.rs
@@ -20,6 +20,8 @@
     PlatformBalancer(Policy),
     /// Run an agent on the users' platform.
     PlatformAgent(Policy),
+    /// Query: what a balancer on the users' platform knows, as text or JSON.
+    PlatformStatus(SocketAddr, bool),
     /// Check the settings file that the platform wrote.
     CheckPlatformSettings,
     /// Query: what became of a flow, or why flows were refused, from log lines.
@@ -120,7 +122,16 @@
         .to_options()
         .descr("Check the settings file that the platform wrote")
         .command("check-settings");
-    bpaf::construct!([balancer, agent, check_settings])
+    let at = bpaf::long("at")
+        .help("A balancer's address for messages: its host, and the first internal port")
+        .argument("ADDRESS");
+    let json = bpaf::long("json").help("Print JSON").switch();
+    let status = bpaf::construct!(Command::PlatformStatus(at, json))
+        .to_options()
+        .descr("Show what a balancer knows: configuration, evacuated failure domains, agents")
+        .footer("Example: nutmegkeel platform status --at 10.1.0.10:7720")
+        .command("status");
+    bpaf::construct!([balancer, agent, check_settings, status])
         .to_options()
         .descr("Run on the users' platform, with the settings file that it writes")
         .footer("Example: nutmegkeel platform balancer")
--- a/crates/nutmegkeel/src/main.rs
+++ b/crates/nutmegkeel/src/main.rs
@@ -4,6 +4,7 @@
 mod explain;
 mod logging;
 mod operator;
+mod platform;
 mod run;
 
 use std::process::ExitCode;
@@ -17,6 +18,7 @@
         Command::Agent(file) => run::agent(&file),
         Command::PlatformBalancer(policy) => run::platform_balancer(policy),
         Command::PlatformAgent(policy) => run::platform_agent(policy),
+        Command::PlatformStatus(at, json) => platform::status(at, json).map_err(Into::into),
         Command::CheckPlatformSettings => run::check_platform_settings(),
         Command::Explain(query) => explain::run(&query).map_err(Into::into),
         Command::CheckSettings(file) => run::check_settings(&file),
--- /dev/null
+++ b/crates/nutmegkeel/src/platform.rs
@@ -0,0 +1,77 @@
+//! What a balancer on the users' platform tells operators of itself.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use nutmegkeel_core::l4::status::Status;
+use nutmegkeel_node::l4::balancer::STATUS;
+
+/// A balancer answers within milliseconds; an operator who waits longer asks another one.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Why a balancer's status cannot be shown.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Fault {
+    /// It was not reached, or did not answer.
+    #[error("balancer at {0}: {1}; another balancer may answer")]
+    Silent(SocketAddr, String),
+    /// It answered something else.
+    #[error("balancer at {0}: answer not understood: {1}")]
+    Body(SocketAddr, String),
+}
+
+/// Prints what a balancer knows.
+///
+/// # Errors
+/// When it does not answer.
+pub(crate) fn status(at: SocketAddr, json: bool) -> Result<(), Fault> {
+    let config = ureq::Agent::config_builder().timeout_global(Some(TIMEOUT)).build();
+    let silent = |error: ureq::Error| Fault::Silent(at, error.to_string());
+    let url = format!("http://{at}{STATUS}");
+    let mut answer = ureq::Agent::new_with_config(config).get(&url).call().map_err(silent)?;
+    let text = answer.body_mut().read_to_string().map_err(silent)?;
+    let status: Status =
+        serde_json::from_str(&text).map_err(|error| Fault::Body(at, error.to_string()))?;
+    if json {
+        println!("{text}");
+    } else {
+        print!("{}", describe(&status));
+    }
+    Ok(())
+}
+
+fn describe(status: &Status) -> String {
+    let word = |yes, word, otherwise| if yes { word } else { otherwise };
+    let mut text = String::new();
+    let mut line = |name: &str, value: &str| {
+        // Writing into a string has no way to fail.
+        let _ = writeln!(text, "{name:<14} {value}");
+    };
+    line("balancer", &format!("{} in {}", status.address, status.domain));
+    line("rotation", word(status.ready, "ready", "not ready"));
+    line("configuration", &version(status.version));
+    line("evacuated", &evacuated(status));
+    line("store", word(status.reaches_store, "answers", "does not answer"));
+    line("delegate", word(status.delegate, "yes", "no"));
+    line("balancers", &format!("{} others", status.balancers));
+    for (domain, agents) in &status.agents {
+        line("agents", &format!("{agents} in {domain}"));
+    }
+    text
+}
+
+fn version(version: u64) -> String {
+    if version == 0 { "none yet".to_owned() } else { format!("version {version}") }
+}
+
+fn evacuated(status: &Status) -> String {
+    let Some(orders) = &status.orders else {
+        return "not known yet; no new flow is placed".to_owned();
+    };
+    if orders.domains.is_empty() {
+        return format!("no failure domain (revision {})", orders.revision);
+    }
+    let domains: Vec<&str> = orders.domains.iter().map(AsRef::as_ref).collect();
+    format!("{} (revision {})", domains.join(", "), orders.revision)
+}
--- a/crates/nutmegkeel/src/run.rs
+++ b/crates/nutmegkeel/src/run.rs
@@ -14,7 +14,7 @@
 use nutmegkeel_platform::settings as platform_settings;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
-use crate::{logging, operator};
+use crate::{logging, operator, platform};
 
 /// Time between two looks at the signals.
 const WAKE: Duration = Duration::from_millis(50);
@@ -53,6 +53,9 @@
     /// The metrics recorder could not be installed.
     #[error("metrics: {0}")]
     Metrics(#[from] metric::Fault),
+    /// A balancer on the platform could not be asked.
+    #[error(transparent)]
+    PlatformStatus(#[from] platform::Fault),
     /// An operator's command or query did not succeed.
     #[error(transparent)]
     Operator(#[from] operator::Fault),
--- a/crates/nutmegkeel/tests/commands.rs
+++ b/crates/nutmegkeel/tests/commands.rs
@@ -89,3 +89,11 @@
     assert!(said(&output).contains("no mechanism is called `tricks`"), "{}", said(&output));
     assert!(said(&output).contains("flow-lists"), "{}", said(&output));
 }
+
+#[test]
+fn a_balancer_that_is_not_there_has_no_status() {
+    let output = run(&["platform", "status", "--at", "127.0.0.1:1"]);
+
+    assert_eq!(output.status.code(), Some(3), "{}", said(&output));
+    assert!(said(&output).contains("127.0.0.1:1"), "{}", said(&output));
+}
--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -1,7 +1,9 @@
 //! The whole path on the users' platform: balancers and agents as separate processes, against
 //! stand-ins of the store, the backend servers and the clients.
 
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
+use std::process::Command;
 use std::time::Duration;
 
 use nutmegkeel_standin::client::{Client, Outcome};
@@ -33,6 +35,16 @@
     matches!(outcome, Outcome::Answered(id) if id.starts_with(service))
 }
 
+/// What the command line shows of a balancer.
+fn status(fleet: &Fleet, balancer: Ipv4Addr) -> String {
+    let at = SocketAddrV4::new(balancer, fleet.ports.messages()).to_string();
+    let output = Command::new(env!("CARGO_BIN_EXE_nutmegkeel"))
+        .args(["platform", "status", "--at", &at])
+        .output()
+        .expect("the binary starts");
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
 #[test]
 fn each_flow_reaches_its_own_service() {
     let fleet = fleet("serves", 1, &["desk", "desk", "vault"]);
@@ -256,6 +268,7 @@
 
     fleet.evacuate(DOMAIN);
     std::thread::sleep(Duration::from_secs(1));
+    let status = status(&fleet, through[0]);
     let refused = client.open(30_001, 443, &through).map(|_| ());
     let during = client.request(&mut open, &through, SOON);
     for host in &hosts {
@@ -272,6 +285,7 @@
     std::thread::sleep(Duration::from_secs(1));
     let opened = client.open(30_003, 443, &through).map(|_| ());
 
+    assert!(status.contains(&format!("evacuated      {DOMAIN} (revision ")), "{status}");
     assert_eq!(refused, Err(Outcome::Reset));
     assert_eq!(during, before);
     assert_eq!(restarted, Err(Outcome::Reset));
--- a/crates/nutmegkeel_core/src/l4.rs
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -21,6 +21,7 @@
 pub mod roster;
 pub mod route;
 pub mod server;
+pub mod status;
 pub mod table;
 pub mod waiting;
 pub mod warmup;
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -27,6 +27,7 @@
 use super::policy::{Mechanism, Policy};
 use super::roster::{Book, TELL_MS, TELL_NEAR_MS, Told};
 use super::route::{Service, Table};
+use super::status::Status;
 use super::word::Words;
 use crate::clock::Time;
 
@@ -270,6 +271,22 @@
         self.ledger.orders().map_or(0, |orders| orders.domains.len())
     }
 
+    /// What operators are told.
+    #[must_use]
+    pub fn status(&self, now: Time) -> Status {
+        Status {
+            address: self.identity.address,
+            domain: Arc::clone(&self.identity.domain),
+            ready: self.is_ready(now),
+            version: self.table.version,
+            orders: self.ledger.orders().cloned(),
+            delegate: self.watches(now),
+            reaches_store: self.reaches_store,
+            balancers: self.peers.len(),
+            agents: self.pool.domains(now),
+        }
+    }
+
     /// Number of flows in the cache.
     #[must_use]
     pub fn cached(&self) -> usize {
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -369,6 +369,16 @@
         self.agents.values().filter(|one| self.health_of(now, one) <= Health::Late).count()
     }
 
+    /// Agents heard of lately, by failure domain.
+    #[must_use]
+    pub fn domains(&self, now: Time) -> BTreeMap<Arc<str>, usize> {
+        let mut domains = BTreeMap::new();
+        for one in self.agents.values().filter(|one| self.health_of(now, one) <= Health::Late) {
+            *domains.entry(Arc::clone(&one.announcement.domain)).or_default() += 1;
+        }
+        domains
+    }
+
     /// What an agent must be told of the balancers and of evacuations, if `next` is what there is to
     /// tell; notes that it is.
     ///
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -43,6 +43,9 @@
 /// A packet is worth nothing to a balancer after this, in milliseconds: its client has sent it again.
 const KEPT_MS: u64 = 1_500;
 
+/// Path at which a balancer tells operators of itself, beside the messages' port.
+pub const STATUS: &str = "/status";
+
 struct Shared {
     core: Mutex<Balancer>,
     clock: Clock,
@@ -228,6 +231,7 @@
 ) -> Result<web::Handle, Fault> {
     let shared = Arc::clone(shared);
     let answer = move |call: &Call| match call.path.as_str() {
+        STATUS => shared.status(),
         configuration::PATH if shared.core().version() > 0 => Answer::new(200, source.packed()),
         _ => Answer::new(404, ""),
     };
@@ -253,6 +257,14 @@
         self.core().hears_others(now)
     }
 
+    fn status(&self) -> Answer {
+        let now = self.clock.now();
+        match serde_json::to_vec(&self.core().status(now)) {
+            Ok(body) => Answer::new(200, body),
+            Err(error) => Answer::new(500, error.to_string()),
+        }
+    }
+
     fn is_ready(&self) -> bool {
         let now = self.clock.now();
         self.core().is_ready(now)
