--- a/crates/nutmegkeel_core/src/l4.rs
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -18,6 +18,7 @@
 pub mod outlier;
 pub mod placement;
 pub mod policy;
+pub mod probe;
 pub mod roster;
 pub mod route;
 pub mod server;
--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -6,6 +6,7 @@
 
 mod balancers;
 mod evacuation;
+mod event;
 mod request;
 mod standing;
 mod warmup;
@@ -17,106 +18,30 @@
 use evacuation::Standing;
 use request::Opening;
 
-use super::checkpoint::{Checkpoint, Keeper};
+use super::checkpoint::Keeper;
 use super::flow::{Flow, Head};
 use super::handover::{Handover, Step};
 use super::health::ANNOUNCE_MS;
-use super::message::{Load, Message, Offer, Reason, Roster, State};
+use super::message::{Load, Message, Reason, State};
 use super::mute;
 use super::note::{Cause, Note, ServerChange};
 use super::outlier::Record;
 use super::policy::{Mechanism, Policy};
+use super::probe::Probes;
 use super::roster::{Book, TELL_MS};
-use super::server::{Beside, Heartbeat, Incarnation};
-use super::table::{Outcome, Probes, Stage, Table};
+use super::server::Beside;
+use super::table::{Outcome, Stage, Table};
 use super::waiting::Queue;
 use super::warmup::Budget;
 use super::word::Words;
 use crate::admission::Pace;
 use crate::clock::Time;
 
+pub use event::{Action, Event};
+
 /// Pause between two ticks, in milliseconds.
 pub const TICK_MS: u64 = 100;
 
-/// What happens to an agent.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A balancer sent an opening.
-    Open {
-        /// The balancer.
-        from: Ipv4Addr,
-        /// The packet.
-        head: Head,
-        /// What the balancer says of it.
-        offer: Offer,
-    },
-    /// A balancer sent another packet of a client.
-    Carry {
-        /// The balancer.
-        from: Ipv4Addr,
-        /// The packet.
-        head: Head,
-        /// Whether the balancer knows that the flow is here.
-        known: bool,
-    },
-    /// A balancer asks for a flow.
-    Locate(Ipv4Addr, Flow),
-    /// The backend server sent a packet to a client.
-    FromServer(Head),
-    /// The backend server handed a client's packet back.
-    Bounced(Head),
-    /// The backend server sent a heartbeat.
-    Heartbeat(Heartbeat),
-    /// The backend server said that it ends.
-    Deregistered(Incarnation),
-    /// A balancer spoke.
-    Roster(Ipv4Addr, Roster),
-    /// A balancer said that the store has a list of this host's flows with this number.
-    Written(u64),
-    /// The store's list of balancers was read.
-    Listed(Vec<Ipv4Addr>),
-    /// The list of flows that this process's predecessor left was read; none if there is no list.
-    Recovered(Option<Checkpoint>),
-    /// The process was told to stop.
-    Leave,
-    /// Time passed.
-    Tick,
-}
-
-/// What the shell must do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Hand the packet at hand to the backend server, with this number in it.
-    ToServer(u32),
-    /// Keep the packet at hand, as the last one of its flow.
-    Keep(Head),
-    /// Hand the kept packet of this flow to the backend server.
-    Release(Flow),
-    /// Forget the kept packet of this flow.
-    Forget(Flow),
-    /// Send the packet at hand to the client.
-    ToClient,
-    /// Send a message with the packet at hand behind it.
-    Return(Ipv4Addr, Message),
-    /// Send a message.
-    Send(Ipv4Addr, Message),
-    /// Send a reset to the client.
-    Reset {
-        /// The flow.
-        flow: Flow,
-        /// Sequence number for it.
-        seq: u32,
-    },
-    /// Write the list of open flows to the store.
-    Save(Checkpoint),
-    /// Count a request whose answer began after this many milliseconds.
-    CountAnswer(u64),
-    /// Count an opening that waited for a slot for this many milliseconds.
-    CountWait(u64),
-    /// Write a line.
-    Note(Note),
-}
-
 /// What the agent tells of itself, fixed at start.
 #[derive(Clone, Debug)]
 pub struct Identity {
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -1,7 +1,9 @@
 //! Decisions of a balancer for flows without a routing token.
 
+mod certainty;
 mod collector;
 mod evacuation;
+mod event;
 mod kept;
 mod opening;
 mod peers;
@@ -17,11 +19,9 @@
 use search::{carry_to, note_declined};
 
 use super::cache::{Cache, Place};
-use super::checkpoint::Checkpoint;
-use super::evacuation::{Ledger, Orders};
+use super::evacuation::Ledger;
 use super::flow::{Flow, Head};
-use super::health::ANNOUNCE_MS;
-use super::message::{Announcement, Load, Message, Reason, Roster, Summary};
+use super::message::{Announcement, Load, Reason};
 use super::note::{Cause, Note};
 use super::placement::{Pool, Telling};
 use super::policy::{Mechanism, Policy};
@@ -31,17 +31,11 @@
 use super::word::Words;
 use crate::clock::Time;
 
+pub use event::{Action, Event};
+
 /// Pause between two ticks, in milliseconds. Gossip goes out with each.
 pub const TICK_MS: u64 = 500;
 
-/// A balancer that has heard of no new agent for so long has heard of all: two announcements of each
-/// and some delay, so that one may be lost.
-const SETTLE_MS: u64 = 2 * ANNOUNCE_MS + 100;
-
-/// The same when all agents have just started: no flow has lived long enough to be lost by a mistake,
-/// and clients of lost flows wait to be told.
-const SETTLE_YOUNG_MS: u64 = ANNOUNCE_MS + 100;
-
 /// A gap between two events longer than this means that the process stood still: announcements
 /// alone come more often.
 const STANDSTILL_MS: u64 = 1_000;
@@ -55,101 +49,6 @@
 /// it is not near the numbers of its flow but in one of 28,000 cases.
 const REFUSAL_SEQ: u32 = 0x8000_0000;
 
-/// What happens to a balancer.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A client's packet came from the fabric.
-    Client(Head),
-    /// A packet that was kept comes again.
-    Again(Head),
-    /// Another balancer that has no configuration handed a client's packet over.
-    Relayed(Head),
-    /// An agent handed a client's packet back.
-    Declined {
-        /// The agent.
-        from: Ipv4Addr,
-        /// The packet.
-        head: Head,
-        /// Why.
-        reason: Reason,
-        /// Load of the agent.
-        load: Load,
-    },
-    /// An agent said that it holds a flow.
-    Holds {
-        /// The agent.
-        from: Ipv4Addr,
-        /// The flow.
-        flow: Flow,
-        /// Load of the agent.
-        load: Load,
-    },
-    /// An agent said that it does not hold a flow.
-    Absent {
-        /// The agent.
-        from: Ipv4Addr,
-        /// The flow.
-        flow: Flow,
-        /// Load of the agent.
-        load: Load,
-    },
-    /// An agent spoke about itself.
-    Announced(Ipv4Addr, Announcement),
-    /// A balancer of another failure domain, or one that passes it on, told of the agents there.
-    Summary(Summary),
-    /// Another balancer spoke.
-    Roster(Ipv4Addr, Roster),
-    /// The store's list of balancers was read.
-    Listed(Vec<Ipv4Addr>),
-    /// A configuration was read.
-    Configured(Table),
-    /// The operator's orders of evacuation were read, or an agent told of newer ones.
-    Ordered(Orders),
-    /// The store answered a call, or did not.
-    Store(bool),
-    /// An agent handed its list of open flows over.
-    Deposited(Ipv4Addr, Checkpoint),
-    /// Lists were written to the store, or the try ended: the agents of those that are there, each with
-    /// the number of its list.
-    Committed(Vec<(Ipv4Addr, u64)>),
-    /// The process was told to stop.
-    Leave,
-    /// Time passed.
-    Tick,
-}
-
-/// What the shell must do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Send a message with the packet at hand behind it.
-    Forward(Ipv4Addr, Message),
-    /// Send a message.
-    Send(Ipv4Addr, Message),
-    /// Send a reset to the client.
-    Reset {
-        /// The flow.
-        flow: Flow,
-        /// Sequence number for it.
-        seq: u32,
-    },
-    /// Keep the packet at hand, as the last one of its flow, until it is called for.
-    ///
-    /// Guards against clients that wait for the next of their copies, which come after 200 ms and then
-    /// ever more rarely, when this balancer could decide a few milliseconds later: it has just started
-    /// and lacks the configuration, or the first agents, as all do after a loss of power.
-    Keep(Head),
-    /// Handle the packets that are kept, as [`Event::Again`].
-    Recall,
-    /// Handle the packet of this flow, if one is kept, as [`Event::Again`].
-    RecallFlow(Flow),
-    /// A peer has a newer configuration: fetch it there.
-    Fetch(Ipv4Addr),
-    /// Write these agents' lists of open flows to the store.
-    Commit(Vec<(Ipv4Addr, Checkpoint)>),
-    /// Write a line.
-    Note(Note),
-}
-
 /// What a balancer knows of itself, fixed at start.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -421,24 +320,6 @@
         Some(route.shares.iter().map(|share| share.service).collect())
     }
 
-    /// Whether no other balancer hears of more agents. Guards against resetting the flows of an agent
-    /// that has not yet learnt of this balancer: the others know it.
-    fn has_heard_of_all(&self, now: Time) -> bool {
-        let own = self.pool.heard_of(now);
-        self.words.fresh(now).map(|(_, word)| word.agents).max().is_none_or(|most| own >= most)
-    }
-
-    /// Whether agents are still appearing.
-    fn is_growing(&self, now: Time) -> bool {
-        let span = if self.pool.is_young() { SETTLE_YOUNG_MS } else { SETTLE_MS };
-        now.since(self.grown) <= span
-    }
-
-    /// Whether every agent that may hold a flow is known and can be asked.
-    fn is_settled(&self, now: Time) -> bool {
-        !self.is_growing(now) && self.pool.is_conclusive(now) && self.has_heard_of_all(now)
-    }
-
     fn declined(
         &mut self,
         now: Time,
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -5,6 +5,7 @@
 
 mod candidate;
 mod order;
+mod report;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
@@ -12,8 +13,8 @@
 
 use candidate::{Candidate, Sight};
 
-use super::health::{FORGET_MS, Health, LOST_MS, OUT_OF_SIGHT_MS, SILENT_MS};
-use super::message::{Announcement, Load, Report, State, Summary};
+use super::health::{FORGET_MS, Health, LOST_MS, OUT_OF_SIGHT_MS};
+use super::message::{Announcement, Load, State};
 use super::roster::Told;
 use super::route::{Kind, Service};
 use crate::clock::Time;
@@ -23,10 +24,6 @@
 /// each of its ticks counts while a balancer has not answered it.
 const YOUNG: u64 = 10;
 
-/// Balancers elsewhere are told of an agent for so long after its last sign, in milliseconds: past the time
-/// after which they give it up too.
-const TOLD_MS: u64 = 2 * SILENT_MS;
-
 /// An agent chosen for a new flow, with what the choice rested on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -160,45 +157,6 @@
         members.filter_map(|agent| Some((*agent, self.agents.get(agent)?)))
     }
 
-    /// Takes in what a balancer of another failure domain heard of an agent there.
-    pub fn reported(&mut self, now: Time, summary: &Summary, report: &Report) -> Change {
-        let word = summary.announcement(report);
-        let heard = now.before(u64::from(report.age_ms));
-        if let Some(known) = self.agents.get_mut(&report.agent)
-            && known.has_said(&word)
-        {
-            known.heard = known.heard.max(heard);
-            known.seen = now;
-            return Change::None;
-        }
-        let signs = self.agents.get(&report.agent).map(Candidate::signs);
-        let change = self.announced(heard, report.agent, word);
-        if change != Change::Stale
-            && let Some(known) = self.agents.get_mut(&report.agent)
-        {
-            known.seen = now;
-            // What the agent itself said since, with an answer, is newer.
-            if let Some(signs) = signs.filter(|signs| signs.load_heard > heard) {
-                known.keep(signs);
-            }
-        }
-        change
-    }
-
-    /// What the agents of the own failure domain last said, which speak to this process themselves.
-    #[must_use]
-    pub fn summary(&self, now: Time, domain: &Arc<str>) -> Summary {
-        let is_meant = |candidate: &Candidate| {
-            candidate.announcement.domain == *domain && now.since(candidate.heard) <= TOLD_MS
-        };
-        let mut summary = Summary::open(domain);
-        for (agent, candidate) in self.agents.iter().filter(|(_, candidate)| is_meant(candidate)) {
-            let report = candidate.report(now, *agent, &mut summary.services);
-            summary.reports.push(report);
-        }
-        summary
-    }
-
     /// Until when signs of an agent could be seen: one elsewhere speaks for itself only at times, and otherwise
     /// a summary tells how old its last sign is.
     ///
@@ -243,23 +201,6 @@
         silent
     }
 
-    /// What is known of the agents of the own failure domain that became late since the last call.
-    pub fn newly_late(&mut self, now: Time, domain: &Arc<str>) -> Summary {
-        let is_new = |candidate: &Candidate| {
-            !candidate.noticed_late
-                && candidate.announcement.domain == *domain
-                && self.health_of(now, candidate) == Health::Late
-        };
-        let late = self.find(is_new);
-        if late.is_empty() {
-            return Summary::open(domain);
-        }
-        self.mark(&late, |candidate| candidate.noticed_late = true);
-        let mut summary = self.summary(now, domain);
-        summary.reports.retain(|report| late.contains(&report.agent));
-        summary
-    }
-
     fn find(&self, is_meant: impl Fn(&Candidate) -> bool) -> Vec<Ipv4Addr> {
         let meant = self.agents.iter().filter(|(_, candidate)| is_meant(candidate));
         meant.map(|(agent, _)| *agent).collect()
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/placement/report.rs
@@ -0,0 +1,71 @@
+//! What balancers of different failure domains tell each other of their agents.
+
+use std::sync::Arc;
+
+use super::candidate::Candidate;
+use super::{Change, Pool};
+use crate::clock::Time;
+use crate::l4::health::{Health, SILENT_MS};
+use crate::l4::message::{Report, Summary};
+
+/// Balancers elsewhere are told of an agent for so long after its last sign, in milliseconds: past the time
+/// after which they give it up too.
+const TOLD_MS: u64 = 2 * SILENT_MS;
+
+impl Pool {
+    /// Takes in what a balancer of another failure domain heard of an agent there.
+    pub fn reported(&mut self, now: Time, summary: &Summary, report: &Report) -> Change {
+        let word = summary.announcement(report);
+        let heard = now.before(u64::from(report.age_ms));
+        if let Some(known) = self.agents.get_mut(&report.agent)
+            && known.has_said(&word)
+        {
+            known.heard = known.heard.max(heard);
+            known.seen = now;
+            return Change::None;
+        }
+        let signs = self.agents.get(&report.agent).map(Candidate::signs);
+        let change = self.announced(heard, report.agent, word);
+        if change != Change::Stale
+            && let Some(known) = self.agents.get_mut(&report.agent)
+        {
+            known.seen = now;
+            // What the agent itself said since, with an answer, is newer.
+            if let Some(signs) = signs.filter(|signs| signs.load_heard > heard) {
+                known.keep(signs);
+            }
+        }
+        change
+    }
+
+    /// What the agents of the own failure domain last said, which speak to this process themselves.
+    #[must_use]
+    pub fn summary(&self, now: Time, domain: &Arc<str>) -> Summary {
+        let is_meant = |candidate: &Candidate| {
+            candidate.announcement.domain == *domain && now.since(candidate.heard) <= TOLD_MS
+        };
+        let mut summary = Summary::open(domain);
+        for (agent, candidate) in self.agents.iter().filter(|(_, candidate)| is_meant(candidate)) {
+            let report = candidate.report(now, *agent, &mut summary.services);
+            summary.reports.push(report);
+        }
+        summary
+    }
+
+    /// What is known of the agents of the own failure domain that became late since the last call.
+    pub fn newly_late(&mut self, now: Time, domain: &Arc<str>) -> Summary {
+        let is_new = |candidate: &Candidate| {
+            !candidate.noticed_late
+                && candidate.announcement.domain == *domain
+                && self.health_of(now, candidate) == Health::Late
+        };
+        let late = self.find(is_new);
+        if late.is_empty() {
+            return Summary::open(domain);
+        }
+        self.mark(&late, |candidate| candidate.noticed_late = true);
+        let mut summary = self.summary(now, domain);
+        summary.reports.retain(|report| late.contains(&report.agent));
+        summary
+    }
+}
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/probe.rs
@@ -0,0 +1,93 @@
+//! Packets sent to the backend server to find out whether it holds their flow.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use super::flow::Flow;
+use crate::clock::Time;
+
+/// A probe is over after this: the server answers within a millisecond.
+const PROBE_MS: u64 = 1_000;
+
+/// A question that is open for so long gets no answer any more: a server answers within a
+/// millisecond, and the way to it does not leave the host.
+const UNANSWERED_MS: u64 = 150;
+
+/// How long the server's word that it does not hold a flow is remembered. Guards against handing
+/// it the packets of a flow whose own agent is away for a moment, again and again.
+const DENIED_MS: u64 = 10_000;
+
+/// Packets on their way to the server, by the number written into them.
+#[derive(Debug, Default)]
+pub struct Probes {
+    sent: BTreeMap<u32, Probe>,
+    asked: BTreeMap<Flow, Ipv4Addr>,
+    last: u32,
+    denied: BTreeMap<Flow, Time>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    flow: Flow,
+    from: Ipv4Addr,
+    at: Time,
+}
+
+impl Probes {
+    /// Notes a packet of a balancer; returns the number to write into it, which is never zero.
+    pub fn insert(&mut self, now: Time, flow: Flow, from: Ipv4Addr) -> u32 {
+        self.last = self.last.wrapping_add(1).max(1);
+        self.sent.insert(self.last, Probe { flow, from, at: now });
+        self.last
+    }
+
+    /// Like [`Self::insert`], for a balancer that wants to know whether the server holds the flow.
+    pub fn ask(&mut self, now: Time, flow: Flow, from: Ipv4Addr) -> u32 {
+        self.asked.insert(flow, from);
+        self.insert(now, flow, from)
+    }
+
+    /// The balancer that sent the packet with this number.
+    pub fn take(&mut self, number: u32) -> Option<Ipv4Addr> {
+        let probe = self.sent.remove(&number)?;
+        self.asked.remove(&probe.flow);
+        Some(probe.from)
+    }
+
+    /// The balancer that asked for a flow which the server has shown to hold.
+    pub fn answered(&mut self, flow: &Flow) -> Option<Ipv4Addr> {
+        self.asked.remove(flow)
+    }
+
+    /// Takes out the questions that the server has left unanswered for longer than it ever takes.
+    pub fn take_unanswered(&mut self, now: Time) -> Vec<(Flow, Ipv4Addr)> {
+        let is_old = |probe: &Probe| now.since(probe.at) > UNANSWERED_MS;
+        let old: Vec<Flow> =
+            self.sent.values().filter(|probe| is_old(probe)).map(|probe| probe.flow).collect();
+        old.into_iter().filter_map(|flow| Some((flow, self.asked.remove(&flow)?))).collect()
+    }
+
+    /// Notes that the server does not hold a flow.
+    pub fn deny(&mut self, now: Time, flow: Flow) {
+        self.denied.insert(flow, now);
+    }
+
+    /// Whether the server said lately that it does not hold the flow.
+    #[must_use]
+    pub fn denied(&self, now: Time, flow: &Flow) -> bool {
+        self.denied.get(flow).is_some_and(|at| now.since(*at) <= DENIED_MS)
+    }
+
+    /// Drops what is over.
+    pub fn expire(&mut self, now: Time) {
+        let asked = &mut self.asked;
+        self.sent.retain(|_, probe| {
+            let kept = now.since(probe.at) <= PROBE_MS;
+            if !kept {
+                asked.remove(&probe.flow);
+            }
+            kept
+        });
+        self.denied.retain(|_, at| now.since(*at) <= DENIED_MS);
+    }
+}
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -1,141 +1,25 @@
-//! The flows that an agent's backend server holds, and packets sent to it to find out.
+//! The flows that an agent's backend server holds.
+
+mod held;
 
 use std::collections::BTreeMap;
-use std::net::Ipv4Addr;
+
+use held::{REQUEST_MS, Weight};
 
 use super::flow::{Flow, Head, follows};
-use super::health::FORGET_MS;
 use super::message::{Demand, Load};
 use super::mute::Outstanding;
 use crate::clock::Time;
 
-/// An opening that is not followed up within this time came to nothing: clients give an opening up
-/// after 1.4 s.
-const OPENING_MS: u64 = 1_500;
+pub use held::{Held, Stage};
 
 /// An accepted opening counts as a request in progress for so long: the request follows within a
 /// round trip, or the client has gone.
 const FOLLOW_UP_MS: u64 = 250;
 
-/// A flow that has ended is remembered for so long, because its last packets may come again: both
-/// ends send them again for at most this time.
-const ENDED_MS: u64 = 5_000;
-
-/// A request counts as in progress no longer than this: clients give up sooner.
-const REQUEST_MS: u64 = 10_000;
-
 /// A client's first acknowledgement lies at most this far behind the server's opening number.
 const FIRST_ACK_REACH: u32 = 1 << 17;
 
-/// A packet whose data ends at most this far behind what came before brings something new.
-const DATA_REACH: u32 = 1 << 30;
-
-/// A probe is over after this: the server answers within a millisecond.
-const PROBE_MS: u64 = 1_000;
-
-/// A question that is open for so long gets no answer any more: a server answers within a
-/// millisecond, and the way to it does not leave the host.
-const UNANSWERED_MS: u64 = 150;
-
-/// How long the server's word that it does not hold a flow is remembered. Guards against handing
-/// it the packets of a flow whose own agent is away for a moment, again and again.
-const DENIED_MS: u64 = 10_000;
-
-/// How far a flow has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    /// The opening went to the server; the number that the server answered with, if it did.
-    Opening(Option<u32>),
-    /// The client's packets reached the server, or the server sent data.
-    Open,
-}
-
-/// One flow.
-#[derive(Clone, Debug)]
-pub struct Held {
-    /// How far it has come.
-    pub stage: Stage,
-    /// Sequence number of the client's opening.
-    pub opened_with: u32,
-    /// The client's last acknowledgement number.
-    pub client_ack: u32,
-    /// What the requests on this flow ask for; none if it is not known.
-    demand: Option<Demand>,
-    /// Whether a request waits here for a slot, or will when it comes.
-    waits: bool,
-    client_next: Option<u32>,
-    used: Time,
-    server_heard: Time,
-    request_since: Option<Time>,
-    /// Requests that were in progress when this one came.
-    request_behind: usize,
-    client_fin: bool,
-    server_fin: bool,
-    ended: Option<Time>,
-}
-
-impl Held {
-    const fn new(now: Time, stage: Stage) -> Self {
-        Self {
-            stage,
-            opened_with: 0,
-            client_ack: 0,
-            demand: None,
-            waits: false,
-            client_next: None,
-            used: now,
-            server_heard: now,
-            request_since: None,
-            request_behind: 0,
-            client_fin: false,
-            server_fin: false,
-            ended: None,
-        }
-    }
-
-    /// Whether both ends, or a reset, ended it.
-    #[must_use]
-    pub const fn is_over(&self) -> bool {
-        self.ended.is_some()
-    }
-
-    const fn weight(&self) -> Weight {
-        if self.is_over() {
-            return Weight { busy: 0, open: 0 };
-        }
-        Weight { busy: self.request_since.is_some() as usize, open: 1 }
-    }
-
-    /// The request that is at the server: since when, and what it asks for if that is known.
-    fn in_progress(&self) -> Option<(Time, Option<Demand>)> {
-        let is_there = self.stage == Stage::Open && !self.is_over() && !self.waits;
-        Some((self.request_since.filter(|_| is_there)?, self.demand))
-    }
-
-    /// Whether a client's packet brings data that did not come before.
-    fn brings_data(&self, head: &Head) -> bool {
-        let is_new = |next| follows(head.next_seq(), next, DATA_REACH);
-        head.len > 0 && self.client_next.is_none_or(is_new)
-    }
-
-    fn note_end(&mut self, now: Time, reset: bool) {
-        if reset || (self.client_fin && self.server_fin) {
-            self.ended.get_or_insert(now);
-            self.request_since = None;
-        }
-    }
-
-    fn is_expired(&self, now: Time) -> bool {
-        let idle = now.since(self.used);
-        match (self.stage, self.ended) {
-            (_, Some(ended)) => now.since(ended) > ENDED_MS,
-            (Stage::Opening(_), None) if !self.waits => idle > OPENING_MS,
-            (Stage::Opening(_), None) => idle > REQUEST_MS,
-            (Stage::Open, None) => idle > FORGET_MS,
-        }
-    }
-}
-
 /// The flows by their ends.
 #[derive(Debug, Default)]
 pub struct Table {
@@ -161,9 +45,7 @@
 
     /// Notes an opening that goes to the server, and what its requests ask for.
     pub fn open(&mut self, now: Time, flow: Flow, seq: u32, demand: Demand) {
-        let mut held = Held::new(now, Stage::Opening(None));
-        held.opened_with = seq;
-        self.insert(flow, Held { demand: Some(demand), ..held });
+        self.insert(flow, Held::opening(now, seq, demand));
     }
 
     /// Lets the next request of a flow go to the server. It counts as in progress from now on: after
@@ -385,95 +267,3 @@
     /// The server broke the flow off without an answer.
     Broken,
 }
-
-/// What flows add to the load.
-#[derive(Clone, Copy, Debug, Default)]
-struct Weight {
-    busy: usize,
-    open: usize,
-}
-
-impl Weight {
-    const fn plus(self, other: Self) -> Self {
-        Self { busy: self.busy + other.busy, open: self.open + other.open }
-    }
-
-    const fn minus(self, other: Self) -> Self {
-        Self { busy: self.busy - other.busy, open: self.open - other.open }
-    }
-}
-
-/// Packets on their way to the server, by the number written into them.
-#[derive(Debug, Default)]
-pub struct Probes {
-    sent: BTreeMap<u32, Probe>,
-    asked: BTreeMap<Flow, Ipv4Addr>,
-    last: u32,
-    denied: BTreeMap<Flow, Time>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Probe {
-    flow: Flow,
-    from: Ipv4Addr,
-    at: Time,
-}
-
-impl Probes {
-    /// Notes a packet of a balancer; returns the number to write into it, which is never zero.
-    pub fn insert(&mut self, now: Time, flow: Flow, from: Ipv4Addr) -> u32 {
-        self.last = self.last.wrapping_add(1).max(1);
-        self.sent.insert(self.last, Probe { flow, from, at: now });
-        self.last
-    }
-
-    /// Like [`Self::insert`], for a balancer that wants to know whether the server holds the flow.
-    pub fn ask(&mut self, now: Time, flow: Flow, from: Ipv4Addr) -> u32 {
-        self.asked.insert(flow, from);
-        self.insert(now, flow, from)
-    }
-
-    /// The balancer that sent the packet with this number.
-    pub fn take(&mut self, number: u32) -> Option<Ipv4Addr> {
-        let probe = self.sent.remove(&number)?;
-        self.asked.remove(&probe.flow);
-        Some(probe.from)
-    }
-
-    /// The balancer that asked for a flow which the server has shown to hold.
-    pub fn answered(&mut self, flow: &Flow) -> Option<Ipv4Addr> {
-        self.asked.remove(flow)
-    }
-
-    /// Takes out the questions that the server has left unanswered for longer than it ever takes.
-    pub fn take_unanswered(&mut self, now: Time) -> Vec<(Flow, Ipv4Addr)> {
-        let is_old = |probe: &Probe| now.since(probe.at) > UNANSWERED_MS;
-        let old: Vec<Flow> =
-            self.sent.values().filter(|probe| is_old(probe)).map(|probe| probe.flow).collect();
-        old.into_iter().filter_map(|flow| Some((flow, self.asked.remove(&flow)?))).collect()
-    }
-
-    /// Notes that the server does not hold a flow.
-    pub fn deny(&mut self, now: Time, flow: Flow) {
-        self.denied.insert(flow, now);
-    }
-
-    /// Whether the server said lately that it does not hold the flow.
-    #[must_use]
-    pub fn denied(&self, now: Time, flow: &Flow) -> bool {
-        self.denied.get(flow).is_some_and(|at| now.since(*at) <= DENIED_MS)
-    }
-
-    /// Drops what is over.
-    pub fn expire(&mut self, now: Time) {
-        let asked = &mut self.asked;
-        self.sent.retain(|_, probe| {
-            let kept = now.since(probe.at) <= PROBE_MS;
-            if !kept {
-                asked.remove(&probe.flow);
-            }
-            kept
-        });
-        self.denied.retain(|_, at| now.since(*at) <= DENIED_MS);
-    }
-}
