--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -169,6 +169,39 @@
     assert_eq!(opened, Ok(()));
 }
 
+/// New flows find no server for as long as the store is away, although all servers are idle: every balancer
+/// was killed meanwhile, and none that starts again has a route. Agents hold copies of the configuration.
+#[test]
+fn new_flows_open_when_all_balancers_are_killed_while_the_store_is_down() {
+    let mut fleet = fleet("replicas", 16, &["desk", "vault"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+    std::thread::sleep(Duration::from_secs(5));
+
+    fleet.store.set_mood(Mood::Down);
+    for balancer in &through {
+        fleet.signal(*balancer, Signal::Kill);
+        assert!(fleet.ended(*balancer, SOON));
+    }
+    for balancer in &through {
+        fleet.start(*balancer);
+    }
+    let ready = fleet.is_ready_within(SOON);
+    let outcomes: Vec<_> = fleet
+        .routes()
+        .into_iter()
+        .zip(30_000..)
+        .map(|((port, service), from)| {
+            let mut open = client.open(from, port, &through)?;
+            let outcome = client.request(&mut open, &through, SOON);
+            Ok::<_, Outcome>(served_by(&outcome, service))
+        })
+        .collect();
+
+    assert!(ready, "logs in {:?}", fleet.folder());
+    assert_eq!(outcomes, [Ok(true), Ok(true)]);
+}
+
 /// A backend server crashed and started again under its old id, with its counts from the start. A client
 /// that listens is told at once, and new flows go to the new start: taken for late, its heartbeats would
 /// be refused until their count passes the old one.
--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -7,6 +7,7 @@
 mod balancers;
 mod evacuation;
 mod event;
+mod replica;
 mod request;
 mod standing;
 mod warmup;
@@ -16,6 +17,7 @@
 use std::sync::Arc;
 
 use evacuation::Standing;
+use replica::Replica;
 use request::Opening;
 
 use super::checkpoint::Keeper;
@@ -45,6 +47,8 @@
 /// What the agent tells of itself, fixed at start.
 #[derive(Clone, Debug)]
 pub struct Identity {
+    /// Its address.
+    pub address: Ipv4Addr,
     /// When the process started, Unix milliseconds.
     pub incarnation: u64,
     /// Failure domain.
@@ -83,6 +87,7 @@
     fleet: u64,
     /// Whether the own failure domain is evacuated.
     evacuation: Standing,
+    replica: Replica,
     /// When the own failure domain was last taken back.
     taken_back: Option<Time>,
     /// What the server was given lately.
@@ -110,6 +115,7 @@
             keeper: Keeper::open(now, identity.checkpoints_per_s),
             fleet: 0,
             evacuation: Standing::default(),
+            replica: Replica::default(),
             taken_back: None,
             budget: Budget::default(),
             deserted: false,
@@ -200,6 +206,10 @@
                 Vec::new()
             }
             Event::Listed(balancers) => self.listed(now, &balancers),
+            Event::Fetched(version) => {
+                self.replica.hold(version);
+                Vec::new()
+            }
             Event::Recovered(checkpoint) => {
                 self.keeper.read(checkpoint);
                 self.tell_lost(now)
@@ -342,6 +352,7 @@
         actions.extend(self.notice_mute(now));
         actions.extend(self.notice_absence(now));
         actions.extend(self.save(now));
+        actions.extend(self.replicate(now));
         self.table.expire(now);
         self.probes.expire(now);
         self.balancers.expire(now);
@@ -372,13 +383,18 @@
             return None;
         }
         let delegates = self.words.delegates(now, &self.identity.domain, None);
-        let agents = self.fleet.div_ceil(self.words.domains(now).max(1));
+        let agents = self.agents_at_home(now);
         match self.handover.step(now, &delegates, self.reaches_store(now), agents)? {
             Step::Deposit(balancer, list) => Some(Action::Send(balancer, Message::Deposit(list))),
             Step::Write(list) => Some(Action::Save(list)),
         }
     }
 
+    /// Agents of the own failure domain, as far as balancers tell: they count those of all domains.
+    fn agents_at_home(&self, now: Time) -> u64 {
+        self.fleet.div_ceil(self.words.domains(now).max(1))
+    }
+
     /// Whether a balancer of this failure domain said lately that the store answers it.
     #[must_use]
     pub fn reaches_store(&self, now: Time) -> bool {
--- a/crates/nutmegkeel_core/src/l4/agent/balancers.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/balancers.rs
@@ -31,6 +31,10 @@
         }
         let orders = roster.orders.as_ref();
         let mut actions = orders.map(|orders| self.ordered(now, orders)).unwrap_or_default();
+        if orders.is_none() {
+            actions.extend(self.teach_newest(from));
+        }
+        self.replica.note(from, roster.version);
         actions.extend(self.listed(now, &roster.balancers));
         actions.extend(self.listed(now, &[from]));
         actions
@@ -113,6 +117,7 @@
             state: self.state(now),
             load: self.load(),
             balancers: self.balancers.digest(),
+            replica: self.replica.version(),
         })
     }
 }
--- a/crates/nutmegkeel_core/src/l4/agent/evacuation.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/evacuation.rs
@@ -68,4 +68,10 @@
     pub(super) fn teach(&self, balancer: Ipv4Addr, orders: Orders) -> Action {
         Action::Send(balancer, Message::Orders(orders))
     }
+
+    /// Tells the newest orders to a balancer that has heard of none since its start: the store, and the
+    /// other balancers, may be away.
+    pub(super) fn teach_newest(&self, balancer: Ipv4Addr) -> Option<Action> {
+        Some(self.teach(balancer, self.evacuation.ledger.orders()?.clone()))
+    }
 }
--- a/crates/nutmegkeel_core/src/l4/agent/event.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/event.rs
@@ -45,6 +45,8 @@
     Written(u64),
     /// The store's list of balancers was read.
     Listed(Vec<Ipv4Addr>),
+    /// A copy of the configuration of this version was fetched from a balancer.
+    Fetched(u64),
     /// The list of flows that this process's predecessor left was read; none if there is no list.
     Recovered(Option<Checkpoint>),
     /// The process was told to stop.
@@ -79,6 +81,8 @@
     },
     /// Write the list of open flows to the store.
     Save(Checkpoint),
+    /// Fetch a copy of the configuration from this balancer.
+    Fetch(Ipv4Addr),
     /// Count a request whose answer began after this many milliseconds.
     CountAnswer(u64),
     /// Count an opening that waited for a slot for this many milliseconds.
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -362,8 +362,12 @@
 
     fn announced(&mut self, now: Time, from: Ipv4Addr, word: Announcement) -> Vec<Action> {
         let is_near = word.domain == self.identity.domain;
+        let replica = word.replica;
         let change = self.pool.announced(now, from, word);
         let mut actions = Vec::from_iter(self.changed(now, from, change));
+        if replica > self.table.version && self.identity.policy.uses(Mechanism::Replicas) {
+            actions.push(Action::Fetch(from));
+        }
         let pause_ms = if is_near { TELL_NEAR_MS } else { TELL_MS };
         let view = Told { at: now, digest: self.digest(now), orders: self.ledger.revision() };
         match self.pool.tell(from, view, pause_ms) {
--- a/crates/nutmegkeel_core/src/l4/balancer/event.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/event.rs
@@ -96,7 +96,7 @@
     Recall,
     /// Handle the packet of this flow, if one is kept, as [`Event::Again`].
     RecallFlow(Flow),
-    /// A peer has a newer configuration: fetch it there.
+    /// A peer, or an agent, has a newer configuration: fetch it there.
     Fetch(Ipv4Addr),
     /// Write these agents' lists of open flows to the store.
     Commit(Vec<(Ipv4Addr, Checkpoint)>),
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -192,6 +192,8 @@
     pub load: Load,
     /// Digest of the balancers it knows; a balancer that knows others answers with its roster.
     pub balancers: u64,
+    /// Version of the configuration that it holds a copy of for balancers; zero if it holds none.
+    pub replica: u64,
 }
 
 /// What the agents of one failure domain last said, as one of its balancers heard it.
@@ -261,6 +263,7 @@
             state: self.state,
             load: self.load,
             balancers: 0,
+            replica: 0,
         }
     }
 }
--- a/crates/nutmegkeel_core/src/l4/policy.rs
+++ b/crates/nutmegkeel_core/src/l4/policy.rs
@@ -36,11 +36,13 @@
     Summaries,
     /// A server that never answers gets no new flows, and clients whose requests may run again are told.
     Mute,
+    /// Some agents hold a copy of the configuration for balancers that find it nowhere else.
+    Replicas,
 }
 
 impl Mechanism {
     /// All mechanisms, in the order of the documentation.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::FlowLists,
         Self::AgentQueue,
         Self::NewestFirst,
@@ -55,6 +57,7 @@
         Self::Collectors,
         Self::Summaries,
         Self::Mute,
+        Self::Replicas,
     ];
 
     /// The name on the command line and in logs.
@@ -75,6 +78,7 @@
             Self::Collectors => "collectors",
             Self::Summaries => "summaries",
             Self::Mute => "mute",
+            Self::Replicas => "replicas",
         }
     }
 }
--- a/crates/nutmegkeel_core/tests/l4/fixture.rs
+++ b/crates/nutmegkeel_core/tests/l4/fixture.rs
@@ -95,6 +95,7 @@
         state,
         load,
         balancers: 0,
+        replica: 0,
     }
 }
 
@@ -198,6 +199,7 @@
 /// An agent that knows one balancer and nothing of its backend server.
 pub(crate) fn agent() -> Agent {
     let identity = Identity {
+        address: host(1),
         incarnation: 1,
         domain: DOMAIN.into(),
         heartbeat_ms: 1_200,
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -13,6 +13,7 @@
 mod placement;
 mod policy;
 mod recovery;
+mod replica;
 mod roster;
 mod server;
 mod summary;
--- a/crates/nutmegkeel_core/tests/l4/recovery.rs
+++ b/crates/nutmegkeel_core/tests/l4/recovery.rs
@@ -111,6 +111,7 @@
         for number in 0..self.hosts.len() {
             if now == AGENT_PAUSE_MS * number as u64 {
                 let identity = Identity {
+                    address: host(u8::try_from(number).expect("few hosts")),
                     incarnation: 1,
                     domain: DOMAIN.into(),
                     heartbeat_ms: 1_200,
--- /dev/null
+++ b/crates/nutmegkeel_core/tests/l4/replica.rs
@@ -0,0 +1,124 @@
+//! Copies of the configuration at agents, for balancers that find it nowhere else.
+
+use std::net::Ipv4Addr;
+
+use nutmegkeel_core::l4::agent::{self, Agent, Identity};
+use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
+use nutmegkeel_core::l4::evacuation::Orders;
+use nutmegkeel_core::l4::message::{Announcement, Load, Message, Roster, State};
+use nutmegkeel_core::l4::policy::{Mechanism, Policy};
+
+use crate::fixture::{BALANCER, DOMAIN, at, balancer, heartbeat, host, identity, roster, word};
+
+/// An agent at this address, beside a server, in a domain of so many agents, that hears of version 5.
+fn agent_of(address: Ipv4Addr, agents: u32, policy: Policy) -> Agent {
+    let own = Identity {
+        address,
+        incarnation: 1,
+        domain: DOMAIN.into(),
+        heartbeat_ms: 1_200,
+        checkpoints_per_s: 80,
+        policy,
+    };
+    let mut agent = Agent::open(at(0), own, &[BALANCER]);
+    agent.handle(at(1), agent::Event::Heartbeat(heartbeat("a", 1)));
+    agent.handle(at(2_900), agent::Event::Roster(BALANCER, roster(5, &[], agents)));
+    agent
+}
+
+fn fetches(agent: &mut Agent, now: u64) -> bool {
+    agent.handle(at(now), agent::Event::Tick).contains(&agent::Action::Fetch(BALANCER))
+}
+
+fn announced_replica(actions: &[agent::Action]) -> Option<u64> {
+    actions.iter().find_map(|action| match action {
+        agent::Action::Send(_, Message::Announce(word)) => Some(word.replica),
+        _ => None,
+    })
+}
+
+#[test]
+fn an_agent_of_a_small_domain_fetches_a_copy_and_says_so() {
+    let mut agent = agent_of(host(1), 2, Policy::default());
+
+    let young = fetches(&mut agent, 2_950);
+    let old = fetches(&mut agent, 3_050);
+    let again = fetches(&mut agent, 3_150);
+    agent.handle(at(3_200), agent::Event::Fetched(5));
+    let held = fetches(&mut agent, 4_200);
+    let said = announced_replica(&agent.handle(at(4_600), agent::Event::Tick));
+
+    assert_eq!((young, old, again, held), (false, true, false, false));
+    assert_eq!(said, Some(5));
+}
+
+#[test]
+fn a_copy_is_replaced_by_a_newer_one_only() {
+    let mut agent = agent_of(host(1), 2, Policy::default());
+    agent.handle(at(3_000), agent::Event::Fetched(7));
+
+    let older = fetches(&mut agent, 4_100);
+    agent.handle(at(4_150), agent::Event::Roster(BALANCER, roster(8, &[], 2)));
+    let newer = fetches(&mut agent, 4_200);
+
+    assert_eq!((older, newer), (false, true));
+}
+
+/// Each change is fetched by every agent of a large domain, sixty times the same text, and none of them
+/// needs it.
+#[test]
+fn a_few_agents_of_a_large_domain_hold_a_copy() {
+    let holders = (1..=200)
+        .filter(|number| fetches(&mut agent_of(host(*number), 200, Policy::default()), 3_050))
+        .count();
+
+    assert!((1..=9).contains(&holders), "three on the mean, {holders}");
+}
+
+#[test]
+fn without_the_mechanism_nobody_fetches() {
+    let policy = || Policy::without([Mechanism::Replicas]);
+
+    assert!(!fetches(&mut agent_of(host(1), 2, policy()), 3_050));
+}
+
+/// No new flow is placed for as long as the store is away, because all balancers were killed meanwhile: they
+/// know their agents and have no route.
+#[test]
+fn a_balancer_without_a_configuration_fetches_it_from_an_agent() {
+    let word =
+        |number, replica| Announcement { replica, ..word(number, State::Ready, Load::default()) };
+    let mut started = Balancer::open(at(0), identity(BALANCER, Policy::default()), &[]);
+    let mut running = balancer(&[1]);
+
+    let nothing = started.handle(at(10), Event::Announced(host(1), word(1, 0)));
+    let fetch = started.handle(at(20), Event::Announced(host(2), word(1, 1)));
+    let known = running.handle(at(3_010), Event::Announced(host(2), word(1, 1)));
+    let newer = running.handle(at(3_020), Event::Announced(host(2), word(2, 2)));
+
+    let fetches = |actions: &[Action], from| actions.contains(&Action::Fetch(from));
+    assert!(!fetches(&nothing, host(1)), "{nothing:?}");
+    assert!(fetches(&fetch, host(2)), "{fetch:?}");
+    assert!(!fetches(&known, host(2)), "{known:?}");
+    assert!(fetches(&newer, host(2)), "{newer:?}");
+}
+
+/// A balancer that has the configuration again must not send work to an evacuated hall: the orders come
+/// from agents too.
+#[test]
+fn an_agent_tells_its_orders_to_a_balancer_that_knows_none() {
+    let orders = Orders { revision: 5, domains: [DOMAIN.into()].into() };
+    let mut agent = agent_of(host(1), 2, Policy::default());
+    let known = Roster { orders: Some(orders.clone()), ..roster(5, &[], 2) };
+    agent.handle(at(3_000), agent::Event::Roster(BALANCER, known));
+
+    let unknown = Roster { orders: None, ..roster(0, &[], 2) };
+    let told = agent.handle(at(3_010), agent::Event::Roster(host(9), unknown));
+    let silent = agent.handle(at(3_020), agent::Event::Roster(BALANCER, roster(5, &[], 2)));
+
+    let teaches = |actions: &[agent::Action]| {
+        actions.iter().any(|action| matches!(action, agent::Action::Send(_, Message::Orders(_))))
+    };
+    assert!(told.contains(&agent::Action::Send(host(9), Message::Orders(orders))), "{told:?}");
+    assert!(!teaches(&silent), "{silent:?}");
+}
--- a/crates/nutmegkeel_dev/src/measure/finding.rs
+++ b/crates/nutmegkeel_dev/src/measure/finding.rs
@@ -60,6 +60,7 @@
             state: State::Ready,
             load: Load { busy: 1, flows: 20 },
             balancers: 0,
+            replica: 0,
         };
         pool.announced(Time::ZERO, Ipv4Addr::from_bits(0x0a00_0000 + number), word);
     }
--- a/crates/nutmegkeel_node/src/l4.rs
+++ b/crates/nutmegkeel_node/src/l4.rs
@@ -15,6 +15,7 @@
 use std::io;
 use std::net::SocketAddrV4;
 
+use configuration::Source;
 use thiserror::Error;
 
 use crate::metric;
@@ -41,6 +42,22 @@
     Thread(#[from] io::Error),
 }
 
+/// Serves copies of the configuration at the messages' port.
+///
+/// # Errors
+/// When the address cannot be bound.
+fn spawn_configuration(address: SocketAddrV4, source: Source) -> Result<web::Handle, Fault> {
+    let answer = move |call: &Call| match call.path.as_str() {
+        configuration::PATH => source.answer(),
+        _ => Answer::new(404, ""),
+    };
+    web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
+        what: "balancers' calls",
+        address,
+        error,
+    })
+}
+
 /// Serves the metrics of this process.
 ///
 /// # Errors
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -1,7 +1,7 @@
 //! A running agent: packets between balancers, the backend server beside it, and clients.
 
 use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::thread;
 use std::time::Duration;
 
@@ -11,15 +11,17 @@
 use nutmegkeel_core::l4::flow::Direction;
 use nutmegkeel_core::l4::message::Message;
 use nutmegkeel_core::l4::policy::Policy;
+use nutmegkeel_core::l4::route::Table;
 use nutmegkeel_platform::settings::Settings;
 use nutmegkeel_platform::{control, packet};
 use nutmegkeel_wire::l4 as wire;
 
+use super::configuration::{Fetcher, Source};
 use super::journal::Journal;
 use super::kept::Packets;
 use super::link::{self, Link};
 use super::reload::Reload;
-use super::{Fault, checkpoint, membership, spawn_metrics};
+use super::{Fault, checkpoint, membership, spawn_configuration, spawn_metrics};
 use crate::clock::Clock;
 use crate::lock::lock;
 use crate::metric;
@@ -49,6 +51,8 @@
     /// First requests that wait for a slot.
     kept: Mutex<Packets>,
     checkpoints: checkpoint::Writer,
+    /// Fetches copies of the configuration; set once, when the process is complete.
+    fetcher: OnceLock<Fetcher>,
 }
 
 /// A running agent.
@@ -57,6 +61,7 @@
     reload: Reload,
     _control: web::Handle,
     _metrics: web::Handle,
+    _replica: web::Handle,
 }
 
 /// Starts an agent.
@@ -73,6 +78,7 @@
     let now = clock.now();
     let switched_off = policy.switched_off();
     let identity = Identity {
+        address: settings.ip,
         policy,
         incarnation: now.millis(),
         domain: Arc::clone(&settings.domain),
@@ -91,7 +97,9 @@
         journal: Journal::spawn(Arc::clone(&settings.host))?,
         kept: Mutex::new(Packets::open(KEPT_MS)),
         checkpoints,
+        fetcher: OnceLock::new(),
     });
+    let replica = spawn_replica(&shared, settings)?;
     spawn_readers(&shared)?;
     let restored = Arc::clone(&shared);
     let told = Arc::clone(&shared);
@@ -113,6 +121,7 @@
         reload: Reload::open(path, settings.clone(), now),
         _control: control,
         _metrics: metrics,
+        _replica: replica,
     })
 }
 
@@ -143,6 +152,16 @@
     }
 }
 
+/// Fetches copies of the configuration, and hands them to balancers that ask.
+fn spawn_replica(shared: &Arc<Shared>, settings: &Settings) -> Result<web::Handle, Fault> {
+    let source = Source::default();
+    let holding = Arc::clone(shared);
+    let fetched = move |table: Table| holding.handle(Event::Fetched(table.version), &mut []);
+    let fetcher = Fetcher::spawn(settings.messages.port(), source.clone(), fetched)?;
+    shared.fetcher.get_or_init(|| fetcher);
+    spawn_configuration(settings.messages, source)
+}
+
 fn spawn_readers(shared: &Arc<Shared>) -> Result<(), Fault> {
     let beside = Arc::clone(shared);
     link::spawn_reader("server", Arc::clone(&shared.beside), move |bytes, _| {
@@ -272,6 +291,11 @@
                     link::send(&self.beside, &packet::reset(&flow, seq), client);
                 }
                 Action::Save(list) => self.checkpoints.write(list),
+                Action::Fetch(from) => {
+                    if let Some(fetcher) = self.fetcher.get() {
+                        fetcher.fetch(from);
+                    }
+                }
                 Action::CountAnswer(millis) => {
                     histogram!(metric::ANSWER_SECONDS).record(Duration::from_millis(millis));
                 }
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -232,7 +232,7 @@
     let shared = Arc::clone(shared);
     let answer = move |call: &Call| match call.path.as_str() {
         STATUS => shared.status(),
-        configuration::PATH if shared.core().version() > 0 => Answer::new(200, source.packed()),
+        configuration::PATH => source.answer(),
         _ => Answer::new(404, ""),
     };
     web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
--- a/crates/nutmegkeel_node/src/l4/configuration.rs
+++ b/crates/nutmegkeel_node/src/l4/configuration.rs
@@ -1,4 +1,4 @@
-//! Brings what the operator wrote from the store into force: the configuration, which other balancers
+//! Brings what the operator wrote from the store into force: the configuration, which other processes
 //! hand over too, and orders of evacuation.
 
 use std::collections::BTreeSet;
@@ -23,6 +23,7 @@
 use super::membership::note_reachable;
 use super::metered::{Metered, Purpose};
 use crate::lock::lock;
+use crate::web::Answer;
 
 /// Path at which a balancer hands its configuration to others.
 pub(super) const PATH: &str = "/configuration";
@@ -80,7 +81,7 @@
     /// Guards against a change that is in force seconds later on half of a failure domain: hosts have
     /// links of 10 Mbit/s, and a delegate hands the text to all others there one after the other.
     /// Measured with 245 routes: 3.4 KB packed.
-    pub(super) fn packed(&self) -> Vec<u8> {
+    fn packed(&self) -> Vec<u8> {
         let mut newest = lock(&self.newest);
         if let Text::Plain(plain) = &newest.text {
             newest.text = Text::Packed(pack(plain));
@@ -91,6 +92,14 @@
         }
     }
 
+    /// What a process that asks for the newest text is told.
+    pub(super) fn answer(&self) -> Answer {
+        if lock(&self.newest).version == 0 {
+            return Answer::new(404, "");
+        }
+        Answer::new(200, self.packed())
+    }
+
     /// Takes in a text as the operator wrote it; returns its routes. One that cannot be read changes nothing.
     fn take(&self, bytes: &[u8]) -> Option<Table> {
         self.take_as(bytes, || Text::Plain(bytes.to_vec()))
