--- a/crates/nutmegkeel_node/src/l4.rs
+++ b/crates/nutmegkeel_node/src/l4.rs
@@ -47,14 +47,9 @@
 /// # Errors
 /// When the address cannot be bound.
 fn spawn_configuration(address: SocketAddrV4, source: Source) -> Result<web::Handle, Fault> {
-    let answer = move |call: &Call| match call.path.as_str() {
+    serve("balancers' calls", address, move |call| match call.path.as_str() {
         configuration::PATH => source.answer(),
         _ => Answer::new(404, ""),
-    };
-    web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
-        what: "balancers' calls",
-        address,
-        error,
     })
 }
 
@@ -63,12 +58,23 @@
 /// # Errors
 /// When the address cannot be bound.
 fn spawn_metrics(address: SocketAddrV4, metrics: metric::Handle) -> Result<web::Handle, Fault> {
-    let answer = move |call: &Call| match call.path.as_str() {
+    serve("metrics", address, move |call| match call.path.as_str() {
         metric::PATH => Answer::new(200, metrics.render()),
         _ => Answer::new(404, ""),
-    };
+    })
+}
+
+/// Serves calls at an address; `what` names it in the fault.
+///
+/// # Errors
+/// When the address cannot be bound.
+fn serve(
+    what: &'static str,
+    address: SocketAddrV4,
+    answer: impl Fn(&Call) -> Answer + Send + 'static,
+) -> Result<web::Handle, Fault> {
     web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
-        what: "metrics",
+        what,
         address,
         error,
     })
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -21,11 +21,11 @@
 use super::kept::Packets;
 use super::link::{self, Link};
 use super::reload::Reload;
-use super::{Fault, checkpoint, membership, spawn_configuration, spawn_metrics};
+use super::{Fault, checkpoint, membership, serve, spawn_configuration, spawn_metrics};
 use crate::clock::Clock;
 use crate::lock::lock;
 use crate::metric;
-use crate::web::{self, Answer, Call};
+use crate::web::{self, Answer};
 
 /// A leaving agent serves so long before it ends: balancers hear at once that it leaves, and what
 /// they sent before is on its way for a few milliseconds.
@@ -176,7 +176,7 @@
 
 fn spawn_control(shared: &Arc<Shared>, address: SocketAddrV4) -> Result<web::Handle, Fault> {
     let shared = Arc::clone(shared);
-    let answer = move |call: &Call| match control::decode(&call.path, &call.body) {
+    serve("heartbeats", address, move |call| match control::decode(&call.path, &call.body) {
         Ok(control::Call::Heartbeat(beat)) => {
             shared.handle(Event::Heartbeat(beat), &mut []);
             Answer::new(200, control::EMPTY)
@@ -192,11 +192,6 @@
             shared.journal.refused(shared.clock.now(), &reason);
             Answer::new(400, reason)
         }
-    };
-    web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
-        what: "heartbeats",
-        address,
-        error,
     })
 }
 
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -24,11 +24,11 @@
 use super::kept::{Packet, Packets};
 use super::link::{self, Link};
 use super::reload::Reload;
-use super::{Fault, membership, spawn_metrics};
+use super::{Fault, membership, serve, spawn_metrics};
 use crate::clock::Clock;
 use crate::lock::lock;
 use crate::metric;
-use crate::web::{self, Answer, Call};
+use crate::web::{self, Answer};
 
 /// The platform takes a process out of rotation after two failed checks, half a second apart; the
 /// third half covers a check that was under way.
@@ -211,15 +211,10 @@
 
 fn spawn_readiness(shared: &Arc<Shared>, address: SocketAddrV4) -> Result<web::Handle, Fault> {
     let shared = Arc::clone(shared);
-    let answer = move |call: &Call| match call.path.as_str() {
+    serve("readiness", address, move |call| match call.path.as_str() {
         control::READINESS if shared.is_ready() => Answer::new(200, ""),
         control::READINESS => Answer::new(503, ""),
         _ => Answer::new(404, ""),
-    };
-    web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
-        what: "readiness",
-        address,
-        error,
     })
 }
 
@@ -230,15 +225,10 @@
     source: Source,
 ) -> Result<web::Handle, Fault> {
     let shared = Arc::clone(shared);
-    let answer = move |call: &Call| match call.path.as_str() {
+    serve("balancers' calls", address, move |call| match call.path.as_str() {
         STATUS => shared.status(),
         configuration::PATH => source.answer(),
         _ => Answer::new(404, ""),
-    };
-    web::spawn(address.into(), Box::new(answer)).map_err(|error| Fault::Bind {
-        what: "balancers' calls",
-        address,
-        error,
     })
 }
 
