--- a/crates/nutmegkeel_core/src/l4/warmup.rs
+++ b/crates/nutmegkeel_core/src/l4/warmup.rs
@@ -21,20 +21,15 @@
 
 impl Budget {
     /// Takes in the rate that the operator states.
-    pub fn set_rate(&mut self, per_s: u32) {
+    pub const fn set_rate(&mut self, per_s: u32) {
         self.per_s = per_s;
-        if per_s == 0 {
-            self.given.clear();
-        }
     }
 
-    /// Notes an opening that went to the server. A warm server's count too: it may turn cold within
-    /// the same second.
+    /// Notes an opening that went to the server. A warm server's count too, and those without a rate: it
+    /// may turn cold within the same second, and a change of the rate reaches balancers unevenly.
     pub fn give(&mut self, now: Time) {
-        if self.per_s > 0 {
-            self.expire(now);
-            self.given.push_back(now);
-        }
+        self.expire(now);
+        self.given.push_back(now);
     }
 
     /// Openings that the server may be given now; none where no rate is given.
--- a/crates/nutmegkeel_core/tests/l4/warmup.rs
+++ b/crates/nutmegkeel_core/tests/l4/warmup.rs
@@ -114,6 +114,24 @@
     assert!(warm);
 }
 
+/// A rate comes into force while balancers have different configurations: those that have the old one offer
+/// without a rate, and what was given before must still count.
+#[test]
+fn what_was_given_counts_while_balancers_disagree_on_the_rate() {
+    let mut agent = cold_agent();
+    let mut taken = 0;
+    for port in 1..=10 {
+        taken += usize::from(takes(&agent.handle(at(u64::from(port)), offered(port, 2))));
+        agent.handle(at(u64::from(port)), agent::Event::Tick);
+    }
+    let mut warm = cold_agent();
+    let without = (1..=5).filter(|port| takes(&warm.handle(at(10), offered(*port, 0)))).count();
+    let then = takes(&warm.handle(at(20), offered(6, 2)));
+
+    assert_eq!(taken, 2);
+    assert_eq!((without, then), (5, false));
+}
+
 fn cold_word(number: u64, room: u32) -> Announcement {
     Announcement { cold: true, room: Some(room), ..word(number, State::Ready, Load::default()) }
 }
--- a/crates/nutmegkeel_dev/src/compare.rs
+++ b/crates/nutmegkeel_dev/src/compare.rs
@@ -117,7 +117,7 @@
             let next = waiting.lock().unwrap_or_else(PoisonError::into_inner).pop_front();
             let Some((day, way)) = next else { return };
             let outcome = play::play(options, day, way);
-            progress.println(line(day, way, &outcome));
+            tell(&progress, &line(day, way, &outcome));
             progress.inc(1);
             let cell =
                 outcome.map(|outcome| Cell { day: day.clone(), way: way.name.clone(), outcome });
@@ -140,6 +140,15 @@
     bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()))
 }
 
+/// Where the output is no terminal the bar shows nothing, and would swallow the line.
+fn tell(progress: &ProgressBar, line: &str) {
+    if progress.is_hidden() {
+        println!("{line}");
+    } else {
+        progress.println(line);
+    }
+}
+
 fn line(day: &Day, way: &Way, outcome: &Result<Outcome, Fault>) -> String {
     match outcome {
         Ok(Outcome::Played(report)) => format!(
