--- /dev/null
+++ b/crates/nutmegkeel_core/tests/l4/evacuated_fleet.rs
@@ -0,0 +1,326 @@
+//! A small fleet in virtual time, with lost, repeated and reordered messages at every step, and with
+//! crashes or a balancer that sleeps: once an evacuation is known, no new flow reaches a server there.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use nutmegkeel_core::l4::agent::{self, Agent};
+use nutmegkeel_core::l4::balancer::{self, Balancer};
+use nutmegkeel_core::l4::evacuation::Orders;
+use nutmegkeel_core::l4::flow::{Flow, Head};
+use nutmegkeel_core::l4::message::Message;
+use nutmegkeel_core::l4::policy::Policy;
+use quickcheck::quickcheck;
+
+use crate::fixture::{PORT, accepted, at, desk, flow, heartbeat, host, opening, table};
+
+/// The failure domain that is evacuated, and the other one.
+const DOMAINS: [&str; 2] = ["osu", "tema"];
+
+/// Balancers and agents in each failure domain.
+const EACH: u8 = 2;
+
+/// Pause between two steps, in milliseconds: a tick of the agents.
+const STEP_MS: u64 = 100;
+
+fn balancer_address(number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, number)
+}
+
+fn domain(number: u8) -> &'static str {
+    DOMAINS[usize::from(number / EACH)]
+}
+
+/// A message on its way, with the packet behind it.
+#[derive(Clone)]
+struct Letter {
+    from: Ipv4Addr,
+    to: Ipv4Addr,
+    message: Message,
+    head: Option<Head>,
+}
+
+struct Fleet {
+    now: u64,
+    balancers: Vec<Balancer>,
+    agents: Vec<Agent>,
+    /// Packets that a balancer keeps.
+    kept: Vec<BTreeMap<Flow, Head>>,
+    letters: Vec<Letter>,
+    ports: u16,
+    /// New flows that servers in the evacuated failure domain were given, and those of the other.
+    given: [usize; 2],
+}
+
+impl Fleet {
+    fn open() -> Self {
+        let count = 2 * EACH;
+        let mut fleet = Self {
+            now: 0,
+            balancers: (0..count).map(|number| new_balancer(0, number)).collect(),
+            agents: (0..count).map(|number| new_agent(0, number)).collect(),
+            kept: vec![BTreeMap::new(); usize::from(count)],
+            letters: Vec::new(),
+            ports: 0,
+            given: [0, 0],
+        };
+        for number in 0..count {
+            fleet.beat(number);
+            fleet.balance(number, balancer::Event::Ordered(orders(4, &[])), None);
+            fleet.balance(number, configured(), None);
+        }
+        fleet
+    }
+
+    /// Lets time pass with every message delivered in order, but for those to a process that sleeps.
+    fn settle(&mut self, millis: u64, asleep: Option<Ipv4Addr>) {
+        for _ in 0..millis / STEP_MS {
+            self.pass();
+            while !self.letters.is_empty() {
+                let letter = self.letters.remove(0);
+                if Some(letter.to) != asleep {
+                    self.deliver(letter);
+                }
+            }
+        }
+    }
+
+    fn pass(&mut self) {
+        self.now += STEP_MS;
+        for number in 0..2 * EACH {
+            self.act(number, agent::Event::Tick, None);
+            if self.now.is_multiple_of(balancer::TICK_MS) {
+                self.balance(number, balancer::Event::Tick, None);
+            }
+            if self.now.is_multiple_of(1_200) {
+                self.beat(number);
+            }
+        }
+    }
+
+    /// One random step; processes are killed and start again if `crashes`.
+    fn step(&mut self, kind: u8, argument: u8, crashes: bool) {
+        let number = argument % (2 * EACH);
+        match kind % 9 {
+            0 => self.pass(),
+            1 if crashes => {
+                self.balancers[usize::from(number)] = new_balancer(self.now, number);
+                self.kept[usize::from(number)].clear();
+            }
+            2 if crashes => {
+                self.agents[usize::from(number)] = new_agent(self.now, number);
+                self.beat(number);
+            }
+            1..=3 => self.client(number),
+            4 => {
+                self.take_letter(argument);
+            }
+            5 => {
+                let repeated = self.take_letter(argument);
+                self.letters.extend(repeated.clone());
+                repeated.into_iter().for_each(|letter| self.deliver(letter));
+            }
+            _ => {
+                let letter = self.take_letter(argument);
+                letter.into_iter().for_each(|letter| self.deliver(letter));
+            }
+        }
+    }
+
+    fn take_letter(&mut self, argument: u8) -> Option<Letter> {
+        let place = usize::from(argument).checked_rem(self.letters.len())?;
+        Some(self.letters.remove(place))
+    }
+
+    fn client(&mut self, number: u8) {
+        self.ports += 1;
+        let head = opening(flow(self.ports), 0);
+        self.balance(number, balancer::Event::Client(head), Some(head));
+    }
+
+    fn beat(&mut self, number: u8) {
+        let seq = self.now / 1_200 + 2;
+        self.act(number, agent::Event::Heartbeat(heartbeat("a", seq)), None);
+    }
+
+    fn deliver(&mut self, letter: Letter) {
+        let Letter { from, to, message, head } = letter;
+        for number in 0..2 * EACH {
+            if balancer_address(number) == to {
+                if let Some(event) = to_balancer(from, message.clone(), head) {
+                    self.balance(number, event, head);
+                }
+            } else if host(number) == to
+                && let Some(event) = to_agent(from, message.clone(), head)
+            {
+                self.act(number, event, head);
+            }
+        }
+    }
+
+    fn balance(&mut self, number: u8, event: balancer::Event, head: Option<Head>) {
+        let from = balancer_address(number);
+        for action in self.balancers[usize::from(number)].handle(at(self.now), event) {
+            match action {
+                balancer::Action::Forward(to, message) => self.post(from, to, message, head),
+                balancer::Action::Send(to, message) => self.post(from, to, message, None),
+                balancer::Action::Keep(head) => {
+                    self.kept[usize::from(number)].insert(head.flow, head);
+                }
+                balancer::Action::Recall => {
+                    for head in std::mem::take(&mut self.kept[usize::from(number)]).into_values() {
+                        self.balance(number, balancer::Event::Again(head), Some(head));
+                    }
+                }
+                // Whoever says that it has a newer configuration hands it over.
+                balancer::Action::Fetch(_) => self.balance(number, configured(), None),
+                _ => {}
+            }
+        }
+    }
+
+    fn act(&mut self, number: u8, event: agent::Event, head: Option<Head>) {
+        let from = host(number);
+        let actions = self.agents[usize::from(number)].handle(at(self.now), event);
+        for action in actions {
+            match action {
+                agent::Action::ToServer(_) => {
+                    let head = head.expect("a packet is at hand");
+                    self.given[usize::from(number / EACH)] += 1;
+                    let answer = accepted(head.flow, 500);
+                    self.act(number, agent::Event::FromServer(answer), Some(answer));
+                }
+                agent::Action::Return(to, message) => self.post(from, to, message, head),
+                agent::Action::Send(to, message) => self.post(from, to, message, None),
+                _ => {}
+            }
+        }
+    }
+
+    fn post(&mut self, from: Ipv4Addr, to: Ipv4Addr, message: Message, head: Option<Head>) {
+        self.letters.push(Letter { from, to, message, head });
+    }
+}
+
+fn orders(revision: u64, domains: &[&str]) -> Orders {
+    Orders { revision, domains: domains.iter().map(|domain| (*domain).into()).collect() }
+}
+
+fn configured() -> balancer::Event {
+    balancer::Event::Configured(table(1, &[(PORT, desk())]))
+}
+
+fn seeds() -> Vec<Ipv4Addr> {
+    (0..2 * EACH).map(balancer_address).collect()
+}
+
+fn new_balancer(now: u64, number: u8) -> Balancer {
+    let identity = balancer::Identity {
+        address: balancer_address(number),
+        domain: domain(number).into(),
+        regions: BTreeMap::new(),
+        policy: Policy::default(),
+    };
+    Balancer::open(at(now), identity, &seeds())
+}
+
+fn new_agent(now: u64, number: u8) -> Agent {
+    let identity = agent::Identity {
+        address: host(number),
+        incarnation: now + 1,
+        domain: domain(number).into(),
+        heartbeat_ms: 1_200,
+        checkpoints_per_s: 80,
+        policy: Policy::default(),
+    };
+    Agent::open(at(now), identity, &seeds())
+}
+
+fn to_balancer(from: Ipv4Addr, message: Message, head: Option<Head>) -> Option<balancer::Event> {
+    Some(match message {
+        Message::Announce(word) => balancer::Event::Announced(from, word),
+        Message::Roster(roster) => balancer::Event::Roster(from, roster),
+        Message::Summary(summary) => balancer::Event::Summary(summary),
+        Message::Orders(orders) => balancer::Event::Ordered(orders),
+        Message::Relay => balancer::Event::Relayed(head?),
+        Message::Holds { flow, load } => balancer::Event::Holds { from, flow, load },
+        Message::Absent { flow, load } => balancer::Event::Absent { from, flow, load },
+        Message::Declined { reason, load } => {
+            balancer::Event::Declined { from, head: head?, reason, load }
+        }
+        _ => return None,
+    })
+}
+
+fn to_agent(from: Ipv4Addr, message: Message, head: Option<Head>) -> Option<agent::Event> {
+    Some(match message {
+        Message::Open(offer) => agent::Event::Open { from, head: head?, offer },
+        Message::Roster(roster) => agent::Event::Roster(from, roster),
+        _ => return None,
+    })
+}
+
+/// A fleet in which every process but one that sleeps knows that the first failure domain is evacuated.
+/// Agents hold copies of the configuration.
+fn evacuated(asleep: Option<u8>) -> Fleet {
+    let mut fleet = Fleet::open();
+    fleet.settle(3_000, None);
+    for number in 0..2 * EACH {
+        fleet.act(number, agent::Event::Fetched(1), None);
+        (0..4).for_each(|_| fleet.client(number));
+    }
+    fleet.settle(500, None);
+    assert!(fleet.given.iter().all(|given| *given > 0), "{:?}", fleet.given);
+    fleet.balance(0, balancer::Event::Ordered(orders(5, &[DOMAINS[0]])), None);
+    fleet.settle(2_000, asleep.map(balancer_address));
+    let knowing = fleet.balancers.iter().filter(|balancer| balancer.evacuated() == 1).count();
+    assert_eq!(knowing, fleet.balancers.len() - usize::from(asleep.is_some()));
+    fleet.given = [0, 0];
+    fleet
+}
+
+fn ask(fleet: &mut Fleet) {
+    for number in 0..2 * EACH {
+        (0..4).for_each(|_| fleet.client(number));
+    }
+    fleet.settle(500, None);
+}
+
+#[test]
+fn a_domain_that_was_taken_back_serves_again() {
+    let mut fleet = evacuated(None);
+    ask(&mut fleet);
+    let during = fleet.given;
+
+    fleet.balance(3, balancer::Event::Ordered(orders(6, &[])), None);
+    fleet.settle(2_000, None);
+    ask(&mut fleet);
+
+    assert_eq!(during[0], 0, "{during:?}");
+    assert!(during[1] > 0, "{during:?}");
+    assert!(fleet.given[0] > 0, "{:?}", fleet.given);
+}
+
+/// Whether no server of the evacuated domain is given a flow, in these steps and when what was on its way
+/// or kept has arrived.
+fn holds(mut fleet: Fleet, steps: &[(u8, u8)], crashes: bool) -> bool {
+    let holds = steps.iter().all(|(kind, argument)| {
+        fleet.step(*kind, *argument, crashes);
+        fleet.given[0] == 0
+    });
+    fleet.settle(1_000, None);
+    holds && fleet.given[0] == 0
+}
+
+quickcheck! {
+    /// A balancer that starts again has the configuration from an agent before it hears of the orders, and
+    /// the agent that it would choose has started again too and knows none.
+    fn crashes_open_no_evacuated_domain(steps: Vec<(u8, u8)>) -> bool {
+        holds(evacuated(None), &steps, true)
+    }
+
+    /// A balancer slept through the order and places by the ones before it: the agents have the last word.
+    fn a_balancer_that_slept_opens_no_evacuated_domain(steps: Vec<(u8, u8)>) -> bool {
+        holds(evacuated(Some(1)), &steps, false)
+    }
+}
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -5,6 +5,7 @@
 mod balancer;
 mod checkpoint;
 mod delegate;
+mod evacuated_fleet;
 mod evacuation;
 mod fixture;
 mod mute;
