--- a/crates/nutmegkeel_core/src/l4/evacuation.rs
+++ b/crates/nutmegkeel_core/src/l4/evacuation.rs
@@ -68,12 +68,6 @@
     pub fn revision(&self) -> u64 {
         self.orders.as_ref().map_or(0, |orders| orders.revision)
     }
-
-    /// Whether a failure domain is evacuated.
-    #[must_use]
-    pub fn evacuates(&self, domain: &str) -> bool {
-        self.orders.as_ref().is_some_and(|orders| orders.domains.contains(domain))
-    }
 }
 
 /// Follows the operator's orders as the store tells of them.
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -304,17 +304,21 @@
         if failing > healthy { State::Failing } else { State::Ready }
     }
 
+    fn lately_heard(&self, now: Time) -> impl Iterator<Item = &Candidate> {
+        self.agents.values().filter(move |one| self.health_of(now, one) <= Health::Late)
+    }
+
     /// Number of agents heard of lately.
     #[must_use]
     pub fn heard_of(&self, now: Time) -> usize {
-        self.agents.values().filter(|one| self.health_of(now, one) <= Health::Late).count()
+        self.lately_heard(now).count()
     }
 
     /// Agents heard of lately, by failure domain.
     #[must_use]
     pub fn domains(&self, now: Time) -> BTreeMap<Arc<str>, usize> {
         let mut domains = BTreeMap::new();
-        for one in self.agents.values().filter(|one| self.health_of(now, one) <= Health::Late) {
+        for one in self.lately_heard(now) {
             *domains.entry(Arc::clone(&one.announcement.domain)).or_default() += 1;
         }
         domains
