--- a/crates/nutmegkeel_core/src/l4/balancer/opening.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/opening.rs
@@ -118,6 +118,7 @@
             objective_ms: u32::try_from(route.objective_ms).unwrap_or(u32::MAX),
             deadline_ms: u32::try_from(route.deadline_ms).unwrap_or(u32::MAX),
             once: route.kind == Kind::Once,
+            urgency: route.urgency,
         };
         let waited_ms = u32::try_from(waited_ms).unwrap_or(u32::MAX);
         Offer {
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -9,7 +9,7 @@
 use super::checkpoint::Checkpoint;
 use super::evacuation::Orders;
 use super::flow::Flow;
-use super::route::Service;
+use super::route::{Service, Urgency};
 
 /// A message; what follows it in the datagram is the packet it speaks of, unchanged.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -104,6 +104,8 @@
     /// Whether a request must not run twice. It does not wait behind others, because its client may
     /// not simply try again.
     pub once: bool,
+    /// How urgent they are.
+    pub urgency: Urgency,
 }
 
 /// Why an agent did not take a packet.
@@ -152,6 +154,8 @@
     pub busy: u16,
     /// Open flows.
     pub flows: u16,
+    /// How long a slot works on a request now, in milliseconds; zero while that is not known.
+    pub service_ms: u16,
 }
 
 /// Whether an agent takes new flows.
--- a/crates/nutmegkeel_core/src/l4/policy.rs
+++ b/crates/nutmegkeel_core/src/l4/policy.rs
@@ -1,10 +1,20 @@
-//! Mechanisms that can be switched off: to measure what each is worth, and as an emergency switch for
-//! operators who suspect one of them.
+//! Which mechanisms a process uses. Some are for deployments that say of themselves what calls for them;
+//! each can be switched off: to measure what it is worth, and as an emergency switch for operators who
+//! suspect it.
 
 use std::collections::BTreeSet;
 use std::fmt;
 use std::str::FromStr;
 
+/// What a deployment says of itself that calls for mechanisms which others are served without.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Condition {
+    /// Callers may ask for more than all backend servers together can do.
+    Contention,
+    /// Backend servers may fail or become slow while all that they say of themselves is good.
+    HiddenFaults,
+}
+
 /// A mechanism of the decisions for flows without a routing token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Mechanism {
@@ -38,11 +48,21 @@
     Mute,
     /// Some agents hold a copy of the configuration for balancers that find it nowhere else.
     Replicas,
+    /// What is short of room goes by the urgency of its route.
+    Urgency,
+    /// Callers share the room of a backend server that is short of it.
+    FairShares,
+    /// Balancers reckon how much room a service has, and refuse at once what finds none in time.
+    Room,
+    /// A backend server far slower than its peers gets new flows by its speed.
+    UnevenServers,
+    /// New flows leave a failure domain that is far busier than others.
+    DomainBalance,
 }
 
 impl Mechanism {
     /// All mechanisms, in the order of the documentation.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 20] = [
         Self::FlowLists,
         Self::AgentQueue,
         Self::NewestFirst,
@@ -58,8 +78,23 @@
         Self::Summaries,
         Self::Mute,
         Self::Replicas,
+        Self::Urgency,
+        Self::FairShares,
+        Self::Room,
+        Self::UnevenServers,
+        Self::DomainBalance,
     ];
 
+    /// The condition that a deployment must name for the mechanism to be used; none if all use it.
+    #[must_use]
+    pub const fn needs(self) -> Option<Condition> {
+        match self {
+            Self::Urgency | Self::FairShares | Self::Room => Some(Condition::Contention),
+            Self::UnevenServers | Self::DomainBalance => Some(Condition::HiddenFaults),
+            _ => None,
+        }
+    }
+
     /// The name on the command line and in logs.
     #[must_use]
     pub const fn name(self) -> &'static str {
@@ -79,6 +114,11 @@
             Self::Summaries => "summaries",
             Self::Mute => "mute",
             Self::Replicas => "replicas",
+            Self::Urgency => "urgency",
+            Self::FairShares => "fair-shares",
+            Self::Room => "room",
+            Self::UnevenServers => "uneven-servers",
+            Self::DomainBalance => "domain-balance",
         }
     }
 }
@@ -106,23 +146,31 @@
     }
 }
 
-/// Which mechanisms a process uses: all but those switched off.
+/// Which mechanisms a process uses: those that its deployment calls for, but for those switched off.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Policy {
     without: BTreeSet<Mechanism>,
+    conditions: BTreeSet<Condition>,
 }
 
 impl Policy {
     /// All mechanisms but these.
     #[must_use]
     pub fn without(mechanisms: impl IntoIterator<Item = Mechanism>) -> Self {
-        Self { without: mechanisms.into_iter().collect() }
+        Self { without: mechanisms.into_iter().collect(), ..Self::default() }
+    }
+
+    /// The same in a deployment under these conditions.
+    #[must_use]
+    pub fn under(self, conditions: impl IntoIterator<Item = Condition>) -> Self {
+        Self { conditions: conditions.into_iter().collect(), ..self }
     }
 
     /// Whether a mechanism is used.
     #[must_use]
     pub fn uses(&self, mechanism: Mechanism) -> bool {
-        !self.without.contains(&mechanism)
+        let is_called_for = mechanism.needs().is_none_or(|need| self.conditions.contains(&need));
+        is_called_for && !self.without.contains(&mechanism)
     }
 
     /// The names of those switched off, for the log.
--- a/crates/nutmegkeel_core/src/l4/route.rs
+++ b/crates/nutmegkeel_core/src/l4/route.rs
@@ -28,6 +28,30 @@
     }
 }
 
+/// How urgent the requests of a route are; the most urgent compare as the least.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Urgency(u8);
+
+impl Urgency {
+    /// Number of the least urgent.
+    pub const LEAST: u8 = 7;
+
+    /// For a route that states none: behind those that operators usually name urgent.
+    pub const DEFAULT: Self = Self(4);
+
+    /// The urgency with this number, zero for the most urgent; none if it is beyond [`Self::LEAST`].
+    #[must_use]
+    pub const fn new(number: u8) -> Option<Self> {
+        if number <= Self::LEAST { Some(Self(number)) } else { None }
+    }
+
+    /// Its number.
+    #[must_use]
+    pub const fn number(self) -> u8 {
+        self.0
+    }
+}
+
 /// How the requests of a route may be treated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -61,6 +85,8 @@
     pub deadline_ms: u64,
     /// Time within which an answer is worth most, in milliseconds.
     pub objective_ms: u64,
+    /// How urgent its requests are.
+    pub urgency: Urgency,
     /// Regions whose backend servers may take its flows; empty where all may.
     pub regions: BTreeSet<Arc<str>>,
 }
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -34,6 +34,7 @@
         Load {
             busy: u16::try_from(self.load.busy).unwrap_or(u16::MAX),
             flows: u16::try_from(self.load.open).unwrap_or(u16::MAX),
+            service_ms: 0,
         }
     }
 
--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -1,17 +1,15 @@
 use nutmegkeel_core::l4::agent::{Action, Agent, Event};
 use nutmegkeel_core::l4::flow::{Flow, Head};
-use nutmegkeel_core::l4::message::{
-    Demand, Insistence, Load, Message, Offer, Reason, Roster, State,
-};
+use nutmegkeel_core::l4::message::{Demand, Insistence, Message, Offer, Reason, Roster, State};
 use nutmegkeel_core::l4::route::Service;
 
 use crate::fixture::{
-    BALANCER, accepted, agent, at, bounced, data, flow, heartbeat, heartbeat_of, incarnation,
-    offer, opening, roster,
+    BALANCER, accepted, agent, at, bounced, data, demand, flow, heartbeat, heartbeat_of,
+    incarnation, load, offer, opening, roster,
 };
 
 const WAITS: Insistence = Insistence::IfInTime;
-const FEED: Demand = Demand { objective_ms: 250, deadline_ms: 2_500, once: false };
+const FEED: Demand = demand(false);
 
 fn open(flow: Flow, copies: u32, insistence: Insistence) -> Event {
     let offer = Offer { insistence, ..offer(FEED) };
@@ -283,8 +281,8 @@
     answer.len = 600;
     agent.handle(at(150), Event::FromServer(answer));
 
-    assert_eq!(busy, Load { busy: 1, flows: 1 });
-    assert_eq!(agent.load(), Load { busy: 0, flows: 1 });
+    assert_eq!(busy, load(1, 1));
+    assert_eq!(agent.load(), load(0, 1));
 }
 
 /// Lets the server answer the requests of these flows.
@@ -408,7 +406,7 @@
         request(&mut agent, 100, flow(port));
     }
 
-    let demand = Demand { objective_ms: 300, deadline_ms: 3_000, once: true };
+    let demand = Demand { objective_ms: 300, deadline_ms: 3_000, ..demand(true) };
     let opening = Event::Open { from: BALANCER, head: opening(flow(9), 0), offer: offer(demand) };
     agent.handle(at(101), opening);
     agent.handle(at(102), Event::FromServer(accepted(flow(9), 500)));
--- a/crates/nutmegkeel_core/tests/l4/fixture.rs
+++ b/crates/nutmegkeel_core/tests/l4/fixture.rs
@@ -12,7 +12,7 @@
 use nutmegkeel_core::l4::message::{Announcement, Demand, Insistence, Load, Offer, Roster, State};
 use nutmegkeel_core::l4::placement::Wish;
 use nutmegkeel_core::l4::policy::Policy;
-use nutmegkeel_core::l4::route::{Kind, Route, Service, Share, Table};
+use nutmegkeel_core::l4::route::{Kind, Route, Service, Share, Table, Urgency};
 use nutmegkeel_core::l4::server::{Heartbeat, Incarnation};
 use nutmegkeel_core::placement::Key;
 
@@ -71,6 +71,7 @@
         kind,
         deadline_ms: 2_500,
         objective_ms: 250,
+        urgency: Urgency::DEFAULT,
         regions: BTreeSet::new(),
     }
 }
@@ -99,6 +100,11 @@
     }
 }
 
+/// A load without a known time of service.
+pub(crate) const fn load(busy: u16, flows: u16) -> Load {
+    Load { busy, flows, service_ms: 0 }
+}
+
 /// A balancer's word about itself, with the addresses of these balancers.
 pub(crate) fn roster(version: u64, balancers: &[Ipv4Addr], agents: u32) -> Roster {
     Roster {
@@ -173,7 +179,7 @@
 
 /// Requests that may run again, or must run once.
 pub(crate) const fn demand(once: bool) -> Demand {
-    Demand { objective_ms: 250, deadline_ms: 2_500, once }
+    Demand { objective_ms: 250, deadline_ms: 2_500, once, urgency: Urgency::DEFAULT }
 }
 
 /// An offer of the desk's, by a balancer that knows of no order.
--- a/crates/nutmegkeel_core/tests/l4/overload.rs
+++ b/crates/nutmegkeel_core/tests/l4/overload.rs
@@ -7,7 +7,9 @@
 use nutmegkeel_core::l4::message::{Demand, Insistence, Offer};
 
 use crate::backend::{COLD_UNTIL_MS, Server};
-use crate::fixture::{BALANCER, accepted, agent, at, data, flow, heartbeat, offer, opening};
+use crate::fixture::{
+    BALANCER, accepted, agent, at, data, demand, flow, heartbeat, offer, opening,
+};
 
 /// An answer within this is in time, in milliseconds.
 const AIM_MS: u64 = 400;
@@ -19,7 +21,7 @@
 
 fn feed(once: bool) -> Demand {
     let objective_ms = u32::try_from(AIM_MS).expect("a short time");
-    Demand { objective_ms, deadline_ms: 2_500, once }
+    Demand { objective_ms, ..demand(once) }
 }
 
 /// The replay: an agent, its server, and who has asked since when.
--- a/crates/nutmegkeel_core/tests/l4/placement.rs
+++ b/crates/nutmegkeel_core/tests/l4/placement.rs
@@ -2,7 +2,7 @@
 use nutmegkeel_core::l4::placement::{Change, Pool};
 use nutmegkeel_core::l4::route::Kind;
 
-use crate::fixture::{DOMAIN, at, desk, flow, host, wish, word};
+use crate::fixture::{DOMAIN, at, desk, flow, host, load, wish, word};
 
 fn pool(loads: &[(u8, Load)]) -> Pool {
     let mut pool = Pool::default();
@@ -12,10 +12,6 @@
     pool
 }
 
-const fn load(busy: u16, flows: u16) -> Load {
-    Load { busy, flows }
-}
-
 #[test]
 fn a_short_flow_goes_to_the_least_busy_agent() {
     let pool = pool(&[(1, load(4, 10)), (2, load(0, 12)), (3, load(4, 10))]);
--- a/crates/nutmegkeel_core/tests/l4/waiting.rs
+++ b/crates/nutmegkeel_core/tests/l4/waiting.rs
@@ -2,12 +2,12 @@
 use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::waiting::{Queue, Waiting};
 
-use crate::fixture::{at, data, flow};
+use crate::fixture::{at, data, demand, flow};
 
 /// Time within which answers are of use, in milliseconds.
 const LIMIT_MS: u64 = 2_500;
 
-const DEMAND: Demand = Demand { objective_ms: 250, deadline_ms: 2_500, once: false };
+const DEMAND: Demand = demand(false);
 
 /// Time that an answer takes, in milliseconds.
 const ANSWER_MS: u64 = 90;
--- a/crates/nutmegkeel_dev/src/measure/finding.rs
+++ b/crates/nutmegkeel_dev/src/measure/finding.rs
@@ -58,7 +58,7 @@
             room: None,
             cold: false,
             state: State::Ready,
-            load: Load { busy: 1, flows: 20 },
+            load: Load { busy: 1, flows: 20, service_ms: 50 },
             balancers: 0,
             replica: 0,
         };
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -76,6 +76,7 @@
 ) -> Result<Handle, Fault> {
     let clock = Clock::open();
     let now = clock.now();
+    let policy = policy.under(settings.conditions.iter().copied());
     let switched_off = policy.switched_off();
     let identity = Identity {
         address: settings.ip,
--- a/crates/nutmegkeel_wire/src/l4.rs
+++ b/crates/nutmegkeel_wire/src/l4.rs
@@ -4,7 +4,7 @@
 use nutmegkeel_core::l4::message::Message;
 
 /// Version of the encoding. A process of another version drops the datagram.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 
 /// Longest datagram, in bytes: the longest packet and a message before it, or a roster of 300
 /// balancers.
--- a/crates/nutmegkeel_wire/tests/l4.rs
+++ b/crates/nutmegkeel_wire/tests/l4.rs
@@ -13,7 +13,7 @@
 use quickcheck::QuickCheck;
 
 fn declined() -> Message {
-    Message::Declined { reason: Reason::Busy, load: Load { busy: 3, flows: 70 } }
+    Message::Declined { reason: Reason::Busy, load: Load { busy: 3, flows: 70, service_ms: 44 } }
 }
 
 #[test]
@@ -72,7 +72,7 @@
         cold: true,
         room: Some(1_000),
         state: State::Restarting,
-        load: Load { busy: 1_000, flows: 10_000 },
+        load: Load { busy: 1_000, flows: 10_000, service_ms: 1_000 },
     };
     let services = (0..4).map(|number| Service::named(&format!("service-{number}"))).collect();
     let summary = Message::Summary(Summary {
