--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -245,9 +245,8 @@
         vec![Action::ToServer(self.probes.ask(now, flow, from))]
     }
 
-    /// Says whether a flow is here; nothing while only the backend server knows, since it can only be
-    /// asked with a packet, or while only an opening is here, which another server may have accepted
-    /// too: a balancer that took this agent for the flow's would reset the flow with its death.
+    /// Says whether a flow is here, or that only the backend server knows, which can only be asked with a
+    /// packet; nothing while only an opening is here, which another server may have accepted too: a balancer that took this agent for the flow's would reset the flow with its death.
     fn locate(&self, now: Time, from: Ipv4Addr, flow: Flow) -> Vec<Action> {
         let load = self.load();
         if self.table.is_open(&flow) {
@@ -259,7 +258,7 @@
         if self.is_certain(now) || self.probes.denied(now, &flow) {
             return vec![Action::Send(from, Message::Absent { flow, load })];
         }
-        Vec::new()
+        vec![Action::Send(from, Message::Unsure { flow, load })]
     }
 
     fn answered(&mut self, now: Time, head: &Head) -> Vec<Action> {
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod search;
 pub mod summary;
+mod wide_search;
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -92,6 +93,8 @@
     view: View,
     /// Whether an agent appeared since, or takes flows again.
     agent_came: bool,
+    /// How long an agent takes to say whether it holds a flow, in microseconds; zero while that is not known.
+    answer_us: u64,
     /// Whether the event at hand is a packet that was kept before: only its first time is noted.
     is_again: bool,
 }
@@ -130,6 +133,7 @@
             keeps: false,
             view: View::default(),
             agent_came: false,
+            answer_us: 0,
             is_again: false,
         }
     }
@@ -219,6 +223,7 @@
             Event::Relayed(head) => self.client(now, &head),
             Event::Holds { from, flow, load } => self.holds(now, from, flow, load),
             Event::Absent { from, flow, load } => self.absent(now, from, flow, load),
+            Event::Unsure { from, flow, load } => self.unsure(now, from, flow, load),
             Event::Announced(from, word) => self.announced(now, from, word),
             Event::Summary(summary) => self.summary(now, &summary),
             Event::Roster(from, roster) => self.roster(now, from, &roster),
@@ -340,6 +345,8 @@
         let route = self.table.routes.get(&head.flow.service).cloned();
         let entry = self.cache.entry(now, head.flow);
         let current = entry.place.as_ref().map(Place::agent);
+        let was_asked = entry.place == Some(Place::Asked(from));
+        let after_ms = now.since(entry.asked);
         if reason == Reason::NotHeld {
             entry.unanswered.retain(|agent| *agent != from);
         }
@@ -347,6 +354,9 @@
             entry.place = None;
             note_declined(entry, from, reason);
         }
+        if was_asked {
+            self.learn_answer_time(after_ms);
+        }
         let note = Action::Note(Note::Declined { flow: head.flow, agent: from, reason, load });
         let mut actions = match (current, route.filter(|_| head.opens())) {
             (Some(agent), Some(_)) if agent != from => Vec::new(),
--- a/crates/nutmegkeel_core/src/l4/balancer/event.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/event.rs
@@ -47,6 +47,15 @@
         /// Load of the agent.
         load: Load,
     },
+    /// An agent said that it cannot say without a packet whether it holds a flow.
+    Unsure {
+        /// The agent.
+        from: Ipv4Addr,
+        /// The flow.
+        flow: Flow,
+        /// Load of the agent.
+        load: Load,
+    },
     /// An agent spoke about itself.
     Announced(Ipv4Addr, Announcement),
     /// A balancer of another failure domain, or one that passes it on, told of the agents there.
--- a/crates/nutmegkeel_core/src/l4/balancer/search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -18,18 +18,20 @@
             return Vec::new();
         }
         let entry = self.cache.entry(now, flow);
-        if matches!(entry.place, Some(Place::Asked(_))) && !entry.is_overdue(now) {
+        let is_asked = matches!(entry.place, Some(Place::Asked(_)));
+        if entry.awaits_answers(now) || (is_asked && !entry.is_overdue(now)) {
             return Vec::new();
         }
         if entry.is_overdue(now) {
             self.pass_over(now, flow);
         }
+        self.pass_over_questions(now, flow);
         if self.cache.entry(now, flow).is_stale(now) {
             self.cache.entry(now, flow).restart(now);
         }
-        let next = self.next_to_ask(now, flow).or_else(|| self.next_to_repeat(now, flow));
-        if let Some(agent) = next {
-            return vec![Action::Send(agent, Message::Locate { flow })];
+        let asking = self.ask_further(now, flow);
+        if !asking.is_empty() {
+            return asking;
         }
         if !self.is_nowhere(now, flow) {
             return Vec::new();
@@ -40,6 +42,19 @@
         self.reset_flow(flow, seq, Cause::NotHeld, asked)
     }
 
+    /// Asks those who are left, without a packet; empty if nobody is.
+    fn ask_further(&mut self, now: Time, flow: Flow) -> Vec<Action> {
+        let many = self.ask_many(now, flow);
+        if !many.is_empty() {
+            return many;
+        }
+        if let Some(call) = self.call_for_packet(now, flow) {
+            return vec![call];
+        }
+        let next = self.next_to_ask(now, flow).or_else(|| self.next_to_repeat(now, flow));
+        next.into_iter().map(|agent| Action::Send(agent, Message::Locate { flow })).collect()
+    }
+
     /// Whether every agent that may hold the flow has said that it does not. Never while there is no
     /// configuration: nothing could be offered to the client in place of its flow, and this process is
     /// too young to know whom it has not heard of.
@@ -73,12 +88,22 @@
         self.pool.heard(now, from, load);
         let entry = self.cache.entry(now, flow);
         entry.unanswered.retain(|agent| *agent != from);
-        if entry.place != Some(Place::Asked(from)) {
+        let was_question = entry.questions.remove(&from);
+        let was_asked = entry.place == Some(Place::Asked(from));
+        if !was_question && !was_asked {
             return Vec::new();
         }
-        entry.place = None;
         note_declined(entry, from, Reason::NotHeld);
-        self.decide(now, flow)
+        if was_asked {
+            entry.place = None;
+            let after_ms = now.since(entry.asked);
+            self.learn_answer_time(after_ms);
+        }
+        if self.cache.entry(now, flow).questions.is_empty() {
+            self.decide(now, flow)
+        } else {
+            Vec::new()
+        }
     }
 
     pub(super) fn carry(&mut self, now: Time, head: &Head) -> Vec<Action> {
@@ -126,12 +151,37 @@
     }
 
     pub(super) fn search(&mut self, now: Time, head: &Head) -> Vec<Action> {
+        if self.cache.entry(now, head.flow).awaits_answers(now) {
+            return self.wait_for_answers(now, head);
+        }
+        self.pass_over_questions(now, head.flow);
+        if self.has_asked_first(now, head.flow) {
+            let mut many = self.ask_many(now, head.flow);
+            if !many.is_empty() {
+                many.extend(self.wait_for_answers(now, head));
+                return many;
+            }
+        }
         match self.next_to_ask(now, head.flow) {
             Some(agent) => vec![carry_to(agent, false)],
             None => self.not_found(now, head),
         }
     }
 
+    fn wait_for_answers(&mut self, now: Time, head: &Head) -> Vec<Action> {
+        self.cache.wait(now, head.flow);
+        self.keep(head, Cause::Undecided)
+    }
+
+    /// Whether the few agents that the flow's opening was offered to have been asked.
+    fn has_asked_first(&mut self, now: Time, flow: Flow) -> bool {
+        let Some(services) = self.services(&flow) else {
+            return false;
+        };
+        let first = self.pool.search_first(flow.key(), &services, &self.identity.domain);
+        self.first_unasked(now, flow, first).is_none()
+    }
+
     /// The next agent to ask for a flow: usually one of the few that its opening was offered to. One whose
     /// process is being replaced is asked last: the others can be ruled out meanwhile, and what is left must
     /// be there.
@@ -184,8 +234,7 @@
             let asked = self.cache.entry(now, head.flow).declined.len();
             self.reset(head, Cause::NotHeld, asked)
         } else {
-            self.cache.wait(now, head.flow);
-            self.keep(head, Cause::Undecided)
+            self.wait_for_answers(now, head)
         }
     }
 
@@ -203,6 +252,8 @@
         entry.place = Some(Place::Held(from));
         entry.declined.clear();
         entry.unanswered.clear();
+        entry.questions.clear();
+        entry.unsure.clear();
         self.cache.decide(&flow);
         if !news {
             return Vec::new();
--- a/crates/nutmegkeel_core/src/l4/cache.rs
+++ b/crates/nutmegkeel_core/src/l4/cache.rs
@@ -1,7 +1,7 @@
 //! What one balancer remembers of flows: where they are, or how far the search for them has come.
 //! A cache only: an entry that is lost costs one search.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
 use super::flow::Flow;
@@ -61,9 +61,13 @@
     pub client_ack: u32,
     /// Agents that were passed over without an answer: one of them may hold the flow.
     pub unanswered: Vec<Ipv4Addr>,
+    /// Agents that were asked without the packet and have not answered yet.
+    pub questions: BTreeSet<Ipv4Addr>,
+    /// Agents that can say only with the packet whether they hold the flow.
+    pub unsure: BTreeSet<Ipv4Addr>,
     /// When the present search or placement began.
     pub began: Time,
-    /// When the agent of `place` was asked.
+    /// When the agent of `place`, or those of `questions`, were asked.
     pub asked: Time,
     /// Last use.
     pub used: Time,
@@ -76,6 +80,8 @@
             declined: Vec::new(),
             client_ack: 0,
             unanswered: Vec::new(),
+            questions: BTreeSet::new(),
+            unsure: BTreeSet::new(),
             began: now,
             asked: now,
             used: now,
@@ -96,7 +102,15 @@
     /// Whether the search ended without a finding so long ago that it is worth another.
     #[must_use]
     pub fn is_stale(&self, now: Time) -> bool {
-        self.place.is_none() && now.since(self.began) > SEARCH_MS
+        self.place.is_none() && self.questions.is_empty() && now.since(self.began) > SEARCH_MS
+    }
+
+    /// Whether an agent was asked, with the packet or without it, in the present search.
+    #[must_use]
+    pub fn was_asked(&self, agent: Ipv4Addr) -> bool {
+        self.declined.contains(&(agent, Reason::NotHeld))
+            || self.questions.contains(&agent)
+            || self.unsure.contains(&agent)
     }
 
     /// Whether it is time to ask those again who did not answer.
@@ -108,7 +122,17 @@
     /// Whether the agent asked last is overdue.
     #[must_use]
     pub fn is_overdue(&self, now: Time) -> bool {
-        matches!(self.place, Some(Place::Asked(_))) && now.since(self.asked) > ANSWER_MS
+        matches!(self.place, Some(Place::Asked(_))) && self.has_waited(now)
+    }
+
+    /// Whether agents that were asked at once may still answer.
+    #[must_use]
+    pub fn awaits_answers(&self, now: Time) -> bool {
+        !self.questions.is_empty() && !self.has_waited(now)
+    }
+
+    const fn has_waited(&self, now: Time) -> bool {
+        now.since(self.asked) > ANSWER_MS
     }
 }
 
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -64,6 +64,14 @@
         /// Number of the list.
         number: u64,
     },
+    /// Agent to balancer: only the backend server knows whether this flow is here, and it can be asked only
+    /// with a packet.
+    Unsure {
+        /// The flow.
+        flow: Flow,
+        /// Load of the agent at that moment.
+        load: Load,
+    },
 }
 
 /// An opening that a balancer offers to an agent.
--- a/crates/nutmegkeel_core/src/l4/policy.rs
+++ b/crates/nutmegkeel_core/src/l4/policy.rs
@@ -48,6 +48,8 @@
     Mute,
     /// Some agents hold a copy of the configuration for balancers that find it nowhere else.
     Replicas,
+    /// Where agents are far, many are asked for a flow at once.
+    WideSearch,
     /// What is short of room goes by the urgency of its route.
     Urgency,
     /// Callers share the room of a backend server that is short of it.
@@ -62,7 +64,7 @@
 
 impl Mechanism {
     /// All mechanisms, in the order of the documentation.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::FlowLists,
         Self::AgentQueue,
         Self::NewestFirst,
@@ -78,6 +80,7 @@
         Self::Summaries,
         Self::Mute,
         Self::Replicas,
+        Self::WideSearch,
         Self::Urgency,
         Self::FairShares,
         Self::Room,
@@ -114,6 +117,7 @@
             Self::Summaries => "summaries",
             Self::Mute => "mute",
             Self::Replicas => "replicas",
+            Self::WideSearch => "wide-search",
             Self::Urgency => "urgency",
             Self::FairShares => "fair-shares",
             Self::Room => "room",
--- a/crates/nutmegkeel_core/tests/l4/evacuated_fleet.rs
+++ b/crates/nutmegkeel_core/tests/l4/evacuated_fleet.rs
@@ -245,6 +245,7 @@
         Message::Relay => balancer::Event::Relayed(head?),
         Message::Holds { flow, load } => balancer::Event::Holds { from, flow, load },
         Message::Absent { flow, load } => balancer::Event::Absent { from, flow, load },
+        Message::Unsure { flow, load } => balancer::Event::Unsure { from, flow, load },
         Message::Declined { reason, load } => {
             balancer::Event::Declined { from, head: head?, reason, load }
         }
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -16,6 +16,7 @@
 mod recovery;
 mod replica;
 mod roster;
+mod search;
 mod server;
 mod summary;
 mod waiting;
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -240,6 +240,7 @@
             Message::Declined { .. }
             | Message::Holds { .. }
             | Message::Absent { .. }
+            | Message::Unsure { .. }
             | Message::Relay
             | Message::Orders(_)
             | Message::Deposit(_)
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -288,6 +288,7 @@
             }
             Message::Holds { flow, load } => Event::Holds { from, flow, load },
             Message::Absent { flow, load } => Event::Absent { from, flow, load },
+            Message::Unsure { flow, load } => Event::Unsure { from, flow, load },
             Message::Announce(word) => Event::Announced(from, word),
             Message::Roster(roster) => Event::Roster(from, roster),
             Message::Summary(summary) => Event::Summary(summary),
