--- a/crates/nutmegkeel_core/src/l4/server.rs
+++ b/crates/nutmegkeel_core/src/l4/server.rs
@@ -16,9 +16,9 @@
 /// in which a late heartbeat may arrive.
 const RETIRED: usize = 8;
 
-/// Least pause between two heartbeats of a rival that is believed, in percent of the usual pause. A
-/// living server's come 90 to 110 percent apart; those that were held up by a cut come together.
-const RIVAL_PERCENT: u64 = 75;
+/// Least pause between two heartbeats that were heard, in percent of the usual pause. A living server's come
+/// 90 to 110 percent apart; those that were held up by a cut, or that nobody acknowledged, come closer.
+const PAUSE_PERCENT: u64 = 75;
 
 /// One start of a backend server.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -81,12 +81,12 @@
     pub seq: u64,
     /// When that came.
     pub heard: Time,
-    /// Whether this process saw its first heartbeat, and so every flow that it accepted.
+    /// Whether no process heard of it before this one, which so saw every flow that it accepted.
     pub seen_from_start: bool,
 }
 
 impl Server {
-    fn new(now: Time, beat: &Heartbeat) -> Self {
+    fn new(now: Time, beat: &Heartbeat, is_first: bool) -> Self {
         Self {
             incarnation: beat.incarnation.clone(),
             service: beat.service,
@@ -95,7 +95,7 @@
             warm_at: now.after(beat.warmup_ms),
             seq: beat.seq,
             heard: now,
-            seen_from_start: beat.seq <= 1,
+            seen_from_start: is_first,
         }
     }
 }
@@ -213,7 +213,7 @@
     /// present one was silent meanwhile. Only a server that runs does so: held up heartbeats come
     /// together, and a present server that lives would have sent its own.
     fn shows_life(&mut self, now: Time, beat: &Heartbeat) -> bool {
-        let pause_ms = self.heartbeat_ms * RIVAL_PERCENT / 100;
+        let pause_ms = self.least_pause_ms();
         let (incarnation, seq) = (&beat.incarnation, beat.seq);
         if let Some(rival) = self.rival.as_ref().filter(|rival| rival.incarnation == *incarnation) {
             return seq > rival.seq && now.since(rival.heard) >= pause_ms;
@@ -229,10 +229,27 @@
         }
         self.retired.remove(&beat.incarnation);
         self.rival = None;
-        self.server = Some(Server::new(now, beat));
+        self.server = Some(Server::new(now, beat, self.is_first_heard(now, beat)));
         if is_first { Heard::First } else { Heard::Replaced }
     }
 
+    /// Whether no process heard of the server before, so that none passed an opening on to it: this is its
+    /// first heartbeat, or comes so soon after its start that those before it were not acknowledged.
+    ///
+    /// Guards against clients that wait for seconds after a loss of power: a server starts a moment before its
+    /// agent, whose first heartbeat is then the second or third, and an agent that is not sure what its server
+    /// holds makes balancers ask the server itself about every flow that is gone. The time is that of the
+    /// host's clock, as both sides read it; one that was set back shows a start in the future and proves nothing.
+    fn is_first_heard(&self, now: Time, beat: &Heartbeat) -> bool {
+        let started = beat.incarnation.started_ms;
+        let age_ms = started.and_then(|started| now.millis().checked_sub(started));
+        beat.seq <= 1 || age_ms.is_some_and(|age_ms| age_ms < self.least_pause_ms())
+    }
+
+    const fn least_pause_ms(&self) -> u64 {
+        self.heartbeat_ms * PAUSE_PERCENT / 100
+    }
+
     fn retire(&mut self, old: &Server) {
         if self.retired.len() >= RETIRED {
             self.retired.pop_first();
--- a/crates/nutmegkeel_core/tests/l4/server.rs
+++ b/crates/nutmegkeel_core/tests/l4/server.rs
@@ -144,3 +144,32 @@
     assert!(!beside.deregistered(&earlier));
     assert!(beside.deregistered(&present));
 }
+
+/// A clerk's request on a flow that is gone waits for seconds after a loss of power. The server started a
+/// moment before its agent, sent two heartbeats that nobody took, and the agent, which hears the third, is
+/// not sure of what the server holds, though nobody can have passed a flow on to it.
+#[test]
+fn a_server_whose_first_heartbeats_nobody_took_is_known_whole() {
+    let mut beside = Beside::open(1_200);
+
+    beside.heartbeat(at(9_240), &heartbeat_of("a", 9_000, 3));
+
+    assert_eq!(beside.server().map(|server| server.seen_from_start), Some(true));
+}
+
+/// A feed breaks off with a reset because its server's agent, which has just been replaced, says that the
+/// flow is not here: the one before had acknowledged the server's first heartbeat and passed the flow on.
+#[test]
+fn a_server_that_another_process_may_have_heard_is_not_known_whole() {
+    let after_a_pause = heartbeat_of("a", 9_000, 2);
+    let by_a_clock_set_back = heartbeat_of("a", 12_000, 2);
+    let of_unknown_start = heartbeat("a", 2);
+
+    for beat in [after_a_pause, by_a_clock_set_back, of_unknown_start] {
+        let mut beside = Beside::open(1_200);
+        beside.heartbeat(at(10_080), &beat);
+
+        let known_whole = beside.server().map(|server| server.seen_from_start);
+        assert_eq!(known_whole, Some(false), "{beat:?}");
+    }
+}
