--- a/crates/nutmegkeel/src/arguments.rs
+++ b/crates/nutmegkeel/src/arguments.rs
@@ -56,7 +56,7 @@
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Layer-4 load balancer: operators state targets per class of work")
-        .footer("Exit codes: 0 done, 2 wrong usage, 3 refused and not run, 4 may have run")
+        .footer("Exit codes: 0 done, 2 wrong usage, 3 refused and not run, 4 may have run, 5 not known there")
         .run()
 }
 
--- a/crates/nutmegkeel/src/operator.rs
+++ b/crates/nutmegkeel/src/operator.rs
@@ -9,7 +9,7 @@
 use jsonrpsee::http_client::{HeaderMap, HeaderValue, HttpClient, HttpClientBuilder};
 use jsonrpsee::rpc_params;
 use nutmegkeel_core::class::Target;
-use nutmegkeel_core::configuration::Revision;
+use nutmegkeel_core::configuration::{Revision, Standing};
 use nutmegkeel_core::member::Health;
 use nutmegkeel_core::verdict::Verdict;
 use nutmegkeel_node::administration::api::{self, Class, Outcome, Process, SetClass, Status};
@@ -59,15 +59,30 @@
     /// The balancer was asked and did not answer.
     #[error("balancer at {0}: {1}; repeat with --id {2} to learn how it ended")]
     Unanswered(SocketAddr, String, String),
-    /// There is no such class.
-    #[error("there is no class `{0}`; `nutmegkeel class list` shows them")]
-    NoClass(String),
+    /// There is no such class in what the balancer knows, which is all that it has heard of.
+    #[error("balancer at {at}: there is no class `{name}` at revision {}; `nutmegkeel class list` shows them", revision.0)]
+    NoClass {
+        /// The balancer.
+        at: SocketAddr,
+        /// The class.
+        name: String,
+        /// The newest revision that the balancer has heard of.
+        revision: Revision,
+    },
+    /// The balancer cannot tell which classes there are.
+    #[error("balancer at {0}: it does not know the classes yet; ask again, or another balancer")]
+    NotYetKnown(SocketAddr),
     /// The command ended without effect, or may have taken effect.
     #[error("{}: {}", .0.verdict.as_str(), .0.message)]
     Ended(Outcome),
 }
 
 impl Fault {
+    /// Whether the balancer lacks the class that was asked for.
+    pub(crate) const fn is_unknown(&self) -> bool {
+        matches!(self, Self::NoClass { .. } | Self::NotYetKnown(_))
+    }
+
     /// Whether the command may have taken effect.
     pub(crate) const fn verdict(&self) -> Verdict {
         match self {
@@ -105,6 +120,13 @@
         answer.map_err(|error: ClientError| Fault::Refused(self.at, error.to_string()))
     }
 
+    /// How much the balancer knows of the configuration, and its revision. It is asked before the
+    /// classes: what comes in between can only add a class, not hide that one was not known.
+    fn standing(&self) -> Result<(Standing, Revision), Fault> {
+        let status: Status = self.query(api::STATUS)?;
+        Ok((status.standing, status.revision))
+    }
+
     fn command(&self, call: &str, parameters: ArrayParams, id: &str) -> Result<Outcome, Fault> {
         let answer = self.runtime.block_on(self.http.request::<Outcome, _>(call, parameters));
         let outcome = answer.map_err(|error| self.unanswered(&error, id))?;
@@ -134,7 +156,12 @@
 
 /// Lists the classes in force at the balancer.
 pub(crate) fn list_classes(access: &Access) -> Result<(), Fault> {
-    let classes: Vec<Class> = Client::open(access)?.query(api::CLASSES)?;
+    let client = Client::open(access)?;
+    let (standing, _) = client.standing()?;
+    let classes: Vec<Class> = client.query(api::CLASSES)?;
+    if classes.is_empty() && standing != Standing::Current {
+        return Err(Fault::NotYetKnown(access.at));
+    }
     println!(
         "{:<20} {:>8} {:>10} {:>9} {:>10} {:>11} {:>6}",
         "class", "revision", "imbalance", "leave ms", "settle ms", "deadline ms", "takers"
@@ -160,9 +187,14 @@
 
 /// Prints one class as JSON.
 pub(crate) fn show_class(access: &Access, name: &str) -> Result<(), Fault> {
-    let classes: Vec<Class> = Client::open(access)?.query(api::CLASSES)?;
+    let client = Client::open(access)?;
+    let (standing, revision) = client.standing()?;
+    let classes: Vec<Class> = client.query(api::CLASSES)?;
     let class = classes.into_iter().find(|class| *class.name == *name);
-    let class = class.ok_or_else(|| Fault::NoClass(name.to_owned()))?;
+    let class = class.ok_or_else(|| match standing {
+        Standing::Current => Fault::NoClass { at: access.at, name: name.to_owned(), revision },
+        Standing::Unknown | Standing::Behind(_) => Fault::NotYetKnown(access.at),
+    })?;
     println!("{}", serde_json::to_string_pretty(&class).unwrap_or_default());
     Ok(())
 }
--- a/crates/nutmegkeel/src/run.rs
+++ b/crates/nutmegkeel/src/run.rs
@@ -25,6 +25,8 @@
 const NOT_RUN: u8 = 3;
 /// Exit code for a command that may have taken effect.
 const MAY_HAVE_RUN: u8 = 4;
+/// Exit code for a query after a class that the balancer does not know, or not yet.
+const UNKNOWN: u8 = 5;
 
 /// Why a command did not succeed.
 #[derive(Debug, thiserror::Error)]
@@ -69,6 +71,7 @@
         ExitCode::from(match self {
             Self::Settings(_) | Self::PlatformSettings(_) | Self::Role => USAGE,
             Self::Operator(fault) if fault.verdict() == Verdict::MayHaveRun => MAY_HAVE_RUN,
+            Self::Operator(fault) if fault.is_unknown() => UNKNOWN,
             _ => NOT_RUN,
         })
     }
--- a/crates/nutmegkeel/tests/commands.rs
+++ b/crates/nutmegkeel/tests/commands.rs
@@ -1,9 +1,16 @@
 //! The binary's exit codes and messages.
 
-use std::net::UdpSocket;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::fs::PermissionsExt;
-use std::path::Path;
-use std::process::{Command, Output};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+/// A balancer that starts answers its operator within this.
+const STARTED_WITHIN: Duration = Duration::from_secs(10);
+
+/// Opens the administration API of the balancers here.
+const TOKEN: &str = "a token that is long enough";
 
 fn run(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_nutmegkeel"))
@@ -18,6 +25,56 @@
     std::fs::set_permissions(path, owner_only).expect("the mode can be set");
 }
 
+fn directory(name: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("nutmegkeel-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&path).expect("the directory can be made");
+    path
+}
+
+/// Writes the settings of a balancer that has no peers and whose platform is away.
+fn write_balancer(directory: &Path, frames: &str, administration: &str) -> PathBuf {
+    let keys = directory.join("keys.json");
+    let key = "ab".repeat(32);
+    write_secret(&keys, &format!("{{\"used\": 1, \"accepted\": {{\"1\": \"{key}\"}}}}"));
+    let settings = directory.join("balancer.json");
+    let text = serde_json::json!({
+        "role": "balancer", "domain": "osu", "frames": frames, "web": "127.0.0.1:0",
+        "administration": administration, "join": "127.0.0.1:1", "keys": keys,
+        "platform": "http://127.0.0.1:1", "token": TOKEN,
+        "listen": [{"class": "intake", "address": "127.0.0.1:0"}],
+    });
+    write_secret(&settings, &text.to_string());
+    settings
+}
+
+/// A balancer that ends with the test.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Starts a balancer and returns once its administration API takes connections.
+fn start_balancer(directory: &Path, administration: SocketAddr) -> Running {
+    let settings = write_balancer(directory, "127.0.0.1:0", &administration.to_string());
+    let child = Command::new(env!("CARGO_BIN_EXE_nutmegkeel"))
+        .args(["balancer", "--settings", &settings.to_string_lossy()])
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the binary starts");
+    let running = Running(child);
+    let until = Instant::now() + STARTED_WITHIN;
+    while std::net::TcpStream::connect(administration).is_err() {
+        assert!(Instant::now() < until, "the balancer does not answer at {administration}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    running
+}
+
 fn said(output: &Output) -> String {
     String::from_utf8_lossy(&output.stderr).into_owned()
 }
@@ -33,7 +90,7 @@
 #[test]
 fn a_command_to_a_balancer_that_is_not_there_has_not_run() {
     let token = std::env::temp_dir().join(format!("nutmegkeel-token-{}", std::process::id()));
-    std::fs::write(&token, "a token that is long enough").expect("the file can be written");
+    std::fs::write(&token, TOKEN).expect("the file can be written");
     let token_file = token.to_string_lossy().into_owned();
 
     let output =
@@ -48,19 +105,8 @@
 fn a_port_in_use_is_named_with_its_field() {
     let taken = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
     let address = taken.local_addr().expect("it is bound").to_string();
-    let directory = std::env::temp_dir().join(format!("nutmegkeel-port-{}", std::process::id()));
-    std::fs::create_dir_all(&directory).expect("the directory can be made");
-    let keys = directory.join("keys.json");
-    let key = "ab".repeat(32);
-    write_secret(&keys, &format!("{{\"used\": 1, \"accepted\": {{\"1\": \"{key}\"}}}}"));
-    let settings = directory.join("balancer.json");
-    let text = serde_json::json!({
-        "role": "balancer", "domain": "osu", "frames": address, "web": "127.0.0.1:0",
-        "administration": "127.0.0.1:0", "join": "127.0.0.1:1", "keys": keys,
-        "platform": "http://127.0.0.1:1", "token": "a token that is long enough",
-        "listen": [{"class": "intake", "address": "127.0.0.1:0"}],
-    });
-    write_secret(&settings, &text.to_string());
+    let directory = directory("port");
+    let settings = write_balancer(&directory, &address, "127.0.0.1:0");
 
     let output = run(&["balancer", "--settings", &settings.to_string_lossy()]);
 
@@ -70,6 +116,31 @@
     assert!(said(&output).contains(&expected), "{}", said(&output));
 }
 
+/// An operator starts a balancer while the platform is away and asks it for a class that is in force
+/// everywhere else. It has read nothing and heard of nobody, so it cannot know that there is no such
+/// class; an operator who is told so makes the class again, or believes that somebody removed it.
+#[test]
+fn a_balancer_that_knows_no_classes_yet_says_so() {
+    let directory = directory("unknown");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let administration = listener.local_addr().expect("it is bound");
+    drop(listener);
+    let token = directory.join("token");
+    write_secret(&token, TOKEN);
+    let _balancer = start_balancer(&directory, administration);
+
+    let (at, token) = (administration.to_string(), token.to_string_lossy().into_owned());
+    let access = ["--at", &at, "--token-file", &token];
+    let shown = run(&[&["class", "show"], &access[..], &["intake"]].concat());
+    let listed = run(&[&["class", "list"], &access[..]].concat());
+
+    std::fs::remove_dir_all(&directory).expect("the directory can be removed");
+    for output in [shown, listed] {
+        assert_eq!(output.status.code(), Some(5), "{}", said(&output));
+        assert!(said(&output).contains("does not know the classes yet"), "{}", said(&output));
+    }
+}
+
 #[test]
 fn every_command_shows_an_example() {
     for command in [vec!["balancer"], vec!["class", "set"], vec!["status"], vec!["drain"]] {
--- a/crates/nutmegkeel_core/src/balancer.rs
+++ b/crates/nutmegkeel_core/src/balancer.rs
@@ -7,7 +7,7 @@
 
 use crate::class;
 use crate::clock::Time;
-use crate::configuration::{Book, Entry};
+use crate::configuration::{Book, Entry, Revision, Standing};
 use crate::life::Phase;
 use crate::load::Report;
 use crate::member::{Health, Record, Role, Rumor};
@@ -67,6 +67,7 @@
     classes: BTreeMap<SocketAddr, class::Name>,
     unanswered: BTreeMap<SocketAddr, Time>,
     next_read: Time,
+    has_read: bool,
 }
 
 impl Balancer {
@@ -80,6 +81,7 @@
             classes: BTreeMap::new(),
             unanswered: BTreeMap::new(),
             next_read: FIRST_READ,
+            has_read: false,
         }
     }
 
@@ -95,6 +97,25 @@
         self.peer.book()
     }
 
+    /// How much this balancer knows of the configuration.
+    ///
+    /// Guards against an operator who is told that a class does not exist by a balancer which only
+    /// does not know it: one that started while the platform was away, or that a change is still on
+    /// its way to. Every message tells its sender's revision, so such a balancer knows that it lacks
+    /// something before it has it.
+    #[must_use]
+    pub fn standing(&self) -> Standing {
+        let held = self.book().revision();
+        let told = self.peer.newest_told();
+        if told > held {
+            Standing::Behind(told)
+        } else if held == Revision::default() && !self.has_read {
+            Standing::Unknown
+        } else {
+            Standing::Current
+        }
+    }
+
     /// Agents of a class that take new flows.
     #[must_use]
     pub fn takers(&self, class: &str) -> usize {
@@ -111,6 +132,7 @@
                 self.follow(actions)
             }
             Event::Read(entries) => {
+                self.has_read = true;
                 let actions = self.peer.learn(entries);
                 self.follow(actions)
             }
--- a/crates/nutmegkeel_core/src/configuration.rs
+++ b/crates/nutmegkeel_core/src/configuration.rs
@@ -21,6 +21,18 @@
     pub target: Option<class::Target>,
 }
 
+/// How much a process knows of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Standing {
+    /// Nothing: it has not read the platform and holds no entry.
+    Unknown,
+    /// Less than another process, which told this revision.
+    Behind(Revision),
+    /// All that it has heard of.
+    Current,
+}
+
 /// All entries known here.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
--- a/crates/nutmegkeel_core/src/peer.rs
+++ b/crates/nutmegkeel_core/src/peer.rs
@@ -118,6 +118,12 @@
         self.revisions.get(&balancer).copied()
     }
 
+    /// The greatest configuration revision that another balancer told.
+    #[must_use]
+    pub fn newest_told(&self) -> Revision {
+        self.revisions.values().max().copied().unwrap_or_default()
+    }
+
     /// Asks a run of another process to leave.
     #[must_use]
     pub fn ask_to_leave(&self, address: SocketAddr, instance: Instance) -> Action {
--- a/crates/nutmegkeel_core/tests/configuration.rs
+++ b/crates/nutmegkeel_core/tests/configuration.rs
@@ -1,7 +1,12 @@
 //! An operator's change on its way to every process.
 
+use nutmegkeel_core::balancer::{Balancer, Event};
 use nutmegkeel_core::class::Target;
-use nutmegkeel_core::configuration::{Book, Entry, Revision};
+use nutmegkeel_core::clock::Time;
+use nutmegkeel_core::configuration::{Book, Entry, Revision, Standing};
+use nutmegkeel_core::membership::Pace;
+use nutmegkeel_core::peer::{Body, Message};
+use nutmegkeel_core::placement::Rule;
 use nutmegkeel_fake::fleet::{Fleet, address, balancer};
 use quickcheck::{Gen, QuickCheck};
 
@@ -59,6 +64,43 @@
     assert_eq!(in_force(&fleet, 9), 6);
 }
 
+fn open_balancer() -> Balancer {
+    Balancer::open(balancer(1), Pace::default(), Rule::LoadedRendezvous, 1)
+}
+
+/// A message of a balancer that has a change which it does not carry along.
+fn news_of(revision: u64) -> Event {
+    let announced = nutmegkeel_core::membership::Message::Join(balancer(2));
+    let body = Body::Membership(announced);
+    Event::Message(address(2), Message { revision: Revision(revision), body })
+}
+
+/// An operator is told that a class does not exist by a balancer that has only just started, and makes
+/// it a second time. Before its first read of the platform a balancer knows of nothing.
+#[test]
+fn a_balancer_that_has_read_nothing_does_not_know_the_classes() {
+    let mut balancer = open_balancer();
+    assert_eq!(balancer.standing(), Standing::Unknown);
+
+    balancer.handle(Time::ZERO, Event::Read(Vec::new()));
+
+    assert_eq!(balancer.standing(), Standing::Current);
+}
+
+/// A class was made through one balancer a moment ago, and the operator asks another for it. That one
+/// has heard of the new revision and not got it yet: it may not say that there is no such class.
+#[test]
+fn a_balancer_that_heard_of_a_newer_revision_knows_that_it_is_behind() {
+    let mut balancer = open_balancer();
+    balancer.handle(Time::ZERO, Event::Read(Vec::new()));
+    balancer.handle(Time::ZERO, news_of(7));
+    assert_eq!(balancer.standing(), Standing::Behind(Revision(7)));
+
+    balancer.handle(Time::ZERO, Event::Accepted(entry(7)));
+
+    assert_eq!(balancer.standing(), Standing::Current);
+}
+
 /// A target that was changed twice goes back to the first change: its message came late.
 fn never_reverts(revisions: Vec<u8>) -> bool {
     let mut book = Book::default();
--- a/crates/nutmegkeel_dev/src/demo.rs
+++ b/crates/nutmegkeel_dev/src/demo.rs
@@ -3,6 +3,7 @@
 pub(crate) mod bench;
 pub(crate) mod calls;
 mod report;
+pub mod settling;
 
 use std::time::{Duration, Instant};
 
--- a/crates/nutmegkeel_dev/src/demo/bench.rs
+++ b/crates/nutmegkeel_dev/src/demo/bench.rs
@@ -6,13 +6,14 @@
 use std::net::SocketAddr;
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::process::{Command, Output};
 use std::time::{Duration, Instant};
 
 use nutmegkeel_wire::key::Ring;
 use rustls::pki_types::CertificateDer;
 use serde_json::{Value, json};
 
+use super::settling::{self, Shown};
 use crate::caller::SERVER_NAME;
 use crate::port;
 use crate::process::{Process, Signal};
@@ -36,6 +37,8 @@
 const SERVICE_MS: u64 = 3;
 /// A change is in force everywhere by then (brief, "within seconds").
 const SETTLE_WITHIN: Duration = Duration::from_secs(10);
+/// Exit code of the product when a balancer does not know the class that was asked for.
+const NOT_KNOWN: i32 = 5;
 /// A planned end takes no longer.
 const END_WITHIN: Duration = Duration::from_secs(15);
 
@@ -259,15 +262,17 @@
         let said = self.operate(first, &set)?;
         self.set_platform("down")?;
         println!("        {}", said.trim());
-        while began.elapsed() < SETTLE_WITHIN {
-            let shown = running.iter().map(|at| self.operate(*at, &["class", "show", "intake"]));
-            let shown: Vec<String> = shown.collect::<io::Result<_>>()?;
-            if shown.iter().all(|text| text.contains("\"leave_within_ms\": 1500")) {
-                return Ok(began.elapsed());
-            }
-            std::thread::sleep(Duration::from_millis(20));
+        settling::wait(began, SETTLE_WITHIN, &running, |at| self.show_intake(at))
+    }
+
+    fn show_intake(&self, at: SocketAddr) -> io::Result<Shown> {
+        let ran = self.run_command(at, &["class", "show", "intake"])?;
+        if ran.status.code() == Some(NOT_KNOWN) {
+            return Ok(Shown::NotKnown);
         }
-        Err(io::Error::other("the change is not in force everywhere"))
+        let text = output_of("class show intake", &ran)?;
+        let is_changed = text.contains("\"leave_within_ms\": 1500");
+        Ok(if is_changed { Shown::InForce } else { Shown::Earlier })
     }
 
     /// Changes how the platform stand-in behaves.
@@ -288,19 +293,18 @@
 
     /// Runs one of the product's commands against a balancer and returns what it printed.
     fn operate(&self, at: SocketAddr, words: &[&str]) -> io::Result<String> {
+        output_of(&words.join(" "), &self.run_command(at, words)?)
+    }
+
+    fn run_command(&self, at: SocketAddr, words: &[&str]) -> io::Result<Output> {
         let at = at.to_string();
         let token_file = text(&self.directory.join("token"));
         let (command, rest) = words.split_at(2);
-        let ran = Command::new(&self.product)
+        Command::new(&self.product)
             .args(command)
             .args(["--at", &at, "--token-file", &token_file])
             .args(rest)
-            .output()?;
-        if !ran.status.success() {
-            let said = String::from_utf8_lossy(&ran.stderr).into_owned();
-            return Err(io::Error::other(format!("{}: {said}", words.join(" "))));
-        }
-        Ok(String::from_utf8_lossy(&ran.stdout).into_owned())
+            .output()
     }
 
     /// How to reach what runs, for somebody who wants to try commands on it.
@@ -381,6 +385,15 @@
     Ok((balancers, listed))
 }
 
+/// What a command printed, if it did what it was asked.
+fn output_of(command: &str, ran: &Output) -> io::Result<String> {
+    if !ran.status.success() {
+        let said = String::from_utf8_lossy(&ran.stderr);
+        return Err(io::Error::other(format!("{command}: {said}")));
+    }
+    Ok(String::from_utf8_lossy(&ran.stdout).into_owned())
+}
+
 fn records_of(address: SocketAddr) -> io::Result<Records> {
     let mut answer =
         ureq::get(format!("http://{address}/records")).call().map_err(io::Error::other)?;
--- a/crates/nutmegkeel_node/src/administration.rs
+++ b/crates/nutmegkeel_node/src/administration.rs
@@ -135,6 +135,7 @@
     Status {
         address: peer.membership().me().address,
         revision: core.book().revision(),
+        standing: core.standing(),
         processes: peer.membership().beliefs().map(process).collect(),
     }
 }
--- a/crates/nutmegkeel_node/src/administration/api.rs
+++ b/crates/nutmegkeel_node/src/administration/api.rs
@@ -5,7 +5,7 @@
 
 use nutmegkeel_core::change::Request;
 use nutmegkeel_core::class::{self, Target};
-use nutmegkeel_core::configuration::Revision;
+use nutmegkeel_core::configuration::{Revision, Standing};
 use nutmegkeel_core::life::Phase;
 use nutmegkeel_core::member::{Health, Instance};
 use nutmegkeel_core::verdict::Verdict;
@@ -62,6 +62,8 @@
     pub address: SocketAddr,
     /// The configuration revision in force there.
     pub revision: Revision,
+    /// How much the balancer knows of the configuration.
+    pub standing: Standing,
     /// All other processes that it knows.
     pub processes: Vec<Process>,
 }
