--- a/crates/nutmegkeel_core/src/l4/cache.rs
+++ b/crates/nutmegkeel_core/src/l4/cache.rs
@@ -59,6 +59,8 @@
     pub declined: Vec<(Ipv4Addr, Reason)>,
     /// Acknowledgement number of the client's last packet: a reset must carry it.
     pub client_ack: u32,
+    /// Whether its client comes back after a refusal; none until that was looked up.
+    pub returns: Option<bool>,
     /// Agents that were passed over without an answer: one of them may hold the flow.
     pub unanswered: Vec<Ipv4Addr>,
     /// Agents that were asked without the packet and have not answered yet.
@@ -79,6 +81,7 @@
             place: None,
             declined: Vec::new(),
             client_ack: 0,
+            returns: None,
             unanswered: Vec::new(),
             questions: BTreeSet::new(),
             unsure: BTreeSet::new(),
