--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -9,6 +9,7 @@
 mod event;
 mod replica;
 mod request;
+mod speed;
 mod standing;
 mod warmup;
 
@@ -32,6 +33,7 @@
 use super::probe::Probes;
 use super::roster::{Book, TELL_MS};
 use super::server::Beside;
+use super::speed::Meter;
 use super::table::{Outcome, Stage, Table};
 use super::waiting::Queue;
 use super::warmup::Budget;
@@ -74,6 +76,10 @@
     probes: Probes,
     waiting: Queue,
     pace: Pace,
+    /// How long a slot works on a request.
+    meter: Meter,
+    /// Whether the server was cold at the last tick.
+    was_cold: bool,
     record: Record,
     mute: mute::Watch,
     unanswered_since: Option<Time>,
@@ -127,6 +133,8 @@
             table: Table::default(),
             probes: Probes::default(),
             pace: Pace::default(),
+            meter: Meter::open(now),
+            was_cold: false,
             record: Record::default(),
             mute: mute::Watch::open(now),
             unanswered_since: None,
@@ -142,7 +150,8 @@
     pub fn load(&self) -> Load {
         let load = self.table.load();
         let waiting = u16::try_from(self.waiting.len()).unwrap_or(u16::MAX);
-        Load { busy: load.busy.saturating_add(waiting), ..load }
+        let service_ms = self.service_ms();
+        Load { busy: load.busy.saturating_add(waiting), service_ms, ..load }
     }
 
     /// Whether it takes new flows.
@@ -184,6 +193,7 @@
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
         let mut actions = self.take_in(now, event);
         actions.extend(self.release(now));
+        self.measure(now);
         actions
     }
 
@@ -290,6 +300,7 @@
             Outcome::Answered { after_ms, behind } => {
                 self.record.answered();
                 self.mute.answered(now);
+                self.meter.answered(now);
                 if behind < slots {
                     self.pace.learn(after_ms);
                 }
@@ -353,6 +364,7 @@
         actions.extend(self.notice_absence(now));
         actions.extend(self.save(now));
         actions.extend(self.replicate(now));
+        self.notice_warmth(now);
         self.table.expire(now);
         self.probes.expire(now);
         self.balancers.expire(now);
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/agent/speed.rs
@@ -0,0 +1,29 @@
+//! How long a slot of the backend server works on a request.
+
+use super::Agent;
+use crate::clock::Time;
+use crate::l4::policy::Mechanism;
+
+impl Agent {
+    /// Notes how many slots are at work from now on. What is beyond them waits in the server's own queue.
+    pub(super) fn measure(&mut self, now: Time) {
+        let slots = self.beside.server().map_or(0, |server| u64::from(server.slots));
+        let at_server = u64::try_from(self.table.working()).unwrap_or(u64::MAX);
+        self.meter.look(now, at_server.min(slots));
+    }
+
+    /// The time that balancers are told, in milliseconds; zero while it is not known.
+    pub(super) fn service_ms(&self) -> u16 {
+        if self.uses(Mechanism::UnevenServers) { self.meter.service_ms() } else { 0 }
+    }
+
+    /// Begins to measure anew once the server has become warm. Guards against a server that passes for slow
+    /// because it was cold: its time would be compared with those of warm ones.
+    pub(super) fn notice_warmth(&mut self, now: Time) {
+        let is_cold = self.is_cold(now);
+        if self.was_cold && !is_cold {
+            self.meter.clear();
+        }
+        self.was_cold = is_cold;
+    }
+}
--- a/crates/nutmegkeel_core/src/l4/agent/standing.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/standing.rs
@@ -39,6 +39,7 @@
             Heard::First => actions.push(self.changed(ServerChange::Started)),
             Heard::Replaced => {
                 self.record.clear();
+                self.meter.clear();
                 let ended = self.table.take_silent(now, ALIVE_MS);
                 for (flow, held) in ended {
                     actions.extend(reset(flow, held.client_ack, Cause::ServerRestarted));
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -8,6 +8,7 @@
 mod opening;
 mod peers;
 mod search;
+mod speed;
 pub mod summary;
 
 use std::collections::BTreeMap;
@@ -183,6 +184,7 @@
             reaches_store: self.reaches_store,
             balancers: self.peers.len(),
             agents: self.pool.domains(now),
+            slow: self.pool.slow(),
         }
     }
 
@@ -254,6 +256,7 @@
         actions.extend(self.collector.due(now).map(Action::Commit));
         actions.extend(self.summarise(now));
         actions.extend(self.tell_late(now));
+        actions.extend(self.compare_speeds(now));
         if self.pool.is_cut_off(now) {
             return actions;
         }
--- a/crates/nutmegkeel_core/src/l4/note.rs
+++ b/crates/nutmegkeel_core/src/l4/note.rs
@@ -7,7 +7,7 @@
 use super::evacuation;
 use super::flow::Flow;
 use super::message::{Load, Reason};
-use super::placement::{Change, Choice};
+use super::placement::{Change, Choice, Verdict};
 
 /// A decision and its inputs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -80,6 +80,8 @@
         /// The agent.
         agent: Ipv4Addr,
     },
+    /// A backend server began or ceased to count as far slower than its peers.
+    Speed(Verdict),
     /// A configuration came into force.
     InForce {
         /// Its version.
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -4,8 +4,10 @@
 //! reaches another balancer than the opening did finds its agent among the first ones asked.
 
 mod candidate;
+mod evenness;
 mod order;
 mod report;
+mod uneven;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
@@ -20,6 +22,9 @@
 use crate::clock::Time;
 use crate::placement::Key;
 
+pub use evenness::Evenness;
+pub use uneven::{Slowness, Verdict};
+
 /// An agent that has announced itself no more often than this has started within one to three seconds:
 /// each of its ticks counts while a balancer has not answered it.
 const YOUNG: u64 = 10;
@@ -109,6 +114,8 @@
     pub fn announced(&mut self, now: Time, from: Ipv4Addr, word: Announcement) -> Change {
         let known = self.agents.get_mut(&from);
         let told = known.as_ref().and_then(|known| known.told);
+        let slowness = known.as_ref().and_then(|known| known.slowness);
+        let least_flows = known.as_ref().map_or(0, |known| known.least_flows);
         let change = known.map_or(Change::Appeared, |known| known.change(now, &word));
         if change == Change::Stale {
             return change;
@@ -117,9 +124,10 @@
             self.remove(from);
             return Change::Closed;
         }
-        // A new process knows nothing of what the one before it was told.
+        // A new process knows nothing of what the one before it was told, and its server may be another one.
         let told = told.filter(|_| change != Change::Appeared);
-        self.insert(from, Candidate::new(now, word, told));
+        let slowness = slowness.filter(|_| change != Change::Appeared);
+        self.insert(from, Candidate { slowness, least_flows, ..Candidate::new(now, word, told) });
         change
     }
 
--- a/crates/nutmegkeel_core/src/l4/placement/candidate.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 
-use super::Change;
+use super::{Change, Slowness};
 use crate::clock::Time;
 use crate::l4::health::{Health, LATE_MS};
 use crate::l4::message::{Announcement, Load, Report, State};
@@ -61,6 +61,10 @@
     pub(super) noticed_late: bool,
     /// What this balancer last told it of the balancers.
     pub(super) told: Option<Told>,
+    /// What shows that its server is far slower than others; none if it is not.
+    pub(super) slowness: Option<Slowness>,
+    /// Open flows that it counts as having at least.
+    pub(super) least_flows: u64,
 }
 
 impl Candidate {
@@ -77,6 +81,8 @@
             noticed: false,
             noticed_late: false,
             told,
+            slowness: None,
+            least_flows: 0,
         }
     }
 
@@ -176,13 +182,23 @@
         }
     }
 
+    /// For how many slots its server counts, in hundredths: one slot at least, unless it is slow.
+    fn hundredths(&self) -> u64 {
+        let slots = u64::from(self.announcement.slots);
+        match self.slowness {
+            Some(slowness) => slots.max(1) * slowness.percent(),
+            None if self.announcement.cold => (slots * COLD_PERCENT).max(100),
+            None => (slots * 100).max(100),
+        }
+    }
+
     /// Expected load with one more flow, in thousandths of its slots. What was placed since the last
     /// report counts as if it were in progress, or all flows between two reports would go one way.
     pub(super) fn pressure(&self, weights: Weights, domain: &str) -> u64 {
-        let percent = if self.announcement.cold { COLD_PERCENT } else { 100 };
-        let slots = (u64::from(self.announcement.slots) * percent).max(100);
+        let slots = self.hundredths();
         let busy = u64::from(self.load.busy) + u64::from(self.placed_since) + 1;
         let flows = u64::from(self.load.flows) + u64::from(self.placed_since);
+        let flows = flows.max(self.least_flows);
         let far = if *self.announcement.domain == *domain { 0 } else { weights.far };
         (busy * weights.busy + flows * weights.flow) * 100 / slots + far
     }
--- a/crates/nutmegkeel_core/src/l4/status.rs
+++ b/crates/nutmegkeel_core/src/l4/status.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::evacuation::Orders;
+use super::placement::Slowness;
 
 /// A balancer's view at one moment.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,4 +30,6 @@
     pub balancers: usize,
     /// Agents heard of now, by failure domain.
     pub agents: BTreeMap<Arc<str>, usize>,
+    /// Agents whose backend servers count as far slower than their peers.
+    pub slow: BTreeMap<Ipv4Addr, Slowness>,
 }
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -38,6 +38,12 @@
         }
     }
 
+    /// Requests that have come to the server and are not answered yet.
+    #[must_use]
+    pub const fn working(&self) -> usize {
+        self.load.working
+    }
+
     /// A flow, if it is known.
     #[must_use]
     pub fn get(&self, flow: &Flow) -> Option<&Held> {
--- a/crates/nutmegkeel_core/src/l4/table/held.rs
+++ b/crates/nutmegkeel_core/src/l4/table/held.rs
@@ -84,9 +84,10 @@
 
     pub(super) const fn weight(&self) -> Weight {
         if self.is_over() {
-            return Weight { busy: 0, open: 0 };
+            return Weight { busy: 0, open: 0, working: 0 };
         }
-        Weight { busy: self.request_since.is_some() as usize, open: 1 }
+        let busy = self.request_since.is_some() as usize;
+        Weight { busy, open: 1, working: self.is_at_work() as usize }
     }
 
     /// The request that is at the server: since when, and what it asks for if that is known.
@@ -95,6 +96,12 @@
         Some((self.request_since.filter(|_| is_there)?, self.demand))
     }
 
+    /// Whether a request has come to the server and is not answered.
+    const fn is_at_work(&self) -> bool {
+        let has_come = self.request_since.is_some() && self.client_next.is_some();
+        has_come && !self.waits && matches!(self.stage, Stage::Open)
+    }
+
     /// Whether a client's packet brings data that did not come before.
     pub(super) fn brings_data(&self, head: &Head) -> bool {
         let is_new = |next| follows(head.next_seq(), next, DATA_REACH);
@@ -124,14 +131,24 @@
 pub(super) struct Weight {
     pub(super) busy: usize,
     pub(super) open: usize,
+    /// Requests that have come to the server.
+    pub(super) working: usize,
 }
 
 impl Weight {
     pub(super) const fn plus(self, other: Self) -> Self {
-        Self { busy: self.busy + other.busy, open: self.open + other.open }
+        Self {
+            busy: self.busy + other.busy,
+            open: self.open + other.open,
+            working: self.working + other.working,
+        }
     }
 
     pub(super) const fn minus(self, other: Self) -> Self {
-        Self { busy: self.busy - other.busy, open: self.open - other.open }
+        Self {
+            busy: self.busy - other.busy,
+            open: self.open - other.open,
+            working: self.working - other.working,
+        }
     }
 }
--- /dev/null
+++ b/crates/nutmegkeel_core/tests/l4/uneven_fleet.rs
@@ -0,0 +1,253 @@
+//! Backend servers of one service, the meters beside them and the balancers' views of them, in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use nutmegkeel_core::l4::message::{Announcement, Load, State};
+use nutmegkeel_core::l4::placement::{Pool, Verdict, Wish};
+use nutmegkeel_core::l4::route::Kind;
+use nutmegkeel_core::l4::speed::Meter;
+use nutmegkeel_core::placement::Key;
+
+use crate::fixture::{at, desk, host, word};
+
+const SLOTS: usize = 3;
+const OBJECTIVE_MS: u64 = 400;
+const REQUESTS: u8 = 3;
+pub(crate) const SERVERS: u8 = 52;
+/// Half of what the servers can do.
+const FLOWS_PER_S: u64 = 420;
+const DOMAINS: [&str; 4] = ["osu", "tema", "ho", "wa"];
+const REPORT_MS: u64 = 300;
+const REVIEW_MS: u64 = 50;
+
+/// Numbers that a seed determines.
+pub(crate) struct Random(pub(crate) u64);
+
+impl Random {
+    pub(crate) fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    pub(crate) fn below(&mut self, most: u64) -> u64 {
+        self.next() % most
+    }
+
+    /// Work of two classes, 47 and 61 ms on the mean, of which three in a hundred take seven times as long.
+    pub(crate) fn work_ms(&mut self) -> u64 {
+        let class_ms = if self.below(9) < 7 { 47 } else { 61 };
+        let tail = if self.below(100) < 3 { 7 } else { 1 };
+        class_ms * tail * (70 + self.below(61)) / 100
+    }
+}
+
+struct Server {
+    free_at: [u64; SLOTS],
+    /// Part of the usual time that it takes, in percent.
+    percent: u64,
+    at_server: u16,
+    flows: u16,
+    meter: Meter,
+    number: u64,
+}
+
+#[derive(Clone, Copy)]
+enum Event {
+    Open,
+    Request { server: u8, opened: u64, left: u8 },
+    Answer { server: u8 },
+    Close { server: u8 },
+    Report { server: u8 },
+    Review,
+}
+
+/// Requests of flows that were opened within some time.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Tally {
+    pub(crate) asked: u64,
+    pub(crate) late: u64,
+}
+
+pub(crate) struct Fleet {
+    random: Random,
+    compares: bool,
+    now: u64,
+    order: u64,
+    events: BTreeMap<(u64, u64), Event>,
+    servers: Vec<Server>,
+    pools: Vec<Pool>,
+    /// Requests by the second in which their flow was opened.
+    pub(crate) tallies: BTreeMap<u64, Tally>,
+    pub(crate) verdicts: Vec<(u64, Verdict)>,
+}
+
+impl Fleet {
+    /// A fleet whose balancers compare the speeds of servers, or do not.
+    pub(crate) fn open(seed: u64, balancers: usize, compares: bool) -> Self {
+        let server = |_| Server {
+            free_at: [0; SLOTS],
+            percent: 100,
+            at_server: 0,
+            flows: 0,
+            meter: Meter::open(at(0)),
+            number: 0,
+        };
+        let mut fleet = Self {
+            random: Random(seed),
+            compares,
+            now: 0,
+            order: 0,
+            events: BTreeMap::new(),
+            servers: (0..SERVERS).map(server).collect(),
+            pools: vec![Pool::default(); balancers],
+            tallies: BTreeMap::new(),
+            verdicts: Vec::new(),
+        };
+        for server in 0..SERVERS {
+            fleet.report(server);
+            let after_ms = fleet.random.below(REPORT_MS);
+            fleet.after(after_ms, Event::Report { server });
+        }
+        fleet.after(1, Event::Open);
+        fleet.after(REVIEW_MS, Event::Review);
+        fleet
+    }
+
+    pub(crate) fn set_percent(&mut self, server: u8, percent: u64) {
+        self.servers[usize::from(server)].percent = percent;
+    }
+
+    pub(crate) fn flows(&self, server: u8) -> u16 {
+        self.servers[usize::from(server)].flows
+    }
+
+    pub(crate) fn at_server(&self, server: u8) -> u16 {
+        self.servers[usize::from(server)].at_server
+    }
+
+    /// Another server starts at this place, which knows of no flow.
+    pub(crate) fn replace(&mut self, server: u8) {
+        let place = &mut self.servers[usize::from(server)];
+        (place.flows, place.at_server) = (0, 0);
+        place.meter.clear();
+    }
+
+    pub(crate) fn run(&mut self, until: u64) {
+        while let Some(entry) = self.events.first_entry()
+            && entry.key().0 <= until
+        {
+            self.now = entry.key().0;
+            let event = entry.remove();
+            self.handle(event);
+        }
+        self.now = until;
+    }
+
+    /// Servers that a balancer takes for slow now, at most.
+    pub(crate) fn slow(&self) -> usize {
+        self.pools.iter().map(|pool| pool.slow().len()).max().unwrap_or_default()
+    }
+
+    /// Late requests of flows that were opened in these seconds, in thousandths.
+    pub(crate) fn late_per_mille(&self, seconds: std::ops::Range<u64>) -> u64 {
+        let tallies = self.tallies.range(seconds).map(|(_, tally)| tally);
+        let (asked, late) = tallies.fold((0, 0), |sum, one| (sum.0 + one.asked, sum.1 + one.late));
+        late * 1_000 / asked.max(1)
+    }
+
+    fn after(&mut self, pause_ms: u64, event: Event) {
+        self.order += 1;
+        self.events.insert((self.now + pause_ms, self.order), event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Open => self.place(),
+            Event::Request { server, opened, left } => self.ask(server, opened, left),
+            Event::Answer { server } => {
+                let place = &mut self.servers[usize::from(server)];
+                place.meter.answered(at(self.now));
+                place.at_server = place.at_server.saturating_sub(1);
+                self.look(server);
+            }
+            Event::Close { server } => {
+                let place = &mut self.servers[usize::from(server)];
+                place.flows = place.flows.saturating_sub(1);
+            }
+            Event::Report { server } => {
+                self.look(server);
+                self.report(server);
+                self.after(REPORT_MS, Event::Report { server });
+            }
+            Event::Review => {
+                for pool in self.pools.iter_mut().filter(|_| self.compares) {
+                    let verdicts = pool.compare_speeds(at(self.now));
+                    self.verdicts.extend(verdicts.into_iter().map(|one| (self.now, one)));
+                }
+                (0..SERVERS).for_each(|server| self.look(server));
+                self.after(REVIEW_MS, Event::Review);
+            }
+        }
+    }
+
+    fn look(&mut self, server: u8) {
+        let place = &mut self.servers[usize::from(server)];
+        let working = usize::from(place.at_server).min(SLOTS);
+        place.meter.look(at(self.now), working as u64);
+    }
+
+    fn report(&mut self, server: u8) {
+        let place = &mut self.servers[usize::from(server)];
+        place.number += 1;
+        let service_ms = place.meter.service_ms();
+        let load = Load { busy: place.at_server, flows: place.flows, service_ms };
+        let domain = DOMAINS[usize::from(server) % DOMAINS.len()].into();
+        let said = word(place.number, State::Ready, load);
+        let said = Announcement { slots: SLOTS as u16, domain, ..said };
+        for pool in &mut self.pools {
+            pool.announced(at(self.now), host(server), said.clone());
+        }
+    }
+
+    fn place(&mut self) {
+        let balancer = self.random.below(self.pools.len() as u64) as usize;
+        let wish = Wish {
+            key: Key::new(self.random.next()),
+            service: desk(),
+            kind: Kind::Idempotent,
+            regions: &BTreeSet::new(),
+            domain: DOMAINS[balancer % DOMAINS.len()],
+            tried: &[],
+        };
+        let pool = &mut self.pools[balancer];
+        let choice = pool.choose(at(self.now), &wish).expect("servers take flows");
+        pool.placed(choice.agent);
+        let server = choice.agent.octets()[3];
+        self.servers[usize::from(server)].flows += 1;
+        self.ask(server, self.now, REQUESTS);
+        let pause_ms = 1 + self.random.below(2_000 / FLOWS_PER_S);
+        self.after(pause_ms, Event::Open);
+    }
+
+    fn ask(&mut self, server: u8, opened: u64, left: u8) {
+        let work_ms = self.random.work_ms();
+        let now = self.now;
+        let place = &mut self.servers[usize::from(server)];
+        place.at_server += 1;
+        let slot = place.free_at.iter_mut().min().expect("a server has slots");
+        *slot = now.max(*slot) + work_ms * place.percent / 100;
+        let took_ms = *slot - now;
+        self.look(server);
+        self.after(took_ms, Event::Answer { server });
+        let tally = self.tallies.entry(opened / 1_000).or_default();
+        tally.asked += 1;
+        tally.late += u64::from(took_ms > OBJECTIVE_MS);
+        let pause_ms = took_ms + 500 + self.random.below(2_000);
+        match left {
+            1 => self.after(pause_ms, Event::Close { server }),
+            _ => self.after(pause_ms, Event::Request { server, opened, left: left - 1 }),
+        }
+    }
+}
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -375,5 +375,13 @@
         gauge!(metric::AGENTS).set(core.agents() as f64);
         #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
         gauge!(metric::EVACUATED).set(core.evacuated() as f64);
+        for (service, evenness) in core.evenness(self.clock.now()) {
+            let service = format!("{:016x}", service.number());
+            #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
+            gauge!(metric::SLOW, "service" => service.clone()).set(evenness.slow as f64);
+            #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
+            let to_mean = evenness.busiest as f64 / evenness.mean.max(1) as f64;
+            gauge!(metric::EVENNESS, "service" => service).set(to_mean);
+        }
     }
 }
--- a/crates/nutmegkeel_node/src/l4/journal.rs
+++ b/crates/nutmegkeel_node/src/l4/journal.rs
@@ -12,6 +12,7 @@
 use metrics::counter;
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::l4::note::Note;
+use nutmegkeel_core::l4::placement::Verdict;
 
 use crate::lock::lock;
 use crate::metric;
@@ -145,6 +146,7 @@
         Note::Kept { .. } => ("kept", USUAL),
         Note::Expired { .. } => ("expired", UNUSUAL),
         Note::Agent { .. } | Note::AgentSilent { .. } => ("agent", UNUSUAL),
+        Note::Speed(_) => ("speed", UNUSUAL),
         Note::InForce { .. } => ("in_force", UNUSUAL),
         Note::Evacuation(_) => ("evacuation", UNUSUAL),
         Note::Balancer { .. } => ("balancer", UNUSUAL),
@@ -157,6 +159,8 @@
     match note {
         Note::Declined { reason, .. } => reason.name(),
         Note::Reset { cause, .. } | Note::Kept { cause, .. } => cause.name(),
+        Note::Speed(verdict) if verdict.is_slow => "slow",
+        Note::Speed(_) => "usual",
         _ => "",
     }
 }
@@ -212,6 +216,10 @@
         Note::AgentSilent { agent } => {
             warn!(event = "agent_silent", agent:% = agent; "agent is not heard of");
         }
+        Note::Speed(Verdict { agent, is_slow, times }) => {
+            warn!(event = "speed", agent:% = agent, slow = is_slow, service_ms = times.service_ms,
+                usual_ms = times.usual_ms; "backend server compared with its peers");
+        }
         Note::InForce { version, routes } => {
             info!(event = "in_force", configuration = version, routes = routes;
                 "configuration in force");
--- a/crates/nutmegkeel_node/src/metric.rs
+++ b/crates/nutmegkeel_node/src/metric.rs
@@ -45,6 +45,10 @@
 pub const EVACUATED: &str = "nutmegkeel_evacuated_domains";
 /// Agents that a balancer knows.
 pub const AGENTS: &str = "nutmegkeel_agents";
+/// Backend servers of a service that a balancer takes for far slower than their peers.
+pub const SLOW: &str = "nutmegkeel_slow_servers";
+/// Utilization of a service's busiest backend server in parts of the mean, as a balancer has heard.
+pub const EVENNESS: &str = "nutmegkeel_busiest_to_mean";
 /// Requests in progress at an agent, openings included.
 pub const BUSY: &str = "nutmegkeel_busy";
 /// Log lines that were left out, by reason.
