--- a/crates/nutmegkeel_core/tests/l4/speed.rs
+++ b/crates/nutmegkeel_core/tests/l4/speed.rs
@@ -209,3 +209,31 @@
 
     assert_eq!(agent.load().service_ms, 0);
 }
+
+/// Lets ten more clients ask at once, and counts the requests that go on to the server.
+fn sent_to_server(agent: &mut Agent, now: u64) -> usize {
+    (11..=20).for_each(|port| open(agent, now, flow(port), demand(false)));
+    let mut sent = 0;
+    for port in 11..=20 {
+        let head = data(flow(port), 1_001, 501);
+        let event = Event::Carry { from: BALANCER, head, known: true };
+        let actions = agent.handle(at(now + 2), event);
+        sent += actions.iter().filter(|action| matches!(action, Action::ToServer(_))).count();
+    }
+    sent
+}
+
+/// A server takes seven times as long as usual. Two requests waited in its own queue for a slot, each for so long
+/// that no answer could be in time any more, while a newer request that could be waited behind them.
+#[test]
+fn no_request_waits_in_the_queue_of_a_slow_server() {
+    let sent = |service_ms, rounds| {
+        let mut agent = agent_that_tells();
+        started(&mut agent);
+        let now = serve(&mut agent, 10, service_ms, rounds);
+        sent_to_server(&mut agent, now + 1)
+    };
+
+    assert_eq!(sent(60, 12), 6);
+    assert_eq!(sent(350, 12), 4);
+}
