--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -300,8 +300,9 @@
             Outcome::Answered { after_ms, behind } => {
                 self.record.answered();
                 self.mute.answered(now);
-                self.meter.answered(now);
-                if behind < slots {
+                let found_slot = behind < slots;
+                self.note_answer(now, after_ms, found_slot);
+                if found_slot {
                     self.pace.learn(after_ms);
                 }
                 vec![Action::CountAnswer(after_ms)]
--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -12,7 +12,7 @@
 
 /// Requests that may wait at the backend server itself before others wait at the agent: one to take the
 /// next slot, and one more because an opening becomes a request only a round trip later.
-pub(super) const AHEAD: u16 = 2;
+const AHEAD: u16 = 2;
 
 /// An opening as a balancer sent it.
 #[derive(Debug)]
@@ -91,7 +91,7 @@
         (at_server + 1).div_ceil(self.slots()) * self.pace.most_us() / 1_000
     }
 
-    pub(super) fn slots(&self) -> u64 {
+    fn slots(&self) -> u64 {
         self.beside.server().map_or(1, |server| u64::from(server.slots.max(1)))
     }
 
@@ -100,7 +100,7 @@
     fn is_saturated(&self) -> bool {
         let slots = self.beside.server().map_or(0, |server| server.slots);
         let waits_here = self.uses(Mechanism::AgentQueue) && !self.leaving;
-        waits_here && self.table.load().busy >= slots + self.ahead()
+        waits_here && self.table.load().busy >= slots + AHEAD
     }
 
     /// Takes a client's packet of a flow that the server holds: requests go on while the server has
--- a/crates/nutmegkeel_core/src/l4/agent/speed.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/speed.rs
@@ -1,13 +1,11 @@
 //! How long a slot of the backend server works on a request.
 
 use super::Agent;
-use super::request::AHEAD;
 use crate::clock::Time;
 use crate::l4::policy::Mechanism;
 
-/// Time that the last of the requests ahead of the slots waits at most, in milliseconds: an eighth of the usual
-/// objective.
-const AHEAD_MS: u64 = 50;
+/// A server that has no room for a request says so within this, in milliseconds.
+const TURNED_AWAY_MS: u64 = 3;
 
 impl Agent {
     /// Notes how many slots are at work from now on. What is beyond them waits in the server's own queue.
@@ -17,22 +15,21 @@
         self.meter.look(now, at_server.min(slots));
     }
 
+    /// Notes an answer that came after so long to a request that found a slot free, or none.
+    ///
+    /// Guards against a full server that passes for a fast one: it turns away what its short queue does not hold,
+    /// and each such answer would count as work done in no time.
+    pub(super) fn note_answer(&mut self, now: Time, after_ms: u64, found_slot: bool) {
+        if found_slot || after_ms > TURNED_AWAY_MS {
+            self.meter.answered(now);
+        }
+    }
+
     /// The time that balancers are told, in milliseconds; zero while it is not known.
     pub(super) fn service_ms(&self) -> u16 {
         if self.uses(Mechanism::UnevenServers) { self.meter.service_ms() } else { 0 }
     }
 
-    /// Requests that may wait at the server itself: fewer at a server that works long on each.
-    ///
-    /// Guards against answers that are late only because of this wait. What waits at the server is answered in the
-    /// order of its arrival, so that on a slow server nobody is in time, while here the newest can go first. What
-    /// these requests are for, a slot that never idles, is worth a round trip beside the host and no more.
-    pub(super) fn ahead(&self) -> u16 {
-        let service_ms = u64::from(self.service_ms());
-        let in_time = (self.slots() * AHEAD_MS).checked_div(service_ms);
-        in_time.map_or(AHEAD, |ahead| u16::try_from(ahead).unwrap_or(AHEAD).min(AHEAD))
-    }
-
     /// Begins to measure anew once the server has become warm. Guards against a server that passes for slow
     /// because it was cold: its time would be compared with those of warm ones.
     pub(super) fn notice_warmth(&mut self, now: Time) {
--- a/crates/nutmegkeel_core/tests/l4/uneven.rs
+++ b/crates/nutmegkeel_core/tests/l4/uneven.rs
@@ -62,6 +62,7 @@
     slowed_down(&mut fleet, 5, 750);
     fleet.run(16_000);
     let before = fleet.slow();
+    assert!(fleet.verdicts.iter().all(|(_, verdict)| verdict.is_slow), "none is cleared before");
     slowed_down(&mut fleet, 5, 100);
 
     fleet.run(17_800);
