--- a/crates/nutmegkeel_core/src/l4/placement/uneven.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/uneven.rs
@@ -23,14 +23,14 @@
 
 /// A slow server counts as such until it is below this part of its peers' time, in percent, so that one whose
 /// time wavers about a bound is not judged anew with each report.
-const USUAL_PERCENT: u64 = 160;
+const USUAL_PERCENT: u64 = 140;
 
 /// A server that takes no more than this longer than its peers is not slow, in milliseconds: a few times very
 /// little, told in whole milliseconds, is nothing.
 const SLACK_MS: u64 = 5;
 
 /// For so much its slots count at least, in percent: some requests must go there to show that it recovered.
-const LEAST_PERCENT: u64 = 5;
+const LEAST_PERCENT: u64 = 12;
 
 /// Servers that a service must have for any of them to be judged: of two nobody can say which is slow.
 const FEWEST: usize = 3;
--- a/crates/nutmegkeel_core/src/l4/speed.rs
+++ b/crates/nutmegkeel_core/src/l4/speed.rs
@@ -13,8 +13,9 @@
 /// the others; with fewer answers a few of those together would pass for a slow server.
 pub const ANSWERS: u64 = 24;
 
-/// Answers that show a server which has become fast again. Fewer, because it gets little to answer until then.
-const RECENT_ANSWERS: u64 = 4;
+/// Answers that show a server which has become fast again. Fewer, because it gets little to answer until then;
+/// of a slow one whose times spread widely so many are rarely short in a row.
+const RECENT_ANSWERS: u64 = 8;
 
 /// Time that it is taken over at least, in milliseconds: one crowding of long requests is no slowness.
 const SHORTEST_MS: u64 = 500;
