--- a/crates/nutmegkeel/src/platform.rs
+++ b/crates/nutmegkeel/src/platform.rs
@@ -61,6 +61,10 @@
     for one in &status.rooms {
         line("room", &room(one));
     }
+    for (agent, times) in &status.slow {
+        let (service_ms, usual_ms) = (times.service_ms, times.usual_ms);
+        line("slow", &format!("{agent}: {service_ms} ms a request, its peers {usual_ms} ms"));
+    }
     text
 }
 
--- a/crates/nutmegkeel_core/src/l4.rs
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -23,6 +23,7 @@
 pub mod roster;
 pub mod route;
 pub mod server;
+pub mod speed;
 pub mod status;
 pub mod table;
 pub mod waiting;
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod search;
 mod shortage;
+mod speed;
 pub mod summary;
 mod wide_search;
 
@@ -192,6 +193,7 @@
             balancers: self.peers.len(),
             agents: self.pool.domains(now),
             rooms: self.rooms(now),
+            slow: self.pool.slow(),
         }
     }
 
@@ -264,6 +266,7 @@
         actions.extend(self.collector.due(now).map(Action::Commit));
         actions.extend(self.summarise(now));
         actions.extend(self.tell_late(now));
+        actions.extend(self.compare_speeds(now));
         if self.pool.is_cut_off(now) {
             return actions;
         }
--- a/crates/nutmegkeel_core/src/l4/status.rs
+++ b/crates/nutmegkeel_core/src/l4/status.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::evacuation::Orders;
+use super::placement::Slowness;
 
 /// A balancer's view at one moment.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +33,10 @@
     /// Room of each service in each failure domain, where openings go by it.
     #[serde(default)]
     pub rooms: Vec<Room>,
+    /// Agents whose backend servers count as far slower than their peers. A balancer of an earlier version tells
+    /// none.
+    #[serde(default)]
+    pub slow: BTreeMap<Ipv4Addr, Slowness>,
 }
 
 /// How much more a service can take in one failure domain, as a balancer reckons it.
