--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -141,8 +141,13 @@
     #[must_use]
     pub fn load(&self) -> Load {
         let load = self.table.load();
-        let waiting = u16::try_from(self.waiting.len()).unwrap_or(u16::MAX);
-        Load { busy: load.busy.saturating_add(waiting), ..load }
+        let counted = |count: usize| u16::try_from(count).unwrap_or(u16::MAX);
+        let waiting = counted(self.waiting.len());
+        // After a restart most requests come on flows that this process does not know yet. Uncounted, they
+        // fill the server while balancers take it for free.
+        let unknown = if self.uses(Mechanism::DomainBalance) { self.probes.requests() } else { 0 };
+        let busy = load.busy.saturating_add(waiting).saturating_add(counted(unknown));
+        Load { busy, ..load }
     }
 
     /// Whether it takes new flows.
@@ -242,7 +247,7 @@
         if self.table.is_elsewhere(head) || self.is_certain(now) || self.probes.denied(now, &flow) {
             return vec![self.decline(from, Reason::NotHeld)];
         }
-        vec![Action::ToServer(self.probes.ask(now, flow, from))]
+        vec![Action::ToServer(self.probes.ask(now, flow, from, head.len > 0))]
     }
 
     /// Says whether a flow is here; nothing while only the backend server knows, since it can only be
--- a/crates/nutmegkeel_core/src/l4/probe.rs
+++ b/crates/nutmegkeel_core/src/l4/probe.rs
@@ -21,11 +21,20 @@
 #[derive(Debug, Default)]
 pub struct Probes {
     sent: BTreeMap<u32, Probe>,
-    asked: BTreeMap<Flow, Ipv4Addr>,
+    asked: BTreeMap<Flow, Question>,
     last: u32,
     denied: BTreeMap<Flow, Time>,
 }
 
+/// Whether the server holds a flow.
+#[derive(Clone, Copy, Debug)]
+struct Question {
+    /// The balancer that wants to know.
+    from: Ipv4Addr,
+    /// Whether the packet brings a request.
+    is_request: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Probe {
     flow: Flow,
@@ -42,11 +51,17 @@
     }
 
     /// Like [`Self::insert`], for a balancer that wants to know whether the server holds the flow.
-    pub fn ask(&mut self, now: Time, flow: Flow, from: Ipv4Addr) -> u32 {
-        self.asked.insert(flow, from);
+    pub fn ask(&mut self, now: Time, flow: Flow, from: Ipv4Addr, is_request: bool) -> u32 {
+        self.asked.insert(flow, Question { from, is_request });
         self.insert(now, flow, from)
     }
 
+    /// Requests that the server has been handed on flows which it may hold and has not answered yet.
+    #[must_use]
+    pub fn requests(&self) -> usize {
+        self.asked.values().filter(|question| question.is_request).count()
+    }
+
     /// The balancer that sent the packet with this number.
     pub fn take(&mut self, number: u32) -> Option<Ipv4Addr> {
         let probe = self.sent.remove(&number)?;
@@ -56,7 +71,7 @@
 
     /// The balancer that asked for a flow which the server has shown to hold.
     pub fn answered(&mut self, flow: &Flow) -> Option<Ipv4Addr> {
-        self.asked.remove(flow)
+        self.asked.remove(flow).map(|question| question.from)
     }
 
     /// Takes out the questions that the server has left unanswered for longer than it ever takes.
@@ -64,7 +79,7 @@
         let is_old = |probe: &Probe| now.since(probe.at) > UNANSWERED_MS;
         let old: Vec<Flow> =
             self.sent.values().filter(|probe| is_old(probe)).map(|probe| probe.flow).collect();
-        old.into_iter().filter_map(|flow| Some((flow, self.asked.remove(&flow)?))).collect()
+        old.into_iter().filter_map(|flow| Some((flow, self.answered(&flow)?))).collect()
     }
 
     /// Notes that the server does not hold a flow.
--- a/crates/nutmegkeel_core/tests/l4/balance.rs
+++ b/crates/nutmegkeel_core/tests/l4/balance.rs
@@ -5,14 +5,19 @@
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
+use nutmegkeel_core::l4::agent;
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
+use nutmegkeel_core::l4::flow::Head;
 use nutmegkeel_core::l4::message::{Announcement, Load, State};
 use nutmegkeel_core::l4::note::Note;
 use nutmegkeel_core::l4::placement::{Level, Pool, Wish};
 use nutmegkeel_core::l4::policy::{Condition, Mechanism, Policy};
 use nutmegkeel_core::l4::route::Kind;
 
-use crate::fixture::{BALANCER, DOMAIN, at, desk, flow, host, identity, load, wish, word};
+use crate::fixture::{
+    BALANCER, DOMAIN, agent_with, ask, at, data, desk, flow, heartbeat, host, identity, load, wish,
+    word,
+};
 use fleet::{Demand, Fleet, scatter};
 
 const FAR: &str = "tema";
@@ -263,6 +268,29 @@
     }
 }
 
+/// An agent is back beside a server that holds flows. Requests come on all of them, fill the server's queue, and the
+/// agent reports nothing in progress, because it knows a flow only after the server's answer.
+#[test]
+fn a_restarted_agent_reports_requests_on_flows_that_it_does_not_know() {
+    let busy_of = |policy: Policy| {
+        let mut agent = agent_with(policy);
+        agent.handle(at(0), agent::Event::Heartbeat(heartbeat("one", 9)));
+        for port in 1..=6 {
+            ask(&mut agent, 10, flow(port), 1_001);
+            let ack = Head { len: 0, ..data(flow(10 + port), 1_001, 501) };
+            agent.handle(at(10), agent::Event::Carry { from: BALANCER, head: ack, known: true });
+        }
+        let asked = agent.load().busy;
+        for port in 1..=4 {
+            agent.handle(at(60), agent::Event::FromServer(data(flow(port), 501, 1_101)));
+        }
+        (asked, agent.load().busy)
+    };
+
+    assert_eq!(busy_of(Policy::default()), (0, 0));
+    assert_eq!(busy_of(Policy::default().under([Condition::HiddenFaults])), (6, 2));
+}
+
 /// Whatever agents report: the surcharge stays within its bounds, and is gone some seconds after evenness.
 #[test]
 fn surcharges_are_bounded_and_end_whatever_agents_report() {
