--- a/crates/nutmegkeel_core/tests/l4/balance.rs
+++ b/crates/nutmegkeel_core/tests/l4/balance.rs
@@ -319,7 +319,7 @@
 fn a_burst_in_one_domain_makes_few_answers_late() {
     for domains in [2, 4, 5] {
         let even = Demand::even(domains);
-        let burst = Demand { from_ms: 8_000, until_ms: 14_000, times: 1.9, ..even };
+        let burst = Demand { from_ms: 8_000, until_ms: 14_000, times: 1_900, ..even };
 
         let before = Fleet::open(domains, false).play(20_000, &burst);
         let after = Fleet::open(domains, true).play(20_000, &burst);
@@ -347,6 +347,23 @@
     }
 }
 
+/// Twice as many clients of one domain open flows of one request each. These follow what is in progress now, so the
+/// domains are even already, and a surcharge on top must not make them swing.
+#[test]
+fn short_flows_do_not_swing() {
+    for domains in [2, 5] {
+        let mut more = Demand { from_ms: 8_000, until_ms: 14_000, ..Demand::even(domains) };
+        more.openings[0] = 1_900;
+
+        let before = Fleet::of_short_flows(domains, false).play(20_000, &more);
+        let after = Fleet::of_short_flows(domains, true).play(20_000, &more);
+
+        println!("short flows, one of {domains}, late: {before:?} to {after:?}");
+        assert!(after.swings <= 1, "{after:?}");
+        assert!(after.late * 200 <= before.late * 200 + after.asked, "{before:?} to {after:?}");
+    }
+}
+
 /// A whole domain loses power. The others are short of room together; what the lost one reported last must not
 /// count for them.
 #[test]
@@ -366,7 +383,7 @@
 #[test]
 fn reports_of_different_ages_lead_to_alike_surcharges() {
     let mut fleet = Fleet::open(4, true);
-    let burst = Demand { from_ms: 4_000, until_ms: 9_000, times: 2.5, ..Demand::even(4) };
+    let burst = Demand { from_ms: 4_000, until_ms: 9_000, times: 2_500, ..Demand::even(4) };
 
     fleet.play(7_500, &burst);
 
--- a/crates/nutmegkeel_core/tests/l4/balance/fleet.rs
+++ b/crates/nutmegkeel_core/tests/l4/balance/fleet.rs
@@ -24,6 +24,13 @@
 /// Openings of a domain's clients in each step, in thousandths: 0.65 of the slots are busy.
 const OPENINGS: u64 = 490;
 
+/// Requests on a long flow, on the mean.
+const REQUESTS: u64 = 4;
+/// Address of the first server.
+const FIRST: u32 = 0x0a00_0100;
+/// What happens before this does not count.
+const SETTLED_MS: u64 = 2_000;
+
 /// A change of a surcharge that counts for a swing, in thousandths of a slot.
 const SWING: u64 = 400;
 
@@ -31,15 +38,19 @@
 pub(super) struct Demand {
     pub(super) from_ms: u64,
     pub(super) until_ms: u64,
-    /// How much more the clients of the first domain ask then.
-    pub(super) times: f64,
+    /// How much more the clients of the first domain ask then on their flows, in thousandths.
+    pub(super) times: u64,
     /// Openings of each domain's clients then, in thousandths of the usual ones.
     pub(super) openings: Vec<u64>,
 }
 
 impl Demand {
     pub(super) fn even(domains: usize) -> Self {
-        Self { from_ms: 0, until_ms: 0, times: 1.0, openings: vec![1_000; domains] }
+        Self { from_ms: 0, until_ms: 0, times: 1_000, openings: vec![1_000; domains] }
+    }
+
+    fn is_changed(&self, now: u64) -> bool {
+        (self.from_ms..self.until_ms).contains(&now)
     }
 
     /// Half of the clients of the last domain open their flows in the first one.
@@ -100,6 +111,8 @@
     pools: Vec<Pool>,
     flows: Vec<Flow>,
     lost: Option<(usize, u64)>,
+    /// Whether each flow carries one request only, and so many more are opened.
+    is_short: bool,
     drawn: u64,
 }
 
@@ -113,7 +126,7 @@
 }
 
 fn address(server: usize) -> Ipv4Addr {
-    Ipv4Addr::from(0x0a00_0100 + u32::try_from(server).expect("few servers"))
+    Ipv4Addr::from(FIRST + u32::try_from(server).expect("few servers"))
 }
 
 impl Fleet {
@@ -131,10 +144,15 @@
             pools: (0..domains * BALANCERS).map(open).collect(),
             flows: Vec::new(),
             lost: None,
+            is_short: false,
             drawn: 0,
         }
     }
 
+    pub(super) fn of_short_flows(domains: usize, is_balanced: bool) -> Self {
+        Self { is_short: true, ..Self::open(domains, is_balanced) }
+    }
+
     pub(super) fn lose(&mut self, domain: usize, at_ms: u64) {
         self.lost = Some((domain, at_ms));
     }
@@ -144,15 +162,20 @@
         scatter(self.drawn) % most
     }
 
+    fn draw_place(&mut self, places: usize) -> usize {
+        let places = u64::try_from(places).expect("few places");
+        usize::try_from(self.draw(places)).expect("few places")
+    }
+
     fn is_lost(&self, domain: usize, now: u64) -> bool {
         self.lost.is_some_and(|(lost, at_ms)| lost == domain && now >= at_ms)
     }
 
-    /// Plays until `end_ms`; what happens in the first two seconds does not count.
+    /// Plays until `end_ms`.
     pub(super) fn play(&mut self, end_ms: u64, demand: &Demand) -> Outcome {
         let mut outcome = Outcome::default();
         let mut swing = Swing::default();
-        for now in (0..end_ms).step_by(10) {
+        for now in (0..end_ms).step_by(usize::try_from(STEP_MS).expect("it is short")) {
             self.announce(now);
             self.open_flows(now, demand);
             self.ask(now, demand, &mut outcome);
@@ -190,44 +213,45 @@
     }
 
     fn open_flows(&mut self, now: u64, demand: &Demand) {
-        let is_changed = (demand.from_ms..demand.until_ms).contains(&now);
-        for domain in
-            (0..self.domains).filter(|domain| !self.is_lost(*domain, now)).collect::<Vec<_>>()
-        {
-            let part = if is_changed { demand.openings[domain] } else { 1_000 };
-            let rate = OPENINGS * part / 1_000;
-            if self.draw(1_000) >= rate {
-                continue;
+        let tries = if self.is_short { REQUESTS } else { 1 };
+        for domain in 0..self.domains {
+            let part = if demand.is_changed(now) { demand.openings[domain] } else { 1_000 };
+            for _ in 0..tries {
+                if self.draw(1_000_000) < OPENINGS * part && !self.is_lost(domain, now) {
+                    self.open_flow(now, domain);
+                }
             }
-            let key = Key::new(self.draw(u64::MAX));
-            let pick = usize::try_from(self.draw(6)).expect("few balancers");
-            let pool = &mut self.pools[domain * BALANCERS + pick];
-            let (own, anything) = (name(domain), wish(key, Kind::Idempotent, &[]));
-            let Some(choice) = pool.choose(at(now), &Wish { domain: &own, ..anything }) else {
-                continue;
-            };
-            pool.placed(choice.agent);
-            let server =
-                usize::try_from(choice.agent.to_bits() - 0x0a00_0100).expect("few servers");
-            self.servers[server].flows += 1;
-            let end_ms = now + LIFE_MS / 2 + self.draw(LIFE_MS);
-            self.flows.push(Flow { server, domain, next_ms: now, end_ms });
         }
     }
 
+    fn open_flow(&mut self, now: u64, domain: usize) {
+        let key = Key::new(self.draw(u64::MAX));
+        let kind = if self.is_short { Kind::Once } else { Kind::Idempotent };
+        let balancer = domain * BALANCERS + self.draw_place(BALANCERS);
+        let (own, needs) = (name(domain), wish(key, kind, &[]));
+        let pool = &mut self.pools[balancer];
+        let Some(choice) = pool.choose(at(now), &Wish { domain: &own, ..needs }) else {
+            return;
+        };
+        pool.placed(choice.agent);
+        let server = usize::try_from(choice.agent.to_bits() - FIRST).expect("few servers");
+        self.servers[server].flows += 1;
+        let life_ms = if self.is_short { 0 } else { LIFE_MS / 2 + self.draw(LIFE_MS) };
+        self.flows.push(Flow { server, domain, next_ms: now, end_ms: now + life_ms });
+    }
+
     fn ask(&mut self, now: u64, demand: &Demand, outcome: &mut Outcome) {
-        let is_changed = (demand.from_ms..demand.until_ms).contains(&now);
         let mut flows = std::mem::take(&mut self.flows);
         for flow in flows.iter_mut().filter(|flow| flow.next_ms <= now) {
             if self.is_lost(flow.server / SERVERS, now) {
                 continue;
             }
-            let times = if is_changed && flow.domain == 0 { demand.times } else { 1.0 };
-            let gap_ms = GAP_MS / 2 + self.draw(GAP_MS);
-            flow.next_ms = now + (gap_ms as f64 / times) as u64;
-            let waited_ms = self.serve(now, flow.server);
-            outcome.asked += u64::from(now > 2_000);
-            outcome.late += u64::from(now > 2_000 && waited_ms > OBJECTIVE_MS);
+            let asks_more = demand.is_changed(now) && flow.domain == 0;
+            let times = if asks_more { demand.times } else { 1_000 };
+            flow.next_ms = now + (GAP_MS / 2 + self.draw(GAP_MS)) * 1_000 / times;
+            let answered_ms = self.serve(now, flow.server);
+            outcome.asked += u64::from(now > SETTLED_MS);
+            outcome.late += u64::from(now > SETTLED_MS && answered_ms > OBJECTIVE_MS);
         }
         let (open, ended): (Vec<_>, Vec<_>) = flows.into_iter().partition(|flow| flow.end_ms > now);
         ended.iter().for_each(|flow| self.servers[flow.server].flows -= 1);
--- a/crates/nutmegkeel_dev/src/measure/finding.rs
+++ b/crates/nutmegkeel_dev/src/measure/finding.rs
@@ -1,4 +1,5 @@
-//! Processor time to place and to look for a flow without a routing token, against the size of the fleet.
+//! Processor time to place and to look for a flow without a routing token, and to compare failure domains, against
+//! the size of the fleet.
 
 use std::collections::BTreeSet;
 use std::hint::black_box;
@@ -26,19 +27,27 @@
 /// Flows over which the time of one is taken.
 const FLOWS: u16 = 2_000;
 
+/// Pause between two comparisons of failure domains, in milliseconds.
+const COMPARE_MS: u64 = 100;
+
+/// Comparisons over which the time of one is taken: after more, agents count as late.
+const COMPARISONS: u64 = 5;
+
 /// Runs the measurement; it has no aim of its own.
 pub(super) fn run() -> bool {
     let mut line = Map::new();
     for agents in AGENTS {
         for (name, services) in [("two_services", 2), ("many_services", agents / MEMBERS)] {
-            let pool = pool(agents, services);
+            let mut pool = pool(agents, services);
+            let compare_us = compare_us(&mut pool);
             let (choose_us, search_us) = (choose_us(&pool), search_us(&pool));
             println!(
-                "{agents:>6} agents, {name:<13} choose {choose_us:>8.2} us, ask {search_us:>8.2} us"
+                "{agents:>6} agents, {name:<13} choose {choose_us:>8.2} us, ask {search_us:>8.2} us, \
+                 compare {compare_us:>8.2} us"
             );
             line.insert(
                 format!("{name}_{agents}"),
-                json!({"choose_us": choose_us, "ask_us": search_us}),
+                json!({"choose_us": choose_us, "ask_us": search_us, "compare_us": compare_us}),
             );
         }
     }
@@ -48,6 +57,7 @@
 
 fn pool(agents: u32, services: u32) -> Pool {
     let mut pool = Pool::default();
+    pool.balance_domains("domain-0".into());
     for number in 0..agents {
         let word = Announcement {
             incarnation: 1,
@@ -76,6 +86,14 @@
     Flow { client: end(0x6440_0001, port), service: end(0xc612_0001, 443) }
 }
 
+fn compare_us(pool: &mut Pool) -> f64 {
+    let began = Instant::now();
+    for step in 1..=COMPARISONS {
+        black_box(pool.rebalance(Time::from_millis(step * COMPARE_MS)));
+    }
+    began.elapsed().as_secs_f64() * 1e6 / COMPARISONS as f64
+}
+
 fn choose_us(pool: &Pool) -> f64 {
     mean_us(|port| {
         let key = flow(port).key();
