--- a/crates/nutmegkeel_core/src/l4/placement/evenness.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/evenness.rs
@@ -51,7 +51,7 @@
     pub(super) fn set_least_flows(&mut self, now: Time, service: Service) {
         let (mut flows, mut slots) = (0, 0);
         for (_, candidate) in self.takers_of(now, service) {
-            flows += u64::from(candidate.load.flows);
+            flows += u64::from(candidate.flows());
             slots += u64::from(candidate.announcement.slots);
         }
         let members: Vec<Ipv4Addr> = self.members(Some(service)).map(|(agent, _)| agent).collect();
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -7,20 +7,20 @@
 use std::time::Duration;
 
 use log::info;
-use metrics::{counter, gauge};
+use metrics::counter;
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event, Identity, TICK_MS};
 use nutmegkeel_core::l4::flow::{Direction, Head};
 use nutmegkeel_core::l4::message::Message;
 use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::route::Table;
-use nutmegkeel_core::l4::status;
 use nutmegkeel_platform::settings::Settings;
 use nutmegkeel_platform::{control, packet};
 use nutmegkeel_wire::l4 as wire;
 
 use super::collector;
 use super::configuration::{self, Fetcher, News, Source};
+use super::gauges;
 use super::journal::Journal;
 use super::kept::{Packet, Packets};
 use super::link::{self, Link};
@@ -139,7 +139,7 @@
             self.shared.handle(Event::Listed(settings.seeds), &[]);
         }
         self.shared.handle(Event::Tick, &[]);
-        self.shared.gauges();
+        gauges::show(&self.shared.core(), now);
     }
 
     /// Leaves the rotation, goes on carrying packets until none come, and returns.
@@ -366,38 +366,4 @@
             link::drop_datagram("kept");
         }
     }
-
-    fn gauges(&self) {
-        let core = self.core();
-        show_rooms(&core.rooms(self.clock.now()));
-        #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
-        gauge!(metric::FLOWS).set(core.cached() as f64);
-        #[expect(clippy::cast_precision_loss, reason = "versions stay far below 2^52")]
-        gauge!(metric::CONFIGURATION).set(core.version() as f64);
-        #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
-        gauge!(metric::AGENTS).set(core.agents() as f64);
-        #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
-        gauge!(metric::EVACUATED).set(core.evacuated() as f64);
-        for (service, evenness) in core.evenness(self.clock.now()) {
-            let service = format!("{:016x}", service.number());
-            #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
-            gauge!(metric::SLOW, "service" => service.clone()).set(evenness.slow as f64);
-            #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
-            let to_mean = evenness.busiest as f64 / evenness.mean.max(1) as f64;
-            gauge!(metric::EVENNESS, "service" => service).set(to_mean);
-        }
-    }
-}
-
-/// Sets the gauges of the room of each service in each failure domain.
-fn show_rooms(rooms: &[status::Room]) {
-    for room in rooms {
-        let service = format!("{:016x}", room.service);
-        let domain = room.domain.to_string();
-        gauge!(metric::ROOM_FREE, "service" => service.clone(), "domain" => domain.clone())
-            .set(f64::from(room.free));
-        #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
-        gauge!(metric::ROOM_WAIT, "service" => service, "domain" => domain)
-            .set(room.wait_ms as f64);
-    }
 }
--- /dev/null
+++ b/crates/nutmegkeel_node/src/l4/gauges.rs
@@ -0,0 +1,53 @@
+//! Gauges of a balancer's view: what it holds, and how the services and failure domains are used.
+#![expect(clippy::cast_precision_loss, reason = "gauges are read by eye")]
+
+use metrics::gauge;
+use nutmegkeel_core::clock::Time;
+use nutmegkeel_core::l4::balancer::Balancer;
+
+use crate::metric;
+
+/// Sets all gauges.
+pub(super) fn show(core: &Balancer, now: Time) {
+    gauge!(metric::FLOWS).set(core.cached() as f64);
+    gauge!(metric::CONFIGURATION).set(core.version() as f64);
+    gauge!(metric::AGENTS).set(core.agents() as f64);
+    gauge!(metric::EVACUATED).set(core.evacuated() as f64);
+    show_rooms(core, now);
+    show_evenness(core, now);
+    show_domains(core);
+}
+
+fn show_rooms(core: &Balancer, now: Time) {
+    for room in core.rooms(now) {
+        let service = metric::service_label(room.service);
+        let domain = room.domain.to_string();
+        gauge!(metric::ROOM_FREE, "service" => service.clone(), "domain" => domain.clone())
+            .set(f64::from(room.free));
+        gauge!(metric::ROOM_WAIT, "service" => service, "domain" => domain)
+            .set(room.wait_ms as f64);
+    }
+}
+
+fn show_evenness(core: &Balancer, now: Time) {
+    for (service, evenness) in core.evenness(now) {
+        let service = metric::service_label(service.number());
+        gauge!(metric::SLOW, "service" => service.clone()).set(evenness.slow as f64);
+        let to_mean = evenness.busiest as f64 / evenness.mean.max(1) as f64;
+        gauge!(metric::EVENNESS, "service" => service).set(to_mean);
+    }
+}
+
+/// Nothing is shown where how full the failure domains are is not reckoned.
+fn show_domains(core: &Balancer) {
+    let part = |thousandths: u64| thousandths as f64 / 1_000.0;
+    for level in core.levels() {
+        let service = metric::service_label(level.service.number());
+        let domain = level.domain.to_string();
+        let utilization = part(level.utilization.unwrap_or(0));
+        gauge!(metric::UTILIZATION, "service" => service, "domain" => domain).set(utilization);
+    }
+    if let Some(abroad) = core.sent_abroad() {
+        gauge!(metric::SENT_ABROAD).set(part(abroad));
+    }
+}
