--- a/crates/nutmegkeel/tests/soak.rs
+++ b/crates/nutmegkeel/tests/soak.rs
@@ -6,8 +6,12 @@
 const SECONDS: u64 = 8;
 
 fn soak(seed: u64, net: u8) -> Report {
+    soak_with(seed, net, false)
+}
+
+fn soak_with(seed: u64, net: u8, load: bool) -> Report {
     let program = env!("CARGO_BIN_EXE_nutmegkeel").into();
-    run(&Options { program, seed, seconds: SECONDS, net })
+    run(&Options { program, seed, seconds: SECONDS, net, load })
 }
 
 fn assert_kept(report: &Report) {
@@ -43,3 +47,11 @@
 fn seed_38_asks_no_server_for_the_flow_of_another() {
     assert_kept(&soak(38, 253));
 }
+
+/// An open flow was reset while all of its processes were well: its backend server had become slow in a burst.
+/// At ten times the usual time and more a server counts as mute, and clients are told to ask elsewhere; up to
+/// seven and a half times it must be waited for, and everybody gets a final answer.
+#[test]
+fn seed_803_waits_for_a_slow_server_in_a_burst() {
+    assert_kept(&soak_with(803, 254, true));
+}
--- a/crates/nutmegkeel_dev/src/soak.rs
+++ b/crates/nutmegkeel_dev/src/soak.rs
@@ -46,7 +46,8 @@
         let runs: Vec<_> = (seed..until)
             .map(|seed| {
                 let net = u8::try_from(1 + seed % NETS).unwrap_or(1);
-                let options = processes::Options { program: program.clone(), seed, seconds, net };
+                let options =
+                    processes::Options { program: program.clone(), seed, seconds, net, load: true };
                 std::thread::spawn(move || processes::run(&options))
             })
             .collect();
--- a/crates/nutmegkeel_dev/src/soak/processes/truth.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/truth.rs
@@ -38,6 +38,8 @@
     store_well: bool,
     answered: u64,
     unanswered: u64,
+    /// Answers of each caller.
+    served: BTreeMap<Ipv4Addr, u64>,
     broken: Vec<String>,
 }
 
@@ -91,9 +93,10 @@
     }
 
     /// A request on a new flow, opened at `sent`, was answered by the server `id`.
-    pub(super) fn answered(&self, port: u16, id: &str, sent: Instant) {
+    pub(super) fn answered(&self, caller: Ipv4Addr, port: u16, id: &str, sent: Instant) {
         let mut state = self.state();
         state.answered += 1;
+        *state.served.entry(caller).or_default() += 1;
         if !state.allows(port, id, sent) {
             let what = format!("port {port} was answered by {id}, which no route allows");
             state.broken.push(what);
@@ -121,8 +124,30 @@
         }
     }
 
+    /// A request at `sent` found neither an answer nor a refusal until its deadline.
+    pub(super) fn silent(&self, port: u16, sent: Instant) {
+        let mut state = self.state();
+        state.unanswered += 1;
+        if state.was_calm(port, sent) {
+            let what = format!("a request to port {port} had no final answer, and nobody was cut");
+            state.broken.push(what);
+        }
+    }
+
+    /// Expects that a caller is served at least once.
+    pub(super) fn expect(&self, caller: Ipv4Addr) {
+        self.state().served.insert(caller, 0);
+    }
+
     pub(super) fn sum_up(&self) -> (u64, u64, Vec<String>) {
-        let state = self.state();
+        let mut state = self.state();
+        let starved: Vec<String> = state
+            .served
+            .iter()
+            .filter(|(_, answers)| **answers == 0)
+            .map(|(caller, _)| format!("caller {caller} was never served"))
+            .collect();
+        state.broken.extend(starved);
         (state.answered, state.unanswered, state.broken.clone())
     }
 }
@@ -155,6 +180,19 @@
         dropped || self.ended.contains_key(holder) || any_disturbed
     }
 
+    /// Whether nothing could have cut a request at `sent`: no process or server was disturbed for a while
+    /// before, nor since, the store is well, and the route stands.
+    fn was_calm(&self, port: u16, sent: Instant) -> bool {
+        let is_past = |at: &Instant| *at + CALM <= sent;
+        let routed = self
+            .routes
+            .last()
+            .is_some_and(|(since, routes)| is_past(since) && routes.contains_key(&port));
+        let store_calm = self.store_well && self.store_ill.as_ref().is_none_or(is_past);
+        let hosts_calm = self.disturbed.values().chain(self.ended.values()).all(is_past);
+        routed && store_calm && hosts_calm
+    }
+
     fn is_disturbed(&self, host: Ipv4Addr) -> bool {
         self.disturbed.get(&host).is_some_and(|at| at.elapsed() < CALM)
     }
