--- a/crates/nutmegkeel_node/src/l4.rs
+++ b/crates/nutmegkeel_node/src/l4.rs
@@ -5,6 +5,7 @@
 mod checkpoint;
 mod collector;
 mod configuration;
+pub mod configuration;
 mod gauges;
 mod journal;
 mod kept;
