--- a/crates/nutmegkeel_core/src/l4/agent/event.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/event.rs
@@ -61,11 +61,11 @@
 pub enum Action {
     /// Hand the packet at hand to the backend server, with this number in it.
     ToServer(u32),
-    /// Keep the packet at hand, as the last one of its flow.
+    /// Keep the packet at hand behind those kept of its flow.
     Keep(Head),
-    /// Hand the kept packet of this flow to the backend server.
+    /// Hand the kept packets of this flow to the backend server.
     Release(Flow),
-    /// Forget the kept packet of this flow.
+    /// Forget the kept packets of this flow.
     Forget(Flow),
     /// Send the packet at hand to the client.
     ToClient,
--- a/crates/nutmegkeel_core/src/l4/flow.rs
+++ b/crates/nutmegkeel_core/src/l4/flow.rs
@@ -91,6 +91,9 @@
     }
 }
 
+/// A packet whose data ends at most this far behind what came before brings something new.
+pub const DATA_REACH: u32 = 1 << 30;
+
 /// Whether `number` lies within `reach` behind `base`, counted modulo 2^32.
 #[must_use]
 pub const fn follows(number: u32, base: u32, reach: u32) -> bool {
--- a/crates/nutmegkeel_core/src/l4/table/held.rs
+++ b/crates/nutmegkeel_core/src/l4/table/held.rs
@@ -1,7 +1,7 @@
 //! One flow that a backend server holds, as far as the packets that pass tell.
 
 use crate::clock::Time;
-use crate::l4::flow::{Head, follows};
+use crate::l4::flow::{DATA_REACH, Head, follows};
 use crate::l4::health::FORGET_MS;
 use crate::l4::message::Demand;
 
@@ -16,9 +16,6 @@
 /// A request counts as in progress no longer than this: clients give up sooner.
 pub(super) const REQUEST_MS: u64 = 10_000;
 
-/// A packet whose data ends at most this far behind what came before brings something new.
-const DATA_REACH: u32 = 1 << 30;
-
 /// How far a flow has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
--- a/crates/nutmegkeel_core/src/l4/waiting.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting.rs
@@ -18,7 +18,7 @@
 
 use contended::Contended;
 
-use super::flow::{Flow, Head};
+use super::flow::{DATA_REACH, Flow, Head, follows};
 use super::message::Demand;
 use super::policy::{Mechanism, Policy};
 use crate::clock::Time;
@@ -122,13 +122,17 @@
         self.flows.insert(self.flows.len() - newer, waiting);
     }
 
-    /// Notes the request of a flow; false if the flow does not wait here.
+    /// Notes a packet of a flow's request, of several the one with the last data; false if the flow does
+    /// not wait here.
     pub fn note_request(&mut self, head: &Head) -> bool {
         let waiting = self.flows.iter_mut().find(|waiting| waiting.flow == head.flow);
         let Some(waiting) = waiting else {
             return false;
         };
-        waiting.request = Some(*head);
+        let is_before = |known: Head| follows(known.next_seq(), head.next_seq(), DATA_REACH);
+        if !waiting.request.is_some_and(is_before) {
+            waiting.request = Some(*head);
+        }
         true
     }
 
--- a/crates/nutmegkeel_node/src/l4.rs
+++ b/crates/nutmegkeel_node/src/l4.rs
@@ -11,6 +11,7 @@
 mod membership;
 mod metered;
 mod reload;
+mod requests;
 
 use std::io;
 use std::net::SocketAddrV4;
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -18,9 +18,9 @@
 
 use super::configuration::{Fetcher, Source};
 use super::journal::Journal;
-use super::kept::Packets;
 use super::link::{self, Link};
 use super::reload::Reload;
+use super::requests::Requests;
 use super::{Fault, checkpoint, membership, serve, spawn_configuration, spawn_metrics};
 use crate::clock::Clock;
 use crate::lock::lock;
@@ -49,7 +49,7 @@
     link: Link,
     journal: Journal,
     /// First requests that wait for a slot.
-    kept: Mutex<Packets>,
+    kept: Mutex<Requests>,
     checkpoints: checkpoint::Writer,
     /// Fetches copies of the configuration; set once, when the process is complete.
     fetcher: OnceLock<Fetcher>,
@@ -96,7 +96,7 @@
         client_port: settings.packets.port(),
         link: Link::bind(settings.messages)?,
         journal: Journal::spawn(Arc::clone(&settings.host))?,
-        kept: Mutex::new(Packets::open(KEPT_MS)),
+        kept: Mutex::new(Requests::open(KEPT_MS)),
         checkpoints,
         fetcher: OnceLock::new(),
     });
@@ -201,7 +201,7 @@
         lock(&self.core)
     }
 
-    fn kept(&self) -> MutexGuard<'_, Packets> {
+    fn kept(&self) -> MutexGuard<'_, Requests> {
         lock(&self.kept)
     }
 
@@ -262,14 +262,14 @@
                     link::send(&self.beside, packet, self.server);
                 }
                 Action::Keep(head) => {
-                    if !self.kept().keep(now, now, head, packet) {
+                    if !self.kept().keep(now, &head, packet) {
                         link::drop_datagram("kept");
                     }
                 }
                 Action::Release(flow) => {
-                    if let Some(mut waited) = self.kept().take(now, &flow) {
-                        packet::set_tag(&mut waited.bytes, 0);
-                        link::send(&self.beside, &waited.bytes, self.server);
+                    for mut bytes in self.kept().take(now, &flow) {
+                        packet::set_tag(&mut bytes, 0);
+                        link::send(&self.beside, &bytes, self.server);
                     }
                 }
                 Action::Forget(flow) => {
--- /dev/null
+++ b/crates/nutmegkeel_node/src/l4/requests.rs
@@ -0,0 +1,128 @@
+//! Requests that wait at an agent for a slot, packet by packet.
+
+use std::collections::BTreeMap;
+
+use nutmegkeel_core::clock::Time;
+use nutmegkeel_core::l4::flow::{Flow, Head};
+
+/// Packets kept at most: 2.5 MB of full ones.
+const MOST: usize = 2_000;
+
+/// Packets of one request kept at most: a client sends no more without an answer.
+const MOST_OF_FLOW: usize = 16;
+
+/// One packet.
+#[derive(Debug)]
+struct Packet {
+    seq: u32,
+    bytes: Vec<u8>,
+    at: Time,
+}
+
+/// The packets of each request that waits, in order of their first arrival.
+#[derive(Debug)]
+pub(super) struct Requests {
+    packets: BTreeMap<Flow, Vec<Packet>>,
+    count: usize,
+    longest_ms: u64,
+}
+
+impl Requests {
+    /// No packets yet; each is worth nothing after `longest_ms`.
+    pub(super) const fn open(longest_ms: u64) -> Self {
+        Self { packets: BTreeMap::new(), count: 0, longest_ms }
+    }
+
+    /// Keeps a packet; false if there is no room.
+    ///
+    /// Guards against requests of several packets of which only the last would reach the server: it waits
+    /// for the client to send the others again, and meanwhile the request counts as in progress, so a slot
+    /// stays empty.
+    pub(super) fn keep(&mut self, now: Time, head: &Head, bytes: &[u8]) -> bool {
+        if self.count >= MOST {
+            self.drop_old(now);
+        }
+        let packet = Packet { seq: head.seq, bytes: bytes.to_vec(), at: now };
+        let known = self.packets.get_mut(&head.flow);
+        let mut known = known.into_iter().flatten();
+        if let Some(again) = known.find(|known| known.seq == head.seq) {
+            *again = packet;
+            return true;
+        }
+        let of_flow = self.packets.get(&head.flow).map_or(0, Vec::len);
+        if self.count >= MOST || of_flow >= MOST_OF_FLOW {
+            return false;
+        }
+        self.packets.entry(head.flow).or_default().push(packet);
+        self.count += 1;
+        true
+    }
+
+    /// Takes out the packets of a flow.
+    pub(super) fn take(&mut self, now: Time, flow: &Flow) -> Vec<Vec<u8>> {
+        let packets = self.packets.remove(flow).unwrap_or_default();
+        self.count -= packets.len();
+        let fresh = packets.into_iter().filter(|packet| now.since(packet.at) <= self.longest_ms);
+        fresh.map(|packet| packet.bytes).collect()
+    }
+
+    fn drop_old(&mut self, now: Time) {
+        let longest_ms = self.longest_ms;
+        self.packets.retain(|_, packets| {
+            packets.retain(|packet| now.since(packet.at) <= longest_ms);
+            !packets.is_empty()
+        });
+        self.count = self.packets.values().map(Vec::len).sum();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::net::{Ipv4Addr, SocketAddrV4};
+
+    use nutmegkeel_core::l4::flow::Flags;
+
+    use super::*;
+
+    fn head(port: u16, seq: u32) -> Head {
+        let client = SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), port);
+        let service = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+        let flags = Flags { ack: true, ..Flags::default() };
+        Head { flow: Flow { client, service }, flags, seq, ack: 501, len: 100, tag: 0 }
+    }
+
+    fn at(millis: u64) -> Time {
+        Time::from_millis(millis)
+    }
+
+    /// A filing of two packets waits, and only the second reaches the server: nothing is answered until
+    /// the client sends the first again.
+    #[test]
+    fn all_packets_of_a_request_go_on_in_their_order() {
+        let mut requests = Requests::open(10_000);
+        requests.keep(at(0), &head(1, 1_001), b"head");
+        requests.keep(at(1), &head(1, 1_101), b"body");
+        requests.keep(at(2), &head(2, 1_001), b"other");
+        requests.keep(at(200), &head(1, 1_001), b"head again");
+
+        let packets = requests.take(at(300), &head(1, 0).flow);
+
+        assert_eq!(packets, [b"head again".to_vec(), b"body".to_vec()]);
+        assert!(requests.take(at(300), &head(1, 0).flow).is_empty());
+        assert_eq!(requests.count, 1);
+    }
+
+    #[test]
+    fn no_more_is_kept_than_there_is_room_for() {
+        let mut requests = Requests::open(10_000);
+        let of_one = (0..100).filter(|seq| requests.keep(at(0), &head(1, *seq), b"data"));
+        assert_eq!(of_one.count(), MOST_OF_FLOW);
+
+        let of_many = (2..5_000).filter(|port| requests.keep(at(1), &head(*port, 1), b"data"));
+        let kept = of_many.count();
+
+        assert_eq!(kept, MOST - MOST_OF_FLOW);
+        assert!(requests.packets.len() <= MOST, "nothing is left of what was not kept");
+        assert!(requests.keep(at(10_001), &head(6_000, 1), b"data"), "old ones make room");
+    }
+}
