--- a/crates/nutmegkeel_core/src/l4/agent/contended.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/contended.rs
@@ -28,6 +28,7 @@
 
     /// Notes that a request comes, on a flow by way of a balancer.
     pub(super) fn note_asked(&mut self, now: Time, flow: Flow, from: Ipv4Addr) {
+        self.waiting.note_arrival(now);
         if !self.uses(Mechanism::FairShares) {
             return;
         }
@@ -46,12 +47,12 @@
 
     /// Whether the request of an opening could be served. One that cannot is refused before it costs
     /// its client a connection and a round trip.
-    pub(super) fn bears(&self, now: Time, opening: &Opening) -> bool {
+    pub(super) fn bears(&mut self, now: Time, opening: &Opening) -> bool {
         let (flow, since) = (opening.head.flow, opening.since);
         let demand = opening.offer.demand;
         let waiting = Waiting { flow, since, opened: now, demand, request: None };
-        let is_free = !self.is_saturated();
-        is_free || self.waiting.bears(now, &self.capacity(), &self.shares, &waiting)
+        let capacity = self.capacity();
+        !self.is_saturated() || self.waiting.bears(now, &capacity, &self.shares, &waiting)
     }
 
     /// What the slots can do now.
--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -63,7 +63,7 @@
     /// Why an opening is not taken. What the agent sees itself goes before what a balancer believed:
     /// a server that leaves takes nothing from the moment its heartbeat says so, and one of another
     /// service, at an address used again, never sees the packet.
-    fn refusal(&self, now: Time, opening: &Opening, is_copy: bool) -> Option<Reason> {
+    fn refusal(&mut self, now: Time, opening: &Opening, is_copy: bool) -> Option<Reason> {
         let Some(server) = self.beside.server() else {
             return Some(Reason::Leaving);
         };
@@ -79,10 +79,13 @@
         let (busy, slots) = (self.load().busy, server.slots.max(1));
         let Offer { demand, insistence, .. } = opening.offer;
         let is_late = if self.waiting.is_contended() {
-            !self.bears(now, opening)
+            insistence == Insistence::IfInTime && !self.bears(now, opening)
         } else {
             !demand.once && self.expected_ms() > u64::from(demand.deadline_ms)
         };
+        if is_late && self.waiting.is_contended() {
+            self.waiting.note_arrival(now);
+        }
         match insistence {
             Insistence::IfIdle if busy >= slots => Some(Reason::Busy),
             Insistence::IfInTime if is_late => Some(Reason::Late),
--- a/crates/nutmegkeel_core/src/l4/share.rs
+++ b/crates/nutmegkeel_core/src/l4/share.rs
@@ -17,10 +17,11 @@
 use crate::clock::Time;
 
 /// Pause between two reckonings of the shares, in milliseconds: short beside the time that work counts.
-const RECKON_MS: u64 = 250;
+const RECKON_MS: u64 = 100;
 
-/// At each reckoning a sixteenth of the work is forgotten, so that work counts for about four seconds.
-const FORGET_SHIFT: u32 = 4;
+/// At each reckoning this power of a half of the work is forgotten, so that work counts for three seconds:
+/// long enough to meet a heavy caller several times at one of many agents.
+const FORGET_SHIFT: u32 = 5;
 
 /// Reckonings after which nothing is left of the work that was done before.
 const FORGOTTEN_AFTER: u64 = 256;
--- a/crates/nutmegkeel_core/src/l4/waiting/contended.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting/contended.rs
@@ -1,30 +1,26 @@
 //! The queue where callers compete for room: by urgency, and by the callers' shares.
 
+use super::arrivals::Arrivals;
 use super::floor::Floor;
 use super::rank::{Capacity, Class, Rank, Timeliness};
 use super::{Queue, Waiting};
 use crate::clock::Time;
-use crate::l4::flow::{Flow, Head};
+use crate::l4::flow::Head;
 use crate::l4::policy::{Mechanism, Policy};
 use crate::l4::route::Urgency;
 use crate::l4::share::{Shares, Standing};
 
-/// A crowd that lasts no longer than this is expected to end, and its backlog to be worked off, in
-/// milliseconds: people who come at once have come by then.
-const CROWD_MS: u64 = 2_000;
-
-/// Pause between two looks for requests that cannot be served, in milliseconds: each look sorts all.
-const LOOK_MS: u64 = 20;
-
 /// What the order and the refusals rest on.
 #[derive(Debug, Default)]
 pub(super) struct Contended {
     /// Whether urgency counts; all are equally urgent otherwise.
     by_urgency: bool,
-    floor: Floor,
-    looked: Time,
-    /// When something was last late.
-    last_late: Time,
+    pub(super) floor: Floor,
+    pub(super) arrivals: Arrivals,
+    /// When it was last looked for what cannot be served.
+    pub(super) looked: Time,
+    /// When something was last late or refused.
+    pub(super) last_trouble: Time,
 }
 
 impl Contended {
@@ -42,20 +38,20 @@
 
 /// What is needed to rank requests at one moment.
 #[derive(Clone, Copy)]
-struct Moment<'a> {
-    now: Time,
-    capacity: &'a Capacity,
-    shares: &'a Shares,
-    newest_first: bool,
+pub(super) struct Moment<'a> {
+    pub(super) now: Time,
+    pub(super) capacity: &'a Capacity,
+    pub(super) shares: &'a Shares,
+    pub(super) newest_first: bool,
 }
 
 impl Moment<'_> {
-    fn class(&self, contended: &Contended, waiting: &Waiting) -> Class {
+    pub(super) fn class(&self, contended: &Contended, waiting: &Waiting) -> Class {
         let timeliness = Timeliness::of(self.now, waiting, self.capacity);
         Class::new(contended.urgency(waiting), timeliness)
     }
 
-    fn rank(&self, class: Class, waiting: &Waiting) -> Rank {
+    pub(super) fn rank(&self, class: Class, waiting: &Waiting) -> Rank {
         let standing = self.shares.standing(*waiting.flow.client.ip());
         let due = waiting.due().millis();
         let turn = if self.newest_first && class.may_reverse() { u64::MAX - due } else { due };
@@ -93,90 +89,29 @@
         let owed = neglected.filter(|_| contended.floor.is_due());
         let owed = owed.and_then(|urgency| self.first(&moment, contended, Some(urgency)));
         let (index, rank) = owed.unwrap_or((best, rank));
-        let passes_by = neglected.is_some() && owed.is_none();
         if let Some(contended) = self.contended.as_mut() {
-            contended.floor.note(rank.class.urgency, passes_by);
+            match owed {
+                Some(_) => contended.floor.note_owed(rank.class.urgency),
+                None => contended.floor.note(rank.class.urgency, neglected.is_some()),
+            }
         }
         let waiting = self.flows.remove(index)?;
         let request = waiting.request?;
         Some((waiting, request, rank.standing))
     }
 
-    /// Takes out the requests that may be refused and for which it is known that they cannot be served.
-    ///
-    /// A request that the slots cannot begin in time to be in time, by those that go before it, is served
-    /// from what these leave. It is given up if its deadline would pass even if all slots went on with
-    /// those before it; and once more has come than can be served for longer than a crowd lasts, if the
-    /// overload reaches its deadline by going on for as long as it has lasted. Guards against clients
-    /// that wait seconds for nothing, and by the growing time against turning away, at a crowd, what the
-    /// slots could serve after it.
-    pub fn take_unservable(
-        &mut self,
-        now: Time,
-        capacity: &Capacity,
-        shares: &Shares,
-        may_refuse: impl Fn(&Flow) -> bool,
-    ) -> Vec<Waiting> {
-        let Some(contended) = self.contended.as_mut() else {
-            return Vec::new();
-        };
-        if !self.turns_away || now.since(contended.looked) < LOOK_MS {
-            return Vec::new();
-        }
-        contended.looked = now;
-        let moment = Moment { now, capacity, shares, newest_first: false };
-        let mut unservable: Vec<Flow> = Vec::new();
-        let mut ahead = 0;
-        for waiting in self.in_order(&moment) {
-            if may_refuse(&waiting.flow) && !self.is_servable(&moment, waiting, ahead) {
-                unservable.push(waiting.flow);
-            } else {
-                ahead += 1;
-            }
-        }
-        unservable.iter().filter_map(|flow| self.take(flow)).collect()
-    }
-
-    /// Whether a request that has not been taken in yet could be served, by the same rule.
-    #[must_use]
-    pub fn bears(
-        &self,
-        now: Time,
-        capacity: &Capacity,
-        shares: &Shares,
-        waiting: &Waiting,
-    ) -> bool {
-        let Some(contended) = self.contended.as_ref().filter(|_| self.turns_away) else {
-            return true;
-        };
-        let moment = Moment { now, capacity, shares, newest_first: false };
-        let rank = |waiting: &Waiting| moment.rank(moment.class(contended, waiting), waiting);
-        let own = rank(waiting);
-        let ahead = self.flows.iter().filter(|other| rank(other) <= own).count();
-        self.is_servable(&moment, waiting, ahead)
-    }
-
-    fn is_servable(&self, moment: &Moment, waiting: &Waiting, ahead: usize) -> bool {
-        let Moment { now, capacity, .. } = *moment;
-        let lasted_ms = self.pressed.map_or(0, |since| now.since(since));
-        let rest_ms = if lasted_ms > CROWD_MS { lasted_ms } else { 0 };
-        let start_ms = capacity.start_ms(ahead);
-        let is_in_time = waiting.is_in_time(now, start_ms + capacity.most_ms());
-        is_in_time || waiting.left_ms(now) >= rest_ms + start_ms + capacity.answer_ms()
-    }
-
     /// Notes whether more comes than can be served: something is late. It is over when nothing has been
-    /// late for the time of an objective.
+    /// late or refused for the time of an objective.
     pub(super) fn note_contention(&mut self, now: Time, answer_ms: u64) {
         let Some(contended) = self.contended.as_mut() else {
             return;
         };
         let late = self.flows.iter().find(|waiting| !waiting.is_in_time(now, answer_ms));
         if let Some(late) = late {
-            contended.last_late = now;
+            contended.last_trouble = now;
             self.pressed.get_or_insert(now);
             self.crowding_ms = u64::from(late.demand.objective_ms);
-        } else if now.since(contended.last_late) > self.crowding_ms {
+        } else if now.since(contended.last_trouble) > self.crowding_ms {
             self.pressed = None;
         }
     }
@@ -202,7 +137,7 @@
         true
     }
 
-    fn requests(&self) -> impl Iterator<Item = (usize, &Waiting)> + '_ {
+    pub(super) fn requests(&self) -> impl Iterator<Item = (usize, &Waiting)> + '_ {
         let all = self.flows.iter().enumerate();
         all.filter(|(_, waiting)| waiting.request.is_some())
     }
@@ -228,20 +163,4 @@
         }
         best
     }
-
-    fn in_order(&self, moment: &Moment) -> Vec<&Waiting> {
-        let Some(contended) = self.contended.as_ref() else {
-            return Vec::new();
-        };
-        let rank = |waiting: &Waiting| moment.rank(moment.class(contended, waiting), waiting);
-        let mut ranked: Vec<(Rank, &Waiting)> =
-            self.requests().map(|(_, waiting)| (rank(waiting), waiting)).collect();
-        ranked.sort_by_key(|(rank, _)| *rank);
-        ranked.into_iter().map(|(_, waiting)| waiting).collect()
-    }
-
-    fn take(&mut self, flow: &Flow) -> Option<Waiting> {
-        let index = self.flows.iter().position(|waiting| waiting.flow == *flow)?;
-        self.flows.remove(index)
-    }
 }
