--- a/crates/nutmegkeel_core/src/l4/waiting/arrivals.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting/arrivals.rs
@@ -27,8 +27,8 @@
         self.current += 1;
     }
 
-    /// Whether more came in the last window than the slots can do in that time.
-    pub(super) fn exceed(&self, now: Time, capacity: &Capacity) -> bool {
+    /// Room that takes what came in the last window, in percent of what the slots can do.
+    pub(super) fn percent(&self, now: Time, capacity: &Capacity) -> u64 {
         let window = now.millis() / WINDOW_MS;
         let passed_ms = now.millis() % WINDOW_MS;
         let (current, previous) = match window.checked_sub(self.window) {
@@ -38,6 +38,6 @@
         };
         let came = current * WINDOW_MS + previous * (WINDOW_MS - passed_ms);
         let borne_us = capacity.slots.max(1) * WINDOW_MS * 1_000;
-        came * capacity.mean_us > borne_us * WINDOW_MS
+        came * capacity.mean_us * 100 / (borne_us * WINDOW_MS)
     }
 }
--- a/crates/nutmegkeel_core/src/l4/waiting/refusal.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting/refusal.rs
@@ -99,27 +99,39 @@
         let others = self.flows.iter().map(rank).filter(|other| *other <= own);
         others.for_each(|other| ahead.add(other.class.urgency));
         let ahead = ahead.of(own.class.urgency, &contended.floor);
-        let is_lasting = self.lasted_ms(&moment) > 0;
+        let is_lasting = self.lasted_ms(now) > CROWD_MS;
         let in_time = waiting.is_in_time(now, capacity.start_ms(ahead) + capacity.most_ms());
         in_time || !is_lasting && self.is_servable(&moment, waiting, ahead)
     }
 
     fn is_servable(&self, moment: &Moment, waiting: &Waiting, ahead: usize) -> bool {
         let Moment { now, capacity, .. } = *moment;
-        let rest_ms = self.lasted_ms(moment);
         let start_ms = capacity.start_ms(ahead);
         let is_in_time = waiting.is_in_time(now, start_ms + capacity.most_ms());
-        is_in_time || waiting.left_ms(now) >= rest_ms + start_ms + capacity.answer_ms()
+        let start_ms = self.late_start_ms(moment, start_ms);
+        is_in_time || waiting.left_ms(now) >= start_ms + capacity.answer_ms()
     }
 
-    /// For how long an overload has lasted that is no crowd, in milliseconds; zero if there is none, or if
-    /// what comes now could be served.
-    fn lasted_ms(&self, moment: &Moment) -> u64 {
-        let lasted_ms = self.pressed.map_or(0, |since| moment.now.since(since));
-        let exceeds =
-            |contended: &Contended| contended.arrivals.exceed(moment.now, moment.capacity);
-        let is_lasting = lasted_ms > CROWD_MS && self.contended.as_ref().is_some_and(exceeds);
-        if is_lasting { lasted_ms } else { 0 }
+    /// Time until the server begins with what is late, if it could begin after `start_ms` with nothing new
+    /// coming, in milliseconds.
+    ///
+    /// During a crowd that is the time: what comes now may be the last. Under a lasting overload new
+    /// requests go first, so what is late gets the room that they leave; or it waits until the overload is
+    /// over, which is expected to last as long as it has lasted.
+    fn late_start_ms(&self, moment: &Moment, start_ms: u64) -> u64 {
+        let lasted_ms = self.lasted_ms(moment.now);
+        let Some(contended) = self.contended.as_ref().filter(|_| lasted_ms > CROWD_MS) else {
+            return start_ms;
+        };
+        let left_percent =
+            100_u64.saturating_sub(contended.arrivals.percent(moment.now, moment.capacity));
+        let in_room_left = (start_ms * 100).checked_div(left_percent).unwrap_or(u64::MAX);
+        in_room_left.min(start_ms + lasted_ms)
+    }
+
+    /// For how long more has come than can be served, in milliseconds.
+    fn lasted_ms(&self, now: Time) -> u64 {
+        self.pressed.map_or(0, |since| now.since(since))
     }
 
     fn in_order(&self, moment: &Moment) -> Vec<(Class, &Waiting)> {
