--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -8,6 +8,7 @@
 mod contended;
 mod evacuation;
 mod event;
+mod refused;
 mod replica;
 mod request;
 mod standing;
@@ -18,6 +19,7 @@
 use std::sync::Arc;
 
 use evacuation::Standing;
+use refused::Refused;
 use replica::Replica;
 use request::Opening;
 
@@ -77,6 +79,7 @@
     waiting: Queue,
     /// What callers received lately, where they compete for room.
     shares: Shares,
+    refused: Refused,
     pace: Pace,
     record: Record,
     mute: mute::Watch,
@@ -125,6 +128,7 @@
             deserted: false,
             waiting: Queue::open(&identity.policy),
             shares: Shares::default(),
+            refused: Refused::default(),
             identity,
             started: now,
             balancers,
@@ -242,6 +246,9 @@
             }
             return actions;
         }
+        if self.refused.contains(now, &flow) {
+            return reset(flow, head.ack, Cause::Overload).into();
+        }
         // Guards against a server that takes a packet for its own because the two servers' numbers are
         // near each other: one that accepted a copy of the opening is never asked for the flow.
         if self.table.is_elsewhere(head) || self.is_certain(now) || self.probes.denied(now, &flow) {
@@ -359,6 +366,7 @@
         actions.extend(self.save(now));
         actions.extend(self.replicate(now));
         self.table.expire(now);
+        self.refused.expire(now);
         self.probes.expire(now);
         self.balancers.expire(now);
         self.words.expire(now);
--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -47,6 +47,7 @@
         }
         self.budget.give(now);
         self.waiting.remove(&flow);
+        self.refused.remove(&flow);
         self.table.open(now, flow, opening.head.seq, demand);
         self.note_asked(now, flow, opening.from);
         if self.may_wait(demand) && self.is_saturated() {
--- a/crates/nutmegkeel_core/tests/l4/contended_agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/contended_agent.rs
@@ -106,6 +106,24 @@
     assert!(actions.iter().any(is_noted), "{actions:?}");
 }
 
+/// A filing of two packets is refused when its first comes. The second is on its way, the agent says that it
+/// does not hold the flow, and a balancer asks every other agent for it.
+#[test]
+fn what_still_comes_of_a_refused_flow_is_answered_by_another_reset() {
+    let mut agent = busy(contention(&[]), 1_000);
+    begin(&mut agent, 1_002, flow(21), once(1));
+    agent.handle(at(1_002 + 3_990), Event::Tick);
+
+    let head = data(flow(21), 1_101, 501);
+    let event = |head| Event::Carry { from: BALANCER, head, known: true };
+    let again = agent.handle(at(5_000), event(head));
+    let strange = agent.handle(at(5_000), event(data(flow(22), 1_101, 501)));
+
+    assert_eq!(reset(&again), Some(flow(21)));
+    assert!(!again.iter().any(|action| matches!(action, Action::Return(..))), "{again:?}");
+    assert_eq!(reset(&strange), None);
+}
+
 /// On an open flow a reset would break what the server holds, and would not say that nothing has run.
 #[test]
 fn a_request_on_an_open_flow_is_never_reset() {
