--- a/crates/nutmegkeel_core/src/l4/balancer/opening.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/opening.rs
@@ -20,6 +20,11 @@
 /// Agents asked for one opening at most.
 const OPEN_TRIES: usize = 8;
 
+/// Where callers compete for room, agents that may say that an answer would come too late before the opening
+/// is refused. Guards against entry hosts that lose packets of others: under an overload each opening
+/// would ask eight agents for the same answer.
+const LATE_TRIES: usize = 2;
+
 /// An opening that has found no agent within this is refused, in milliseconds: its client gives it up
 /// after 1.4 s.
 const LONGEST_MS: u64 = 1_100;
@@ -76,7 +81,9 @@
             domain: &self.identity.domain,
             tried: &excluded,
         };
-        let may_try = tries < OPEN_TRIES && waited_ms <= LONGEST_MS;
+        let late = entry.declined.iter().filter(|(_, reason)| *reason == Reason::Late).count();
+        let is_hopeless = late >= LATE_TRIES && self.identity.policy.uses(Mechanism::Urgency);
+        let may_try = tries < OPEN_TRIES && waited_ms <= LONGEST_MS && !is_hopeless;
         let choice = may_try.then(|| self.pool.choose(now, &wish)).flatten();
         let Some(choice) = choice else {
             return self.refuse(now, head, service, tries);
