--- a/crates/nutmegkeel_core/src/l4.rs
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -24,6 +24,7 @@
 pub mod roster;
 pub mod route;
 pub mod server;
+pub mod share;
 pub mod speed;
 pub mod status;
 pub mod table;
--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -5,8 +5,10 @@
 //! not hold comes back.
 
 mod balancers;
+mod contended;
 mod evacuation;
 mod event;
+mod refused;
 mod replica;
 mod request;
 mod speed;
@@ -18,6 +20,7 @@
 use std::sync::Arc;
 
 use evacuation::Standing;
+use refused::Refused;
 use replica::Replica;
 use request::Opening;
 
@@ -33,6 +36,7 @@
 use super::probe::Probes;
 use super::roster::{Book, TELL_MS};
 use super::server::Beside;
+use super::share::Shares;
 use super::speed::Meter;
 use super::table::{Outcome, Stage, Table};
 use super::waiting::Queue;
@@ -75,6 +79,9 @@
     table: Table,
     probes: Probes,
     waiting: Queue,
+    /// What callers received lately, where they compete for room.
+    shares: Shares,
+    refused: Refused,
     pace: Pace,
     /// How long a slot works on a request.
     meter: Meter,
@@ -126,6 +133,8 @@
             budget: Budget::default(),
             deserted: false,
             waiting: Queue::open(&identity.policy),
+            shares: Shares::default(),
+            refused: Refused::default(),
             identity,
             started: now,
             balancers,
@@ -245,12 +254,15 @@
     fn carry(&mut self, now: Time, from: Ipv4Addr, head: &Head, known: bool) -> Vec<Action> {
         let flow = head.flow;
         if self.table.takes(now, head) {
-            let mut actions = self.take(now, head);
+            let mut actions = self.take(now, head, from);
             if !known {
                 actions.push(Action::Send(from, Message::Holds { flow, load: self.load() }));
             }
             return actions;
         }
+        if self.refused.contains(now, &flow) {
+            return reset(flow, head.ack, Cause::Overload).into();
+        }
         // Guards against a server that takes a packet for its own because the two servers' numbers are
         // near each other: one that accepted a copy of the opening is never asked for the flow.
         if self.table.is_elsewhere(head) || self.is_certain(now) || self.probes.denied(now, &flow) {
@@ -370,6 +382,7 @@
         actions.extend(self.replicate(now));
         self.notice_warmth(now);
         self.table.expire(now);
+        self.refused.expire(now);
         self.probes.expire(now);
         self.balancers.expire(now);
         self.words.expire(now);
--- a/crates/nutmegkeel_core/src/l4/agent/event.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/event.rs
@@ -7,6 +7,7 @@
 use crate::l4::flow::{Flow, Head};
 use crate::l4::message::{Message, Offer, Roster};
 use crate::l4::note::Note;
+use crate::l4::route::Urgency;
 use crate::l4::server::{Heartbeat, Incarnation};
 
 /// What happens to an agent.
@@ -61,11 +62,11 @@
 pub enum Action {
     /// Hand the packet at hand to the backend server, with this number in it.
     ToServer(u32),
-    /// Keep the packet at hand, as the last one of its flow.
+    /// Keep the packet at hand behind those kept of its flow.
     Keep(Head),
-    /// Hand the kept packet of this flow to the backend server.
+    /// Hand the kept packets of this flow to the backend server.
     Release(Flow),
-    /// Forget the kept packet of this flow.
+    /// Forget the kept packets of this flow.
     Forget(Flow),
     /// Send the packet at hand to the client.
     ToClient,
@@ -86,8 +87,13 @@
     Fetch(Holder),
     /// Count a request whose answer began after this many milliseconds.
     CountAnswer(u64),
-    /// Count an opening that waited for a slot for this many milliseconds.
-    CountWait(u64),
+    /// Count a request that waited for a slot.
+    CountWait {
+        /// How urgent it is.
+        urgency: Urgency,
+        /// How long it waited, in milliseconds.
+        waited_ms: u64,
+    },
     /// Write a line.
     Note(Note),
 }
--- a/crates/nutmegkeel_core/src/l4/balancer/opening.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/opening.rs
@@ -24,6 +24,11 @@
 /// Agents asked for one opening at most.
 const OPEN_TRIES: usize = 8;
 
+/// Where callers compete for room, agents that may say that an answer would come too late before the opening
+/// is refused. Guards against entry hosts that lose packets of others: under an overload each opening
+/// would ask eight agents for the same answer.
+const LATE_TRIES: usize = 2;
+
 /// An opening that has found no agent within this is refused, in milliseconds: its client gives it up
 /// after 1.4 s.
 const LONGEST_MS: u64 = 1_100;
@@ -103,7 +108,9 @@
     ) -> Option<Selection> {
         let policy = &self.identity.policy;
         let (tries, by_room) = (declined.len(), policy.uses(Mechanism::Room));
-        let may_try = tries < OPEN_TRIES && waited_ms <= LONGEST_MS;
+        let late = declined.iter().filter(|(_, reason)| *reason == Reason::Late).count();
+        let is_hopeless = late >= LATE_TRIES && policy.uses(Mechanism::Urgency);
+        let may_try = tries < OPEN_TRIES && waited_ms <= LONGEST_MS && !is_hopeless;
         let select = |for_idle| {
             let tried = excluded(declined, for_idle);
             let wish = Wish { tried: &tried, ..wish };
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/waiting/contended.rs
@@ -0,0 +1,166 @@
+//! The queue where callers compete for room: by urgency, and by the callers' shares.
+
+use super::arrivals::Arrivals;
+use super::floor::Floor;
+use super::rank::{Capacity, Class, Rank, Timeliness};
+use super::{Queue, Waiting};
+use crate::clock::Time;
+use crate::l4::flow::Head;
+use crate::l4::policy::{Mechanism, Policy};
+use crate::l4::route::Urgency;
+use crate::l4::share::{Shares, Standing};
+
+/// What the order and the refusals rest on.
+#[derive(Debug, Default)]
+pub(super) struct Contended {
+    /// Whether urgency counts; all are equally urgent otherwise.
+    by_urgency: bool,
+    pub(super) floor: Floor,
+    pub(super) arrivals: Arrivals,
+    /// When it was last looked for what cannot be served.
+    pub(super) looked: Time,
+    /// When something was last late or refused.
+    pub(super) last_trouble: Time,
+}
+
+impl Contended {
+    /// None where nothing asks for it.
+    pub(super) fn open(policy: &Policy) -> Option<Self> {
+        let by_urgency = policy.uses(Mechanism::Urgency);
+        let is_used = by_urgency || policy.uses(Mechanism::FairShares);
+        is_used.then(|| Self { by_urgency, ..Self::default() })
+    }
+
+    fn urgency(&self, waiting: &Waiting) -> Urgency {
+        if self.by_urgency { waiting.demand.urgency } else { Urgency::DEFAULT }
+    }
+}
+
+/// What is needed to rank requests at one moment.
+#[derive(Clone, Copy)]
+pub(super) struct Moment<'a> {
+    pub(super) now: Time,
+    pub(super) capacity: &'a Capacity,
+    pub(super) shares: &'a Shares,
+    pub(super) newest_first: bool,
+}
+
+impl Moment<'_> {
+    pub(super) fn class(&self, contended: &Contended, waiting: &Waiting) -> Class {
+        let timeliness = Timeliness::of(self.now, waiting, self.capacity);
+        Class::new(contended.urgency(waiting), timeliness)
+    }
+
+    pub(super) fn rank(&self, class: Class, waiting: &Waiting) -> Rank {
+        let standing = self.shares.standing(*waiting.flow.client.ip());
+        let due = waiting.due().millis();
+        let turn = if self.newest_first && class.may_reverse() { u64::MAX - due } else { due };
+        Rank { class, standing, turn }
+    }
+}
+
+impl Queue {
+    /// Whether callers compete for room here.
+    #[must_use]
+    pub const fn is_contended(&self) -> bool {
+        self.contended.is_some()
+    }
+
+    /// Takes out the request that goes next where callers compete, and how its caller stands.
+    ///
+    /// First what can still be in time, the more urgent first, and with it what has its last chance now;
+    /// then what may be in time; then what is late. Among equals callers within their share come first, and
+    /// then the one that is due first; the one due last if pressure lasts and not all that can be in time
+    /// now will be, because the first would each be answered at the last moment, or late. One in
+    /// [`super::FLOOR_EVERY`] is of a less urgent class.
+    pub fn next(
+        &mut self,
+        now: Time,
+        capacity: &Capacity,
+        shares: &Shares,
+    ) -> Option<(Waiting, Head, Standing)> {
+        let moment = self.moment(now, capacity, shares);
+        let contended = self.contended.as_ref()?;
+        let (best, rank) = self.first(&moment, contended, None)?;
+        let first = rank.class.urgency;
+        let others = self.requests().map(|(_, waiting)| contended.urgency(waiting));
+        let neglected = others.filter(|urgency| *urgency > first);
+        let neglected = neglected.min_by_key(|urgency| contended.floor.last(*urgency));
+        let owed = neglected.filter(|_| contended.floor.is_due());
+        let owed = owed.and_then(|urgency| self.first(&moment, contended, Some(urgency)));
+        let (index, rank) = owed.unwrap_or((best, rank));
+        if let Some(contended) = self.contended.as_mut() {
+            match owed {
+                Some(_) => contended.floor.note_owed(rank.class.urgency),
+                None => contended.floor.note(rank.class.urgency, neglected.is_some()),
+            }
+        }
+        let waiting = self.flows.remove(index)?;
+        let request = waiting.request?;
+        Some((waiting, request, rank.standing))
+    }
+
+    /// Notes whether more comes than can be served: something is late. It is over when nothing has been
+    /// late or refused for the time of an objective.
+    pub(super) fn note_contention(&mut self, now: Time, answer_ms: u64) {
+        let Some(contended) = self.contended.as_mut() else {
+            return;
+        };
+        let late = self.flows.iter().find(|waiting| !waiting.is_in_time(now, answer_ms));
+        if let Some(late) = late {
+            contended.last_trouble = now;
+            self.pressed.get_or_insert(now);
+            self.crowding_ms = u64::from(late.demand.objective_ms);
+        } else if now.since(contended.last_trouble) > self.crowding_ms {
+            self.pressed = None;
+        }
+    }
+
+    fn moment<'a>(&self, now: Time, capacity: &'a Capacity, shares: &'a Shares) -> Moment<'a> {
+        let newest_first =
+            self.newest_first && !self.is_short(now) && !self.is_feasible(now, capacity);
+        Moment { now, capacity, shares, newest_first }
+    }
+
+    /// Whether all that can be in time now will be, in the order of arrival.
+    fn is_feasible(&self, now: Time, capacity: &Capacity) -> bool {
+        let mut ahead = 0;
+        for (_, waiting) in self.requests() {
+            if !waiting.is_in_time(now, capacity.start_ms(0) + capacity.most_ms()) {
+                continue;
+            }
+            if !waiting.is_in_time(now, capacity.start_ms(ahead) + capacity.most_ms()) {
+                return false;
+            }
+            ahead += 1;
+        }
+        true
+    }
+
+    pub(super) fn requests(&self) -> impl Iterator<Item = (usize, &Waiting)> + '_ {
+        let all = self.flows.iter().enumerate();
+        all.filter(|(_, waiting)| waiting.request.is_some())
+    }
+
+    /// The first in order, of one urgency if it is given. Shares are asked for only where classes are equal.
+    fn first(
+        &self,
+        moment: &Moment,
+        contended: &Contended,
+        of: Option<Urgency>,
+    ) -> Option<(usize, Rank)> {
+        let mut best: Option<(usize, Rank)> = None;
+        for (index, waiting) in self.requests() {
+            let class = moment.class(contended, waiting);
+            let is_meant = of.is_none_or(|urgency| urgency == class.urgency);
+            if !is_meant || best.is_some_and(|(_, rank)| rank.class < class) {
+                continue;
+            }
+            let rank = moment.rank(class, waiting);
+            if best.is_none_or(|(_, other)| rank < other) {
+                best = Some((index, rank));
+            }
+        }
+        best
+    }
+}
--- a/crates/nutmegkeel_node/src/l4.rs
+++ b/crates/nutmegkeel_node/src/l4.rs
@@ -4,7 +4,6 @@
 pub mod balancer;
 mod checkpoint;
 mod collector;
-mod configuration;
 pub mod configuration;
 mod gauges;
 mod journal;
@@ -13,6 +12,7 @@
 mod membership;
 mod metered;
 mod reload;
+mod requests;
 
 use std::io;
 use std::net::SocketAddrV4;
--- a/crates/nutmegkeel_node/src/l4/journal.rs
+++ b/crates/nutmegkeel_node/src/l4/journal.rs
@@ -77,10 +77,14 @@
         let (kind, limit) = kind(&note);
         counter!(metric::DECISIONS, "kind" => kind, "reason" => reason(&note)).increment(1);
         if let Note::Refused { cause, urgency, .. } = &note {
-            let urgency = urgency.number().to_string();
+            let urgency = urgency.name();
             counter!(metric::OPENINGS_REFUSED, "cause" => cause.name(), "urgency" => urgency)
                 .increment(1);
         }
+        if let Note::GivenUp { cause, urgency, .. } = &note {
+            counter!(metric::GIVEN_UP, "cause" => cause.name(), "urgency" => urgency.name())
+                .increment(1);
+        }
         self.write_within(now, kind, limit, || Entry::Note(note));
     }
 
@@ -151,6 +155,8 @@
         Note::Refused { .. } => ("refused", UNUSUAL),
         Note::Kept { .. } => ("kept", USUAL),
         Note::Expired { .. } => ("expired", UNUSUAL),
+        Note::GivenUp { .. } => ("given_up", UNUSUAL),
+        Note::BeyondShare { .. } => ("beyond_share", USUAL),
         Note::Agent { .. } | Note::AgentSilent { .. } => ("agent", UNUSUAL),
         Note::Speed(_) => ("speed", UNUSUAL),
         Note::InForce { .. } => ("in_force", UNUSUAL),
@@ -165,11 +171,13 @@
 const fn reason(note: &Note) -> &'static str {
     match note {
         Note::Declined { reason, .. } => reason.name(),
-        Note::Reset { cause, .. } | Note::Refused { cause, .. } | Note::Kept { cause, .. } => {
-            cause.name()
-        }
         Note::Speed(verdict) if verdict.is_slow => "slow",
         Note::Speed(_) => "usual",
+        Note::Reset { cause, .. }
+        | Note::Refused { cause, .. }
+        | Note::Kept { cause, .. }
+        | Note::GivenUp { cause, .. } => cause.name(),
+        Note::BeyondShare { standing, .. } => standing.name(),
         _ => "",
     }
 }
@@ -226,6 +234,15 @@
             warn!(event = "expired", flow:% = flow, waited_ms = waited_ms;
                 "request waited for a slot until its client's time was over");
         }
+        Note::GivenUp { flow, cause, urgency, waited_ms } => {
+            warn!(event = "given_up", flow:% = flow, cause = cause.name(),
+                urgency = urgency.number(), waited_ms = waited_ms;
+                "request that waited for a slot given up");
+        }
+        Note::BeyondShare { flow, standing, waited_ms } => {
+            info!(event = "beyond_share", flow:% = flow, standing = standing.name(),
+                waited_ms = waited_ms; "request went on behind those of callers within their share");
+        }
         Note::Agent { agent, change } => {
             info!(event = "agent", agent:% = agent, change:? = change; "agent changed");
         }
