--- a/crates/nutmegkeel_core/src/l4/waiting/refusal.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting/refusal.rs
@@ -69,11 +69,8 @@
         unservable
     }
 
-    /// Whether a request that has not been taken in yet should be: it could be served by the same rule,
-    /// and under a lasting overload in time.
-    ///
-    /// Guards against requests that are taken in, passed by, and refused when their objective is over. Their
-    /// clients come back, pass for new ones, and take the slots of those who could be in time.
+    /// Whether a request that has not been taken in yet could be served, by the same rule. Where it could
+    /// not, its client is told before it has a connection to the server.
     pub fn bears(
         &mut self,
         now: Time,
@@ -99,9 +96,7 @@
         let others = self.flows.iter().map(rank).filter(|other| *other <= own);
         others.for_each(|other| ahead.add(other.class.urgency));
         let ahead = ahead.of(own.class.urgency, &contended.floor);
-        let is_lasting = self.lasted_ms(now) > CROWD_MS;
-        let in_time = waiting.is_in_time(now, capacity.start_ms(ahead) + capacity.most_ms());
-        in_time || !is_lasting && self.is_servable(&moment, waiting, ahead)
+        self.is_servable(&moment, waiting, ahead)
     }
 
     fn is_servable(&self, moment: &Moment, waiting: &Waiting, ahead: usize) -> bool {
