--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -295,15 +295,28 @@
                 }
                 vec![Action::CountAnswer(after_ms)]
             }
-            Outcome::Broken if self.uses(Mechanism::Outliers) && self.record.broken(now) => {
+            Outcome::Broken { behind }
+                if self.is_fault(behind, slots) && self.record.broken(now) =>
+            {
                 let mut actions = vec![self.changed(ServerChange::Failing)];
                 actions.extend(self.announce(now));
                 actions
             }
-            Outcome::Broken => Vec::new(),
+            Outcome::Broken { .. } => Vec::new(),
         }
     }
 
+    /// Whether a request that was broken off shows a fault of the server, if `behind` were in progress when
+    /// it came.
+    ///
+    /// Guards against a crowd that makes whole services look faulty: a full server turns away what its queue
+    /// does not hold, and would be spared while its peers drown in its share. A faulty one is rid of its
+    /// requests at once, and so never full.
+    fn is_fault(&self, behind: usize, slots: usize) -> bool {
+        let is_full = self.uses(Mechanism::Room) && behind >= slots;
+        self.uses(Mechanism::Outliers) && !is_full
+    }
+
     fn bounced(&mut self, now: Time, head: &Head) -> Vec<Action> {
         self.unanswered_since = None;
         self.deserted = false;
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -165,7 +165,7 @@
                     since.map(|since| Outcome::Answered { after_ms: now.since(since), behind });
             }
             if head.flags.rst && held.stage == Stage::Open && held.request_since.is_some() {
-                outcome = Some(Outcome::Broken);
+                outcome = Some(Outcome::Broken { behind: held.request_behind });
             }
             held.server_fin |= head.flags.fin;
             held.note_end(now, head.flags.rst);
@@ -266,5 +266,8 @@
         behind: usize,
     },
     /// The server broke the flow off without an answer.
-    Broken,
+    Broken {
+        /// Requests that were in progress when it came.
+        behind: usize,
+    },
 }
