--- a/crates/nutmegkeel_core/src/l4/balancer/opening.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/opening.rs
@@ -73,7 +73,8 @@
         let entry = self.cache.entry(now, head.flow);
         let (tries, waited_ms) = (entry.declined.len(), now.since(entry.began));
         let declined = entry.declined.clone();
-        let Some(selection) = self.select(now, wish, &declined, waited_ms) else {
+        let in_vain = self.asks_in_vain(now, &head.flow, service);
+        let Some(selection) = self.select(now, wish, &declined, waited_ms, in_vain) else {
             return self.refuse(now, head, service, route.urgency, tries);
         };
         let Selection { choice, tried, for_idle } = selection;
@@ -93,13 +94,14 @@
     }
 
     /// The agent for an opening that these agents declined, and whether it is asked for a free slot. Where
-    /// openings go by room, that is asked for longer while a slot is believed free.
+    /// openings go by room, that is asked for longer while a slot is believed free, and not at all in vain.
     fn select(
         &self,
         now: Time,
         wish: Wish,
         declined: &[(Ipv4Addr, Reason)],
         waited_ms: u64,
+        in_vain: bool,
     ) -> Option<Selection> {
         let policy = &self.identity.policy;
         let (tries, by_room) = (declined.len(), policy.uses(Mechanism::Room));
@@ -118,7 +120,7 @@
         let for_idle = tries < idle_tries && policy.uses(Mechanism::FreeSlotFirst);
         let selection = select(for_idle);
         let is_free = |one: &Selection| self.pool.is_free(now, one.choice.agent);
-        let is_last_resort = tries >= IDLE_TRIES || selection.is_none();
+        let is_last_resort = in_vain || tries >= IDLE_TRIES || selection.is_none();
         if by_room && for_idle && is_last_resort && !selection.as_ref().is_some_and(is_free) {
             return select(false);
         }
--- a/crates/nutmegkeel_core/src/l4/balancer/shortage.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/shortage.rs
@@ -5,7 +5,7 @@
 
 use super::{Action, Balancer};
 use crate::clock::Time;
-use crate::l4::flow::Head;
+use crate::l4::flow::{Flow, Head};
 use crate::l4::note::{Cause, Note};
 use crate::l4::placement::{Choice, Wish};
 use crate::l4::policy::Mechanism;
@@ -67,6 +67,14 @@
         (may_try || goes_on).then_some(choice)
     }
 
+    /// Whether it is in vain to ask agents for a free slot for this flow.
+    ///
+    /// Guards against a crowd in which every opening is handed back twice before it may wait: three times
+    /// the messages, when hosts are busiest.
+    pub(super) fn asks_in_vain(&self, now: Time, flow: &Flow, service: Service) -> bool {
+        self.memory.crowds.is_certain(now, (flow.service, service))
+    }
+
     /// Whether a first opening comes of a client that was refused; asked once for each flow.
     pub(super) fn returns(&mut self, now: Time, head: &Head) -> bool {
         if !self.identity.policy.uses(Mechanism::Room) {
--- a/crates/nutmegkeel_core/src/l4/room/crowd.rs
+++ b/crates/nutmegkeel_core/src/l4/room/crowd.rs
@@ -3,12 +3,16 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
+use super::BELIEVED_MS;
 use crate::clock::Time;
 use crate::l4::route::Service;
 
 /// A crowd that lasts no longer turns nobody away, in milliseconds: servers work off what it leaves.
 pub const CROWD_MS: u64 = 2_000;
 
+/// After this no free slot is looked for any more, in milliseconds: each report has been renewed since.
+const CERTAIN_MS: u64 = BELIEVED_MS;
+
 /// A crowd of which nothing was seen for so long is over, in milliseconds.
 const OVER_MS: u64 = 1_000;
 
@@ -52,6 +56,14 @@
         now.since(crowd.since)
     }
 
+    /// Whether no slot has been known free for so long that asking for one is in vain.
+    #[must_use]
+    pub fn is_certain(&self, now: Time, place: Place) -> bool {
+        let is_certain =
+            |crowd: &Crowd| now.since(crowd.since) > CERTAIN_MS && now.since(crowd.seen) <= OVER_MS;
+        self.crowds.get(&place).is_some_and(is_certain)
+    }
+
     /// Notes a slot that is known to be free.
     pub fn note_free(&mut self, place: Place) {
         self.crowds.remove(&place);
--- a/crates/nutmegkeel_core/tests/l4/room.rs
+++ b/crates/nutmegkeel_core/tests/l4/room.rs
@@ -292,6 +292,27 @@
     assert!(!resets(&open(&mut balancer, 5_300, from_other_client(2))));
 }
 
+/// In a crowd every opening is handed back twice before it may wait, and the messages slow everybody down.
+/// Once each report has been renewed and no slot was free, an opening waits at the first agent; one that
+/// comes free is asked for its slot again.
+#[test]
+fn in_a_crowd_no_free_slot_is_looked_for() {
+    let mut balancer = balancer_with(called_for(), 3_000, |_| CROWDED);
+    let mut asked = Vec::new();
+    for (port, now) in (1..).zip((3_000..=4_500).step_by(300)) {
+        announce(&mut balancer, now, |_| CROWDED);
+        let actions = open(&mut balancer, now, flow(port));
+        asked.push(offered(&actions).map(|offer| offer.insistence));
+    }
+    announce(&mut balancer, 4_800, |agent| if agent == 1 { IDLE } else { CROWDED });
+    let free = open(&mut balancer, 4_800, flow(100));
+
+    let (idle, in_time) = (Some(Insistence::IfIdle), Some(Insistence::IfInTime));
+    assert_eq!(asked, [idle, idle, idle, in_time, in_time, in_time]);
+    assert_eq!(forwarded(&free), Some(host(1)));
+    assert_eq!(offered(&free).map(|offer| offer.insistence), idle);
+}
+
 /// What waits grows for seconds. The less urgent requests stand behind all of it and can't be answered in
 /// time; the more urgent go before it, and are not refused.
 #[test]
