--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -8,6 +8,7 @@
 mod opening;
 mod peers;
 mod search;
+mod selection;
 mod shortage;
 pub mod summary;
 
--- a/crates/nutmegkeel_core/src/l4/balancer/opening.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/opening.rs
@@ -1,32 +1,22 @@
 //! Places new flows.
 
-use std::net::Ipv4Addr;
 use std::sync::Arc;
 
+use super::selection::{Attempt, Selection};
 use super::{Action, Balancer};
 use crate::clock::Time;
 use crate::l4::cache::Place;
 use crate::l4::flow::Head;
 use crate::l4::health::Health;
-use crate::l4::message::{Demand, Insistence, Message, Offer, Reason};
+use crate::l4::message::{Demand, Insistence, Message, Offer};
 use crate::l4::note::{Cause, Note};
-use crate::l4::placement::{Choice, Wish};
+use crate::l4::placement::Wish;
 use crate::l4::policy::Mechanism;
 use crate::l4::route::{Kind, Route, Service, Urgency};
 
-/// Agents asked for a free slot before one is asked to let the flow wait: each costs a round trip.
-const IDLE_TRIES: usize = 2;
-
-/// The same while another agent is believed to have a free slot: reports are older than a request takes, so
-/// several in a row may be wrong.
-const FREE_TRIES: usize = 4;
-
-/// Agents asked for one opening at most.
-const OPEN_TRIES: usize = 8;
-
 /// An opening that has found no agent within this is refused, in milliseconds: its client gives it up
 /// after 1.4 s.
-const LONGEST_MS: u64 = 1_100;
+pub(super) const LONGEST_MS: u64 = 1_100;
 
 impl Balancer {
     /// The copies of an opening go where the first went, or two backend servers would accept it;
@@ -70,11 +60,12 @@
             domain: &domain,
             tried: &[],
         };
-        let entry = self.cache.entry(now, head.flow);
-        let (tries, waited_ms) = (entry.declined.len(), now.since(entry.began));
-        let declined = entry.declined.clone();
         let in_vain = self.asks_in_vain(now, &head.flow, service);
-        let Some(selection) = self.select(now, wish, &declined, waited_ms, in_vain) else {
+        let entry = self.cache.entry(now, head.flow);
+        let (declined, waited_ms) = (entry.declined.clone(), now.since(entry.began));
+        let tries = declined.len();
+        let Some(selection) = self.select(now, wish, &Attempt { declined, waited_ms, in_vain })
+        else {
             return self.refuse(now, head, service, route.urgency, tries);
         };
         let Selection { choice, tried, for_idle } = selection;
@@ -93,40 +84,6 @@
         vec![Action::Forward(choice.agent, Message::Open(offer)), Action::Note(note)]
     }
 
-    /// The agent for an opening that these agents declined, and whether it is asked for a free slot. Where
-    /// openings go by room, that is asked for longer while a slot is believed free, and not at all in vain.
-    fn select(
-        &self,
-        now: Time,
-        wish: Wish,
-        declined: &[(Ipv4Addr, Reason)],
-        waited_ms: u64,
-        in_vain: bool,
-    ) -> Option<Selection> {
-        let policy = &self.identity.policy;
-        let (tries, by_room) = (declined.len(), policy.uses(Mechanism::Room));
-        let may_try = tries < OPEN_TRIES && waited_ms <= LONGEST_MS;
-        let select = |for_idle| {
-            let tried = excluded(declined, for_idle);
-            let wish = Wish { tried: &tried, ..wish };
-            let choice = if by_room {
-                self.choose_by_room(now, &wish, waited_ms, may_try)
-            } else {
-                may_try.then(|| self.pool.choose(now, &wish)).flatten()
-            };
-            choice.map(|choice| Selection { choice, tried, for_idle })
-        };
-        let idle_tries = if by_room { FREE_TRIES } else { IDLE_TRIES };
-        let for_idle = tries < idle_tries && policy.uses(Mechanism::FreeSlotFirst);
-        let selection = select(for_idle);
-        let is_free = |one: &Selection| self.pool.is_free(now, one.choice.agent);
-        let is_last_resort = in_vain || tries >= IDLE_TRIES || selection.is_none();
-        if by_room && for_idle && is_last_resort && !selection.as_ref().is_some_and(is_free) {
-            return select(false);
-        }
-        selection
-    }
-
     /// No agent takes the opening. The client learns it at once, unless this balancer may simply not
     /// have heard of an agent yet.
     fn refuse(
@@ -178,19 +135,3 @@
         }
     }
 }
-
-/// An agent selected for an opening.
-#[derive(Debug)]
-struct Selection {
-    choice: Choice,
-    /// Agents that were left out.
-    tried: Vec<Ipv4Addr>,
-    /// Whether it is asked for a free slot only.
-    for_idle: bool,
-}
-
-/// Agents that are not asked again: one that was only busy may be asked to let the flow wait.
-fn excluded(declined: &[(Ipv4Addr, Reason)], for_idle: bool) -> Vec<Ipv4Addr> {
-    let left_out = declined.iter().filter(|(_, reason)| for_idle || *reason != Reason::Busy);
-    left_out.map(|(agent, _)| *agent).collect()
-}
--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/balancer/selection.rs
@@ -0,0 +1,93 @@
+//! Selects the agent that an opening is offered to next.
+
+use std::net::Ipv4Addr;
+
+use super::Balancer;
+use super::opening::LONGEST_MS;
+use crate::clock::Time;
+use crate::l4::message::Reason;
+use crate::l4::placement::{Choice, Wish};
+use crate::l4::policy::Mechanism;
+
+/// Agents asked for a free slot before one is asked to let the flow wait: each costs a round trip.
+const IDLE_TRIES: usize = 2;
+
+/// The same while another agent is believed to have a free slot: reports are older than a request takes, so
+/// several in a row may be wrong.
+const FREE_TRIES: usize = 4;
+
+/// Agents asked for one opening at most, unless another is believed to have a free slot.
+const OPEN_TRIES: usize = 8;
+
+/// How far an opening has come.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    /// Agents that declined it, and why.
+    pub(super) declined: Vec<(Ipv4Addr, Reason)>,
+    /// How long its client has waited, in milliseconds.
+    pub(super) waited_ms: u64,
+    /// Whether it is in vain to ask for a free slot.
+    pub(super) in_vain: bool,
+}
+
+/// An agent selected for an opening.
+#[derive(Debug)]
+pub(super) struct Selection {
+    pub(super) choice: Choice,
+    /// Agents that were left out.
+    pub(super) tried: Vec<Ipv4Addr>,
+    /// Whether it is asked for a free slot only.
+    pub(super) for_idle: bool,
+}
+
+impl Balancer {
+    /// The agent for an opening, and whether it is asked for a free slot. Where openings go by room, that is
+    /// asked for longer while a slot is believed free, and not at all in vain.
+    pub(super) fn select(&self, now: Time, wish: Wish, attempt: &Attempt) -> Option<Selection> {
+        let policy = &self.identity.policy;
+        let (tries, by_room) = (attempt.declined.len(), policy.uses(Mechanism::Room));
+        let idle_tries = if by_room { FREE_TRIES } else { IDLE_TRIES };
+        let for_idle = tries < idle_tries && policy.uses(Mechanism::FreeSlotFirst);
+        let selection = self.select_for(now, wish, attempt, for_idle);
+        if !by_room || !for_idle {
+            return selection;
+        }
+        let is_free = |one: &Selection| self.pool.is_free(now, one.choice.agent);
+        let gives_up = attempt.in_vain || tries >= IDLE_TRIES || selection.is_none();
+        if gives_up && !selection.as_ref().is_some_and(is_free) {
+            return self.select_for(now, wish, attempt, false);
+        }
+        selection
+    }
+
+    fn select_for(
+        &self,
+        now: Time,
+        wish: Wish,
+        attempt: &Attempt,
+        for_idle: bool,
+    ) -> Option<Selection> {
+        let tried = attempt.excluded(for_idle);
+        let wish = Wish { tried: &tried, ..wish };
+        let choice = if self.identity.policy.uses(Mechanism::Room) {
+            self.choose_by_room(now, &wish, attempt)
+        } else {
+            attempt.is_within_limits().then(|| self.pool.choose(now, &wish)).flatten()
+        };
+        choice.map(|choice| Selection { choice, tried, for_idle })
+    }
+}
+
+impl Attempt {
+    /// Whether neither its tries nor its time are used up.
+    pub(super) const fn is_within_limits(&self) -> bool {
+        self.declined.len() < OPEN_TRIES && self.waited_ms <= LONGEST_MS
+    }
+
+    /// Agents that are not asked again: one that was only busy may be asked to let the flow wait.
+    fn excluded(&self, for_idle: bool) -> Vec<Ipv4Addr> {
+        let left_out = |reason: Reason| for_idle || reason != Reason::Busy;
+        let declined = self.declined.iter().filter(|(_, reason)| left_out(*reason));
+        declined.map(|(agent, _)| *agent).collect()
+    }
+}
--- a/crates/nutmegkeel_core/src/l4/balancer/shortage.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/shortage.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use super::selection::Attempt;
 use super::{Action, Balancer};
 use crate::clock::Time;
 use crate::l4::flow::{Flow, Head};
@@ -59,12 +60,11 @@
         &self,
         now: Time,
         wish: &Wish,
-        waited_ms: u64,
-        may_try: bool,
+        attempt: &Attempt,
     ) -> Option<Choice> {
         let choice = self.pool.choose_free(now, wish)?;
-        let goes_on = waited_ms <= CLIENT_END_MS && self.pool.is_free(now, choice.agent);
-        (may_try || goes_on).then_some(choice)
+        let goes_on = attempt.waited_ms <= CLIENT_END_MS && self.pool.is_free(now, choice.agent);
+        (attempt.is_within_limits() || goes_on).then_some(choice)
     }
 
     /// Whether it is in vain to ask agents for a free slot for this flow.
