--- /dev/null
+++ b/crates/nutmegkeel_core/src/l4/balancer/selection.rs
@@ -0,0 +1,106 @@
+//! Selects the agent that an opening is offered to next.
+
+use std::net::Ipv4Addr;
+
+use super::Balancer;
+use super::opening::LONGEST_MS;
+use crate::clock::Time;
+use crate::l4::message::Reason;
+use crate::l4::placement::{Choice, Wish};
+use crate::l4::policy::Mechanism;
+
+/// Agents asked for a free slot before one is asked to let the flow wait: each costs a round trip.
+const IDLE_TRIES: usize = 2;
+
+/// The same while another agent is believed to have a free slot: reports are older than a request takes, so
+/// several in a row may be wrong.
+const FREE_TRIES: usize = 4;
+
+/// Agents asked for one opening at most, unless another is believed to have a free slot.
+const OPEN_TRIES: usize = 8;
+
+/// Where callers compete for room, agents that may say that an answer would come too late before the opening
+/// is refused. Guards against entry hosts that lose packets of others: under an overload each opening
+/// would ask eight agents for the same answer.
+const LATE_TRIES: usize = 2;
+
+/// How far an opening has come.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    /// Agents that declined it, and why.
+    pub(super) declined: Vec<(Ipv4Addr, Reason)>,
+    /// How long its client has waited, in milliseconds.
+    pub(super) waited_ms: u64,
+    /// Whether it is in vain to ask for a free slot.
+    pub(super) in_vain: bool,
+}
+
+/// An agent selected for an opening.
+#[derive(Debug)]
+pub(super) struct Selection {
+    pub(super) choice: Choice,
+    /// Agents that were left out.
+    pub(super) tried: Vec<Ipv4Addr>,
+    /// Whether it is asked for a free slot only.
+    pub(super) for_idle: bool,
+}
+
+impl Balancer {
+    /// The agent for an opening, and whether it is asked for a free slot. Where openings go by room, that is
+    /// asked for longer while a slot is believed free, and not at all in vain.
+    pub(super) fn select(&self, now: Time, wish: Wish, attempt: &Attempt) -> Option<Selection> {
+        let policy = &self.identity.policy;
+        let (tries, by_room) = (attempt.declined.len(), policy.uses(Mechanism::Room));
+        let idle_tries = if by_room { FREE_TRIES } else { IDLE_TRIES };
+        let for_idle = tries < idle_tries && policy.uses(Mechanism::FreeSlotFirst);
+        let selection = self.select_for(now, wish, attempt, for_idle);
+        if !by_room || !for_idle {
+            return selection;
+        }
+        let is_free = |one: &Selection| self.pool.is_free(now, one.choice.agent);
+        let gives_up = attempt.in_vain || tries >= IDLE_TRIES || selection.is_none();
+        if gives_up && !selection.as_ref().is_some_and(is_free) {
+            return self.select_for(now, wish, attempt, false);
+        }
+        selection
+    }
+
+    fn select_for(
+        &self,
+        now: Time,
+        wish: Wish,
+        attempt: &Attempt,
+        for_idle: bool,
+    ) -> Option<Selection> {
+        let tried = attempt.excluded(for_idle);
+        let wish = Wish { tried: &tried, ..wish };
+        let policy = &self.identity.policy;
+        let is_hopeless = attempt.late() >= LATE_TRIES && policy.uses(Mechanism::Urgency);
+        let may_try = attempt.is_within_limits() && !is_hopeless;
+        let choice = if policy.uses(Mechanism::Room) {
+            self.choose_by_room(now, &wish, attempt.waited_ms, may_try)
+        } else {
+            may_try.then(|| self.pool.choose(now, &wish)).flatten()
+        };
+        choice.map(|choice| Selection { choice, tried, for_idle })
+    }
+}
+
+impl Attempt {
+    /// Whether neither its tries nor its time are used up.
+    pub(super) const fn is_within_limits(&self) -> bool {
+        self.declined.len() < OPEN_TRIES && self.waited_ms <= LONGEST_MS
+    }
+
+    /// Agents that said that an answer would come too late.
+    fn late(&self) -> usize {
+        self.declined.iter().filter(|(_, reason)| *reason == Reason::Late).count()
+    }
+
+    /// Agents that are not asked again: one that was only busy may be asked to let the flow wait.
+    fn excluded(&self, for_idle: bool) -> Vec<Ipv4Addr> {
+        let left_out = |reason: Reason| for_idle || reason != Reason::Busy;
+        let declined = self.declined.iter().filter(|(_, reason)| left_out(*reason));
+        declined.map(|(agent, _)| *agent).collect()
+    }
+}
