--- a/crates/nutmegkeel_core/src/l4/speed.rs
+++ b/crates/nutmegkeel_core/src/l4/speed.rs
@@ -9,9 +9,9 @@
 
 use crate::clock::Time;
 
-/// Answers that the time is taken over at least. Four in a hundred requests may take seven times as long as
+/// Answers that the time is taken over at least. A few in a hundred requests may take seven times as long as
 /// the others; with fewer answers a few of those together would pass for a slow server.
-pub const ANSWERS: u64 = 24;
+const ANSWERS: u64 = 24;
 
 /// Answers that show a server which has become fast again. Fewer, because it gets little to answer until then;
 /// of a slow one whose times spread widely so many are rarely short in a row.
