--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -101,8 +101,8 @@
     pub objective_ms: u32,
     /// Time within which an answer is of any use, in milliseconds.
     pub deadline_ms: u32,
-    /// Whether a request must not run twice. It does not wait behind others, because its client may
-    /// not simply try again.
+    /// Whether a request must not run twice. Its client may try again only if it cannot have run, so it
+    /// waits behind others only where urgency says which.
     pub once: bool,
     /// How urgent they are.
     pub urgency: Urgency,
--- a/crates/nutmegkeel_core/tests/l4/contended_agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/contended_agent.rs
@@ -1,14 +1,18 @@
-//! An agent whose callers compete for room: what waits there, and how it is refused.
+//! An agent whose callers compete for room: what waits there, and how it is refused; and a balancer that hears
+//! of it.
 
 use nutmegkeel_core::l4::agent::{Action, Agent, Event};
+use nutmegkeel_core::l4::balancer::{self, Balancer};
+use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::flow::Flow;
-use nutmegkeel_core::l4::message::{Demand, Message, Offer, Reason};
+use nutmegkeel_core::l4::message::{Demand, Load, Message, Reason};
 use nutmegkeel_core::l4::note::{Cause, Note};
 use nutmegkeel_core::l4::policy::{Mechanism, Policy};
 
 use crate::contended::{contention, demand as idempotent, urgency};
 use crate::fixture::{
-    BALANCER, accepted, agent_with, at, data, flow, heartbeat, offer, opening, roster,
+    BALANCER, PORT, accepted, agent_with, announce, at, data, desk, flow, forwarded, heartbeat,
+    identity, offer, opening, resets, roster, table,
 };
 
 /// Requests that the server is given before others wait: four slots and two ahead.
@@ -170,7 +174,7 @@
 
     let event = Event::Open { from: BALANCER, head: opening(flow(20), 0), offer: offer(once(1)) };
     let declined = agent.handle(at(1_002), event);
-    let offer = Offer { demand: once(0), ..offer(once(0)) };
+    let offer = offer(once(0));
     let urgent = Event::Open { from: BALANCER, head: opening(flow(21), 0), offer };
     let taken = agent.handle(at(1_002), urgent);
 
@@ -204,3 +208,29 @@
         plays[0].iter().filter_map(|one| released(std::slice::from_ref(one))).collect();
     assert_eq!(order, [flow(20), flow(21)]);
 }
+
+/// Under an overload each opening asks eight agents that all say the same, and entry hosts with narrow links
+/// lose the packets of others.
+#[test]
+fn an_opening_is_refused_after_two_agents_that_cannot_serve_it() {
+    let asked = [contention(&[]), Policy::default()].map(|policy| {
+        let mut balancer = Balancer::open(at(0), identity(BALANCER, policy), &[]);
+        balancer.handle(at(0), balancer::Event::Ordered(Orders::default()));
+        let configured = balancer::Event::Configured(table(1, &[(PORT, desk())]));
+        balancer.handle(at(0), configured);
+        announce(&mut balancer, &[1, 2, 3, 4, 5, 6], 0, 3_000);
+        let head = opening(flow(1), 0);
+        let mut actions = balancer.handle(at(3_000), balancer::Event::Client(head));
+        let mut asked = 0;
+        while let Some(from) = forwarded(&actions) {
+            asked += 1;
+            let (reason, load) = (Reason::Late, Load::default());
+            let declined = balancer::Event::Declined { from, head, reason, load };
+            actions = balancer.handle(at(3_001), declined);
+        }
+        assert!(resets(&actions), "{actions:?}");
+        asked
+    });
+
+    assert_eq!(asked, [2, 6]);
+}
