--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -271,17 +271,16 @@
         vec![Action::ToServer(self.probes.ask(now, flow, from, head.len > 0))]
     }
 
-    /// Says whether a flow is here, or that only the backend server knows, which can only be asked with a
-    /// packet; nothing while only an opening is here, which another server may have accepted too: a balancer that took this agent for the flow's would reset the flow with its death.
+    /// Says whether a flow is here, or that only its packet can show it: the backend server may know, or an
+    /// opening is here, which another server may have accepted too. A balancer that took this agent for the
+    /// flow's would reset the flow with its death; one that heard nothing would keep the packet from it.
     fn locate(&self, now: Time, from: Ipv4Addr, flow: Flow) -> Vec<Action> {
         let load = self.load();
         if self.table.is_open(&flow) {
             return vec![Action::Send(from, Message::Holds { flow, load })];
         }
-        if self.table.get(&flow).is_some() {
-            return Vec::new();
-        }
-        if self.is_certain(now) || self.probes.denied(now, &flow) {
+        let is_opening = self.table.get(&flow).is_some();
+        if !is_opening && (self.is_certain(now) || self.probes.denied(now, &flow)) {
             return vec![Action::Send(from, Message::Absent { flow, load })];
         }
         vec![Action::Send(from, Message::Unsure { flow, load })]
--- a/crates/nutmegkeel_core/tests/l4/search.rs
+++ b/crates/nutmegkeel_core/tests/l4/search.rs
@@ -29,7 +29,7 @@
     Absent,
     /// Nothing: only its server, asked with a packet, knows.
     Unsure,
-    /// The same, and its server holds the flow.
+    /// The same, or it has an opening only; and its server takes the packet.
     Holder,
     /// It is cut off, and its last announcement was a moment ago.
     Mute,
