--- /dev/null
+++ b/crates/nutmegkeel_core/tests/l4/full_server.rs
@@ -0,0 +1,56 @@
+//! Servers that break requests off because they are full, and those that are faulty.
+
+use nutmegkeel_core::l4::agent::{self, Agent};
+use nutmegkeel_core::l4::flow::Head;
+use nutmegkeel_core::l4::message::State;
+use nutmegkeel_core::l4::policy::Policy;
+
+use crate::fixture::{agent_with, ask, at, data, demand, flow, heartbeat, open};
+use crate::room::{SLOTS, called_for};
+
+/// Breaks off the requests of these flows, one after the other.
+fn break_off(agent: &mut Agent, now: u64, flows: impl Iterator<Item = u16>) {
+    let mut reset = data(flow(1), 501, 1_101);
+    reset.flags.rst = true;
+    reset.len = 0;
+    for port in flows {
+        agent.handle(at(now), agent::Event::FromServer(Head { flow: flow(port), ..reset }));
+    }
+}
+
+/// An agent whose server works on this many requests, each of which must run once.
+fn agent_with_requests(policy: Policy, count: u16) -> Agent {
+    let mut agent = agent_with(policy);
+    agent.handle(at(0), agent::Event::Recovered(None));
+    agent.handle(at(0), agent::Event::Heartbeat(heartbeat("a", 1)));
+    for port in 1..=count {
+        open(&mut agent, 90, flow(port), demand(true));
+        ask(&mut agent, 100, flow(port), 1_001);
+    }
+    agent
+}
+
+/// A crowd fills a server's queue, and it breaks off what comes beyond. Taken for faulty, it is spared
+/// together with most of its peers, and the few that are left drown.
+#[test]
+fn a_full_server_that_turns_requests_away_is_not_taken_for_faulty() {
+    let mut by_room = agent_with_requests(called_for(), 20);
+    let mut without = agent_with_requests(Policy::default(), 20);
+
+    for agent in [&mut by_room, &mut without] {
+        break_off(agent, 110, 10..=20);
+    }
+
+    assert_eq!(by_room.state(at(111)), State::Ready);
+    assert_eq!(without.state(at(111)), State::Failing);
+}
+
+/// A faulty server breaks requests off as they come; it never has many.
+#[test]
+fn a_server_that_breaks_requests_off_while_it_has_slots_is_faulty() {
+    let mut agent = agent_with_requests(called_for(), SLOTS);
+
+    break_off(&mut agent, 110, 1..=SLOTS);
+
+    assert_eq!(agent.state(at(111)), State::Failing);
+}
