--- a/crates/nutmegkeel_core/src/l4/placement/candidate.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -188,6 +188,9 @@
     }
 
     /// What its room is reckoned from.
+    ///
+    /// Guards against a crowd that fills the slots of a slow server, which it has free because it is to have
+    /// little: what passes for room there is no more than its speed deserves.
     pub(super) fn known(&self, now: Time) -> Known {
         let slots = self.announcement.slots;
         let while_cold = u64::from(slots) * COLD_PERCENT / 100;
@@ -198,10 +201,18 @@
             placed: self.placed_since,
             service_ms: self.load.service_ms,
             age_ms: now.since(self.load_heard),
-            bound: self.announcement.room,
+            bound: [self.announcement.room, self.room_while_slow()].into_iter().flatten().min(),
         }
     }
 
+    /// Openings that it may be given because it is slow; none where that does not bound them.
+    fn room_while_slow(&self) -> Option<u32> {
+        let percent = u32::try_from(self.slowness?.percent()).unwrap_or(u32::MAX);
+        let slots = u32::from(self.announcement.slots).saturating_mul(percent) / 100;
+        let taken = u32::from(self.load.busy) + u32::from(self.placed_since);
+        Some(slots.max(1).saturating_sub(taken))
+    }
+
     /// Takes one opening of what a cold server may be given.
     pub(super) fn give(&mut self) {
         self.placed_since = self.placed_since.saturating_add(1);
--- a/crates/nutmegkeel_core/src/l4/room.rs
+++ b/crates/nutmegkeel_core/src/l4/room.rs
@@ -31,7 +31,7 @@
     pub service_ms: u16,
     /// Age of the report, in milliseconds.
     pub age_ms: u64,
-    /// Openings that it may be given because it is cold; none where nothing bounds them.
+    /// Openings that it may be given because it is cold or slow; none where nothing bounds them.
     pub bound: Option<u32>,
 }
 
--- a/crates/nutmegkeel_core/tests/l4/uneven.rs
+++ b/crates/nutmegkeel_core/tests/l4/uneven.rs
@@ -259,6 +259,27 @@
     assert_eq!(chosen_with(4), 0);
 }
 
+/// A crowd fills the usual servers. The slots of a slow one, which it has free because it is to have little, passed
+/// for room, and the openings of all balancers that found no other went there to be late.
+#[test]
+fn a_crowd_does_not_fill_the_slots_of_a_slow_server() {
+    let chosen_with = |busy| {
+        let mut pool = Pool::default();
+        for number in 1..=3 {
+            let full = Load { service_ms: 60, ..load(4, 8) };
+            pool.announced(at(0), host(number), word(1, State::Ready, full));
+        }
+        let told = Load { service_ms: 450, ..load(busy, 8) };
+        pool.announced(at(0), host(4), word(1, State::Ready, told));
+        pool.compare_speeds(at(0));
+        let wish = wish(flow(1).key(), Kind::Idempotent, &[]);
+        pool.choose_free(at(1), &wish).map(|choice| choice.agent)
+    };
+
+    assert_eq!(chosen_with(0), Some(host(4)), "one request shows whether it has recovered");
+    assert_ne!(chosen_with(1), Some(host(4)));
+}
+
 /// A server that has just come has no flows. All balancers choose by flows, and each learns only with the next
 /// report what the others sent: the first requests of all these flows met in its queue.
 #[test]
