--- a/crates/nutmegkeel_core/src/l4/fetch.rs
+++ b/crates/nutmegkeel_core/src/l4/fetch.rs
@@ -108,9 +108,10 @@
             self.called.swap_remove(index);
         }
         match brought {
-            Some(version) => self.hold(version),
-            // Whoever has something newer says so again.
-            None => {
+            Some(version) if version > self.held => self.hold(version),
+            // Whoever has something newer says so again. Guards against calls without a pause to a holder that
+            // serves an older text than it told of.
+            _ => {
                 self.holders.remove(&holder);
             }
         }
--- a/crates/nutmegkeel_core/tests/l4/fetch.rs
+++ b/crates/nutmegkeel_core/tests/l4/fetch.rs
@@ -136,3 +136,19 @@
     plan.told(at(0), holder(FIRST, 7));
     assert_eq!(call(&mut plan, 0), None);
 }
+
+/// A holder says that it has a version and serves an older text. Called again at once for as long as it says so,
+/// it and its narrow link would be kept busy for nothing.
+#[test]
+fn a_holder_that_brings_nothing_new_is_not_called_again_at_once() {
+    let mut plan = asker(1);
+    plan.hold(6);
+    plan.told(at(0), holder(FIRST, 7));
+    let (asked, from) = call(&mut plan, 0).expect("it asks");
+
+    plan.ended(at(asked + 1), from, Some(6));
+
+    assert_eq!(call(&mut plan, asked + 1), None);
+    plan.told(at(asked + 500), holder(FIRST, 7));
+    assert!(call(&mut plan, asked + 500).is_some(), "it is called when it says so again");
+}
