--- a/crates/nutmegkeel_core/src/l4/balancer/wide_search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/wide_search.rs
@@ -22,6 +22,9 @@
     /// Asks all agents that are left, if one after the other would take too long; empty if it would not, or
     /// if none is left that may know without the packet.
     pub(super) fn ask_many(&mut self, now: Time, flow: Flow) -> Vec<Action> {
+        if !self.identity.policy.uses(Mechanism::WideSearch) {
+            return Vec::new();
+        }
         let left = self.left_to_ask(now, flow);
         if !self.takes_long(flow, left.len()) {
             return Vec::new();
@@ -54,9 +57,7 @@
         };
         let limit_us = route.objective_ms * 1_000 * SEARCH_PERCENT / 100;
         let agents = u64::try_from(agents).unwrap_or(u64::MAX);
-        self.identity.policy.uses(Mechanism::WideSearch)
-            && limit_us > 0
-            && agents.saturating_mul(self.answer_us) > limit_us
+        limit_us > 0 && agents.saturating_mul(self.answer_us) > limit_us
     }
 
     /// Learns how long an agent takes to answer, from one that was asked alone.
