--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -260,7 +260,7 @@
             }
             return actions;
         }
-        if self.refused.contains(now, &flow) {
+        if self.refused.contains(now, head) {
             return reset(flow, head.ack, Cause::Overload).into();
         }
         // Guards against a server that takes a packet for its own because the two servers' numbers are
--- a/crates/nutmegkeel_core/src/l4/agent/contended.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/contended.rs
@@ -93,10 +93,10 @@
 
     fn refuse(&mut self, now: Time, waiting: &Waiting, cause: Cause) -> Vec<Action> {
         let mut actions = self.give_up(now, waiting, cause);
-        if self.table.get(&waiting.flow).is_none() {
-            self.refused.insert(now, waiting.flow);
-        }
-        if waiting.request.is_some() {
+        if let Some(request) = &waiting.request {
+            if self.table.get(&waiting.flow).is_none() {
+                self.refused.insert(now, request);
+            }
             let (flow, urgency) = (waiting.flow, waiting.demand.urgency);
             let waited_ms = now.since(waiting.since);
             actions.push(Action::Note(Note::GivenUp { flow, cause, urgency, waited_ms }));
--- a/crates/nutmegkeel_core/tests/l4/contended_agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/contended_agent.rs
@@ -128,6 +128,21 @@
     assert_eq!(reset(&strange), None);
 }
 
+/// A client that was refused opens again from the same port, another server accepts it, and a balancer that does
+/// not know the flow asks this agent for it. The agent took the new flow for the refused one: its reset broke an
+/// open flow of a server that is well.
+#[test]
+fn a_later_flow_between_the_same_ends_is_not_taken_for_the_refused_one() {
+    let mut agent = busy(contention(&[]), 1_000);
+    begin(&mut agent, 1_002, flow(21), once(1));
+    agent.handle(at(1_002 + 3_990), Event::Tick);
+
+    let head = data(flow(21), 7_001, 9_001);
+    let actions = agent.handle(at(5_500), Event::Carry { from: BALANCER, head, known: false });
+
+    assert_eq!(reset(&actions), None, "{actions:?}");
+}
+
 /// On an open flow a reset would break what the server holds, and would not say that nothing has run.
 #[test]
 fn a_request_on_an_open_flow_is_never_reset() {
