--- a/crates/nutmegkeel_core/src/l4/agent/contended.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/contended.rs
@@ -6,7 +6,7 @@
 use super::{Action, Agent};
 use crate::clock::Time;
 use crate::l4::flow::{Flow, Head};
-use crate::l4::message::Demand;
+use crate::l4::message::{Demand, Offer};
 use crate::l4::note::{Cause, Note};
 use crate::l4::policy::Mechanism;
 use crate::l4::share::Standing;
@@ -49,8 +49,8 @@
     /// its client a connection and a round trip.
     pub(super) fn bears(&mut self, now: Time, opening: &Opening) -> bool {
         let (flow, since) = (opening.head.flow, opening.since);
-        let demand = opening.offer.demand;
-        let waiting = Waiting { flow, since, opened: now, demand, request: None };
+        let Offer { demand, returns, .. } = opening.offer;
+        let waiting = Waiting { flow, since, opened: now, demand, returns, request: None };
         let capacity = self.capacity();
         !self.is_saturated() || self.waiting.bears(now, &capacity, &self.shares, &waiting)
     }
@@ -112,8 +112,9 @@
         let Some(demand) = demand.filter(|_| self.waiting.is_contended()) else {
             return false;
         };
-        let (since, request) = (now.before(OVERDUE_MS), Some(*head));
-        self.waiting.push(Waiting { flow: head.flow, since, opened: now, demand, request });
+        let (flow, since, request) = (head.flow, now.before(OVERDUE_MS), Some(*head));
+        let returns = false;
+        self.waiting.push(Waiting { flow, since, opened: now, demand, returns, request });
         true
     }
 }
--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -51,8 +51,9 @@
         self.table.open(now, flow, opening.head.seq, demand);
         self.note_asked(now, flow, opening.from);
         if self.may_wait(demand) && self.is_saturated() {
-            let since = opening.since;
-            self.waiting.push(Waiting { flow, since, opened: now, demand, request: None });
+            let (since, returns) = (opening.since, opening.offer.returns);
+            let waiting = Waiting { flow, since, opened: now, demand, returns, request: None };
+            self.waiting.push(waiting);
             self.table.set_waiting(flow, true);
         } else {
             self.table.admit(now, flow);
@@ -132,9 +133,10 @@
             self.table.note_client(now, head);
             return vec![Action::ToServer(0)];
         };
-        let request = Some(*head);
-        self.waiting.push(Waiting { flow: head.flow, since: now, opened: now, demand, request });
-        self.table.set_waiting(head.flow, true);
+        let (flow, since, request) = (head.flow, now, Some(*head));
+        let returns = false;
+        self.waiting.push(Waiting { flow, since, opened: now, demand, returns, request });
+        self.table.set_waiting(flow, true);
         self.wait(now, head)
     }
 
--- a/crates/nutmegkeel_core/src/l4/waiting.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting.rs
@@ -55,6 +55,8 @@
     pub opened: Time,
     /// What its requests ask for, counted from then on.
     pub demand: Demand,
+    /// Whether its client comes back after a refusal for want of room.
+    pub returns: bool,
     /// The request, once it has come.
     pub request: Option<Head>,
 }
--- a/crates/nutmegkeel_core/src/l4/waiting/refusal.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting/refusal.rs
@@ -101,10 +101,15 @@
 
     fn is_servable(&self, moment: &Moment, waiting: &Waiting, ahead: usize) -> bool {
         let Moment { now, capacity, .. } = *moment;
+        let may_start_after = |start_ms| waiting.left_ms(now) >= start_ms + capacity.answer_ms();
+        // Guards against a client that is refused twice in a row: one that comes back is let in for as long as
+        // it could be answered if it went next.
+        if waiting.returns {
+            return may_start_after(capacity.start_ms(0));
+        }
         let start_ms = capacity.start_ms(ahead);
         let is_in_time = waiting.is_in_time(now, start_ms + capacity.most_ms());
-        let start_ms = self.late_start_ms(moment, start_ms);
-        is_in_time || waiting.left_ms(now) >= start_ms + capacity.answer_ms()
+        is_in_time || may_start_after(self.late_start_ms(moment, start_ms))
     }
 
     /// Time until the server begins with what is late, if it could begin after `start_ms` with nothing new
--- a/crates/nutmegkeel_core/tests/l4/contended.rs
+++ b/crates/nutmegkeel_core/tests/l4/contended.rs
@@ -227,5 +227,5 @@
     let client = SocketAddrV4::new(address, 1_024 + port);
     let flow = Flow { client, service: service_address(443) };
     let (since, request) = (at(now), Some(data(flow, 1_001, 501)));
-    Waiting { flow, since, opened: since, demand, request }
+    Waiting { flow, since, opened: since, demand, returns: false, request }
 }
--- a/crates/nutmegkeel_core/tests/l4/contended_agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/contended_agent.rs
@@ -5,7 +5,7 @@
 use nutmegkeel_core::l4::balancer::{self, Balancer};
 use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::flow::Flow;
-use nutmegkeel_core::l4::message::{Demand, Load, Message, Reason, State};
+use nutmegkeel_core::l4::message::{Demand, Load, Message, Offer, Reason, State};
 use nutmegkeel_core::l4::note::{Cause, Note};
 use nutmegkeel_core::l4::policy::{Mechanism, Policy};
 
@@ -71,6 +71,17 @@
     })
 }
 
+fn resets_flow(actions: &[Action], meant: Flow) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Reset { flow, .. } if *flow == meant))
+}
+
+fn is_declined_as_late(actions: &[Action]) -> bool {
+    let is_late = |action: &Action| {
+        matches!(action, Action::Return(_, Message::Declined { reason: Reason::Late, .. }))
+    };
+    actions.iter().any(is_late)
+}
+
 fn is_kept(actions: &[Action]) -> bool {
     actions.iter().any(|action| matches!(action, Action::Keep(_)))
 }
@@ -193,11 +204,35 @@
     let urgent = Event::Open { from: BALANCER, head: opening(flow(21), 0), offer };
     let taken = agent.handle(at(1_002), urgent);
 
-    let is_late = |action: &Action| {
-        matches!(action, Action::Return(_, Message::Declined { reason: Reason::Late, .. }))
+    assert!(is_declined_as_late(&declined), "{declined:?}");
+    assert!(!is_declined_as_late(&taken), "{taken:?}");
+}
+
+/// A client that was refused for want of room comes back, the agent's queue is as full as before, and it is refused
+/// again. A return waits for as long as its deadline can be met, and is refused when it cannot.
+#[test]
+fn a_return_is_not_refused_while_its_deadline_can_be_met() {
+    let mut agent = busy(contention(&[]), 1_000);
+    for port in 100..1_200 {
+        begin(&mut agent, 1_001, flow(port), idempotent(1));
+    }
+    let open = |agent: &mut Agent, port, offer: Offer| {
+        let head = opening(flow(port), 0);
+        agent.handle(at(1_002), Event::Open { from: BALANCER, head, offer })
     };
-    assert!(declined.iter().any(is_late), "{declined:?}");
-    assert!(!taken.iter().any(is_late), "{taken:?}");
+
+    let new = open(&mut agent, 20, offer(idempotent(1)));
+    let taken = open(&mut agent, 21, Offer { returns: true, ..offer(idempotent(1)) });
+    agent.handle(at(1_002), Event::FromServer(accepted(flow(21), 500)));
+    let asked = ask(&mut agent, 1_030, flow(21));
+    let later = agent.handle(at(1_100), Event::Tick);
+    let over = agent.handle(at(1_002 + 3_990), Event::Tick);
+
+    assert!(is_declined_as_late(&new), "{new:?}");
+    assert!(!is_declined_as_late(&taken), "{taken:?}");
+    assert!(is_kept(&asked), "{asked:?}");
+    assert!(!resets_flow(&asked, flow(21)) && !resets_flow(&later, flow(21)));
+    assert!(resets_flow(&over, flow(21)), "{over:?}");
 }
 
 /// Deployments that do not name contention, or have the mechanisms switched off, are served as before.
--- a/crates/nutmegkeel_core/tests/l4/waiting.rs
+++ b/crates/nutmegkeel_core/tests/l4/waiting.rs
@@ -15,7 +15,8 @@
 fn waiting(port: u16, since_ms: u64) -> Waiting {
     let request = Some(data(flow(port), 1_001, 501));
     let since = at(since_ms);
-    Waiting { flow: flow(port), since, opened: since, demand: DEMAND, request }
+    let flow = flow(port);
+    Waiting { flow, since, opened: since, demand: DEMAND, returns: false, request }
 }
 
 fn ports(taken: &[Waiting]) -> Vec<u16> {
