--- a/crates/nutmegkeel_core/src/l4/balancer/search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -221,11 +221,7 @@
     fn pass_over(&mut self, now: Time, flow: Flow) {
         let entry = self.cache.entry(now, flow);
         if let Some(place) = entry.place.take() {
-            let agent = place.agent();
-            note_declined(entry, agent, Reason::NotHeld);
-            if !entry.unanswered.contains(&agent) {
-                entry.unanswered.push(agent);
-            }
+            note_unanswered(entry, place.agent());
         }
     }
 
@@ -266,6 +262,14 @@
     Action::Forward(agent, Message::Carry { known })
 }
 
+/// Notes that an agent was passed over: it may hold the flow.
+pub(super) fn note_unanswered(entry: &mut Entry, agent: Ipv4Addr) {
+    note_declined(entry, agent, Reason::NotHeld);
+    if !entry.unanswered.contains(&agent) {
+        entry.unanswered.push(agent);
+    }
+}
+
 pub(super) fn note_declined(entry: &mut Entry, agent: Ipv4Addr, reason: Reason) {
     if let Some(known) = entry.declined.iter_mut().find(|(known, _)| *known == agent) {
         known.1 = reason;
--- a/crates/nutmegkeel_core/src/l4/balancer/wide_search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/wide_search.rs
@@ -6,7 +6,7 @@
 
 use std::net::Ipv4Addr;
 
-use super::search::note_declined;
+use super::search::note_unanswered;
 use super::{Action, Balancer};
 use crate::clock::Time;
 use crate::l4::flow::Flow;
@@ -72,10 +72,7 @@
     pub(super) fn pass_over_questions(&mut self, now: Time, flow: Flow) {
         let entry = self.cache.entry(now, flow);
         for agent in std::mem::take(&mut entry.questions) {
-            note_declined(entry, agent, Reason::NotHeld);
-            if !entry.unanswered.contains(&agent) {
-                entry.unanswered.push(agent);
-            }
+            note_unanswered(entry, agent);
         }
     }
 
