--- a/crates/nutmegkeel_dev/src/soak/processes/caller.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/caller.rs
@@ -24,7 +24,7 @@
 /// Time for an answer in a run without load of its own.
 const PATIENCE: Duration = Duration::from_secs(2);
 
-/// Time for a final answer: the deadline of the route, and some for a busy machine.
+/// Time for a final answer: the deadline of the route, and some for a busy host.
 const FINAL: Duration = Duration::from_millis(TIMEOUT_MS + 250);
 
 /// Flows that a client of usual demand has at once in a burst: four of them fill the slots of three servers
