--- a/crates/nutmegkeel_core/src/l4/agent/contended.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/contended.rs
@@ -56,12 +56,16 @@
     }
 
     /// What the slots can do now.
+    ///
+    /// Guards against taking a full server for as fast as it was when a slot was last free: its clients would be
+    /// let in, and wait until their deadline in vain. The meter shows the time of service also while none is.
     pub(super) fn capacity(&self) -> Capacity {
+        let measured_us = u64::from(self.meter.service_ms()) * 1_000;
         Capacity {
             slots: self.slots(),
             at_server: u64::from(self.table.load().busy),
-            mean_us: self.pace.mean_us(),
-            most_us: self.pace.most_us(),
+            mean_us: self.pace.mean_us().max(measured_us),
+            most_us: self.pace.most_us().max(measured_us),
         }
     }
 
--- a/crates/nutmegkeel_core/tests/l4/contended_agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/contended_agent.rs
@@ -1,6 +1,8 @@
 //! An agent whose callers compete for room: what waits there, and how it is refused; and a balancer that hears
 //! of it.
 
+use std::collections::VecDeque;
+
 use nutmegkeel_core::l4::agent::{Action, Agent, Event};
 use nutmegkeel_core::l4::balancer::{self, Balancer};
 use nutmegkeel_core::l4::evacuation::Orders;
@@ -235,6 +237,33 @@
     assert!(resets_flow(&over, flow(21)), "{over:?}");
 }
 
+/// A server becomes slow while it is full, or its agent starts again in a crowd. No request finds a slot free from
+/// then on, so the time of an answer stayed what it was before, and clients were let in whose deadline was sure to
+/// pass while they waited.
+#[test]
+fn a_server_that_is_slow_and_full_is_not_taken_for_a_fast_one() {
+    let mut agent = busy(contention(&[]), 1_000);
+    let mut at_server: VecDeque<Flow> = (1..=FILL).map(flow).collect();
+    for port in 100..140 {
+        begin(&mut agent, 1_000, flow(port), idempotent(1));
+    }
+    for now in (1_200..=2_600).step_by(200) {
+        for _ in 0..4 {
+            let done = at_server.pop_front().expect("it is full");
+            at_server.extend(released(&answer(&mut agent, now, done)));
+        }
+    }
+
+    for port in 200..320 {
+        begin(&mut agent, 2_601, flow(port), idempotent(1));
+    }
+    let event = Event::Open { from: BALANCER, head: opening(flow(20), 0), offer: offer(once(1)) };
+    let declined = agent.handle(at(2_602), event);
+
+    assert_eq!(agent.load().service_ms, 200);
+    assert!(is_declined_as_late(&declined), "{declined:?}");
+}
+
 /// Deployments that do not name contention, or have the mechanisms switched off, are served as before.
 #[test]
 fn without_the_mechanisms_nothing_changes() {
