--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -4,6 +4,7 @@
 //! holds, and after its own restart lets the server say so: a packet of a flow that the server does
 //! not hold comes back.
 
+mod answer;
 mod balancers;
 mod contended;
 mod evacuation;
@@ -30,7 +31,7 @@
 use super::health::ANNOUNCE_MS;
 use super::message::{Load, Message, Reason, State};
 use super::mute;
-use super::note::{Cause, Note, ServerChange};
+use super::note::{Cause, Note};
 use super::outlier::Record;
 use super::policy::{Mechanism, Policy};
 use super::probe::Probes;
@@ -38,7 +39,7 @@
 use super::server::Beside;
 use super::share::Shares;
 use super::speed::Meter;
-use super::table::{Outcome, Stage, Table};
+use super::table::Table;
 use super::waiting::Queue;
 use super::warmup::Budget;
 use super::word::Words;
@@ -286,101 +287,6 @@
         vec![Action::Send(from, Message::Unsure { flow, load })]
     }
 
-    fn answered(&mut self, now: Time, head: &Head) -> Vec<Action> {
-        self.unanswered_since = None;
-        self.deserted = false;
-        let mut actions = vec![Action::ToClient];
-        actions.extend(self.responsive(now));
-        if self.table.get(&head.flow).is_none() && !head.flags.rst {
-            self.table.adopt(now, head);
-            actions.push(Action::Note(Note::Adopted { flow: head.flow }));
-        }
-        if let Some(outcome) = self.table.note_server(now, head) {
-            actions.extend(self.learn(now, outcome));
-        }
-        if let Some(balancer) = self.probes.answered(&head.flow) {
-            let message = Message::Holds { flow: head.flow, load: self.load() };
-            actions.push(Action::Send(balancer, message));
-        }
-        actions
-    }
-
-    /// Learns from a request: whether the server is to be spared, and its time if it found a slot
-    /// free. The others waited at the server: counted as service time, a short burst would make the
-    /// agent refuse what it could serve in time.
-    fn learn(&mut self, now: Time, outcome: Outcome) -> Vec<Action> {
-        let slots = self.beside.server().map_or(0, |server| usize::from(server.slots));
-        match outcome {
-            Outcome::Answered { after_ms, behind } => {
-                self.record.answered();
-                self.mute.answered(now);
-                let found_slot = behind < slots;
-                self.note_answer(now, after_ms, found_slot);
-                if found_slot {
-                    self.pace.learn(after_ms);
-                }
-                vec![Action::CountAnswer(after_ms)]
-            }
-            Outcome::Broken { behind }
-                if self.is_fault(behind, slots) && self.record.broken(now) =>
-            {
-                let mut actions = vec![self.changed(ServerChange::Failing)];
-                actions.extend(self.announce(now));
-                actions
-            }
-            Outcome::Broken { .. } => Vec::new(),
-        }
-    }
-
-    /// Whether a request that was broken off shows a fault of the server, if `behind` were in progress when
-    /// it came.
-    ///
-    /// Guards against a crowd that makes whole services look faulty: a full server turns away what its queue
-    /// does not hold, and would be spared while its peers drown in its share. A faulty one is rid of its
-    /// requests at once, and so never full.
-    fn is_fault(&self, behind: usize, slots: usize) -> bool {
-        let is_full = self.uses(Mechanism::Room) && behind >= slots;
-        self.uses(Mechanism::Outliers) && !is_full
-    }
-
-    fn bounced(&mut self, now: Time, head: &Head) -> Vec<Action> {
-        self.unanswered_since = None;
-        self.deserted = false;
-        let mut actions = self.responsive(now);
-        let probe = self.probes.take(head.tag);
-        if let Some(from) = probe.filter(|_| head.opens()) {
-            actions.extend(self.turned_away(from, head));
-            return actions;
-        }
-        if let Some(from) = probe {
-            self.probes.deny(now, head.flow);
-            actions.push(self.decline(from, Reason::NotHeld));
-            return actions;
-        }
-        // Only an open flow's packet carries no probe: the server held the flow and has lost it.
-        if let Some(held) = self.table.remove(&head.flow)
-            && held.stage == Stage::Open
-            && !held.is_over()
-        {
-            actions.extend(reset(head.flow, held.client_ack, Cause::ServerRestarted));
-        }
-        actions
-    }
-
-    /// The server turned an opening away. Guards against forgetting a flow whose first opening it
-    /// took and whose copy it turned away, being full by then: the client would be told that nobody
-    /// holds its open flow.
-    fn turned_away(&mut self, from: Ipv4Addr, head: &Head) -> Option<Action> {
-        match self.table.get(&head.flow)?.stage {
-            Stage::Opening(None) => {
-                self.waiting.remove(&head.flow);
-                self.table.remove(&head.flow);
-                Some(self.decline(from, Reason::Full))
-            }
-            Stage::Opening(Some(_)) | Stage::Open => None,
-        }
-    }
-
     fn leave(&mut self, now: Time) -> Vec<Action> {
         self.leaving = true;
         self.announce(now)
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -7,6 +7,7 @@
 mod kept;
 mod opening;
 mod peers;
+mod queries;
 mod search;
 mod selection;
 mod shortage;
@@ -28,11 +29,10 @@
 use super::flow::{Flow, Head};
 use super::message::{Announcement, Load, Reason};
 use super::note::{Cause, Note};
-use super::placement::{Level, Pool, Telling};
+use super::placement::{Pool, Telling};
 use super::policy::{Mechanism, Policy};
 use super::roster::{Book, TELL_MS, TELL_NEAR_MS, Told};
 use super::route::{Service, Table};
-use super::status::Status;
 use super::word::Words;
 use crate::clock::Time;
 
@@ -148,77 +148,6 @@
         }
     }
 
-    /// Whether the fabric should send packets here.
-    #[must_use]
-    pub fn is_ready(&self, now: Time) -> bool {
-        !self.leaving && self.table.version > 0 && !self.pool.is_cut_off(now)
-    }
-
-    /// Version of the configuration in force; zero while there is none.
-    #[must_use]
-    pub const fn version(&self) -> u64 {
-        self.table.version
-    }
-
-    /// Balancers known besides this one.
-    #[must_use]
-    pub fn peers(&self) -> Vec<Ipv4Addr> {
-        self.peers.iter().collect()
-    }
-
-    /// Whether other balancers speak to this one.
-    #[must_use]
-    pub fn hears_others(&self, now: Time) -> bool {
-        self.words.recent(now).next().is_some()
-    }
-
-    /// Number of agents known.
-    #[must_use]
-    pub fn agents(&self) -> usize {
-        self.pool.len()
-    }
-
-    /// Number of failure domains that are evacuated.
-    #[must_use]
-    pub fn evacuated(&self) -> usize {
-        self.ledger.orders().map_or(0, |orders| orders.domains.len())
-    }
-
-    /// How full the failure domains are, by service; nothing if that is not reckoned.
-    pub fn levels(&self) -> impl Iterator<Item = &Level> {
-        self.pool.levels()
-    }
-
-    /// Openings that lately went to other failure domains, in thousandths of all.
-    #[must_use]
-    pub fn sent_abroad(&self) -> Option<u64> {
-        self.pool.sent_abroad()
-    }
-
-    /// What operators are told.
-    #[must_use]
-    pub fn status(&self, now: Time) -> Status {
-        Status {
-            address: self.identity.address,
-            domain: Arc::clone(&self.identity.domain),
-            ready: self.is_ready(now),
-            version: self.table.version,
-            orders: self.ledger.orders().cloned(),
-            delegate: self.watches(now),
-            reaches_store: self.reaches_store,
-            balancers: self.peers.len(),
-            agents: self.pool.domains(now),
-            rooms: self.rooms(now),
-            slow: self.pool.slow(),
-        }
-    }
-
-    /// Number of flows in the cache.
-    #[must_use]
-    pub fn cached(&self) -> usize {
-        self.cache.len()
-    }
-
     /// Takes in an event.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
         self.notice_standstill(now);
