--- a/crates/nutmegkeel_core/src/l4/agent/contended.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/contended.rs
@@ -6,7 +6,7 @@
 use super::{Action, Agent};
 use crate::clock::Time;
 use crate::l4::flow::{Flow, Head};
-use crate::l4::message::Demand;
+use crate::l4::message::{Demand, Offer};
 use crate::l4::note::{Cause, Note};
 use crate::l4::policy::Mechanism;
 use crate::l4::share::Standing;
@@ -48,19 +48,23 @@
     /// its client a connection and a round trip.
     pub(super) fn bears(&mut self, now: Time, opening: &Opening) -> bool {
         let (flow, since) = (opening.head.flow, opening.since);
-        let demand = opening.offer.demand;
-        let waiting = Waiting { flow, since, opened: now, demand, request: None };
+        let Offer { demand, returns, .. } = opening.offer;
+        let waiting = Waiting { flow, since, opened: now, demand, returns, request: None };
         let capacity = self.capacity();
         !self.is_saturated() || self.waiting.bears(now, &capacity, &self.shares, &waiting)
     }
 
     /// What the slots can do now.
+    ///
+    /// Guards against taking a full server for as fast as it was when a slot was last free: its clients would be
+    /// let in, and wait until their deadline in vain. The meter shows the time of service also while none is.
     pub(super) fn capacity(&self) -> Capacity {
+        let measured_us = u64::from(self.meter.service_ms()) * 1_000;
         Capacity {
             slots: self.slots(),
             at_server: u64::from(self.table.load().busy),
-            mean_us: self.pace.mean_us(),
-            most_us: self.pace.most_us(),
+            mean_us: self.pace.mean_us().max(measured_us),
+            most_us: self.pace.most_us().max(measured_us),
         }
     }
 
@@ -92,10 +96,10 @@
 
     fn refuse(&mut self, now: Time, waiting: &Waiting, cause: Cause) -> Vec<Action> {
         let mut actions = self.give_up(now, waiting, cause);
-        if self.table.get(&waiting.flow).is_none() {
-            self.refused.insert(now, waiting.flow);
-        }
-        if waiting.request.is_some() {
+        if let Some(request) = &waiting.request {
+            if self.table.get(&waiting.flow).is_none() {
+                self.refused.insert(now, request);
+            }
             let (flow, urgency) = (waiting.flow, waiting.demand.urgency);
             let waited_ms = now.since(waiting.since);
             actions.push(Action::Note(Note::GivenUp { flow, cause, urgency, waited_ms }));
@@ -111,8 +115,9 @@
         let Some(demand) = demand.filter(|_| self.waiting.is_contended()) else {
             return false;
         };
-        let (since, request) = (now.before(OVERDUE_MS), Some(*head));
-        self.waiting.push(Waiting { flow: head.flow, since, opened: now, demand, request });
+        let (flow, since, request) = (head.flow, now.before(OVERDUE_MS), Some(*head));
+        let returns = false;
+        self.waiting.push(Waiting { flow, since, opened: now, demand, returns, request });
         true
     }
 }
--- a/crates/nutmegkeel_core/src/l4/waiting/refusal.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting/refusal.rs
@@ -89,6 +89,9 @@
 
     fn is_servable(&self, moment: &Moment, waiting: &Waiting, ahead: usize) -> bool {
         let Moment { now, capacity, .. } = *moment;
+        // Guards against a client that is refused twice in a row: one that comes back is let in for as long as
+        // it could be answered if it went next.
+        let ahead = if waiting.returns { 0 } else { ahead };
         let start_ms = capacity.start_ms(ahead);
         waiting.left_ms(now) >= start_ms + capacity.answer_ms()
     }
--- a/crates/nutmegkeel_core/tests/l4/contended_agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/contended_agent.rs
@@ -1,11 +1,13 @@
 //! An agent whose callers compete for room: what waits there, and how it is refused; and a balancer that hears
 //! of it.
 
+use std::collections::VecDeque;
+
 use nutmegkeel_core::l4::agent::{Action, Agent, Event};
 use nutmegkeel_core::l4::balancer::{self, Balancer};
 use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::flow::Flow;
-use nutmegkeel_core::l4::message::{Demand, Load, Message, Reason, State};
+use nutmegkeel_core::l4::message::{Demand, Load, Message, Offer, Reason, State};
 use nutmegkeel_core::l4::note::{Cause, Note};
 use nutmegkeel_core::l4::policy::{Mechanism, Policy};
 
@@ -71,6 +73,17 @@
     })
 }
 
+fn resets_flow(actions: &[Action], meant: Flow) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Reset { flow, .. } if *flow == meant))
+}
+
+fn is_declined_as_late(actions: &[Action]) -> bool {
+    let is_late = |action: &Action| {
+        matches!(action, Action::Return(_, Message::Declined { reason: Reason::Late, .. }))
+    };
+    actions.iter().any(is_late)
+}
+
 fn is_kept(actions: &[Action]) -> bool {
     actions.iter().any(|action| matches!(action, Action::Keep(_)))
 }
@@ -128,6 +141,21 @@
     assert_eq!(reset(&strange), None);
 }
 
+/// A client that was refused opens again from the same port, another server accepts it, and a balancer that does
+/// not know the flow asks this agent for it. The agent took the new flow for the refused one: its reset broke an
+/// open flow of a server that is well.
+#[test]
+fn a_later_flow_between_the_same_ends_is_not_taken_for_the_refused_one() {
+    let mut agent = busy(contention(&[]), 1_000);
+    begin(&mut agent, 1_002, flow(21), once(1));
+    agent.handle(at(1_002 + 3_990), Event::Tick);
+
+    let head = data(flow(21), 7_001, 9_001);
+    let actions = agent.handle(at(5_500), Event::Carry { from: BALANCER, head, known: false });
+
+    assert_eq!(reset(&actions), None, "{actions:?}");
+}
+
 /// On an open flow a reset would break what the server holds, and would not say that nothing has run.
 #[test]
 fn a_request_on_an_open_flow_is_never_reset() {
@@ -178,11 +206,62 @@
     let urgent = Event::Open { from: BALANCER, head: opening(flow(21), 0), offer };
     let taken = agent.handle(at(1_002), urgent);
 
-    let is_late = |action: &Action| {
-        matches!(action, Action::Return(_, Message::Declined { reason: Reason::Late, .. }))
+    assert!(is_declined_as_late(&declined), "{declined:?}");
+    assert!(!is_declined_as_late(&taken), "{taken:?}");
+}
+
+/// A client that was refused for want of room comes back, the agent's queue is as full as before, and it is refused
+/// again. A return waits for as long as its deadline can be met, and is refused when it cannot.
+#[test]
+fn a_return_is_not_refused_while_its_deadline_can_be_met() {
+    let mut agent = busy(contention(&[]), 1_000);
+    for port in 100..1_200 {
+        begin(&mut agent, 1_001, flow(port), idempotent(1));
+    }
+    let open = |agent: &mut Agent, port, offer: Offer| {
+        let head = opening(flow(port), 0);
+        agent.handle(at(1_002), Event::Open { from: BALANCER, head, offer })
     };
-    assert!(declined.iter().any(is_late), "{declined:?}");
-    assert!(!taken.iter().any(is_late), "{taken:?}");
+
+    let new = open(&mut agent, 20, offer(idempotent(1)));
+    let taken = open(&mut agent, 21, Offer { returns: true, ..offer(idempotent(1)) });
+    agent.handle(at(1_002), Event::FromServer(accepted(flow(21), 500)));
+    let asked = ask(&mut agent, 1_030, flow(21));
+    let later = agent.handle(at(1_100), Event::Tick);
+    let over = agent.handle(at(1_002 + 3_990), Event::Tick);
+
+    assert!(is_declined_as_late(&new), "{new:?}");
+    assert!(!is_declined_as_late(&taken), "{taken:?}");
+    assert!(is_kept(&asked), "{asked:?}");
+    assert!(!resets_flow(&asked, flow(21)) && !resets_flow(&later, flow(21)));
+    assert!(resets_flow(&over, flow(21)), "{over:?}");
+}
+
+/// A server becomes slow while it is full, or its agent starts again in a crowd. No request finds a slot free from
+/// then on, so the time of an answer stayed what it was before, and clients were let in whose deadline was sure to
+/// pass while they waited.
+#[test]
+fn a_server_that_is_slow_and_full_is_not_taken_for_a_fast_one() {
+    let mut agent = busy(contention(&[]), 1_000);
+    let mut at_server: VecDeque<Flow> = (1..=FILL).map(flow).collect();
+    for port in 100..140 {
+        begin(&mut agent, 1_000, flow(port), idempotent(1));
+    }
+    for now in (1_200..=2_600).step_by(200) {
+        for _ in 0..4 {
+            let done = at_server.pop_front().expect("it is full");
+            at_server.extend(released(&answer(&mut agent, now, done)));
+        }
+    }
+
+    for port in 200..320 {
+        begin(&mut agent, 2_601, flow(port), idempotent(1));
+    }
+    let event = Event::Open { from: BALANCER, head: opening(flow(20), 0), offer: offer(once(1)) };
+    let declined = agent.handle(at(2_602), event);
+
+    assert_eq!(agent.load().service_ms, 200);
+    assert!(is_declined_as_late(&declined), "{declined:?}");
 }
 
 /// Deployments that do not name contention, or have the mechanisms switched off, are served as before.
