--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -25,7 +25,7 @@
         net,
         balancers: 2,
         services: services.to_vec(),
-        contracts: Vec::new(),
+        conditions: Vec::new(),
     };
     let fleet = Fleet::spawn(plan);
     assert!(fleet.is_ready_within(LATER), "balancers are not ready; logs in {:?}", fleet.folder());
--- a/crates/nutmegkeel_dev/src/soak/processes.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes.rs
@@ -11,6 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use nutmegkeel_core::l4::policy::Condition;
 use nutmegkeel_standin::client::Client;
 use nutmegkeel_standin::fleet::{Fleet, Plan};
 
@@ -34,8 +35,8 @@
 /// Time for all processes to be ready at the start, and to recover at the end.
 const SETTLE: Duration = Duration::from_secs(10);
 
-/// What a deployment says of itself whose callers compete and whose servers may be ill unseen.
-const CONTRACTS: [&str; 2] = ["pressure", "health"];
+/// What the deployment of a run with faults of load says of itself.
+const CONDITIONS: [Condition; 2] = [Condition::Contention, Condition::HiddenFaults];
 
 /// One run.
 #[derive(Clone, Debug)]
@@ -84,7 +85,7 @@
         net: options.net,
         balancers: 3,
         services: vec!["desk", "desk", "desk", "vault", "vault"],
-        contracts: if options.load { CONTRACTS.to_vec() } else { Vec::new() },
+        conditions: if options.load { CONDITIONS.to_vec() } else { Vec::new() },
     });
     let truth = Arc::new(Truth::open(&fleet.routes()));
     let load = Arc::new(Load::open(options.load));
