--- a/crates/nutmegkeel_core/src/l4/balancer/peers.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/peers.rs
@@ -10,8 +10,8 @@
 use crate::l4::note::Note;
 use crate::l4::roster::{self, TELL_MS, Told};
 
-/// Peers of the own failure domain told in one tick, and as many of the others. With 59 balancers in five
-/// failure domains each hears all of its own within two ticks and all others within six.
+/// Peers of the own failure domain told in one tick, and as many of the others: a sign costs bytes for each
+/// pair, and a balancer still hears all of its own domain within a few ticks.
 const PEERS_PER_TICK: usize = 8;
 
 /// Balancers that spoke within this time at least are passed on, in milliseconds.
--- a/crates/nutmegkeel_core/src/l4/balancer/summary.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/summary.rs
@@ -1,8 +1,7 @@
 //! What balancers of different failure domains tell each other of their agents.
 //!
 //! The load pattern: an agent that announces itself to every balancer costs as many datagrams as there are
-//! pairs, 27,000 a second for 136 agents and 59 balancers, four in five of them between failure domains. So
-//! agents speak to the balancers of their own domain, which take turns to tell one balancer of each other
+//! pairs, most of them between failure domains. So agents speak to the balancers of their own domain, which take turns to tell one balancer of each other
 //! domain of all, and that one passes it on at home. Nobody is elected: a balancer that dies misses its turns.
 
 use std::collections::BTreeMap;
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -288,8 +288,8 @@
     /// tell; notes that it is.
     ///
     /// Guards against answering every announcement with all addresses: after the death of one balancer
-    /// the views differ for seconds, and with 59 balancers and 136 agents that would be 26,000 lists a
-    /// second. A list is sent once when it is new, and again only with the next sign of life.
+    /// the views differ for seconds, and that would be a list for each pair each 300 ms. A list is sent once
+    /// when it is new, and again only with the next sign of life.
     pub fn tell(&mut self, agent: Ipv4Addr, next: Told, pause_ms: u64) -> Telling {
         let Some(candidate) = self.agents.get_mut(&agent) else {
             return Telling::Addresses;
--- a/crates/nutmegkeel_core/src/l4/placement/candidate.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -11,7 +11,7 @@
 use crate::l4::roster::Told;
 use crate::l4::route::{Kind, Service};
 
-/// Part of its slots that a cold backend server is worth, in percent: it works 1.6 times as long.
+/// Part of its slots that a cold backend server is worth, in percent, until its time of service is learnt.
 const COLD_PERCENT: u64 = 60;
 
 /// How one more request or flow weighs at a choice, in thousandths of a slot.
@@ -23,9 +23,9 @@
 }
 
 impl Weights {
-    /// Short flows follow what is in progress now. Long ones follow the number of flows: each brings
-    /// about one request of 50 ms a second for as long as it lives, whatever is in progress now.
-    /// Crossing a failure domain costs bytes: a download is 20 times as large as other answers.
+    /// Short flows follow what is in progress now. Long ones follow the number of flows: each brings requests for
+    /// as long as it lives, whatever is in progress now. Crossing a failure domain costs bytes, and a download has
+    /// most of them.
     pub(super) const fn of(kind: Kind) -> Self {
         match kind {
             Kind::Idempotent => Self { busy: 250, flow: 250, far: 150 },
--- a/crates/nutmegkeel_core/src/l4/word.rs
+++ b/crates/nutmegkeel_core/src/l4/word.rs
@@ -18,8 +18,8 @@
 /// Rounds of gossip after which a balancer's word no longer counts: one may be lost.
 const ROUNDS: u64 = 2;
 
-/// Pause of a delegate between two watches after a change, in milliseconds. Each call is priced: in a burst
-/// of a change every 60 ms this makes 2.5 calls a second of 16.
+/// Pause of a delegate between two watches after a change, in milliseconds: a burst of changes is read with a
+/// few calls, since each is paid for.
 const COALESCE_MS: u64 = 400;
 
 /// Pause of a delegate before it watches the store again after a change, in milliseconds, if its last watch
--- a/crates/nutmegkeel_node/src/l4/journal.rs
+++ b/crates/nutmegkeel_node/src/l4/journal.rs
@@ -219,12 +219,15 @@
             warn!(event = "reset", flow:% = flow, cause = cause.name(), asked = asked,
                 configuration = version; "reset sent to the client");
         }
-        Note::Refused { flow, cause, urgency, asked, shortage } => {
-            let figures = shortage.unwrap_or_default();
+        Note::Refused { flow, cause, urgency, asked, shortage: Some(shortage) } => {
             warn!(event = "refused", flow:% = flow, cause = cause.name(),
-                urgency = urgency.number(), asked = asked, servers = figures.servers,
-                least_ms = figures.least_ms, left_ms = figures.left_ms,
-                lasted_ms = figures.lasted_ms; "opening refused for want of room");
+                urgency = urgency.number(), asked = asked, servers = shortage.servers,
+                least_ms = shortage.least_ms, left_ms = shortage.left_ms,
+                lasted_ms = shortage.lasted_ms; "opening refused for want of room");
+        }
+        Note::Refused { flow, cause, urgency, asked, shortage: None } => {
+            warn!(event = "refused", flow:% = flow, cause = cause.name(),
+                urgency = urgency.number(), asked = asked; "opening refused by the agents asked");
         }
         Note::Kept { flow, cause } => {
             info!(event = "kept", flow:% = flow, cause = cause.name();
