--- a/crates/nutmegkeel_core/src/l4/agent/contended.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/contended.rs
@@ -5,17 +5,13 @@
 use super::request::Opening;
 use super::{Action, Agent};
 use crate::clock::Time;
-use crate::l4::flow::{Flow, Head};
+use crate::l4::flow::{Flow, Head, OPENING_ENDS_MS};
 use crate::l4::message::{Demand, Offer};
 use crate::l4::note::{Cause, Note};
 use crate::l4::policy::Mechanism;
 use crate::l4::share::Standing;
 use crate::l4::waiting::{Capacity, Waiting};
 
-/// A request that came too late for the place that its opening kept is put back as if its opening had
-/// come so long ago, in milliseconds: clients give an opening up after this.
-const OVERDUE_MS: u64 = 1_400;
-
 impl Agent {
     /// Whether the requests of a flow may wait here.
     ///
@@ -115,7 +111,8 @@
         let Some(demand) = demand.filter(|_| self.waiting.is_contended()) else {
             return false;
         };
-        let (flow, since, request) = (head.flow, now.before(OVERDUE_MS), Some(*head));
+        // When the opening came is not known any more; its client waited no longer than this for its answer.
+        let (flow, since, request) = (head.flow, now.before(OPENING_ENDS_MS), Some(*head));
         let returns = false;
         self.waiting.push(Waiting { flow, since, opened: now, demand, returns, request });
         true
--- a/crates/nutmegkeel_core/src/l4/balancer/opening.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/opening.rs
@@ -10,7 +10,7 @@
 use crate::l4::health::Health;
 use crate::l4::message::{Demand, Insistence, Message, Offer};
 use crate::l4::note::{Cause, Note};
-use crate::l4::placement::Wish;
+use crate::l4::placement::Need;
 use crate::l4::policy::Mechanism;
 use crate::l4::route::{Kind, Route, Service, Urgency};
 
@@ -52,7 +52,7 @@
     fn place(&mut self, now: Time, head: &Head, service: Service, route: &Route) -> Vec<Action> {
         let returns = self.returns(now, head);
         let domain = Arc::clone(&self.identity.domain);
-        let wish = Wish {
+        let need = Need {
             key: head.flow.key(),
             service,
             kind: route.kind,
@@ -64,18 +64,18 @@
         let entry = self.cache.entry(now, head.flow);
         let (declined, waited_ms) = (entry.declined.clone(), now.since(entry.began));
         let tries = declined.len();
-        let Some(selection) = self.select(now, wish, &Attempt { declined, waited_ms, in_vain })
+        let Some(selection) = self.select(now, need, &Attempt { declined, waited_ms, in_vain })
         else {
             return self.refuse(now, head, service, route.urgency, tries);
         };
         let Selection { choice, tried, for_idle } = selection;
-        let wish = Wish { tried: &tried, ..wish };
-        if let Some(shortage) = self.shortage(now, head, route, &wish, choice) {
+        let need = Need { tried: &tried, ..need };
+        if let Some(shortage) = self.shortage(now, head, route, &need, choice) {
             return self.refuse_for_room(now, head, route.urgency, tries, Some(shortage));
         }
         self.cache.entry(now, head.flow).place = Some(Place::Placed(choice.agent));
         self.pool.placed(choice.agent);
-        let alone = self.pool.open_agents(now, &wish) <= tried.len() + 1;
+        let alone = self.pool.open_agents(now, &need) <= tried.len() + 1;
         let insistence = if for_idle && !alone { Insistence::IfIdle } else { Insistence::IfInTime };
         let note =
             Note::Placed { flow: head.flow, choice, attempt: tries, version: self.table.version };
--- a/crates/nutmegkeel_core/src/l4/balancer/selection.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/selection.rs
@@ -6,7 +6,7 @@
 use super::opening::LONGEST_MS;
 use crate::clock::Time;
 use crate::l4::message::Reason;
-use crate::l4::placement::{Choice, Wish};
+use crate::l4::placement::{Choice, Need};
 use crate::l4::policy::Mechanism;
 
 /// Agents asked for a free slot before one is asked to let the flow wait: each costs a round trip.
@@ -48,19 +48,19 @@
 impl Balancer {
     /// The agent for an opening, and whether it is asked for a free slot. Where openings go by room, that is
     /// asked for longer while a slot is believed free, and not at all in vain.
-    pub(super) fn select(&self, now: Time, wish: Wish, attempt: &Attempt) -> Option<Selection> {
+    pub(super) fn select(&self, now: Time, need: Need, attempt: &Attempt) -> Option<Selection> {
         let policy = &self.identity.policy;
         let (tries, by_room) = (attempt.declined.len(), policy.uses(Mechanism::Room));
         let idle_tries = if by_room { FREE_TRIES } else { IDLE_TRIES };
         let for_idle = tries < idle_tries && policy.uses(Mechanism::FreeSlotFirst);
-        let selection = self.select_for(now, wish, attempt, for_idle);
+        let selection = self.select_for(now, need, attempt, for_idle);
         if !by_room || !for_idle {
             return selection;
         }
         let is_free = |one: &Selection| self.pool.is_free(now, one.choice.agent);
         let gives_up = attempt.in_vain || tries >= IDLE_TRIES || selection.is_none();
         if gives_up && !selection.as_ref().is_some_and(is_free) {
-            return self.select_for(now, wish, attempt, false);
+            return self.select_for(now, need, attempt, false);
         }
         selection
     }
@@ -68,19 +68,19 @@
     fn select_for(
         &self,
         now: Time,
-        wish: Wish,
+        need: Need,
         attempt: &Attempt,
         for_idle: bool,
     ) -> Option<Selection> {
         let tried = attempt.excluded(for_idle);
-        let wish = Wish { tried: &tried, ..wish };
+        let need = Need { tried: &tried, ..need };
         let policy = &self.identity.policy;
         let is_hopeless = attempt.late() >= LATE_TRIES && policy.uses(Mechanism::Urgency);
         let may_try = attempt.is_within_limits() && !is_hopeless;
         let choice = if policy.uses(Mechanism::Room) {
-            self.choose_by_room(now, &wish, attempt.waited_ms, may_try)
+            self.choose_by_room(now, &need, attempt.waited_ms, may_try)
         } else {
-            may_try.then(|| self.pool.choose(now, &wish)).flatten()
+            may_try.then(|| self.pool.choose(now, &need)).flatten()
         };
         choice.map(|choice| Selection { choice, tried, for_idle })
     }
--- a/crates/nutmegkeel_core/src/l4/balancer/shortage.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/shortage.rs
@@ -5,17 +5,14 @@
 
 use super::{Action, Balancer};
 use crate::clock::Time;
-use crate::l4::flow::{Flow, Head};
+use crate::l4::flow::{Flow, Head, OPENING_ENDS_MS};
 use crate::l4::note::{Cause, Note};
-use crate::l4::placement::{Choice, Wish};
+use crate::l4::placement::{Choice, Need};
 use crate::l4::policy::Mechanism;
 use crate::l4::room::{CROWD_MS, Crowds, Rank, Returns, Shortage};
 use crate::l4::route::{Route, Service, Table, Urgency};
 use crate::l4::status;
 
-/// A client gives an opening up after this, in milliseconds.
-const CLIENT_END_MS: u64 = 1_400;
-
 /// What a balancer knows of want of room besides the agents' reports.
 #[derive(Debug, Default)]
 pub(super) struct Memory {
@@ -58,12 +55,12 @@
     pub(super) fn choose_by_room(
         &self,
         now: Time,
-        wish: &Wish,
+        need: &Need,
         waited_ms: u64,
         may_try: bool,
     ) -> Option<Choice> {
-        let choice = self.pool.choose_free(now, wish)?;
-        let goes_on = waited_ms <= CLIENT_END_MS && self.pool.is_free(now, choice.agent);
+        let choice = self.pool.choose_free(now, need)?;
+        let goes_on = waited_ms <= OPENING_ENDS_MS && self.pool.is_free(now, choice.agent);
         (may_try || goes_on).then_some(choice)
     }
 
@@ -99,13 +96,13 @@
         now: Time,
         head: &Head,
         route: &Route,
-        wish: &Wish,
+        need: &Need,
         choice: Choice,
     ) -> Option<Shortage> {
         if !self.identity.policy.uses(Mechanism::Room) {
             return None;
         }
-        let place = (head.flow.service, wish.service);
+        let place = (head.flow.service, need.service);
         if self.pool.is_free(now, choice.agent) {
             self.memory.crowds.note_free(place);
             return None;
@@ -117,11 +114,11 @@
             return None;
         }
         let rank = if self.identity.policy.uses(Mechanism::Urgency) {
-            self.memory.rank(wish.service, route.urgency)
+            self.memory.rank(need.service, route.urgency)
         } else {
             Rank::FIRST
         };
-        let soonest = self.pool.soonest(now, wish, rank);
+        let soonest = self.pool.soonest(now, need, rank);
         let left_ms = route.deadline_ms.saturating_sub(waited_ms);
         // An agent that this balancer has not heard of yet may have room.
         let is_ruled_out = soonest.servers > 0 && soonest.least_ms > left_ms;
--- a/crates/nutmegkeel_core/src/l4/flow.rs
+++ b/crates/nutmegkeel_core/src/l4/flow.rs
@@ -91,6 +91,9 @@
     }
 }
 
+/// A client gives an opening up after this, in milliseconds.
+pub const OPENING_ENDS_MS: u64 = 1_400;
+
 /// A packet whose data ends at most this far behind what came before brings something new.
 pub const DATA_REACH: u32 = 1 << 30;
 
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -44,7 +44,7 @@
 
 /// What a new flow needs.
 #[derive(Clone, Copy, Debug)]
-pub struct Wish<'a> {
+pub struct Need<'a> {
     /// Its key.
     pub key: Key,
     /// Its service.
@@ -233,19 +233,19 @@
 
     /// Agents that may take a new flow now.
     #[must_use]
-    pub fn open_agents(&self, now: Time, wish: &Wish) -> usize {
-        let state = self.takers(now, wish.service);
-        let members = self.members(Some(wish.service));
+    pub fn open_agents(&self, now: Time, need: &Need) -> usize {
+        let state = self.takers(now, need.service);
+        let members = self.members(Some(need.service));
         let is_open = |candidate: &Candidate| {
-            self.is_in(now, candidate, wish.service, state) && self.is_allowed(candidate, wish)
+            self.is_in(now, candidate, need.service, state) && self.is_allowed(candidate, need)
         };
         members.filter(|(_, candidate)| is_open(candidate)).count()
     }
 
     /// Whether a flow may go to an agent's region.
-    fn is_allowed(&self, candidate: &Candidate, wish: &Wish) -> bool {
+    fn is_allowed(&self, candidate: &Candidate, need: &Need) -> bool {
         let region = || self.regions.get(&candidate.announcement.domain);
-        wish.regions.is_empty() || region().is_some_and(|region| wish.regions.contains(region))
+        need.regions.is_empty() || region().is_some_and(|region| need.regions.contains(region))
     }
 
     /// Sets which failure domains are evacuated from now on.
--- a/crates/nutmegkeel_core/src/l4/placement/free.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/free.rs
@@ -6,7 +6,7 @@
 
 use super::candidate::{Candidate, Weights};
 use super::order::Ranked;
-use super::{Choice, Pool, Wish};
+use super::{Choice, Need, Pool};
 use crate::clock::Time;
 use crate::l4::message::State;
 use crate::l4::room::{Rank, Room};
@@ -30,25 +30,25 @@
     /// balancers with the same reports would all pick the least busy server, and fill it many times over
     /// before the next report. A download goes to another failure domain only if that is worth its bytes.
     #[must_use]
-    pub fn choose_free(&self, now: Time, wish: &Wish) -> Option<Choice> {
-        let choice = self.choose(now, wish)?;
+    pub fn choose_free(&self, now: Time, need: &Need) -> Option<Choice> {
+        let choice = self.choose(now, need)?;
         if self.is_free(now, choice.agent) {
             return Some(choice);
         }
-        let is_large = wish.kind == Kind::Download;
-        let weights = Weights::of(wish.kind);
-        let pressure = |candidate: &Candidate| candidate.pressure(weights, wish.domain);
+        let is_large = need.kind == Kind::Download;
+        let weights = Weights::of(need.kind);
+        let pressure = |candidate: &Candidate| candidate.pressure(weights, need.domain);
         let bound = self.agents.get(&choice.agent).map_or(u64::MAX, pressure);
-        let takers = self.takers(now, wish.service);
+        let takers = self.takers(now, need.service);
         let ranked = self
-            .members(Some(wish.service))
+            .members(Some(need.service))
             .filter(|(agent, candidate)| {
                 candidate.known(now).free() > 0
-                    && !wish.tried.contains(agent)
-                    && self.takes(now, candidate, wish, takers)
+                    && !need.tried.contains(agent)
+                    && self.takes(now, candidate, need, takers)
             })
             .map(|(agent, candidate)| {
-                (Ranked::of(wish.key, agent, candidate, wish.domain), candidate)
+                (Ranked::of(need.key, agent, candidate, need.domain), candidate)
             })
             .filter(|(ranked, candidate)| ranked.near || !is_large || pressure(candidate) < bound);
         let free = ranked.max_by_key(|(ranked, _)| *ranked);
@@ -63,11 +63,11 @@
 
     /// The soonest answer to a flow's request, by what each agent last said.
     #[must_use]
-    pub fn soonest(&self, now: Time, wish: &Wish, rank: Rank) -> Soonest {
-        let takers = self.takers(now, wish.service);
-        let members = self.members(Some(wish.service));
+    pub fn soonest(&self, now: Time, need: &Need, rank: Rank) -> Soonest {
+        let takers = self.takers(now, need.service);
+        let members = self.members(Some(need.service));
         let asked = members.filter(|(agent, candidate)| {
-            !wish.tried.contains(agent) && self.takes(now, candidate, wish, takers)
+            !need.tried.contains(agent) && self.takes(now, candidate, need, takers)
         });
         let start = Soonest { servers: 0, least_ms: u64::MAX };
         asked.fold(start, |soonest, (_, candidate)| Soonest {
@@ -99,10 +99,10 @@
         &self,
         now: Time,
         candidate: &Candidate,
-        wish: &Wish,
+        need: &Need,
         takers: State,
     ) -> bool {
-        self.takes_any(now, candidate, wish.service, takers) && self.is_allowed(candidate, wish)
+        self.takes_any(now, candidate, need.service, takers) && self.is_allowed(candidate, need)
     }
 
     fn takes_any(&self, now: Time, one: &Candidate, service: Service, takers: State) -> bool {
--- a/crates/nutmegkeel_core/src/l4/placement/order.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/order.rs
@@ -4,7 +4,7 @@
 use std::net::Ipv4Addr;
 
 use super::candidate::{Candidate, Weights};
-use super::{Choice, Pool, Wish};
+use super::{Choice, Need, Pool};
 use crate::clock::Time;
 use crate::l4::route::Service;
 use crate::placement::{Key, mix};
@@ -21,13 +21,13 @@
     /// all of these were tried, the best of all others. A cold one that has been given what it bears comes
     /// last.
     #[must_use]
-    pub fn choose(&self, now: Time, wish: &Wish) -> Option<Choice> {
-        let Wish { key, service, domain, tried, .. } = *wish;
+    pub fn choose(&self, now: Time, need: &Need) -> Option<Choice> {
+        let Need { key, service, domain, tried, .. } = *need;
         let takers = self.takers(now, service);
-        let takes = |candidate: &Candidate| self.takes(now, candidate, wish, takers);
+        let takes = |candidate: &Candidate| self.takes(now, candidate, need, takers);
         let open = || self.members(Some(service)).filter(|(_, candidate)| takes(candidate));
         let ranked = open().map(|(agent, candidate)| Ranked::of(key, agent, candidate, domain));
-        let weights = Weights::of(wish.kind);
+        let weights = Weights::of(need.kind);
         let pressure = |candidate: &Candidate| {
             candidate.pressure(weights, domain) + self.surcharge(service, candidate)
         };
--- a/crates/nutmegkeel_core/tests/l4/balance.rs
+++ b/crates/nutmegkeel_core/tests/l4/balance.rs
@@ -10,12 +10,12 @@
 use nutmegkeel_core::l4::flow::Head;
 use nutmegkeel_core::l4::message::{Announcement, Load, State};
 use nutmegkeel_core::l4::note::Note;
-use nutmegkeel_core::l4::placement::{Level, Pool, Wish};
+use nutmegkeel_core::l4::placement::{Level, Need, Pool};
 use nutmegkeel_core::l4::policy::{Condition, Mechanism, Policy};
 use nutmegkeel_core::l4::route::Kind;
 
 use crate::fixture::{
-    BALANCER, DOMAIN, agent_with, ask, at, data, desk, flow, heartbeat, host, identity, load, wish,
+    BALANCER, DOMAIN, agent_with, ask, at, data, desk, flow, heartbeat, host, identity, load, need,
     word,
 };
 use fleet::{Demand, Fleet, scatter};
@@ -59,8 +59,8 @@
     pool.levels().find(|level| *level.domain == *domain).expect("it was heard of")
 }
 
-fn chosen(pool: &Pool, now: u64, wish: &Wish) -> Option<Ipv4Addr> {
-    pool.choose(at(now), wish).map(|choice| choice.agent)
+fn chosen(pool: &Pool, now: u64, need: &Need) -> Option<Ipv4Addr> {
+    pool.choose(at(now), need).map(|choice| choice.agent)
 }
 
 fn near_agents() -> [Ipv4Addr; 2] {
@@ -77,10 +77,10 @@
     let mut with = pool();
     hear(&mut with, near, far, 0, 3_000);
 
-    let wish = wish(flow(1).key(), Kind::Idempotent, &[]);
+    let need = need(flow(1).key(), Kind::Idempotent, &[]);
 
-    assert!(near_agents().contains(&chosen(&without, 3_000, &wish).expect("all are open")));
-    assert!(!near_agents().contains(&chosen(&with, 3_000, &wish).expect("all are open")));
+    assert!(near_agents().contains(&chosen(&without, 3_000, &need).expect("all are open")));
+    assert!(!near_agents().contains(&chosen(&with, 3_000, &need).expect("all are open")));
 }
 
 #[test]
@@ -108,7 +108,7 @@
     hear(&mut pool, load(5, 0), load(4, 0), 0, 5_000);
 
     let goes_far = |kind| {
-        let agent = chosen(&pool, 5_000, &wish(flow(1).key(), kind, &[]));
+        let agent = chosen(&pool, 5_000, &need(flow(1).key(), kind, &[]));
         !near_agents().contains(&agent.expect("all are open"))
     };
 
@@ -177,7 +177,7 @@
     pool.set_evacuated(BTreeSet::from([FAR.into()]));
     hear(&mut pool, load(40, 40), load(0, 0), 0, 3_000);
 
-    let agent = chosen(&pool, 3_000, &wish(flow(1).key(), Kind::Idempotent, &[]));
+    let agent = chosen(&pool, 3_000, &need(flow(1).key(), Kind::Idempotent, &[]));
 
     assert!(near_agents().contains(&agent.expect("the own domain is open")));
     assert_eq!(level(&pool, DOMAIN).elsewhere, None);
@@ -192,7 +192,7 @@
     hear(&mut pool, load(40, 40), load(0, 0), 0, 3_000);
     let regions = BTreeSet::from(["here".into()]);
 
-    let bound = Wish { regions: &regions, ..wish(flow(1).key(), Kind::Idempotent, &[]) };
+    let bound = Need { regions: &regions, ..need(flow(1).key(), Kind::Idempotent, &[]) };
 
     assert!(near_agents().contains(&chosen(&pool, 3_000, &bound).expect("the region is open")));
 }
@@ -206,7 +206,7 @@
         pool.filled(host(number));
     }
 
-    let agent = chosen(&pool, 3_000, &wish(flow(1).key(), Kind::Idempotent, &[]));
+    let agent = chosen(&pool, 3_000, &need(flow(1).key(), Kind::Idempotent, &[]));
 
     assert!(near_agents().contains(&agent.expect("the own domain is open")));
 }
@@ -228,7 +228,7 @@
         pool.announced(at(900), host(1), back(1, None, load(0, 0)));
         pool.announced(at(1_000), host(1), back(2, Some(desk()), load(2, 5)));
         pool.announced(at(1_000), host(2), word(2, State::Ready, load(2, 78)));
-        chosen(&pool, 1_000, &wish(flow(1).key(), Kind::Idempotent, &[]))
+        chosen(&pool, 1_000, &need(flow(1).key(), Kind::Idempotent, &[]))
     };
 
     assert_eq!(agent_of(false), Some(host(1)));
@@ -246,7 +246,7 @@
         pool.announced(at(now), host(2), word(now + 1, State::Ready, load(2, 30)));
     }
 
-    let agent = chosen(&pool, 9_000, &wish(flow(1).key(), Kind::Idempotent, &[]));
+    let agent = chosen(&pool, 9_000, &need(flow(1).key(), Kind::Idempotent, &[]));
 
     assert_eq!(agent, Some(host(1)));
 }
@@ -262,7 +262,7 @@
         let back = Announcement { incarnation: 2, ..word(1, State::Ready, load(0, 0)) };
         pool.announced(at(600), host(1), back);
 
-        let agent = chosen(&pool, 600, &wish(flow(1).key(), Kind::Idempotent, &[]));
+        let agent = chosen(&pool, 600, &need(flow(1).key(), Kind::Idempotent, &[]));
 
         assert_eq!(agent, Some(host(1)));
     }
--- a/crates/nutmegkeel_core/tests/l4/balance/fleet.rs
+++ b/crates/nutmegkeel_core/tests/l4/balance/fleet.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 
 use nutmegkeel_core::l4::message::{Announcement, Load, State};
-use nutmegkeel_core::l4::placement::{Pool, Wish};
+use nutmegkeel_core::l4::placement::{Need, Pool};
 use nutmegkeel_core::l4::route::Kind;
 use nutmegkeel_core::placement::Key;
 
-use crate::fixture::{at, wish, word};
+use crate::fixture::{at, need, word};
 
 const STEP_MS: u64 = 10;
 const SERVERS: usize = 5;
@@ -228,9 +228,9 @@
         let key = Key::new(self.draw(u64::MAX));
         let kind = if self.is_short { Kind::Once } else { Kind::Idempotent };
         let balancer = domain * BALANCERS + self.draw_place(BALANCERS);
-        let (own, needs) = (name(domain), wish(key, kind, &[]));
+        let (own, needs) = (name(domain), need(key, kind, &[]));
         let pool = &mut self.pools[balancer];
-        let Some(choice) = pool.choose(at(now), &Wish { domain: &own, ..needs }) else {
+        let Some(choice) = pool.choose(at(now), &Need { domain: &own, ..needs }) else {
             return;
         };
         pool.placed(choice.agent);
--- a/crates/nutmegkeel_core/tests/l4/fixture.rs
+++ b/crates/nutmegkeel_core/tests/l4/fixture.rs
@@ -10,7 +10,7 @@
 use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::flow::{Flags, Flow, Head};
 use nutmegkeel_core::l4::message::{Announcement, Demand, Insistence, Load, Offer, Roster, State};
-use nutmegkeel_core::l4::placement::Wish;
+use nutmegkeel_core::l4::placement::Need;
 use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::route::{Kind, Route, Service, Share, Table, Urgency};
 use nutmegkeel_core::l4::server::{Heartbeat, Incarnation};
@@ -135,9 +135,9 @@
 }
 
 /// What a flow to the desk needs that may go anywhere.
-pub(crate) fn wish(key: Key, kind: Kind, tried: &[Ipv4Addr]) -> Wish<'_> {
+pub(crate) fn need(key: Key, kind: Kind, tried: &[Ipv4Addr]) -> Need<'_> {
     static ANYWHERE: BTreeSet<Arc<str>> = BTreeSet::new();
-    Wish { key, service: desk(), kind, regions: &ANYWHERE, domain: DOMAIN, tried }
+    Need { key, service: desk(), kind, regions: &ANYWHERE, domain: DOMAIN, tried }
 }
 
 /// A balancer with a route to the desk and these agents, all known for three seconds at `at(3_000)`.
--- a/crates/nutmegkeel_core/tests/l4/placement.rs
+++ b/crates/nutmegkeel_core/tests/l4/placement.rs
@@ -2,7 +2,7 @@
 use nutmegkeel_core::l4::placement::{Change, Pool};
 use nutmegkeel_core::l4::route::Kind;
 
-use crate::fixture::{DOMAIN, at, desk, flow, host, load, wish, word};
+use crate::fixture::{DOMAIN, at, desk, flow, host, load, need, word};
 
 fn pool(loads: &[(u8, Load)]) -> Pool {
     let mut pool = Pool::default();
@@ -16,7 +16,7 @@
 fn a_short_flow_goes_to_the_least_busy_agent() {
     let pool = pool(&[(1, load(4, 10)), (2, load(0, 12)), (3, load(4, 10))]);
 
-    let chosen = pool.choose(at(1), &wish(flow(1).key(), Kind::Once, &[]));
+    let chosen = pool.choose(at(1), &need(flow(1).key(), Kind::Once, &[]));
 
     assert_eq!(chosen.map(|choice| choice.agent), Some(host(2)));
 }
@@ -25,7 +25,7 @@
 fn a_long_flow_goes_to_the_agent_with_the_fewest_flows() {
     let pool = pool(&[(1, load(0, 40)), (2, load(2, 10)), (3, load(0, 40))]);
 
-    let chosen = pool.choose(at(1), &wish(flow(1).key(), Kind::Idempotent, &[]));
+    let chosen = pool.choose(at(1), &need(flow(1).key(), Kind::Idempotent, &[]));
 
     assert_eq!(chosen.map(|choice| choice.agent), Some(host(2)));
 }
@@ -37,7 +37,7 @@
         pool.placed(host(1));
     }
 
-    let chosen = pool.choose(at(1), &wish(flow(1).key(), Kind::Once, &[]));
+    let chosen = pool.choose(at(1), &need(flow(1).key(), Kind::Once, &[]));
 
     assert_eq!(chosen.map(|choice| choice.agent), Some(host(2)));
 }
@@ -49,7 +49,7 @@
     far.domain = "tema".into();
     pool.announced(at(0), host(2), far);
 
-    let chosen = pool.choose(at(1), &wish(flow(1).key(), Kind::Download, &[]));
+    let chosen = pool.choose(at(1), &need(flow(1).key(), Kind::Download, &[]));
 
     assert_eq!(chosen.map(|choice| choice.agent), Some(host(1)));
 }
@@ -60,7 +60,7 @@
     pool.announced(at(900), host(2), word(2, State::Closed, load(0, 0)));
     pool.announced(at(900), host(3), word(2, State::Ready, load(9, 99)));
 
-    let chosen = pool.choose(at(1_000), &wish(flow(1).key(), Kind::Once, &[]));
+    let chosen = pool.choose(at(1_000), &need(flow(1).key(), Kind::Once, &[]));
 
     assert_eq!(chosen.map(|choice| choice.agent), Some(host(3)));
 }
@@ -73,7 +73,7 @@
     let change = pool.announced(at(1), host(1), word(4, State::Ready, load(0, 0)));
 
     assert_eq!(change, Change::Stale);
-    assert_eq!(pool.open_agents(at(1), &wish(flow(1).key(), Kind::Once, &[])), 0);
+    assert_eq!(pool.open_agents(at(1), &need(flow(1).key(), Kind::Once, &[])), 0);
 }
 
 #[test]
@@ -110,7 +110,7 @@
     let mut pool = pool(&[(1, load(3, 9)), (2, load(3, 9))]);
     pool.announced(at(1), host(3), word(1, State::Failing, load(0, 0)));
 
-    let chosen = pool.choose(at(1), &wish(flow(1).key(), Kind::Once, &[]));
+    let chosen = pool.choose(at(1), &need(flow(1).key(), Kind::Once, &[]));
 
     assert_ne!(chosen.map(|choice| choice.agent), Some(host(3)));
 }
@@ -122,7 +122,7 @@
         pool.announced(at(1), host(number), word(1, State::Failing, load(0, 0)));
     }
 
-    let chosen = pool.choose(at(1), &wish(flow(1).key(), Kind::Once, &[]));
+    let chosen = pool.choose(at(1), &need(flow(1).key(), Kind::Once, &[]));
 
     assert_ne!(chosen.map(|choice| choice.agent), Some(host(1)));
 }
@@ -165,7 +165,7 @@
     let second = pool.announced(at(900), host(1), late);
 
     assert_eq!((first, second), (Change::Stale, Change::Stale));
-    assert_eq!(pool.open_agents(at(900), &wish(flow(1).key(), Kind::Once, &[])), 1);
+    assert_eq!(pool.open_agents(at(900), &need(flow(1).key(), Kind::Once, &[])), 1);
 }
 
 /// Feeds stall for a moment whenever the fabric changes its choice: openings also go to the first two agents
@@ -185,7 +185,7 @@
         .map(|port| {
             let key = flow(port).key();
             let busy: Vec<_> = (0..20).map(host).collect();
-            let placed = pool.choose(at(1), &wish(key, Kind::Once, &busy));
+            let placed = pool.choose(at(1), &need(key, Kind::Once, &busy));
             let order = pool.search(key, &[desk()], DOMAIN);
             let agent = placed.expect("another domain is open").agent;
             order.iter().position(|asked| *asked == agent).expect("all are asked")
--- a/crates/nutmegkeel_core/tests/l4/room.rs
+++ b/crates/nutmegkeel_core/tests/l4/room.rs
@@ -7,14 +7,14 @@
 use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::flow::Flow;
 use nutmegkeel_core::l4::message::{Announcement, Load, Message, Offer, State};
-use nutmegkeel_core::l4::placement::{Pool, Wish};
+use nutmegkeel_core::l4::placement::{Need, Pool};
 use nutmegkeel_core::l4::policy::{Condition, Policy};
 use nutmegkeel_core::l4::room::{BELIEVED_MS, Known, Rank, Room};
 use nutmegkeel_core::l4::route::{Kind, Urgency};
 
 use crate::fixture::{
-    BALANCER, DOMAIN, PORT, at, desk, flow, forwarded, host, identity, opening, service_address,
-    table, wish, word,
+    BALANCER, DOMAIN, PORT, at, desk, flow, forwarded, host, identity, need, opening,
+    service_address, table, word,
 };
 
 const FAR: &str = "tema";
@@ -155,7 +155,7 @@
     let pool = pool(3_000, |agent| if domain_of(agent) == FAR { IDLE } else { FULL });
     let crosses = |kind| {
         let choices = (1..=50)
-            .filter_map(|port| pool.choose_free(at(3_000), &wish(flow(port).key(), kind, &[])));
+            .filter_map(|port| pool.choose_free(at(3_000), &need(flow(port).key(), kind, &[])));
         choices.filter(|choice| domain_of(number(choice.agent)) == FAR).count()
     };
 
@@ -174,7 +174,7 @@
     pool.announced(at(later), host(12), said(12, later, IDLE));
 
     for port in 1..=50 {
-        let choice = pool.choose_free(at(later), &wish(flow(port).key(), Kind::Once, &[]));
+        let choice = pool.choose_free(at(later), &need(flow(port).key(), Kind::Once, &[]));
         assert_eq!(choice.map(|choice| number(choice.agent)), Some(12));
     }
     let rooms = pool.rooms(at(later));
@@ -231,7 +231,7 @@
     let mut given: BTreeMap<Ipv4Addr, usize> = BTreeMap::new();
 
     for (port, pool) in (1..).zip(&mut pools) {
-        let choice = pool.choose_free(at(100), &wish(flow(port).key(), Kind::Once, &[]));
+        let choice = pool.choose_free(at(100), &need(flow(port).key(), Kind::Once, &[]));
         let agent = choice.expect("an agent").agent;
         pool.placed(agent);
         *given.entry(agent).or_default() += 1;
@@ -248,7 +248,7 @@
     pool.set_evacuated(BTreeSet::from([FAR.into()]));
 
     for port in 1..=50 {
-        let choice = pool.choose_free(at(3_000), &wish(flow(port).key(), Kind::Once, &[]));
+        let choice = pool.choose_free(at(3_000), &need(flow(port).key(), Kind::Once, &[]));
         assert!(choice.is_some_and(|choice| domain_of(number(choice.agent)) == DOMAIN));
     }
     assert_eq!(pool.rooms(at(3_000))[&(desk(), FAR.into())], Room::default());
@@ -261,7 +261,7 @@
     let cold = |room| Announcement { cold: true, room: Some(room), ..said(12, 3_001, IDLE) };
     let chosen = |pool: &Pool| {
         let choices = (1..=50).filter_map(|port| {
-            pool.choose_free(at(3_001), &wish(flow(port).key(), Kind::Once, &[]))
+            pool.choose_free(at(3_001), &need(flow(port).key(), Kind::Once, &[]))
         });
         choices.filter(|choice| choice.agent == host(12)).count()
     };
@@ -284,9 +284,9 @@
     let regions = BTreeSet::from(["gulf".into()]);
 
     for port in 1..=50 {
-        let wish = wish(flow(port).key(), Kind::Once, &[]);
-        let wish = Wish { regions: &regions, ..wish };
-        let choice = pool.choose_free(at(3_000), &wish);
+        let need = need(flow(port).key(), Kind::Once, &[]);
+        let need = Need { regions: &regions, ..need };
+        let choice = pool.choose_free(at(3_000), &need);
         assert!(choice.is_some_and(|choice| domain_of(number(choice.agent)) == DOMAIN));
     }
 }
--- a/crates/nutmegkeel_core/tests/l4/summary.rs
+++ b/crates/nutmegkeel_core/tests/l4/summary.rs
@@ -11,7 +11,7 @@
 use nutmegkeel_core::l4::route::Kind;
 
 use crate::fixture::{
-    BALANCER, DOMAIN, agent, at, desk, flow, heartbeat, host, identity, load, roster, wish, word,
+    BALANCER, DOMAIN, agent, at, desk, flow, heartbeat, host, identity, load, need, roster, word,
 };
 
 const FAR: &str = "tema";
@@ -59,7 +59,7 @@
     summarise(&mut pool, 3_000, 3_000);
 
     assert_eq!(pool.health(at(3_200), host(1)), Some(Health::Fresh));
-    assert_eq!(pool.open_agents(at(3_200), &wish(flow(1).key(), Kind::Once, &[])), 1);
+    assert_eq!(pool.open_agents(at(3_200), &need(flow(1).key(), Kind::Once, &[])), 1);
 }
 
 /// An opening must not go to a dead host of another failure domain much longer than to one at home.
@@ -83,7 +83,7 @@
     summarise(&mut pool, 3_000, 3_000);
 
     let blind: Vec<_> = [4_200, 7_000, 10_000].map(|now| pool.health(at(now), host(1))).into();
-    let open = pool.open_agents(at(4_200), &wish(flow(1).key(), Kind::Once, &[]));
+    let open = pool.open_agents(at(4_200), &need(flow(1).key(), Kind::Once, &[]));
     let lost = pool.health(at(12_000), host(1));
 
     assert_eq!(blind, vec![Some(Health::Late); 3]);
@@ -146,7 +146,7 @@
 
     let change = pool.reported(at(3_300), &summary(Vec::new()), &report(12, 200));
 
-    let choice = pool.choose(at(3_300), &wish(flow(1).key(), Kind::Once, &[]));
+    let choice = pool.choose(at(3_300), &need(flow(1).key(), Kind::Once, &[]));
     assert_eq!(change, Change::None);
     assert_eq!(choice.map(|choice| choice.load.busy), Some(9));
 }
--- a/crates/nutmegkeel_core/tests/l4/uneven.rs
+++ b/crates/nutmegkeel_core/tests/l4/uneven.rs
@@ -7,7 +7,7 @@
 use nutmegkeel_core::l4::policy::{Condition, Mechanism, Policy};
 use nutmegkeel_core::l4::route::Kind;
 
-use crate::fixture::{BALANCER, at, flow, host, identity, load, wish, word};
+use crate::fixture::{BALANCER, at, flow, host, identity, load, need, word};
 use crate::uneven_fleet::{Fleet, Random, SERVERS};
 
 /// Servers of one service: their numbers, beginning with one, and their times.
@@ -207,7 +207,7 @@
     pool.compare_speeds(at(0));
 
     let chosen: BTreeSet<_> = (0..50)
-        .filter_map(|port| pool.choose(at(1), &wish(flow(port).key(), Kind::Idempotent, &[])))
+        .filter_map(|port| pool.choose(at(1), &need(flow(port).key(), Kind::Idempotent, &[])))
         .map(|choice| choice.agent)
         .collect();
 
@@ -251,7 +251,7 @@
         pool.announced(at(0), host(4), word(1, State::Ready, told));
         pool.compare_speeds(at(0));
         let chosen = (0..100)
-            .filter_map(|port| pool.choose(at(1), &wish(flow(port).key(), Kind::Idempotent, &[])));
+            .filter_map(|port| pool.choose(at(1), &need(flow(port).key(), Kind::Idempotent, &[])));
         chosen.filter(|choice| choice.agent == host(4)).count()
     };
 
@@ -272,8 +272,8 @@
         let told = Load { service_ms: 450, ..load(busy, 8) };
         pool.announced(at(0), host(4), word(1, State::Ready, told));
         pool.compare_speeds(at(0));
-        let wish = wish(flow(1).key(), Kind::Idempotent, &[]);
-        pool.choose_free(at(1), &wish).map(|choice| choice.agent)
+        let need = need(flow(1).key(), Kind::Idempotent, &[]);
+        pool.choose_free(at(1), &need).map(|choice| choice.agent)
     };
 
     assert_eq!(chosen_with(0), Some(host(4)), "one request shows whether it has recovered");
--- a/crates/nutmegkeel_core/tests/l4/uneven_fleet.rs
+++ b/crates/nutmegkeel_core/tests/l4/uneven_fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use nutmegkeel_core::l4::message::{Announcement, Load, State};
-use nutmegkeel_core::l4::placement::{Pool, Verdict, Wish};
+use nutmegkeel_core::l4::placement::{Need, Pool, Verdict};
 use nutmegkeel_core::l4::route::Kind;
 use nutmegkeel_core::l4::speed::Meter;
 use nutmegkeel_core::placement::Key;
@@ -222,7 +222,7 @@
 
     fn place(&mut self) {
         let balancer = self.random.below(self.pools.len() as u64) as usize;
-        let wish = Wish {
+        let need = Need {
             key: Key::new(self.random.next()),
             service: desk(),
             kind: Kind::Idempotent,
@@ -231,7 +231,7 @@
             tried: &[],
         };
         let pool = &mut self.pools[balancer];
-        let choice = pool.choose(at(self.now), &wish).expect("servers take flows");
+        let choice = pool.choose(at(self.now), &need).expect("servers take flows");
         pool.placed(choice.agent);
         let server = choice.agent.octets()[3];
         self.servers[usize::from(server)].flows += 1;
--- a/crates/nutmegkeel_dev/src/measure/finding.rs
+++ b/crates/nutmegkeel_dev/src/measure/finding.rs
@@ -10,7 +10,7 @@
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::l4::flow::Flow;
 use nutmegkeel_core::l4::message::{Announcement, Load, State};
-use nutmegkeel_core::l4::placement::{Pool, Wish};
+use nutmegkeel_core::l4::placement::{Need, Pool};
 use nutmegkeel_core::l4::room::Rank;
 use nutmegkeel_core::l4::route::{Kind, Service};
 use nutmegkeel_core::placement::Key;
@@ -64,10 +64,10 @@
     let pool = pool(200, 1);
     let choose_us = choose_us(&pool);
     let choose_free_us = mean_us(|port| {
-        black_box(pool.choose_free(Time::ZERO, &wish(flow(port).key())));
+        black_box(pool.choose_free(Time::ZERO, &need(flow(port).key())));
     });
     let soonest_us = mean_us(|port| {
-        black_box(pool.soonest(Time::ZERO, &wish(flow(port).key()), Rank::FIRST));
+        black_box(pool.soonest(Time::ZERO, &need(flow(port).key()), Rank::FIRST));
     });
     json!({"choose_us": choose_us, "choose_free_us": choose_free_us, "soonest_us": soonest_us})
 }
@@ -114,7 +114,7 @@
 fn choose_us(pool: &Pool) -> f64 {
     mean_us(|port| {
         let key = flow(port).key();
-        black_box(pool.choose(Time::ZERO, &wish(key)));
+        black_box(pool.choose(Time::ZERO, &need(key)));
     })
 }
 
@@ -131,8 +131,8 @@
 }
 
 /// A flow that must run once, from a client in the first failure domain.
-fn wish(key: Key) -> Wish<'static> {
+fn need(key: Key) -> Need<'static> {
     static ANYWHERE: BTreeSet<Arc<str>> = BTreeSet::new();
     let (kind, domain) = (Kind::Once, "domain-0");
-    Wish { key, service: service(0), kind, regions: &ANYWHERE, domain, tried: &[] }
+    Need { key, service: service(0), kind, regions: &ANYWHERE, domain, tried: &[] }
 }
