--- a/crates/nutmegkeel_core/src/l4/probe.rs
+++ b/crates/nutmegkeel_core/src/l4/probe.rs
@@ -9,10 +9,14 @@
 /// A probe is over after this: the server answers within a millisecond.
 const PROBE_MS: u64 = 1_000;
 
-/// A question that is open for so long gets no answer any more: a server answers within a
-/// millisecond, and the way to it does not leave the host.
+/// A packet that needs an answer and has had none for so long gets none any more, in milliseconds: a server answers
+/// within a millisecond, and the way to it does not leave the host.
 const UNANSWERED_MS: u64 = 150;
 
+/// Packets with data of one flow after which a server that holds it has answered: it acknowledges every second
+/// one, whatever it is at work on, and one may be lost.
+const ACKNOWLEDGED_AFTER: u32 = 3;
+
 /// How long the server's word that it does not hold a flow is remembered. Guards against handing
 /// it the packets of a flow whose own agent is away for a moment, again and again.
 const DENIED_MS: u64 = 10_000;
@@ -31,8 +35,10 @@
 struct Question {
     /// The balancer that wants to know.
     from: Ipv4Addr,
-    /// Whether the packet brings a request.
-    is_request: bool,
+    /// Packets with data that the server was handed.
+    requests: u32,
+    /// When it was handed the last packet.
+    at: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -52,14 +58,16 @@
 
     /// Like [`Self::insert`], for a balancer that wants to know whether the server holds the flow.
     pub fn ask(&mut self, now: Time, flow: Flow, from: Ipv4Addr, is_request: bool) -> u32 {
-        self.asked.insert(flow, Question { from, is_request });
+        let before = self.asked.get(&flow).map_or(0, |question| question.requests);
+        let requests = before + u32::from(is_request);
+        self.asked.insert(flow, Question { from, requests, at: now });
         self.insert(now, flow, from)
     }
 
     /// Requests that the server has been handed on flows which it may hold and has not answered yet.
     #[must_use]
     pub fn requests(&self) -> usize {
-        self.asked.values().filter(|question| question.is_request).count()
+        self.asked.values().filter(|question| question.requests > 0).count()
     }
 
     /// The balancer that sent the packet with this number.
@@ -74,12 +82,18 @@
         self.asked.remove(flow).map(|question| question.from)
     }
 
-    /// Takes out the questions that the server has left unanswered for longer than it ever takes.
+    /// Takes out the questions that a server would have answered if there were one. One packet proves nothing: a
+    /// server that holds the flow may be at work on what it asks for.
     pub fn take_unanswered(&mut self, now: Time) -> Vec<(Flow, Ipv4Addr)> {
-        let is_old = |probe: &Probe| now.since(probe.at) > UNANSWERED_MS;
-        let old: Vec<Flow> =
-            self.sent.values().filter(|probe| is_old(probe)).map(|probe| probe.flow).collect();
-        old.into_iter().filter_map(|flow| Some((flow, self.answered(&flow)?))).collect()
+        let is_silent = |question: &Question| {
+            question.requests >= ACKNOWLEDGED_AFTER && now.since(question.at) > UNANSWERED_MS
+        };
+        let silent = self.asked.iter().filter(|(_, question)| is_silent(question));
+        let silent: Vec<_> = silent.map(|(flow, question)| (*flow, question.from)).collect();
+        for (flow, _) in &silent {
+            self.asked.remove(flow);
+        }
+        silent
     }
 
     /// Notes that the server does not hold a flow.
@@ -95,14 +109,8 @@
 
     /// Drops what is over.
     pub fn expire(&mut self, now: Time) {
-        let asked = &mut self.asked;
-        self.sent.retain(|_, probe| {
-            let kept = now.since(probe.at) <= PROBE_MS;
-            if !kept {
-                asked.remove(&probe.flow);
-            }
-            kept
-        });
+        self.sent.retain(|_, probe| now.since(probe.at) <= PROBE_MS);
+        self.asked.retain(|_, question| now.since(question.at) <= PROBE_MS);
         self.denied.retain(|_, at| now.since(*at) <= DENIED_MS);
     }
 }
