--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -20,6 +20,7 @@
 use std::sync::Arc;
 
 use collector::Collector;
+use certainty::Growth;
 use kept::View;
 use search::{carry_to, note_declined};
 
@@ -80,8 +81,7 @@
     words: Words,
     /// Whether the store answered the last call.
     reaches_store: bool,
-    /// When an agent appeared last, or this balancer started.
-    grown: Time,
+    growth: Growth,
     last: Time,
     reviewed: Time,
     turn: usize,
@@ -131,7 +131,7 @@
             peers,
             words: Words::default(),
             reaches_store: true,
-            grown: now,
+            growth: Growth::open(now),
             last: now,
             reviewed: now,
             turn: 0,
@@ -217,6 +217,7 @@
             return actions;
         }
         for agent in self.pool.newly_silent(now) {
+            self.lose_certainty();
             actions.push(Action::Note(Note::AgentSilent { agent }));
             for (flow, seq) in self.cache.held_by(agent) {
                 self.cache.remove(&flow);
@@ -225,6 +226,7 @@
         }
         if self.is_settled(now) {
             for flow in self.cache.undecided(now) {
+        self.note_certainty(now);
                 actions.extend(self.decide(now, flow));
             }
         }
--- a/crates/nutmegkeel_core/src/l4/balancer/certainty.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/certainty.rs
@@ -12,7 +12,65 @@
 /// and clients of lost flows wait to be told.
 const SETTLE_YOUNG_MS: u64 = ANNOUNCE_MS + 100;
 
+/// Agents may appear one by one in a large fleet at any time. This part of those known, or a larger one, within
+/// [`SETTLE_MS`] means that many are coming back at once.
+const MANY: usize = 16;
+
+/// Which agents appeared lately.
+#[derive(Debug)]
+pub(super) struct Growth {
+    /// When a balancer that cannot know of all agents yet last heard of a new one.
+    last: Time,
+    /// Agents that appeared since this time.
+    since: Time,
+    agents: usize,
+    /// Whether all agents were known once: one that appears later is one more to ask, and no sign that there
+    /// are others.
+    was_settled: bool,
+}
+
+impl Growth {
+    /// A balancer that starts knows of none.
+    pub(super) const fn open(now: Time) -> Self {
+        Self { last: now, since: now, agents: 0, was_settled: false }
+    }
+
+    /// Notes an agent that appeared among so many.
+    ///
+    /// Guards against clients of lost flows that are told late, or never, in a fleet where some agent is
+    /// restarted each second.
+    fn note(&mut self, now: Time, known: usize) {
+        if now.since(self.since) > SETTLE_MS {
+            self.since = now;
+            self.agents = 0;
+        }
+        self.agents += 1;
+        if !self.was_settled || self.agents * MANY > known {
+            self.last = now;
+        }
+    }
+}
+
 impl Balancer {
+    /// Notes an agent that appeared.
+    pub(super) fn note_growth(&mut self, now: Time) {
+        self.growth.note(now, self.pool.len());
+    }
+
+    /// Forgets that all agents were known: some may have come while this process heard of nobody.
+    pub(super) const fn lose_certainty(&mut self) {
+        self.growth.was_settled = false;
+    }
+
+    /// Notes whether all agents are known now.
+    pub(super) fn note_certainty(&mut self, now: Time) {
+        if self.pool.is_cut_off(now) {
+            self.lose_certainty();
+        } else {
+            self.growth.was_settled |= self.is_settled(now);
+        }
+    }
+
     /// Whether no other balancer hears of more agents. Guards against resetting the flows of an agent
     /// that has not yet learnt of this balancer: the others know it.
     fn has_heard_of_all(&self, now: Time) -> bool {
@@ -23,7 +81,7 @@
     /// Whether agents are still appearing.
     pub(super) fn is_growing(&self, now: Time) -> bool {
         let span = if self.pool.is_young() { SETTLE_YOUNG_MS } else { SETTLE_MS };
-        now.since(self.grown) <= span
+        now.since(self.growth.last) <= span
     }
 
     /// Whether every agent that may hold a flow is known and can be asked.
--- a/crates/nutmegkeel_core/src/l4/balancer/summary.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/summary.rs
@@ -93,7 +93,7 @@
     /// Takes in what a word of an agent changed.
     pub(super) fn changed(&mut self, now: Time, agent: Ipv4Addr, change: Change) -> Option<Action> {
         if change == Change::Appeared {
-            self.grown = now;
+            self.note_growth(now);
         }
         self.agent_came |= matches!(change, Change::Appeared | Change::Opened);
         let is_news = !matches!(change, Change::None | Change::Stale);
--- a/crates/nutmegkeel_core/tests/l4/search.rs
+++ b/crates/nutmegkeel_core/tests/l4/search.rs
@@ -47,6 +47,8 @@
     /// When the client was told that its flow is gone, and when an agent said that it holds it.
     told: Option<u64>,
     found: Option<u64>,
+    /// Agents that are restarted, one with each announcement.
+    restarted: Vec<Ipv4Addr>,
 }
 
 impl Fleet {
@@ -64,6 +66,7 @@
             asked: Vec::new(),
             told: None,
             found: None,
+            restarted: Vec::new(),
         };
         fleet.run(3_000);
         fleet.search(packet(2), 2_000);
@@ -106,9 +109,13 @@
     }
 
     fn announce(&mut self) {
+        let restarted = self.restarted.pop();
         let speakers = self.knowledge.iter().filter(|(_, one)| **one != Knowledge::Mute);
         for (agent, _) in speakers {
             let mut word = word(self.now + 100, State::Ready, Load::default());
+            if restarted == Some(*agent) {
+                word.incarnation = self.now;
+            }
             if agent.octets()[3] > NEAR {
                 word.domain = "tema".into();
             }
@@ -220,6 +227,19 @@
     assert_eq!(told, None);
 }
 
+/// Guards against clients of lost flows that wait for their deadline in a large fleet, where some agent is
+/// restarted at any time: each new process made the balancer doubt that it knows all others.
+#[test]
+fn a_client_of_a_lost_flow_is_told_while_agents_are_restarted_one_by_one() {
+    let mut fleet = Fleet::open(Policy::default(), 200);
+    fleet.restarted = (1..=40).map(host).collect();
+    fleet.run(1_000);
+
+    let told = fleet.search(packet(1), 2_000);
+
+    assert!(told.is_some_and(|told| told <= OBJECTIVE_MS), "{told:?}");
+}
+
 /// Where one after the other is soon enough, nobody is asked in vain: a flow that has moved to another
 /// balancer is found with the first questions.
 #[test]
