--- a/crates/nutmegkeel_core/src/l4.rs
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -5,6 +5,7 @@
 //! backend server accepted. Nobody holds a table of all flows.
 
 pub mod agent;
+pub mod allowance;
 pub mod balancer;
 pub mod cache;
 pub mod checkpoint;
@@ -28,6 +29,7 @@
 pub mod speed;
 pub mod status;
 pub mod table;
+pub mod turnover;
 pub mod waiting;
 pub mod warmup;
 pub mod word;
--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -40,6 +40,7 @@
 use super::share::Shares;
 use super::speed::Meter;
 use super::table::Table;
+use super::turnover::Turnover;
 use super::waiting::Queue;
 use super::warmup::Budget;
 use super::word::Words;
@@ -75,6 +76,8 @@
     started: Time,
     beside: Beside,
     balancers: Book,
+    /// Balancers that changed since the last tick.
+    balancers_changed: Turnover,
     /// Balancers that have spoken to this process, and so know it.
     acquainted: BTreeSet<Ipv4Addr>,
     table: Table,
@@ -139,6 +142,7 @@
             identity,
             started: now,
             balancers,
+            balancers_changed: Turnover::default(),
             acquainted: BTreeSet::new(),
             table: Table::default(),
             probes: Probes::default(),
@@ -305,6 +309,7 @@
         self.balancers.expire(now);
         self.words.expire(now);
         self.acquainted.retain(|balancer| self.balancers.knows(*balancer));
+        actions.extend(self.note_turnover());
         if now.since(self.announced) >= ANNOUNCE_MS {
             actions.extend(self.announce_again(now));
         } else if self.uses(Mechanism::Introductions) {
@@ -329,7 +334,8 @@
         if !self.handover.is_pending() {
             return None;
         }
-        let delegates = self.words.delegates(now, &self.identity.domain, None);
+        let patience_ms = self.words.counted_ms();
+        let delegates = self.words.delegates(now, &self.identity.domain, None, patience_ms);
         let agents = self.agents_at_home(now);
         match self.handover.step(now, &delegates, self.reaches_store(now), agents)? {
             Step::Deposit(balancer, list) => Some(Action::Send(balancer, Message::Deposit(list))),
--- a/crates/nutmegkeel_core/src/l4/agent/balancers.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/balancers.rs
@@ -7,6 +7,7 @@
 use crate::clock::Time;
 use crate::l4::message::{Announcement, Message, Roster};
 use crate::l4::note::Note;
+use crate::l4::placement::Change;
 use crate::l4::policy::Mechanism;
 use crate::l4::roster::TELL_NEAR_MS;
 
@@ -44,7 +45,7 @@
         let mut actions = Vec::new();
         for balancer in balancers {
             if self.balancers.heard(now, *balancer) {
-                actions.push(Action::Note(Note::Balancer { balancer: *balancer, known: true }));
+                self.balancers_changed.note(*balancer, Change::Appeared);
                 actions.push(Action::Send(*balancer, self.announcement()));
             }
         }
@@ -63,6 +64,12 @@
         if strangers.is_empty() { Vec::new() } else { self.announce_to(now, strangers) }
     }
 
+    /// Notes which balancers changed since the last tick.
+    pub(super) fn note_turnover(&mut self) -> Option<Action> {
+        let turnover = self.balancers_changed.take()?;
+        Some(Action::Note(Note::Balancers { turnover, known: self.balancers.len() }))
+    }
+
     /// Announces this agent to all balancers, because something changed.
     pub(super) fn announce(&mut self, now: Time) -> Vec<Action> {
         self.announced = now;
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -6,7 +6,8 @@
 mod event;
 mod kept;
 mod opening;
-mod peers;
+mod outlook;
+pub mod peers;
 mod queries;
 mod search;
 mod selection;
@@ -19,21 +20,25 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-use collector::Collector;
 use certainty::Growth;
+use collector::Collector;
 use kept::View;
+use outlook::Outlook;
+use peers::{LISTS_AT_ONCE, LISTS_PER_S};
 use search::{carry_to, note_declined};
 
+use super::allowance::Allowance;
 use super::cache::{Cache, Place};
 use super::evacuation::Ledger;
 use super::fetch::Holder;
 use super::flow::{Flow, Head};
 use super::message::{Announcement, Load, Reason};
 use super::note::{Cause, Note};
-use super::placement::{Pool, Telling};
+use super::placement::Pool;
 use super::policy::{Mechanism, Policy};
 use super::roster::{Book, TELL_MS, TELL_NEAR_MS, Told};
 use super::route::{Service, Table};
+use super::turnover::Turnover;
 use super::word::Words;
 use crate::clock::Time;
 
@@ -87,6 +92,14 @@
     turn: usize,
     /// What each other balancer was last told of the balancers.
     told: BTreeMap<Ipv4Addr, Told>,
+    /// Lists of addresses that may be sent to balancers, and to agents.
+    lists_to_peers: Allowance,
+    lists_to_agents: Allowance,
+    /// Balancers and agents that changed since the last tick.
+    balancers_changed: Turnover,
+    agents_changed: Turnover,
+    /// What this balancer last said of all that it hears of.
+    outlook: Option<Outlook>,
     collector: Collector,
     /// The last turn for a summary that was looked at.
     slot: u64,
@@ -136,6 +149,11 @@
             reviewed: now,
             turn: 0,
             told: BTreeMap::new(),
+            lists_to_peers: Allowance::open(now, LISTS_AT_ONCE),
+            lists_to_agents: Allowance::open(now, LISTS_PER_S),
+            balancers_changed: Turnover::default(),
+            agents_changed: Turnover::default(),
+            outlook: None,
             collector: Collector::default(),
             slot: 0,
             leaving: false,
@@ -199,6 +217,7 @@
         let gap = now.since(self.last);
         if gap > STANDSTILL_MS {
             self.pool.forgive(gap);
+            self.lose_certainty();
         }
         self.last = now;
     }
@@ -207,6 +226,7 @@
     /// Guards against a client that waits for its own timeout, or for the next of its copies that
     /// come ever more rarely, while the answer is known.
     fn review(&mut self, now: Time) -> Vec<Action> {
+        self.note_certainty(now);
         let mut actions = self.recall_if_changed(now);
         actions.extend(self.collector.due(now).map(Action::Commit));
         actions.extend(self.summarise(now));
@@ -217,7 +237,6 @@
             return actions;
         }
         for agent in self.pool.newly_silent(now) {
-            self.lose_certainty();
             actions.push(Action::Note(Note::AgentSilent { agent }));
             for (flow, seq) in self.cache.held_by(agent) {
                 self.cache.remove(&flow);
@@ -226,7 +245,6 @@
         }
         if self.is_settled(now) {
             for flow in self.cache.undecided(now) {
-        self.note_certainty(now);
                 actions.extend(self.decide(now, flow));
             }
         }
@@ -338,17 +356,13 @@
         let is_near = word.domain == self.identity.domain;
         let replica = word.replica;
         let change = self.pool.announced(now, from, word);
-        let mut actions = Vec::from_iter(self.changed(now, from, change));
+        self.changed(now, from, change);
+        let mut actions = Vec::new();
         if replica > self.table.version && self.identity.policy.uses(Mechanism::Replicas) {
             actions.push(Action::Fetch(Holder { address: from, version: replica }));
         }
         let pause_ms = if is_near { TELL_NEAR_MS } else { TELL_MS };
-        let view = Told { at: now, digest: self.digest(now), orders: self.ledger.revision() };
-        match self.pool.tell(from, view, pause_ms) {
-            Telling::Nothing => {}
-            Telling::Sign => actions.push(Action::Send(from, self.sign(now))),
-            Telling::Addresses => actions.push(Action::Send(from, self.own_roster(now))),
-        }
+        actions.extend(self.tell_agent(now, from, pause_ms));
         actions
     }
 
@@ -384,6 +398,7 @@
         // Who has waited too long is answered now, though nothing has changed.
         let mut actions = self.recall(now);
         actions.extend(self.gossip(now));
+        actions.extend(self.note_turnover());
         actions
     }
 
--- a/crates/nutmegkeel_core/src/l4/balancer/peers.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/peers.rs
@@ -8,22 +8,45 @@
 use crate::l4::fetch::Holder;
 use crate::l4::message::{Message, Roster};
 use crate::l4::note::Note;
-use crate::l4::roster::{self, TELL_MS, Told};
+use crate::l4::placement::{Change, Telling};
+use crate::l4::roster::{TELL_MS, Told};
+use crate::l4::word::COUNTED_MS;
 
 /// Peers of the own failure domain told in one tick, and as many of the others: a sign costs bytes for each
 /// pair, and a balancer still hears all of its own domain within a few ticks.
 const PEERS_PER_TICK: usize = 8;
 
+/// Addresses in one datagram: at four bytes each they fit beside the orders of evacuation, however large the fleet.
+pub const ADDRESSES: usize = 256;
+
+/// Lists of addresses to other balancers at once, and in a second: each needs one from anybody, so that these
+/// are many lists for each when all start together.
+pub(super) const LISTS_AT_ONCE: u64 = 16;
+const LISTS_TO_PEERS_PER_S: u64 = 4;
+
+/// Lists of addresses to agents in a second at least.
+pub(super) const LISTS_PER_S: u64 = 16;
+
+/// Lists that an agent may get in a second from all balancers together, where that is more.
+const LISTS_PER_AGENT_S: usize = 4;
+
+/// Digest noted for an agent that was told of no addresses.
+const NO_LIST: u64 = 0;
+
 /// Balancers that spoke within this time at least are passed on, in milliseconds.
 const SPOKEN_OF_MS: u64 = 5_000;
 
 impl Balancer {
-    /// Tells the next few of the other balancers what this one knows.
+    /// Tells the next few of the other balancers what this one knows; a delegate tells its whole failure domain.
+    ///
+    /// Guards against a failure domain for which nobody reads the store: in turns of a few, a large domain would
+    /// take many seconds to notice that both its delegates are dead.
     pub(super) fn gossip(&mut self, now: Time) -> Vec<Action> {
         let (near, far) = self.peers_by_domain();
         let sign = self.sign(now);
         let turn = self.turn;
-        let told = next_few(&near, turn).chain(next_few(&far, turn));
+        let few = if self.watches(now) { near.len() } else { PEERS_PER_TICK };
+        let told = next_few(&near, turn, few).chain(next_few(&far, turn, PEERS_PER_TICK));
         let actions = told.map(|peer| Action::Send(peer, sign.clone())).collect();
         let ticks = near.len().max(far.len()).div_ceil(PEERS_PER_TICK);
         self.words.set_round(u64::try_from(ticks).unwrap_or(u64::MAX).saturating_mul(TICK_MS));
@@ -41,12 +64,22 @@
 
     /// Tells the whole failure domain of something new at once: a configuration, or that the store answers
     /// this balancer no more. Far domains have delegates of their own.
-    pub(super) fn tell_domain(&self, now: Time) -> Vec<Action> {
+    pub(super) fn tell_domain(&mut self, now: Time) -> Vec<Action> {
         let sign = self.sign(now);
         let (near, _) = self.peers_by_domain();
         near.into_iter().map(|peer| Action::Send(peer, sign.clone())).collect()
     }
 
+    /// Notes which balancers and agents changed since the last tick.
+    pub(super) fn note_turnover(&mut self) -> Vec<Action> {
+        let (peers, agents) = (self.peers.len(), self.pool.len());
+        let balancers = self.balancers_changed.take();
+        let balancers = balancers.map(|turnover| Note::Balancers { turnover, known: peers });
+        let changed = self.agents_changed.take();
+        let changed = changed.map(|turnover| Note::Agents { turnover, known: agents });
+        balancers.into_iter().chain(changed).map(Action::Note).collect()
+    }
+
     /// Whether this balancer watches the store for its failure domain.
     #[must_use]
     pub fn watches(&self, now: Time) -> bool {
@@ -60,7 +93,7 @@
             return None;
         }
         let own = (self.identity.address, self.reaches_store);
-        let delegates = self.words.delegates(now, &self.identity.domain, Some(own));
+        let delegates = self.words.delegates(now, &self.identity.domain, Some(own), COUNTED_MS);
         delegates.iter().position(|delegate| *delegate == self.identity.address)
     }
 
@@ -82,7 +115,8 @@
             self.words.hear(now, from, roster);
             if self.peers.knows(from) {
                 self.peers.remove(from);
-                actions.push(Action::Note(Note::Balancer { balancer: from, known: false }));
+                self.outlook = None;
+                self.balancers_changed.note(from, Change::Closed);
             }
             return actions;
         }
@@ -92,11 +126,16 @@
             actions.extend(self.recall(now));
         }
         // Only a balancer's own word keeps it: others would repeat a dead one to each other.
-        if self.peers.heard(now, from) {
-            actions.extend(self.introduce(now, from));
-        } else if roster.balancers.is_empty() && roster.digest != self.digest(now) {
-            actions.extend(self.tell_addresses(now, from));
+        let is_new = self.peers.heard(now, from);
+        if is_new {
+            self.outlook = None;
+            self.balancers_changed.note(from, Change::Appeared);
         }
+        let list = self.list_for(now, from, roster);
+        if is_new && list.is_empty() {
+            actions.push(Action::Send(from, self.sign(now)));
+        }
+        actions.extend(list.into_iter().map(|part| Action::Send(from, part)));
         actions.extend(self.listed(now, &roster.balancers));
         if roster.version > self.table.version {
             actions.push(Action::Fetch(Holder { address: from, version: roster.version }));
@@ -106,44 +145,91 @@
 
     pub(super) fn listed(&mut self, now: Time, balancers: &[Ipv4Addr]) -> Vec<Action> {
         let mut actions = Vec::new();
+        let mut strangers = Vec::new();
         for balancer in balancers {
             let is_leaving = self.words.get(*balancer).is_some_and(|word| word.leaving);
             if *balancer != self.identity.address && !is_leaving && !self.peers.knows(*balancer) {
                 self.peers.heard(now, *balancer);
-                actions.extend(self.introduce(now, *balancer));
+                self.balancers_changed.note(*balancer, Change::Appeared);
+                strangers.push(*balancer);
             }
         }
+        if strangers.is_empty() {
+            return actions;
+        }
+        self.outlook = None;
+        let sign = self.sign(now);
+        actions.extend(strangers.into_iter().map(|peer| Action::Send(peer, sign.clone())));
         actions
     }
 
-    fn introduce(&mut self, now: Time, balancer: Ipv4Addr) -> Vec<Action> {
-        let note = Note::Balancer { balancer, known: true };
-        let mut actions = vec![Action::Note(note)];
-        actions.extend(self.tell_addresses(now, balancer));
-        actions
+    /// The addresses for a balancer that spoke, if it lacks some of them; empty if it does not.
+    ///
+    /// Guards against lists between all pairs: when all balancers start at once each hears of each other for the
+    /// first time, and where both go on to differ, because one of them has not yet dropped a balancer that died,
+    /// a list with every sign would cost ten times what the signs do. So the one that knows more tells, rarely
+    /// for one view, and only a few others at a time.
+    fn list_for(&mut self, now: Time, peer: Ipv4Addr, roster: &Roster) -> Vec<Message> {
+        let orders = self.ledger.revision();
+        let outlook = self.outlook(now);
+        let lacks_some = roster.digest != outlook.digest && roster.known <= outlook.count();
+        let told = Told { at: now, digest: outlook.digest, orders };
+        let before = self.told.get(&peer);
+        let was_told = before.is_some_and(|before| before.covers(&told, TELL_MS));
+        if !lacks_some || was_told || !roster.balancers.is_empty() {
+            return Vec::new();
+        }
+        if !self.lists_to_peers.take(now, LISTS_TO_PEERS_PER_S, LISTS_AT_ONCE) {
+            return Vec::new();
+        }
+        self.told.insert(peer, told);
+        self.own_list(now)
     }
 
-    /// Tells a balancer whose view differs which balancers this one knows, rarely for one view: where both
-    /// go on to differ, because one of them has not yet dropped a balancer that died, a list with every
-    /// sign would cost ten times what the signs do.
-    fn tell_addresses(&mut self, now: Time, peer: Ipv4Addr) -> Option<Action> {
-        let told = Told { at: now, digest: self.digest(now), orders: self.ledger.revision() };
-        let before = self.told.insert(peer, told);
-        if let Some(before) = before.filter(|before| before.covers(&told, TELL_MS)) {
-            self.told.insert(peer, before);
-            return None;
-        }
-        Some(Action::Send(peer, self.own_roster(now)))
+    /// Tells an agent who the balancers are, or that this one lives, if it is time.
+    ///
+    /// Guards against a loss of power after which every balancer hands all addresses to every agent: one list
+    /// is enough for an agent, whoever sends it, and those that get a sign instead speak again.
+    pub(super) fn tell_agent(&mut self, now: Time, agent: Ipv4Addr, pause_ms: u64) -> Vec<Action> {
+        let orders = self.ledger.revision();
+        let digest = self.outlook(now).digest;
+        let told = Told { at: now, digest, orders };
+        let messages = match self.pool.telling(agent, told, pause_ms) {
+            Telling::Nothing => return Vec::new(),
+            Telling::Addresses if self.may_list_to_agent(now) => {
+                self.pool.note_told(agent, told);
+                self.own_list(now)
+            }
+            Telling::Sign => {
+                self.pool.note_told(agent, told);
+                vec![self.sign(now)]
+            }
+            Telling::Addresses => {
+                self.pool.note_told(agent, Told { digest: NO_LIST, ..told });
+                vec![self.sign(now)]
+            }
+        };
+        messages.into_iter().map(|message| Action::Send(agent, message)).collect()
+    }
+
+    fn may_list_to_agent(&mut self, now: Time) -> bool {
+        let outlook = self.outlook(now);
+        let (agents, balancers) = (outlook.agents, outlook.balancers.len().max(1));
+        let per_s =
+            u64::try_from(LISTS_PER_AGENT_S * agents.div_ceil(balancers)).unwrap_or(u64::MAX);
+        let per_s = per_s.max(LISTS_PER_S);
+        self.lists_to_agents.take(now, per_s, per_s)
     }
 
     pub(super) fn leave(&mut self, now: Time) -> Vec<Action> {
         self.leaving = true;
+        self.outlook = None;
         let sign = self.sign(now);
         self.peers.iter().map(|peer| Action::Send(peer, sign.clone())).collect()
     }
 
     /// Balancers that this one has heard of lately, itself among them.
-    fn known(&self, now: Time) -> Vec<Ipv4Addr> {
+    pub(super) fn known(&self, now: Time) -> Vec<Ipv4Addr> {
         let mut balancers = self.peers.heard_within(now, self.words.counted_ms().max(SPOKEN_OF_MS));
         if !self.leaving {
             balancers.push(self.identity.address);
@@ -152,37 +238,41 @@
         balancers
     }
 
-    pub(super) fn digest(&self, now: Time) -> u64 {
-        roster::digest(self.known(now).into_iter())
-    }
-
-    /// This balancer's word with the addresses of all that it knows.
-    pub(super) fn own_roster(&self, now: Time) -> Message {
-        self.word(now, true)
+    /// This balancer's word with the addresses of all that it knows, in datagrams of bounded length.
+    fn own_list(&mut self, now: Time) -> Vec<Message> {
+        let word = self.word(now);
+        let balancers = self.outlook(now).balancers.clone();
+        let part = |part: &[Ipv4Addr]| {
+            Message::Roster(Roster { balancers: part.to_vec(), ..word.clone() })
+        };
+        balancers.chunks(ADDRESSES).map(part).collect()
     }
 
     /// This balancer's word without addresses, for those who are likely to know them.
-    pub(super) fn sign(&self, now: Time) -> Message {
-        self.word(now, false)
+    pub(super) fn sign(&mut self, now: Time) -> Message {
+        Message::Roster(self.word(now))
     }
 
-    fn word(&self, now: Time, with_addresses: bool) -> Message {
-        let balancers = self.known(now);
-        Message::Roster(Roster {
+    fn word(&mut self, now: Time) -> Roster {
+        let outlook = self.outlook(now);
+        let (digest, known) = (outlook.digest, outlook.count());
+        let agents = u32::try_from(outlook.agents).unwrap_or(u32::MAX);
+        Roster {
             version: self.table.version,
             domain: Arc::clone(&self.identity.domain),
-            digest: roster::digest(balancers.iter().copied()),
-            balancers: if with_addresses { balancers } else { Vec::new() },
-            agents: u32::try_from(self.pool.heard_of(now)).unwrap_or(u32::MAX),
+            digest,
+            known,
+            balancers: Vec::new(),
+            agents,
             reaches_store: self.reaches_store,
             leaving: self.leaving,
             orders: self.ledger.orders().cloned(),
-        })
+        }
     }
 }
 
 /// The next few of the peers, after so many have been told.
-fn next_few(peers: &[Ipv4Addr], turn: usize) -> impl Iterator<Item = Ipv4Addr> + '_ {
+fn next_few(peers: &[Ipv4Addr], turn: usize, few: usize) -> impl Iterator<Item = Ipv4Addr> + '_ {
     let first = turn.checked_rem(peers.len()).unwrap_or(0);
-    peers.iter().cycle().skip(first).take(PEERS_PER_TICK.min(peers.len())).copied()
+    peers.iter().cycle().skip(first).take(few.min(peers.len())).copied()
 }
--- a/crates/nutmegkeel_core/src/l4/balancer/summary.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/summary.rs
@@ -12,7 +12,6 @@
 use crate::clock::Time;
 use crate::l4::health::SUMMARY_MS;
 use crate::l4::message::{Message, Report, Summary};
-use crate::l4::note::Note;
 use crate::l4::placement::Change;
 use crate::l4::policy::Mechanism;
 
@@ -80,7 +79,7 @@
         let mut actions = Vec::new();
         for report in &summary.reports {
             let change = self.pool.reported(now, summary, report);
-            actions.extend(self.changed(now, report.agent, change));
+            self.changed(now, report.agent, change);
         }
         if !summary.passed_on {
             let message = Message::Summary(Summary { passed_on: true, ..summary.clone() });
@@ -91,13 +90,12 @@
     }
 
     /// Takes in what a word of an agent changed.
-    pub(super) fn changed(&mut self, now: Time, agent: Ipv4Addr, change: Change) -> Option<Action> {
+    pub(super) fn changed(&mut self, now: Time, agent: Ipv4Addr, change: Change) {
         if change == Change::Appeared {
             self.note_growth(now);
         }
         self.agent_came |= matches!(change, Change::Appeared | Change::Opened);
-        let is_news = !matches!(change, Change::None | Change::Stale);
-        is_news.then_some(Action::Note(Note::Agent { agent, change }))
+        self.agents_changed.note(agent, change);
     }
 }
 
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -292,7 +292,9 @@
     pub domain: Arc<str>,
     /// Digest of the addresses of all balancers it knows, its own among them.
     pub digest: u64,
-    /// These addresses; left out where the receiver is likely to know them.
+    /// Number of these addresses. Who knows fewer has something to learn.
+    pub known: u32,
+    /// These addresses, or a part of them; left out where the receiver is likely to know them.
     pub balancers: Vec<Ipv4Addr>,
     /// Agents that it hears of now. A balancer that hears of fewer has not heard of all.
     pub agents: u32,
--- a/crates/nutmegkeel_core/src/l4/note.rs
+++ b/crates/nutmegkeel_core/src/l4/note.rs
@@ -7,10 +7,11 @@
 use super::evacuation;
 use super::flow::Flow;
 use super::message::{Load, Reason};
-use super::placement::{Change, Choice, Level, Verdict};
+use super::placement::{Choice, Level, Verdict};
 use super::room::Shortage;
 use super::route::Urgency;
 use super::share::Standing;
+use super::turnover::Turnover;
 
 /// A decision and its inputs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,12 +86,12 @@
         /// Why nothing can be decided yet.
         cause: Cause,
     },
-    /// A balancer's view of an agent changed.
-    Agent {
-        /// The agent.
-        agent: Ipv4Addr,
-        /// How.
-        change: Change,
+    /// Agents appeared, or take new flows again or no more, since the last such note.
+    Agents {
+        /// Which.
+        turnover: Turnover,
+        /// Agents that are known now.
+        known: usize,
     },
     /// An agent has not been heard of for too long.
     AgentSilent {
@@ -115,12 +116,12 @@
         /// Openings that lately went to other failure domains than this balancer's, in thousandths.
         abroad: Option<u64>,
     },
-    /// A balancer became known or unknown.
-    Balancer {
-        /// The balancer.
-        balancer: Ipv4Addr,
-        /// Whether it is known now.
-        known: bool,
+    /// Balancers became known, or said that they stop, since the last such note.
+    Balancers {
+        /// Which.
+        turnover: Turnover,
+        /// Balancers that are known now, this process not counted.
+        known: usize,
     },
     /// An agent took an opening.
     Accepted {
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -284,23 +284,28 @@
         if failing > healthy { State::Failing } else { State::Ready }
     }
 
-    /// What an agent must be told of the balancers and of evacuations, if `next` is what there is to
-    /// tell; notes that it is.
+    /// What an agent must be told of the balancers and of evacuations, if `next` is what there is to tell.
     ///
     /// Guards against answering every announcement with all addresses: after the death of one balancer
     /// the views differ for seconds, and that would be a list for each pair each 300 ms. A list is sent once
     /// when it is new, and again only with the next sign of life.
-    pub fn tell(&mut self, agent: Ipv4Addr, next: Told, pause_ms: u64) -> Telling {
-        let Some(candidate) = self.agents.get_mut(&agent) else {
+    #[must_use]
+    pub fn telling(&self, agent: Ipv4Addr, next: Told, pause_ms: u64) -> Telling {
+        let Some(candidate) = self.agents.get(&agent) else {
             return Telling::Addresses;
         };
-        let telling = match candidate.told {
-            Some(told) if told.covers(&next, pause_ms) => return Telling::Nothing,
-            Some(_) if candidate.announcement.balancers == next.digest => Telling::Sign,
+        match candidate.told {
+            Some(told) if told.covers(&next, pause_ms) => Telling::Nothing,
+            _ if candidate.announcement.balancers == next.digest => Telling::Sign,
             _ => Telling::Addresses,
-        };
-        candidate.told = Some(next);
-        telling
+        }
+    }
+
+    /// Notes what an agent was told.
+    pub fn note_told(&mut self, agent: Ipv4Addr, told: Told) {
+        if let Some(candidate) = self.agents.get_mut(&agent) {
+            candidate.told = Some(told);
+        }
     }
 
     /// Number of agents known.
--- a/crates/nutmegkeel_core/src/l4/word.rs
+++ b/crates/nutmegkeel_core/src/l4/word.rs
@@ -9,7 +9,7 @@
 use crate::placement::mix;
 
 /// A balancer's word counts for so long at least, in milliseconds: three of its ticks.
-const COUNTED_MS: u64 = 1_500;
+pub const COUNTED_MS: u64 = 1_500;
 
 /// Balancers of a failure domain that act for all of it. Two, so that one that dies or is cut off leaves no
 /// gap; more would only repeat their calls to the store.
@@ -34,6 +34,22 @@
     if rank > 0 && had_waited { COALESCE_MS / 2 } else { COALESCE_MS }
 }
 
+/// A balancer that may be a delegate, in the order in which they are named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Contender {
+    is_cut_off: bool,
+    weight: u64,
+    balancer: Ipv4Addr,
+    said: Time,
+}
+
+impl Contender {
+    fn of(balancer: Ipv4Addr, reaches_store: bool, said: Time) -> Self {
+        let weight = mix(u64::from(balancer.to_bits()));
+        Self { is_cut_off: !reaches_store, weight, balancer, said }
+    }
+}
+
 /// What one balancer said of itself.
 #[derive(Clone, Debug)]
 pub struct Word {
@@ -133,7 +149,7 @@
 
     /// The balancers that act for a failure domain towards the store, by the words that count and `own`, the
     /// asking balancer itself: a hash names the first two among those that the store answers, or among all
-    /// if it answers none of them.
+    /// if it answers none of them. One that has been silent for `patience_ms` is passed over.
     ///
     /// The load pattern: every process that calls the store by itself costs as many calls as there are
     /// hosts, most of all while the store is away and each tries again.
@@ -143,15 +159,29 @@
         now: Time,
         domain: &str,
         own: Option<(Ipv4Addr, bool)>,
+        patience_ms: u64,
     ) -> Vec<Ipv4Addr> {
         let near = self.of_domain(now, domain).filter(|(_, word)| !word.leaving);
-        let near = near.map(|(balancer, word)| (balancer, word.reaches_store));
-        let mut ranked: Vec<_> = near
-            .chain(own)
-            .map(|(balancer, reaches)| (!reaches, mix(u64::from(balancer.to_bits())), balancer))
-            .collect();
+        let near =
+            near.map(|(balancer, word)| Contender::of(balancer, word.reaches_store, word.said));
+        let own = own.map(|(balancer, reaches)| Contender::of(balancer, reaches, now));
+        let mut ranked: Vec<_> = near.chain(own).collect();
         ranked.sort_unstable();
-        ranked.into_iter().take(DELEGATES).map(|(_, _, balancer)| balancer).collect()
+        let mut delegates = Vec::new();
+        let mut vacated = Time::ZERO;
+        for contender in ranked {
+            // The next in line has not spoken as a delegate does before the one ahead of it was passed over.
+            let limit = contender.said.max(vacated).after(patience_ms);
+            if now > limit {
+                vacated = limit;
+                continue;
+            }
+            delegates.push(contender.balancer);
+            if delegates.len() == DELEGATES {
+                break;
+            }
+        }
+        delegates
     }
 
     /// Drops words that do not count any more.
--- a/crates/nutmegkeel_core/tests/l4/delegate.rs
+++ b/crates/nutmegkeel_core/tests/l4/delegate.rs
@@ -8,7 +8,7 @@
 use nutmegkeel_core::l4::handover::{Handover, Step};
 use nutmegkeel_core::l4::message::{Load, Message, Reason, Roster};
 use nutmegkeel_core::l4::policy::Policy;
-use nutmegkeel_core::l4::word::{DELEGATES, Words, pause_after_change_ms};
+use nutmegkeel_core::l4::word::{COUNTED_MS, DELEGATES, Words, pause_after_change_ms};
 
 use crate::fixture::{
     self, BALANCER, DOMAIN, PORT, agent, ask, at, data, demand, desk, flow, heartbeat, host,
@@ -82,6 +82,37 @@
     assert_eq!(alive.len(), DELEGATES, "{dead:?} {later:?}");
 }
 
+/// Lets balancers speak by themselves, so that words reach whom they are sent to; those of `dead` say nothing.
+fn speak(balancers: &mut [Balancer], times: std::ops::RangeInclusive<u64>, dead: &[u8]) {
+    for millis in times.step_by(TICK_MS) {
+        for speaker in numbers(balancers).filter(|speaker| !dead.contains(speaker)) {
+            let sent = balancers[usize::from(speaker) - 1].handle(at(millis), Event::Tick);
+            for (to, word) in rosters(&sent) {
+                let listener = numbers(balancers).find(|number| host(*number) == to);
+                let listener = listener.expect("a balancer is spoken to");
+                balancers[usize::from(listener) - 1]
+                    .handle(at(millis), Event::Roster(host(speaker), word));
+            }
+        }
+    }
+}
+
+/// Guards against a failure domain of sixty balancers that nobody watches for: each hears each other one only
+/// every four seconds, and both delegates have died.
+#[test]
+fn a_large_failure_domain_replaces_dead_delegates_within_three_seconds() {
+    let mut balancers = domain(60);
+    speak(&mut balancers, 500..=10_000, &[]);
+    let dead = watchers(&balancers, 10_010);
+
+    speak(&mut balancers, 10_500..=13_000, &dead);
+
+    let later = watchers(&balancers, 13_010);
+    let alive: Vec<_> = later.iter().filter(|number| !dead.contains(number)).collect();
+    assert_eq!(dead.len(), DELEGATES);
+    assert_eq!(alive.len(), DELEGATES, "{dead:?} {later:?}");
+}
+
 /// The store turns just the two hosts away that watch for their failure domain. They say so, and others
 /// take over with their next look.
 #[test]
@@ -111,7 +142,7 @@
         words.hear(at(0), host(number), &word);
     }
 
-    let delegates = words.delegates(at(1), DOMAIN, Some((BALANCER, false)));
+    let delegates = words.delegates(at(1), DOMAIN, Some((BALANCER, false)), COUNTED_MS);
 
     assert_eq!(delegates.len(), DELEGATES);
 }
@@ -121,7 +152,7 @@
     let mut words = Words::default();
     words.hear(at(0), host(1), &Roster { domain: "tema".into(), ..roster(1, &[], 0) });
 
-    let delegates = words.delegates(at(1), DOMAIN, None);
+    let delegates = words.delegates(at(1), DOMAIN, None, COUNTED_MS);
 
     assert_eq!(delegates, Vec::<Ipv4Addr>::new());
 }
--- a/crates/nutmegkeel_core/tests/l4/fixture.rs
+++ b/crates/nutmegkeel_core/tests/l4/fixture.rs
@@ -111,6 +111,7 @@
         version,
         domain: DOMAIN.into(),
         digest: 0,
+        known: 0,
         balancers: balancers.to_vec(),
         agents,
         reaches_store: true,
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -13,6 +13,7 @@
 mod fetch;
 mod fixture;
 mod full_server;
+mod introduction;
 mod mute;
 mod outlier;
 mod overload;
--- a/crates/nutmegkeel_node/src/l4/journal.rs
+++ b/crates/nutmegkeel_node/src/l4/journal.rs
@@ -29,6 +29,9 @@
 /// Lines a second of heartbeats that are not understood: usually one a second comes.
 const REFUSED: u32 = 2;
 
+/// Processes that one line names; where more have changed it gives their number.
+const NAMED: usize = 4;
+
 /// Writes notes of decisions.
 #[derive(Clone, Debug)]
 pub(super) struct Journal {
@@ -75,7 +78,8 @@
     /// Writes a note if its kind's budget allows.
     pub(super) fn note(&self, now: Time, note: Note) {
         let (kind, limit) = kind(&note);
-        counter!(metric::DECISIONS, "kind" => kind, "reason" => reason(&note)).increment(1);
+        counter!(metric::DECISIONS, "kind" => kind, "reason" => reason(&note))
+            .increment(count(&note));
         if let Note::Refused { cause, urgency, .. } = &note {
             let urgency = urgency.name();
             counter!(metric::OPENINGS_REFUSED, "cause" => cause.name(), "urgency" => urgency)
@@ -157,16 +161,26 @@
         Note::Expired { .. } => ("expired", UNUSUAL),
         Note::GivenUp { .. } => ("given_up", UNUSUAL),
         Note::BeyondShare { .. } => ("beyond_share", USUAL),
-        Note::Agent { .. } | Note::AgentSilent { .. } => ("agent", UNUSUAL),
+        Note::Agents { .. } | Note::AgentSilent { .. } => ("agent", UNUSUAL),
         Note::Speed(_) => ("speed", UNUSUAL),
         Note::InForce { .. } => ("in_force", UNUSUAL),
         Note::Evacuation(_) => ("evacuation", UNUSUAL),
         Note::Spared { .. } => ("spared", UNUSUAL),
-        Note::Balancer { .. } => ("balancer", UNUSUAL),
+        Note::Balancers { .. } => ("balancer", UNUSUAL),
         Note::Server { .. } => ("server", UNUSUAL),
     }
 }
 
+/// Decisions that a note tells of.
+fn count(note: &Note) -> u64 {
+    match note {
+        Note::Agents { turnover, .. } | Note::Balancers { turnover, .. } => {
+            u64::try_from(turnover.count()).unwrap_or(u64::MAX)
+        }
+        _ => 1,
+    }
+}
+
 /// Why something was refused or kept, as a label.
 const fn reason(note: &Note) -> &'static str {
     match note {
@@ -246,8 +260,10 @@
             info!(event = "beyond_share", flow:% = flow, standing = standing.name(),
                 waited_ms = waited_ms; "request went on behind those of callers within their share");
         }
-        Note::Agent { agent, change } => {
-            info!(event = "agent", agent:% = agent, change:? = change; "agent changed");
+        Note::Agents { turnover, known } => {
+            info!(event = "agents", known = known, appeared = turnover.appeared.len(),
+                opened = turnover.opened.len(), closed = turnover.closed.len(),
+                which = turnover.few(NAMED); "agents changed");
         }
         Note::AgentSilent { agent } => {
             warn!(event = "agent_silent", agent:% = agent; "agent is not heard of");
@@ -273,8 +289,9 @@
                 "failure domain takes new flows again");
         }
         Note::Spared { level, abroad } => write_spared(level, *abroad),
-        Note::Balancer { balancer, known } => {
-            info!(event = "balancer", balancer:% = balancer, known = known; "balancer changed");
+        Note::Balancers { turnover, known } => {
+            info!(event = "balancers", known = known, appeared = turnover.appeared.len(),
+                left = turnover.closed.len(), which = turnover.few(NAMED); "balancers changed");
         }
         Note::Accepted { flow, load } => {
             info!(event = "accepted", flow:% = flow, busy = load.busy, flows = load.flows;
--- a/crates/nutmegkeel_wire/src/l4.rs
+++ b/crates/nutmegkeel_wire/src/l4.rs
@@ -4,10 +4,9 @@
 use nutmegkeel_core::l4::message::Message;
 
 /// Version of the encoding. A process of another version drops the datagram.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 
-/// Longest datagram, in bytes: the longest packet and a message before it, or a roster of 300
-/// balancers.
+/// Longest datagram, in bytes: the longest packet and a message before it, or a part of a roster.
 pub const LONGEST: usize = 2_048;
 
 /// Why a datagram is not understood.
