--- a/crates/nutmegkeel_core/src/l4/agent/evacuation.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/evacuation.rs
@@ -8,6 +8,7 @@
 use crate::l4::evacuation::{Ledger, Orders};
 use crate::l4::message::Message;
 use crate::l4::note::Note;
+use crate::revision::Revision;
 
 /// What an agent knows of the evacuation of its own failure domain.
 #[derive(Debug, Default)]
@@ -15,12 +16,12 @@
     ledger: Ledger,
     /// Newest revision of orders by which a balancer sent an opening here: the failure domain was not
     /// evacuated then.
-    offered: u64,
+    offered: Revision,
 }
 
 impl Standing {
     /// Takes in that a balancer chose this agent by the orders of this revision.
-    fn note_offer(&mut self, revision: u64) {
+    fn note_offer(&mut self, revision: Revision) {
         self.offered = self.offered.max(revision);
     }
 
@@ -37,8 +38,12 @@
     /// Takes in the orders that a balancer told.
     pub(super) fn ordered(&mut self, now: Time, orders: &Orders) -> Vec<Action> {
         let was_evacuated = self.is_evacuated();
+        let before = self.evacuation.ledger.revision();
         let changes = self.evacuation.ledger.take(orders).into_iter();
         self.note_return(now, was_evacuated);
+        if before != Revision::ZERO && self.evacuation.ledger.revision().era > before.era {
+            self.keeper.forget_saved();
+        }
         changes.map(|change| Action::Note(Note::Evacuation(change))).collect()
     }
 
@@ -58,7 +63,7 @@
     /// still or was cut off: the failure domain would go on getting work after everybody else has
     /// stopped. The later orders decide, so that a domain that was taken back serves with the first
     /// opening of a balancer that knows it.
-    pub(super) fn evacuated_since(&mut self, now: Time, revision: u64) -> Option<Orders> {
+    pub(super) fn evacuated_since(&mut self, now: Time, revision: Revision) -> Option<Orders> {
         let was_evacuated = self.is_evacuated();
         self.evacuation.note_offer(revision);
         self.note_return(now, was_evacuated);
--- a/crates/nutmegkeel_core/src/l4/balancer/opening.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/opening.rs
@@ -13,6 +13,7 @@
 use crate::l4::placement::Need;
 use crate::l4::policy::Mechanism;
 use crate::l4::route::{Kind, Route, Service, Urgency};
+use crate::revision::Revision;
 
 /// An opening that has found no agent within this is refused, in milliseconds: its client gives it up
 /// after 1.4 s.
@@ -34,7 +35,7 @@
             let offer = self.offer(service, route, Insistence::IfInTime, waited_ms);
             // A copy follows the first, whatever the orders are now: it must not tell the agent that its
             // failure domain is open.
-            let offer = Offer { orders: 0, returns, ..offer };
+            let offer = Offer { orders: Revision::ZERO, returns, ..offer };
             return vec![Action::Forward(agent, Message::Open(offer))];
         }
         if self.ledger.orders().is_none() {
--- a/crates/nutmegkeel_core/src/l4/balancer/queries.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/queries.rs
@@ -5,6 +5,7 @@
 
 use super::Balancer;
 use crate::clock::Time;
+use crate::l4::evacuation::Orders;
 use crate::l4::placement::Level;
 use crate::l4::status::Status;
 
@@ -39,6 +40,12 @@
         self.pool.len()
     }
 
+    /// The newest orders of evacuation; none while it has heard of none.
+    #[must_use]
+    pub const fn orders(&self) -> Option<&Orders> {
+        self.ledger.orders()
+    }
+
     /// Number of failure domains that are evacuated.
     #[must_use]
     pub fn evacuated(&self) -> usize {
--- a/crates/nutmegkeel_core/src/l4/checkpoint.rs
+++ b/crates/nutmegkeel_core/src/l4/checkpoint.rs
@@ -143,6 +143,12 @@
         Some(self.saved.clone())
     }
 
+    /// Notes that what was written may be gone: the store came back from an older copy. The flows are noted again
+    /// when the next list is due, which spreads the lists of all agents over its pause.
+    pub fn forget_saved(&mut self) {
+        self.saved = Checkpoint::default();
+    }
+
     /// Notes the number of a list that is in the store; the next one gets a higher one.
     pub fn note_number(&mut self, number: u64) {
         self.number = self.number.max(number);
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -10,6 +10,7 @@
 use super::evacuation::Orders;
 use super::flow::Flow;
 use super::route::{Service, Urgency};
+use crate::revision::Revision;
 
 /// A message; what follows it in the datagram is the packet it speaks of, unchanged.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,9 +86,9 @@
     pub demand: Demand,
     /// How long the opening has waited elsewhere, in milliseconds.
     pub waited_ms: u32,
-    /// Revision of the orders of evacuation by which the balancer chose the agent; zero for a copy, which goes
-    /// where the first went.
-    pub orders: u64,
+    /// Revision of the orders of evacuation by which the balancer chose the agent; [`Revision::ZERO`] for a
+    /// copy, which goes where the first went.
+    pub orders: Revision,
     /// Openings a second that a backend server of the service bears while it is cold; zero where no
     /// rate is given.
     pub cold_per_s: u32,
--- a/crates/nutmegkeel_core/src/l4/roster.rs
+++ b/crates/nutmegkeel_core/src/l4/roster.rs
@@ -4,6 +4,7 @@
 use std::net::Ipv4Addr;
 
 use crate::clock::Time;
+use crate::revision::Revision;
 
 /// A balancer that nobody has spoken of for so long is dropped. Longer than the pause between two
 /// reads of the store's list and than any usual loss of datagrams.
@@ -25,13 +26,13 @@
     /// Digest of the addresses.
     pub digest: u64,
     /// Revision of the orders of evacuation that it was told of.
-    pub orders: u64,
+    pub orders: Revision,
 }
 
 impl Told {
     /// Whether this makes another telling needless: the same view, less than `pause_ms` ago.
     #[must_use]
-    pub const fn covers(&self, next: &Self, pause_ms: u64) -> bool {
+    pub fn covers(&self, next: &Self, pause_ms: u64) -> bool {
         self.digest == next.digest
             && self.orders == next.orders
             && next.at.since(self.at) < pause_ms
--- a/crates/nutmegkeel_core/src/lib.rs
+++ b/crates/nutmegkeel_core/src/lib.rs
@@ -40,4 +40,5 @@
 pub mod placement;
 pub mod reply;
 pub mod retry;
+pub mod revision;
 pub mod verdict;
--- a/crates/nutmegkeel_core/tests/l4/evacuated_fleet.rs
+++ b/crates/nutmegkeel_core/tests/l4/evacuated_fleet.rs
@@ -12,7 +12,7 @@
 use nutmegkeel_core::l4::policy::Policy;
 use quickcheck::quickcheck;
 
-use crate::fixture::{PORT, accepted, at, desk, flow, heartbeat, host, opening, table};
+use crate::fixture::{PORT, accepted, at, desk, flow, heartbeat, host, opening, revision, table};
 
 /// The failure domain that is evacuated, and the other one.
 const DOMAINS: [&str; 2] = ["osu", "tema"];
@@ -202,8 +202,9 @@
     }
 }
 
-fn orders(revision: u64, domains: &[&str]) -> Orders {
-    Orders { revision, domains: domains.iter().map(|domain| (*domain).into()).collect() }
+fn orders(number: u64, domains: &[&str]) -> Orders {
+    let domains = domains.iter().map(|domain| (*domain).into()).collect();
+    Orders { revision: revision(number), domains }
 }
 
 fn configured() -> balancer::Event {
--- a/crates/nutmegkeel_core/tests/l4/evacuation.rs
+++ b/crates/nutmegkeel_core/tests/l4/evacuation.rs
@@ -6,22 +6,24 @@
 
 use nutmegkeel_core::l4::agent;
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
-use nutmegkeel_core::l4::evacuation::{Feed, Ledger, Orders};
+use nutmegkeel_core::l4::evacuation::{Feed, Ledger, Orders, REWRITE_MS};
 use nutmegkeel_core::l4::message::{Announcement, Load, Message, Offer, Reason, Roster, State};
 use nutmegkeel_core::l4::note::{Cause, Note};
 use nutmegkeel_core::l4::policy::Policy;
+use nutmegkeel_core::revision::{Era, Revision};
 use quickcheck::{TestResult, quickcheck};
 
 use crate::fixture::{
     BALANCER, DOMAIN, PORT, accepted, agent, announce, at, balancer, data, demand, desk, flow,
-    forwarded, heartbeat, host, identity, offer, opening, resets, roster, table, word,
+    forwarded, heartbeat, host, identity, offer, opening, resets, revision, roster, table, word,
 };
 
 /// Another failure domain.
 const FAR: &str = "tema";
 
-fn orders(revision: u64, domains: &[&str]) -> Orders {
-    Orders { revision, domains: domains.iter().map(|domain| Arc::from(*domain)).collect() }
+fn orders(number: u64, domains: &[&str]) -> Orders {
+    let domains = domains.iter().map(|domain| Arc::from(*domain)).collect();
+    Orders { revision: revision(number), domains }
 }
 
 /// Lets an agent of the other failure domain announce itself each 300 ms.
@@ -152,11 +154,11 @@
     let word = Roster { balancers: vec![host(8)], ..word_with(orders(6, &[])) };
     let near = balancer.handle(at(3_020), Event::Roster(host(8), word));
 
-    let tells = |actions: &[Action], revision| {
+    let tells = |actions: &[Action], number| {
         actions.iter().any(|action| match action {
             Action::Send(to, Message::Roster(roster)) => {
                 let known = roster.orders.as_ref().map(|orders| orders.revision);
-                *to == host(8) && known == Some(revision)
+                *to == host(8) && known == Some(revision(number))
             }
             _ => false,
         })
@@ -189,8 +191,8 @@
     agent
 }
 
-fn offered(port: u16, revision: u64) -> agent::Event {
-    let offer = Offer { orders: revision, ..offer(demand(false)) };
+fn offered(port: u16, number: u64) -> agent::Event {
+    let offer = Offer { orders: revision(number), ..offer(demand(false)) };
     agent::Event::Open { from: BALANCER, head: opening(flow(port), 0), offer }
 }
 
@@ -300,24 +302,88 @@
 #[test]
 fn a_feed_reads_anew_what_happened_out_of_sight() {
     let mut feed = Feed::default();
-    feed.read(10, orders(0, &[FAR]).domains);
-    feed.change(12, DOMAIN.into(), true);
+    feed.read(at(0), revision(10), orders(0, &[FAR]).domains);
+    feed.change(revision(12), DOMAIN.into(), true);
     let seen = feed.orders().clone();
 
-    feed.read(20, orders(0, &[DOMAIN]).domains);
+    feed.read(at(0), revision(20), orders(0, &[DOMAIN]).domains);
     // Told again from before the read.
-    feed.change(12, FAR.into(), true);
+    feed.change(revision(12), FAR.into(), true);
 
     assert_eq!(seen, orders(12, &[DOMAIN, FAR]));
     assert_eq!(*feed.orders(), orders(20, &[DOMAIN]));
 }
 
+/// A revision after the store came back from an older copy once.
+fn later(number: u64) -> Revision {
+    Revision { era: Era(1), number }
+}
+
+/// Guards against orders that are ignored for as long as the store has not counted past where it was when it came
+/// back from an older copy.
+#[test]
+fn orders_of_a_later_era_replace_all_earlier_ones() {
+    let mut ledger = Ledger::default();
+    ledger.take(&orders(500, &[FAR]));
+
+    let changes = ledger.take(&Orders { revision: later(450), domains: BTreeSet::new() });
+    let late = ledger.take(&orders(501, &[FAR]));
+
+    assert_eq!(changes.len(), 1);
+    assert!(late.is_empty(), "{late:?}");
+    assert_eq!(ledger.revision(), later(450));
+}
+
+/// Guards against new flows in an evacuated failure domain between the store's return from a copy that lacks the
+/// order and the moment when the operator has written it again.
+#[test]
+fn an_order_that_the_copy_lacks_holds_until_it_is_written_again() {
+    let mut feed = Feed::default();
+    feed.read(at(0), revision(500), orders(0, &[FAR]).domains);
+
+    feed.read(at(100), later(450), BTreeSet::new());
+    let held = feed.orders().domains.clone();
+    feed.change(later(460), FAR.into(), true);
+    feed.read(at(100 + REWRITE_MS), later(470), orders(0, &[FAR]).domains);
+
+    assert_eq!(held, orders(0, &[FAR]).domains);
+    assert_eq!(*feed.orders(), Orders { revision: later(470), ..orders(0, &[FAR]) });
+    assert!(!feed.holds_on());
+}
+
+/// Guards against an order that stays in force for good because its end was lost with the store's newest changes.
+#[test]
+fn an_order_that_nobody_writes_again_ends() {
+    let mut feed = Feed::default();
+    feed.read(at(0), revision(500), orders(0, &[FAR]).domains);
+    feed.read(at(100), later(450), BTreeSet::new());
+
+    let early = feed.needs_read(at(99 + REWRITE_MS));
+    let due = feed.needs_read(at(100 + REWRITE_MS));
+    feed.read(at(100 + REWRITE_MS), later(450), BTreeSet::new());
+
+    assert!(!early && due);
+    assert!(feed.orders().domains.is_empty(), "{:?}", feed.orders());
+}
+
+/// A delegate that has not read the store since its return must not take back what others hold.
+#[test]
+fn a_feed_that_heard_of_the_return_from_others_holds_on_too() {
+    let mut feed = Feed::default();
+    feed.read(at(0), revision(500), orders(0, &[FAR]).domains);
+    feed.hear(at(50), &Orders { revision: later(440), ..orders(0, &[FAR]) });
+
+    feed.read(at(100), later(450), BTreeSet::new());
+
+    assert_eq!(feed.orders().domains, orders(0, &[FAR]).domains);
+}
+
 /// What the operator did, one step at each revision: which domain, and whether it was evacuated.
 fn history(steps: &[(u8, bool)]) -> Vec<Orders> {
     let mut feed = Feed::default();
     let mut states = vec![feed.orders().clone()];
-    for (revision, (domain, evacuated)) in (1..).zip(steps) {
-        feed.change(revision, format!("domain-{}", domain % 3).into(), *evacuated);
+    for (number, (domain, evacuated)) in (1..).zip(steps) {
+        feed.change(revision(number), format!("domain-{}", domain % 3).into(), *evacuated);
         states.push(feed.orders().clone());
     }
     states
@@ -335,21 +401,36 @@
         let restart = restart % heard.len();
 
         let mut ledger = Ledger::default();
-        let mut latest = 0;
+        let mut latest = Revision::ZERO;
         for (number, orders) in heard.iter().enumerate() {
             if number == restart {
-                (ledger, latest) = (Ledger::default(), 0);
+                (ledger, latest) = (Ledger::default(), Revision::ZERO);
             }
             ledger.take(orders);
             latest = latest.max(orders.revision);
             let known = ledger.orders().expect("it has heard of orders");
-            if known.revision != latest || *known != states[usize::try_from(latest).expect("few")] {
+            if known.revision != latest || *known != states[usize::try_from(latest.number).expect("few")] {
                 return TestResult::failed();
             }
         }
         TestResult::passed()
     }
 
+    /// The store comes back from older copies again and again, and words of all eras arrive in any order: the
+    /// last state of the last era wins.
+    fn the_last_era_wins(heard: Vec<(u8, u8)>) -> bool {
+        let mut ledger = Ledger::default();
+        let heard = heard.iter().map(|(era, number)| Revision {
+            era: Era(u64::from(*era % 4)),
+            number: u64::from(*number),
+        });
+        let heard: Vec<Revision> = heard.collect();
+        for revision in &heard {
+            ledger.take(&Orders { revision: *revision, domains: BTreeSet::new() });
+        }
+        ledger.revision() == heard.into_iter().max().unwrap_or(Revision::ZERO)
+    }
+
     /// Every process knows of an evacuation; then any of them starts again, hears old words, is offered
     /// openings by balancers that know or do not. As long as the balancer that sends has not placed by a
     /// later state in which the domain was taken back, the agent hands none to its server.
--- a/crates/nutmegkeel_core/tests/l4/fixture.rs
+++ b/crates/nutmegkeel_core/tests/l4/fixture.rs
@@ -15,6 +15,7 @@
 use nutmegkeel_core::l4::route::{Kind, Route, Service, Share, Table, Urgency};
 use nutmegkeel_core::l4::server::{Heartbeat, Incarnation};
 use nutmegkeel_core::placement::Key;
+use nutmegkeel_core::revision::Revision;
 
 pub(crate) const DOMAIN: &str = "osu";
 pub(crate) const BALANCER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
@@ -100,6 +101,11 @@
     }
 }
 
+/// A revision of a store that has never come back from a copy.
+pub(crate) const fn revision(number: u64) -> Revision {
+    Revision::first_era(number)
+}
+
 /// A load without a known time of service.
 pub(crate) const fn load(busy: u16, flows: u16) -> Load {
     Load { busy, flows, service_ms: 0 }
@@ -186,7 +192,15 @@
 /// An offer of the desk's, by a balancer that knows of no order.
 pub(crate) fn offer(demand: Demand) -> Offer {
     let (service, insistence) = (desk(), Insistence::IfInTime);
-    Offer { service, insistence, demand, waited_ms: 0, orders: 0, cold_per_s: 0, returns: false }
+    Offer {
+        service,
+        insistence,
+        demand,
+        waited_ms: 0,
+        orders: Revision::ZERO,
+        cold_per_s: 0,
+        returns: false,
+    }
 }
 
 /// Lets an agent take a flow that its server accepts with the number 500.
--- a/crates/nutmegkeel_core/tests/l4/replica.rs
+++ b/crates/nutmegkeel_core/tests/l4/replica.rs
@@ -9,7 +9,9 @@
 use nutmegkeel_core::l4::message::{Announcement, Load, Message, Roster, State};
 use nutmegkeel_core::l4::policy::{Mechanism, Policy};
 
-use crate::fixture::{BALANCER, DOMAIN, at, balancer, heartbeat, host, identity, roster, word};
+use crate::fixture::{
+    BALANCER, DOMAIN, at, balancer, heartbeat, host, identity, revision, roster, word,
+};
 
 /// An agent at this address, beside a server, in a domain of so many agents, that hears of version 5.
 fn agent_of(address: Ipv4Addr, agents: u32, policy: Policy) -> Agent {
@@ -113,7 +115,7 @@
 /// from agents too.
 #[test]
 fn an_agent_tells_its_orders_to_a_balancer_that_knows_none() {
-    let orders = Orders { revision: 5, domains: [DOMAIN.into()].into() };
+    let orders = Orders { revision: revision(5), domains: [DOMAIN.into()].into() };
     let mut agent = agent_of(host(1), 2, Policy::default());
     let known = Roster { orders: Some(orders.clone()), ..roster(5, &[], 2) };
     agent.handle(at(3_000), agent::Event::Roster(BALANCER, known));
--- a/crates/nutmegkeel_core/tests/l4/warmup.rs
+++ b/crates/nutmegkeel_core/tests/l4/warmup.rs
@@ -14,7 +14,7 @@
 
 use crate::fixture::{
     BALANCER, DOMAIN, PORT, agent, at, demand, desk, flow, forwarded, heartbeat, host, identity,
-    offer, opening, resets, roster, route, service_address, table, word,
+    offer, opening, resets, revision, roster, route, service_address, table, word,
 };
 
 /// Most of the openings given in any span of a second, bounds included.
@@ -91,14 +91,14 @@
 fn a_server_taken_back_is_cold_until_it_says_otherwise() {
     let mut agent = agent();
     agent.handle(at(0), agent::Event::Heartbeat(heartbeat("a", 1)));
-    let told = |revision, domains: &[&str]| {
+    let told = |number, domains: &[&str]| {
         let domains = domains.iter().map(|domain| (*domain).into()).collect();
-        let orders = Some(Orders { revision, domains });
+        let orders = Some(Orders { revision: revision(number), domains });
         agent::Event::Roster(BALANCER, Roster { orders, ..roster(1, &[], 1) })
     };
-    let offered_by = |port, revision| match offered(port, 2) {
+    let offered_by = |port, number| match offered(port, 2) {
         agent::Event::Open { from, head, offer } => {
-            agent::Event::Open { from, head, offer: Offer { orders: revision, ..offer } }
+            agent::Event::Open { from, head, offer: Offer { orders: revision(number), ..offer } }
         }
         other => other,
     };
--- a/crates/nutmegkeel_fake/src/store.rs
+++ b/crates/nutmegkeel_fake/src/store.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use nutmegkeel_core::revision::{Era, Revision};
 use nutmegkeel_store::kv::{
     Committed, Fault, Image, Kept, Lease, Pair, Registry, Store, Watched, Write,
 };
@@ -29,6 +30,8 @@
     revision: u64,
     fates: Vec<Fate>,
     writes: u64,
+    calls: u64,
+    era: Era,
 }
 
 /// The fake. Calls meet the given fates in order, and all later ones are answered.
@@ -51,6 +54,12 @@
         self.state().writes
     }
 
+    /// Calls so far, whatever became of them.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.state().calls
+    }
+
     /// Lets the next calls meet these fates.
     pub fn set_fates(&self, mut fates: Vec<Fate>) {
         fates.reverse();
@@ -63,6 +72,7 @@
 
     fn call<T>(&self, effect: impl FnOnce(&mut State) -> T) -> Result<T, Fault> {
         let mut state = self.state();
+        state.calls += 1;
         let fate = state.fates.pop().unwrap_or(Fate::Answered);
         match fate {
             Fate::Answered => Ok(effect(&mut state)),
@@ -83,20 +93,24 @@
 impl State {
     fn put(&mut self, key: String, value: Vec<u8>) {
         self.revision += 1;
-        let pair = Pair { key: key.clone(), value, revision: self.revision };
+        let revision = Revision { era: self.era, number: self.revision };
+        let pair = Pair { key: key.clone(), value, revision };
         self.pairs.insert(key, pair);
     }
 
     fn commit(&mut self, writes: &[Write]) -> Committed {
-        let held = |key: &str| self.pairs.get(key).map_or(0, |pair| pair.revision);
-        if writes.iter().any(|write| held(&write.key) != write.expected) {
+        let held = |key: &str| self.pairs.get(key).map_or(0, |pair| pair.revision.number);
+        let differs = |write: &Write| {
+            write.expected.number().is_some_and(|expected| held(&write.key) != expected)
+        };
+        if writes.iter().any(differs) {
             return Committed::Differs;
         }
         for write in writes {
             self.put(write.key.clone(), write.value.clone());
         }
         self.writes += 1;
-        Committed::Written(self.revision)
+        Committed::Written(Revision { era: self.era, number: self.revision })
     }
 }
 
@@ -152,6 +166,24 @@
         self.memory.writes()
     }
 
+    /// Calls so far, but for renewals.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.memory.calls()
+    }
+
+    /// Comes back from a copy that it made when only `keys` were written, each with its value: all else is gone, and
+    /// revisions are counted on from there.
+    pub fn restore(&self, keys: &[(&str, &[u8])]) {
+        let mut state = self.memory.state();
+        state.era.0 += 1;
+        state.pairs.clear();
+        state.revision = 0;
+        for (key, value) in keys {
+            state.put((*key).to_owned(), value.to_vec());
+        }
+    }
+
     /// Leases granted.
     #[must_use]
     pub fn grants(&self) -> u64 {
@@ -184,15 +216,27 @@
         self.memory.list(prefix)
     }
 
+    fn get_recent(&self, key: &str) -> Result<Option<Pair>, Fault> {
+        self.memory.get(key)
+    }
+
+    fn image_recent(&self, prefix: &str) -> Result<Image, Fault> {
+        self.image(prefix)
+    }
+
     fn image(&self, prefix: &str) -> Result<Image, Fault> {
-        Ok(Image { pairs: self.memory.list(prefix)?, as_of: 0 })
+        Ok(Image { pairs: self.memory.list(prefix)?, as_of: Revision::ZERO })
     }
 
     fn keep(&self, _lease: Lease) -> Result<Kept, Fault> {
         Ok(*lock(&self.kept))
     }
 
-    fn watch(&self, _prefix: &str, after: u64, _wait: Duration) -> Result<Watched, Fault> {
+    fn era(&self) -> Era {
+        self.memory.state().era
+    }
+
+    fn watch(&self, _prefix: &str, after: Revision, _wait: Duration) -> Result<Watched, Fault> {
         Ok(Watched::Until(after, Vec::new()))
     }
 }
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -13,6 +13,7 @@
 use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::route::Table;
 use nutmegkeel_platform::settings::Settings;
+use nutmegkeel_platform::store::Newest;
 use nutmegkeel_platform::{control, packet};
 use nutmegkeel_wire::l4 as wire;
 
@@ -86,6 +87,7 @@
         heartbeat_ms: settings.heartbeat_ms,
         checkpoints_per_s: settings.store_writes_per_s * CHECKPOINT_PERCENT / 100,
     };
+    let newest = Newest::default();
     let (checkpoints, lists) = checkpoint::channel();
     let addresses = settings.beside()?;
     let shared = Arc::new(Shared {
@@ -105,14 +107,10 @@
     let restored = Arc::clone(&shared);
     let told = Arc::clone(&shared);
     let answers = move || told.core().reaches_store(told.clock.now());
-    checkpoint::spawn(settings, clock, lists, answers, move |list| {
+    checkpoint::spawn(settings, &newest, clock, lists, answers, move |list| {
         restored.handle(Event::Recovered(list), &mut []);
     })?;
-    let hearing = Arc::clone(&shared);
-    let hears = move || hearing.core().hears_balancers();
-    let listed = Arc::clone(&shared);
-    let listed = move |balancers| listed.handle(Event::Listed(balancers), &mut []);
-    membership::spawn(settings, clock, None, hears, |_| (), listed)?;
+    spawn_membership(&shared, settings, &newest)?;
     let control = spawn_control(&shared, addresses.control)?;
     let metrics = spawn_metrics(settings.metrics, metrics)?;
     info!(event = "started", role = "agent", settings:? = settings, without:? = switched_off;
@@ -153,6 +151,24 @@
     }
 }
 
+/// Reads who the balancers are; an agent has no entry of its own.
+fn spawn_membership(
+    shared: &Arc<Shared>,
+    settings: &Settings,
+    newest: &Newest,
+) -> Result<(), Fault> {
+    let hearing = Arc::clone(shared);
+    let listing = Arc::clone(shared);
+    let hooks = membership::Hooks {
+        hears: Box::new(move || hearing.core().hears_balancers()),
+        registers: Box::new(|| false),
+        answered: Box::new(|_| ()),
+        listed: Box::new(move |balancers| listing.handle(Event::Listed(balancers), &mut [])),
+    };
+    membership::spawn(settings, newest, shared.clock, hooks)?;
+    Ok(())
+}
+
 /// Fetches copies of the configuration, and hands them to balancers that ask.
 fn spawn_replica(shared: &Arc<Shared>, settings: &Settings) -> Result<web::Handle, Fault> {
     let source = Source::default();
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -16,15 +16,17 @@
 use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::route::Table;
 use nutmegkeel_platform::settings::Settings;
+use nutmegkeel_platform::store::Newest;
 use nutmegkeel_platform::{control, packet};
 use nutmegkeel_wire::l4 as wire;
 
 use super::collector;
-use super::configuration::{self, Fetcher, News, Source};
+use super::configuration::{self, Fetcher, News, Source, Watch, Watcher};
 use super::gauges;
 use super::journal::Journal;
 use super::kept::{Packet, Packets};
 use super::link::{self, Link};
+use super::metered::{Metered, Purpose};
 use super::reload::Reload;
 use super::{Fault, membership, serve, spawn_metrics};
 use crate::clock::Clock;
@@ -104,12 +106,13 @@
         kept: Mutex::new(Packets::open(KEPT_MS)),
         last_packet: Mutex::new(now),
     });
+    let newest = Newest::default();
     let source = Source::default();
-    let fetcher = spawn_configuration(&shared, settings, &source)?;
+    let fetcher = spawn_configuration(&shared, settings, &newest, &source)?;
     spawn_readers(&shared, fetcher)?;
-    spawn_membership(&shared, settings)?;
+    spawn_membership(&shared, settings, &newest)?;
     let committed = Arc::clone(&shared);
-    collector::spawn(settings, clock, batches, move |written| {
+    collector::spawn(settings, &newest, clock, batches, move |written| {
         committed.handle(Event::Committed(written), &[]);
     })?;
     let readiness = spawn_readiness(&shared, settings.readiness)?;
@@ -165,10 +168,13 @@
 fn spawn_configuration(
     shared: &Arc<Shared>,
     settings: &Settings,
+    newest: &Newest,
     source: &Source,
 ) -> Result<Fetcher, Fault> {
+    let store = Metered::open(settings, newest, Purpose::Configuration);
+    let watch = Watch::open(store, source.clone(), shared.clock);
     let watching = Arc::clone(shared);
-    let rank = move || watching.delegate_rank();
+    let known = move || watching.watcher();
     let told = Arc::clone(shared);
     let take = move |news| {
         let event = match news {
@@ -177,7 +183,7 @@
         };
         told.handle(event, &[]);
     };
-    configuration::spawn_watch(settings, source.clone(), rank, store_answered(shared), take)?;
+    configuration::spawn_watch(watch, known, store_answered(shared), take)?;
     let fetched = Arc::clone(shared);
     let configured = move |table: Table| fetched.handle(Event::Configured(table), &[]);
     Ok(Fetcher::spawn(settings.messages, source.clone(), configured)?)
@@ -201,14 +207,21 @@
     Ok(())
 }
 
-fn spawn_membership(shared: &Arc<Shared>, settings: &Settings) -> Result<(), Fault> {
-    let registration = membership::registration(settings);
+fn spawn_membership(
+    shared: &Arc<Shared>,
+    settings: &Settings,
+    newest: &Newest,
+) -> Result<(), Fault> {
     let hearing = Arc::clone(shared);
-    let hears = move || hearing.hears_others();
-    let listed = Arc::clone(shared);
-    let listed = move |balancers| listed.handle(Event::Listed(balancers), &[]);
-    let (clock, answered) = (shared.clock, store_answered(shared));
-    membership::spawn(settings, clock, Some(registration), hears, answered, listed)?;
+    let registering = Arc::clone(shared);
+    let listing = Arc::clone(shared);
+    let hooks = membership::Hooks {
+        hears: Box::new(move || hearing.hears_others()),
+        registers: Box::new(move || registering.delegate_rank().is_some()),
+        answered: Box::new(store_answered(shared)),
+        listed: Box::new(move |balancers| listing.handle(Event::Listed(balancers), &[])),
+    };
+    membership::spawn(settings, newest, shared.clock, hooks)?;
     Ok(())
 }
 
@@ -240,6 +253,12 @@
         lock(&self.core)
     }
 
+    fn watcher(&self) -> Option<Watcher> {
+        let now = self.clock.now();
+        let core = self.core();
+        Some(Watcher { rank: core.delegate_rank(now)?, orders: core.orders().cloned() })
+    }
+
     fn delegate_rank(&self) -> Option<usize> {
         let now = self.clock.now();
         self.core().delegate_rank(now)
--- a/crates/nutmegkeel_node/src/l4/checkpoint.rs
+++ b/crates/nutmegkeel_node/src/l4/checkpoint.rs
@@ -9,6 +9,7 @@
 use metrics::counter;
 use nutmegkeel_core::l4::checkpoint::Checkpoint;
 use nutmegkeel_platform::settings::Settings;
+use nutmegkeel_platform::store::Newest;
 use nutmegkeel_store::document::Document;
 use nutmegkeel_store::kv::Fault;
 use nutmegkeel_wire::checkpoint as wire;
@@ -63,12 +64,13 @@
 /// When the thread cannot be started.
 pub(super) fn spawn(
     settings: &Settings,
+    newest: &Newest,
     clock: Clock,
     lists: Receiver<Checkpoint>,
     answers: impl Fn() -> bool + Send + 'static,
     recovered: impl FnOnce(Option<Checkpoint>) + Send + 'static,
 ) -> io::Result<()> {
-    let store = Metered::open(settings, Purpose::Flows);
+    let store = Metered::open(settings, newest, Purpose::Flows);
     let key = format!("{}{}", prefix(settings), settings.ip);
     // When the whole system starts for the first time nobody has left a list.
     let may_be_there = !settings.first_start;
--- a/crates/nutmegkeel_node/src/l4/collector.rs
+++ b/crates/nutmegkeel_node/src/l4/collector.rs
@@ -7,6 +7,7 @@
 
 use nutmegkeel_core::l4::checkpoint::Checkpoint;
 use nutmegkeel_platform::settings::Settings;
+use nutmegkeel_platform::store::Newest;
 use nutmegkeel_store::group::{Entry, Group};
 use nutmegkeel_wire::checkpoint as wire;
 
@@ -41,11 +42,12 @@
 /// When the thread cannot be started.
 pub(super) fn spawn(
     settings: &Settings,
+    newest: &Newest,
     clock: Clock,
     batches: Receiver<Batch>,
     committed: impl Fn(Vec<(Ipv4Addr, u64)>) + Send + 'static,
 ) -> io::Result<()> {
-    let store = Metered::open(settings, Purpose::Flows);
+    let store = Metered::open(settings, newest, Purpose::Flows);
     let prefix = checkpoint::prefix(settings);
     thread::Builder::new().name("collector".to_owned()).spawn(move || {
         let mut reachable = true;
--- a/crates/nutmegkeel_node/src/l4/configuration/watch.rs
+++ b/crates/nutmegkeel_node/src/l4/configuration/watch.rs
@@ -6,16 +6,19 @@
 use std::time::{Duration, Instant};
 
 use log::warn;
-use nutmegkeel_core::l4::evacuation::{Feed, Orders};
+use metrics::gauge;
+use nutmegkeel_core::l4::evacuation::{Feed, Orders, REWRITE_MS};
 use nutmegkeel_core::l4::route::Table;
 use nutmegkeel_core::l4::word::pause_after_change_ms;
+use nutmegkeel_core::revision::{Era, Revision};
 use nutmegkeel_platform::configuration::{self, Entry};
-use nutmegkeel_platform::settings::Settings;
 use nutmegkeel_store::kv::{Change, Fault, Image, Pair, Registry, Watched};
 
 use super::Source;
+use crate::clock::Clock;
 use crate::l4::membership::note_reachable;
-use crate::l4::metered::{Metered, Purpose};
+use crate::l4::metered::Metered;
+use crate::metric;
 
 /// Longest wait of one watch. A connection that went silent is noticed this much and the client's
 /// timeout later; meanwhile changes come from the other balancers that watch.
@@ -27,6 +30,10 @@
 /// Longest pause between two tries: a balancer that watches is back within this when the store is.
 const LONGEST_RETRY: Duration = Duration::from_millis(600);
 
+/// Pause between the first read and the first watch: by then a balancer knows whom it hears of, and so whether it
+/// is to watch. Until then changes come from others.
+const SETTLE: Duration = Duration::from_millis(300);
+
 /// Pause between two looks whether this balancer is to watch.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -39,36 +46,44 @@
     Configuration(Table),
 }
 
-/// Watches the store while `rank` names a place among the delegates of the failure domain, hands all news
-/// to `take`, and tells `answered` whether the store answers.
+/// A delegate, and what it knows.
+pub(in crate::l4) struct Watcher {
+    /// Its place among the delegates of the failure domain.
+    pub(in crate::l4) rank: usize,
+    /// The orders of evacuation that it has heard of.
+    pub(in crate::l4) orders: Option<Orders>,
+}
+
+/// Watches the store while `watcher` says that this process is a delegate, hands all news to `take`, and tells
+/// `answered` whether the store answers.
 ///
 /// # Errors
 /// When the thread cannot be started.
 pub(in crate::l4) fn spawn_watch(
-    settings: &Settings,
-    source: Source,
-    rank: impl Fn() -> Option<usize> + Send + 'static,
+    mut watch: Watch,
+    watcher: impl Fn() -> Option<Watcher> + Send + 'static,
     answered: impl Fn(bool) + Send + 'static,
     take: impl Fn(News) + Send + 'static,
 ) -> io::Result<()> {
-    let store = Metered::open(settings, Purpose::Configuration);
     thread::Builder::new().name("configuration".to_owned()).spawn(move || {
         let mut reachable = true;
-        let mut watch = Watch { store, source, after: None, feed: Feed::default() };
         let mut retry = RETRY;
         loop {
-            let Some(rank) = rank() else {
+            let Some(watcher) = watcher() else {
                 thread::sleep(LOOK);
                 continue;
             };
+            watch.hear(watcher.orders.as_ref());
+            let is_first = !watch.has_read;
             let began = Instant::now();
             let outcome = watch.next();
             let lasted_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
             let outcome = outcome.map(|news| news.into_iter().map(&take).count());
             let pause = match outcome {
+                Ok(_) if is_first => SETTLE,
                 Ok(0) if watch.after.is_some() => Duration::ZERO,
                 Ok(_) if watch.after.is_some() => {
-                    Duration::from_millis(pause_after_change_ms(rank, lasted_ms))
+                    Duration::from_millis(pause_after_change_ms(watcher.rank, lasted_ms))
                 }
                 _ => retry,
             };
@@ -83,22 +98,46 @@
 }
 
 /// A watch of all that the operator writes.
-struct Watch {
+pub(in crate::l4) struct Watch {
     store: Metered,
     source: Source,
+    clock: Clock,
+    /// Whether the store has been read since the start.
+    has_read: bool,
     /// Revision to go on from; none before the first read, and after the history was lost.
-    after: Option<u64>,
+    after: Option<Revision>,
     feed: Feed,
 }
 
 impl Watch {
+    /// A watch that has read nothing yet.
+    pub(in crate::l4) fn open(store: Metered, source: Source, clock: Clock) -> Self {
+        Self { store, source, clock, has_read: false, after: None, feed: Feed::default() }
+    }
+
+    /// Takes in orders that this process heard of from others.
+    fn hear(&mut self, orders: Option<&Orders>) {
+        if let Some(orders) = orders {
+            self.feed.hear(self.clock.now(), orders);
+        }
+    }
+
+    /// How long to wait for a change. While orders of an earlier era are held, what the operator has written again
+    /// is read soon.
+    fn wait(&self) -> Duration {
+        if self.feed.holds_on() { Duration::from_millis(REWRITE_MS) } else { WAIT }
+    }
+
     /// What is new. Orders come before a configuration, so that a process which has one knows of them.
     fn next(&mut self) -> Result<Vec<News>, Fault> {
+        if self.feed.needs_read(self.clock.now()) {
+            self.after = None;
+        }
         let Some(after) = self.after else {
-            let image = self.store.image(configuration::PREFIX)?;
+            let image = self.image()?;
             return Ok(self.read(image));
         };
-        match self.store.watch(configuration::PREFIX, after, WAIT)? {
+        match self.store.watch(configuration::PREFIX, after, self.wait())? {
             Watched::Until(until, changes) => {
                 self.after = Some(until);
                 Ok(self.follow(changes))
@@ -110,12 +149,22 @@
         }
     }
 
+    /// All that there is. At the start what the store held some seconds ago will do: every balancer reads it
+    /// then, and what is newer comes with the watch, or from others.
+    fn image(&mut self) -> Result<Image, Fault> {
+        if self.has_read {
+            return self.store.image(configuration::PREFIX);
+        }
+        let image = self.store.image_recent(configuration::PREFIX)?;
+        self.has_read = true;
+        Ok(image)
+    }
+
     /// Takes in all that there is.
     fn read(&mut self, image: Image) -> Vec<News> {
         // While there is no configuration yet a watch waits for it: to ask again and again costs a call
-        // each time.
-        let is_known = !image.pairs.is_empty() || image.as_of > 0;
-        self.after = is_known.then_some(image.as_of);
+        // each time. An old list may come without a revision to go on from.
+        self.after = (image.as_of.number > 0).then_some(image.as_of);
         let mut domains = BTreeSet::new();
         let mut tables = Vec::new();
         for pair in image.pairs {
@@ -127,10 +176,22 @@
                 None => {}
             }
         }
-        self.feed.read(image.as_of, domains);
+        self.note_era(image.as_of.era);
+        self.feed.read(self.clock.now(), image.as_of, domains);
         self.news(true, tables)
     }
 
+    /// Notes that the store came back from an older copy, if it did.
+    #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
+    fn note_era(&self, era: Era) {
+        gauge!(metric::STORE_ERA).set(era.0 as f64);
+        let is_first = self.feed.orders().revision == Revision::ZERO;
+        if !is_first && era > self.feed.era() {
+            warn!(event = "store_returned", era = era.0;
+                "the store came back from an older copy, everything is read and written again");
+        }
+    }
+
     /// Takes in what has changed.
     fn follow(&mut self, changes: Vec<Change>) -> Vec<News> {
         let mut ordered = false;
--- a/crates/nutmegkeel_node/src/l4/journal.rs
+++ b/crates/nutmegkeel_node/src/l4/journal.rs
@@ -281,11 +281,11 @@
                 "configuration in force");
         }
         Note::Evacuation(change) if change.evacuated => {
-            warn!(event = "evacuated", domain = &*change.domain, revision = change.revision;
+            warn!(event = "evacuated", domain = &*change.domain, revision:% = change.revision;
                 "failure domain takes no new flows");
         }
         Note::Evacuation(change) => {
-            warn!(event = "taken_back", domain = &*change.domain, revision = change.revision;
+            warn!(event = "taken_back", domain = &*change.domain, revision:% = change.revision;
                 "failure domain takes new flows again");
         }
         Note::Spared { level, abroad } => write_spared(level, *abroad),
--- a/crates/nutmegkeel_node/src/l4/membership.rs
+++ b/crates/nutmegkeel_node/src/l4/membership.rs
@@ -7,7 +7,9 @@
 
 use log::info;
 use metrics::{counter, gauge};
+use nutmegkeel_core::clock::Time;
 use nutmegkeel_platform::settings::Settings;
+use nutmegkeel_platform::store::Newest;
 use nutmegkeel_store::kv::{Fault, Pair, Registry, Store};
 use nutmegkeel_store::registration::Registration;
 
@@ -23,6 +25,10 @@
 /// whether the store took its entry away.
 const READ_OWN_MS: u64 = 5_000;
 
+/// Pause between the start and the first look at what is due: by then a process knows whom it hears of, and so
+/// whether it is to have an entry.
+const SETTLE: Duration = Duration::from_millis(250);
+
 /// The same for one that has none and hears of others. The list only helps those who missed the messages
 /// between processes: an agent that knows too few balancers learns of the others within this.
 const READ_MS: u64 = 30_000;
@@ -36,63 +42,101 @@
 }
 
 /// The entry of this process among the balancers.
-pub(super) fn registration(settings: &Settings) -> Registration {
+fn registration(settings: &Settings) -> Registration {
     let key = format!("{}{}", prefix(settings), settings.ip);
     Registration::open(key, settings.domain.as_bytes().to_vec())
 }
 
-/// Keeps the entry, if there is one, and hands every list that was read to `listed`. `hears` tells whether
-/// the process hears of others by messages, `answered` takes in whether the store answers.
+/// What a process knows that decides on its calls, and what it learns from them.
+pub(super) struct Hooks {
+    /// Whether the process hears of others by messages.
+    pub(super) hears: Box<dyn Fn() -> bool + Send>,
+    /// Whether it is to have an entry.
+    pub(super) registers: Box<dyn Fn() -> bool + Send>,
+    /// Takes in whether the store answered.
+    pub(super) answered: Box<dyn Fn(bool) + Send>,
+    /// Takes in each list that was read.
+    pub(super) listed: Box<dyn Fn(Vec<Ipv4Addr>) + Send>,
+}
+
+/// Keeps the process's entry while it is to have one, and reads the list.
 ///
 /// # Errors
 /// When the thread cannot be started.
 pub(super) fn spawn(
     settings: &Settings,
+    newest: &Newest,
     clock: Clock,
-    mut registration: Option<Registration>,
-    hears: impl Fn() -> bool + Send + 'static,
-    answered: impl Fn(bool) + Send + 'static,
-    listed: impl Fn(Vec<Ipv4Addr>) + Send + 'static,
+    hooks: Hooks,
 ) -> io::Result<()> {
-    let store = Metered::open(settings, Purpose::Membership);
-    let prefix = prefix(settings);
+    let mut member = Member {
+        store: Metered::open(settings, newest, Purpose::Membership),
+        prefix: prefix(settings),
+        registration: registration(settings),
+        hooks,
+        read_at: None,
+    };
     thread::Builder::new().name("membership".to_owned()).spawn(move || {
         let mut reachable = true;
-        let mut tried = None;
         let mut answered_at = clock.now();
+        let first = member.read_if_due(answered_at);
+        (member.hooks.answered)(first.is_ok());
+        note_reachable(&mut reachable, first);
+        thread::sleep(SETTLE);
         loop {
             let now = clock.now();
-            let mut outcome = registration.as_mut().map_or(Ok(()), |entry| entry.step(&store, now));
-            let pause_ms = match &registration {
-                _ if !hears() => ALONE_MS,
-                Some(_) => READ_OWN_MS,
-                None => READ_MS,
-            };
-            let due = tried.is_none_or(|at| now.since(at) >= pause_ms);
-            if outcome.is_ok() && due {
-                let is_alone = tried.is_some() && !hears();
-                tried = Some(now);
-                outcome = read(&store, &prefix, is_alone).map(|pairs| {
-                    if let Some(entry) = registration.as_mut() {
-                        entry.listed(now, &pairs);
-                    }
-                    listed(addresses(&pairs, &prefix));
-                });
-            }
-            answered(outcome.is_ok());
+            let outcome = member.step(now);
+            (member.hooks.answered)(outcome.is_ok());
             if outcome.is_ok() {
                 answered_at = clock.now();
             }
             #[expect(clippy::cast_precision_loss, reason = "a gauge is read by eye")]
             gauge!(metric::STORE_AGE).set(clock.now().since(answered_at) as f64);
             note_reachable(&mut reachable, outcome);
-            store.note_skipped();
+            member.store.note_skipped();
             thread::sleep(LOOK);
         }
     })?;
     Ok(())
 }
 
+/// What the thread works with.
+struct Member {
+    store: Metered,
+    prefix: String,
+    registration: Registration,
+    hooks: Hooks,
+    /// When the list was read last.
+    read_at: Option<Time>,
+}
+
+impl Member {
+    fn step(&mut self, now: Time) -> Result<(), Fault> {
+        if (self.hooks.registers)() {
+            self.registration.step(&self.store, now)?;
+        }
+        self.read_if_due(now)
+    }
+
+    fn read_if_due(&mut self, now: Time) -> Result<(), Fault> {
+        let hears = (self.hooks.hears)();
+        let pause_ms = match (hears, (self.hooks.registers)()) {
+            (false, _) => ALONE_MS,
+            (true, true) => READ_OWN_MS,
+            (true, false) => READ_MS,
+        };
+        if self.read_at.is_some_and(|at| now.since(at) < pause_ms) {
+            return Ok(());
+        }
+        let is_alone = self.read_at.is_some() && !hears;
+        self.read_at = Some(now);
+        let pairs = read(&self.store, &self.prefix, is_alone)?;
+        self.registration.listed(now, &pairs);
+        (self.hooks.listed)(addresses(&pairs, &self.prefix));
+        Ok(())
+    }
+}
+
 /// A process that still hears of nobody needs the list of now: others may have started with it. Usually
 /// one that is some seconds old does, and costs a tenth.
 fn read(store: &Metered, prefix: &str, is_alone: bool) -> Result<Vec<Pair>, Fault> {
--- a/crates/nutmegkeel_node/src/l4/metered.rs
+++ b/crates/nutmegkeel_node/src/l4/metered.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use metrics::counter;
+use nutmegkeel_core::revision::{Era, Revision};
 use nutmegkeel_platform::settings::Settings;
-use nutmegkeel_platform::store::Client;
+use nutmegkeel_platform::store::{Client, Newest};
 use nutmegkeel_store::kv::{
     Committed, Fault, Image, Kept, Lease, Pair, Registry, Store, Watched, Write,
 };
@@ -40,9 +41,9 @@
 }
 
 impl Metered {
-    /// A client of the store that the settings name.
-    pub(super) fn open(settings: &Settings, purpose: Purpose) -> Self {
-        Self { purpose, client: Client::open(settings.store) }
+    /// A client of the store that the settings name. All clients of a process share what they hear of its era.
+    pub(super) fn open(settings: &Settings, newest: &Newest, purpose: Purpose) -> Self {
+        Self { purpose, client: Client::open(settings.store, newest.clone()) }
     }
 
     /// Counts entries that could not be read, and says why.
@@ -89,15 +90,27 @@
         self.count("list_recent", self.client.list_recent(prefix))
     }
 
+    fn get_recent(&self, key: &str) -> Result<Option<Pair>, Fault> {
+        self.count("get_recent", self.client.get_recent(key))
+    }
+
+    fn image_recent(&self, prefix: &str) -> Result<Image, Fault> {
+        self.count("list_recent", self.client.image_recent(prefix))
+    }
+
     fn image(&self, prefix: &str) -> Result<Image, Fault> {
         self.count("list", self.client.image(prefix))
     }
 
+    fn era(&self) -> Era {
+        self.client.era()
+    }
+
     fn keep(&self, lease: Lease) -> Result<Kept, Fault> {
         self.count("keep", self.client.keep(lease))
     }
 
-    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Watched, Fault> {
+    fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched, Fault> {
         self.count("watch", self.client.watch(prefix, after, wait))
     }
 }
--- a/crates/nutmegkeel_node/src/metric.rs
+++ b/crates/nutmegkeel_node/src/metric.rs
@@ -39,6 +39,8 @@
 pub const DECISIONS: &str = "nutmegkeel_decisions_total";
 /// Requests that waited for a slot and were given up, by cause and urgency.
 pub const GIVEN_UP: &str = "nutmegkeel_given_up_total";
+/// How often the store has come back from an older copy of itself.
+pub const STORE_ERA: &str = "nutmegkeel_store_era";
 /// Milliseconds since the last answer of the store.
 pub const STORE_AGE: &str = "nutmegkeel_store_answer_age_ms";
 /// Calls to other processes for their configuration, by what came of them.
--- a/crates/nutmegkeel_store/src/claims.rs
+++ b/crates/nutmegkeel_store/src/claims.rs
@@ -4,7 +4,7 @@
 use nutmegkeel_core::clock::Time;
 use serde::{Deserialize, Serialize};
 
-use crate::kv::{Committed, Fault, Lease, Store, Write};
+use crate::kv::{Committed, Expected, Fault, Lease, Store, Write};
 
 /// Keys of claims begin with this.
 pub const PREFIX: &str = "nutmegkeel/claims/";
@@ -81,7 +81,7 @@
 
 fn write(claim: &Claim, lease: Lease) -> Write {
     let value = serde_json::to_vec(&value(claim)).unwrap_or_default();
-    Write { key: key(claim), value, expected: 0, lease: Some(lease) }
+    Write { key: key(claim), value, expected: Expected::Absent, lease: Some(lease) }
 }
 
 /// Settles one claim whose group did not commit, or whose answer was lost: reads it back, and
--- a/crates/nutmegkeel_store/src/classes.rs
+++ b/crates/nutmegkeel_store/src/classes.rs
@@ -3,8 +3,9 @@
 use nutmegkeel_core::change::{Action, Change, Event, Request, Stored, Value};
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::configuration::{Entry, Revision};
+use nutmegkeel_core::revision;
 
-use crate::kv::{Committed, Fault, Pair, Store, Write};
+use crate::kv::{Committed, Expected, Fault, Pair, Store, Write};
 
 /// Keys of classes begin with this.
 pub const PREFIX: &str = "nutmegkeel/classes/";
@@ -58,7 +59,11 @@
 fn entry(pair: &Pair) -> Option<Entry> {
     let name = pair.key.strip_prefix(PREFIX)?;
     let value: Value = serde_json::from_slice(&pair.value).ok()?;
-    Some(Entry { name: name.into(), revision: Revision(pair.revision), target: value.target })
+    Some(Entry {
+        name: name.into(),
+        revision: Revision(pair.revision.number),
+        target: value.target,
+    })
 }
 
 fn get(store: &dyn Store, key: &str) -> Event {
@@ -71,16 +76,19 @@
 
 fn stored(pair: &Pair) -> Option<Stored> {
     let value = serde_json::from_slice(&pair.value).ok()?;
-    Some(Stored { value, revision: Revision(pair.revision) })
+    Some(Stored { value, revision: Revision(pair.revision.number) })
 }
 
 fn swap(store: &dyn Store, key: &str, expected: Revision, value: &Value) -> Event {
     let Ok(value) = serde_json::to_vec(value) else {
         return Event::NotSent;
     };
-    let write = Write { key: key.to_owned(), value, expected: expected.0, lease: None };
+    // A class that was never written is at revision zero.
+    let expected = Some(expected.0).filter(|number| *number > 0);
+    let expected = Expected::unchanged(expected.map(revision::Revision::first_era));
+    let write = Write { key: key.to_owned(), value, expected, lease: None };
     match store.commit(&[write]) {
-        Ok(Committed::Written(revision)) => Event::Swapped(Revision(revision)),
+        Ok(Committed::Written(revision)) => Event::Swapped(Revision(revision.number)),
         Ok(Committed::Differs) => Event::Differs,
         Err(Fault::NotSent(_)) => Event::NotSent,
         Err(Fault::Lost(_)) => Event::Lost,
--- a/crates/nutmegkeel_store/src/document.rs
+++ b/crates/nutmegkeel_store/src/document.rs
@@ -1,8 +1,9 @@
 //! A key that one process writes again and again under a lease, and that its successor reads.
 
 use nutmegkeel_core::clock::Time;
+use nutmegkeel_core::revision::Revision;
 
-use crate::kv::{self, Fault, Registry, Write};
+use crate::kv::{self, Expected, Fault, Registry, Write};
 use crate::lease::Holder;
 
 /// Life of the lease, in seconds: twice as long as any flow lives, so that the document of a host that
@@ -16,8 +17,8 @@
 #[derive(Debug)]
 pub struct Document {
     key: String,
-    /// Revision of the last write known; zero if there was none.
-    revision: u64,
+    /// Revision of the last write known; none if there was none.
+    revision: Option<Revision>,
     lease: Holder,
 }
 
@@ -25,16 +26,16 @@
     /// A document that is not read yet.
     #[must_use]
     pub const fn open(key: String) -> Self {
-        Self { key, revision: 0, lease: Holder::open(LEASE_S, RENEW_MS) }
+        Self { key, revision: None, lease: Holder::open(LEASE_S, RENEW_MS) }
     }
 
-    /// Reads what was written last, by this process or its predecessor.
+    /// Reads what this process or its predecessor wrote, perhaps some seconds ago.
     ///
     /// # Errors
     /// When the store does not answer.
     pub fn read(&mut self, store: &dyn Registry) -> Result<Option<Vec<u8>>, Fault> {
-        let pair = store.get(&self.key)?;
-        self.revision = pair.as_ref().map_or(0, |pair| pair.revision);
+        let pair = store.get_recent(&self.key)?;
+        self.revision = pair.as_ref().map(|pair| pair.revision);
         Ok(pair.map(|pair| pair.value))
     }
 
@@ -47,11 +48,12 @@
         let write = Write {
             key: self.key.clone(),
             value: value.to_vec(),
-            expected: self.revision,
+            expected: Expected::unchanged(self.revision),
             lease: Some(lease),
         };
         // The lease may have ended meanwhile: the next write begins with a new one.
-        self.revision = kv::overwrite(store, write).inspect_err(|_| self.lease.forget())?;
+        let revision = kv::overwrite(store, write).inspect_err(|_| self.lease.forget())?;
+        self.revision = Some(revision);
         Ok(())
     }
 
--- a/crates/nutmegkeel_store/src/etcd.rs
+++ b/crates/nutmegkeel_store/src/etcd.rs
@@ -4,6 +4,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use nutmegkeel_core::revision::Revision;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -56,14 +57,14 @@
 
     fn commit(&self, writes: &[Write]) -> Result<Committed, Fault> {
         let query = TxnQuery {
-            compare: writes.iter().map(Compare::of).collect(),
+            compare: writes.iter().filter_map(Compare::of).collect(),
             success: writes.iter().map(Operation::of).collect(),
         };
         let answer: TxnAnswer = self.call("/v3/kv/txn", &query)?;
         if !answer.succeeded {
             return Ok(Committed::Differs);
         }
-        Ok(Committed::Written(number(&answer.header.revision)?))
+        Ok(Committed::Written(Revision::first_era(number(&answer.header.revision)?)))
     }
 
     fn grant(&self, seconds: u64) -> Result<Lease, Fault> {
@@ -111,7 +112,11 @@
     fn into_pair(self) -> Result<Pair, Fault> {
         let key = decode(&self.key)?;
         let key = String::from_utf8(key).map_err(|error| Fault::Lost(error.to_string()))?;
-        Ok(Pair { key, value: decode(&self.value)?, revision: number(&self.mod_revision)? })
+        Ok(Pair {
+            key,
+            value: decode(&self.value)?,
+            revision: Revision::first_era(number(&self.mod_revision)?),
+        })
     }
 }
 
@@ -134,13 +139,13 @@
 }
 
 impl Compare {
-    fn of(write: &Write) -> Self {
-        Self {
+    fn of(write: &Write) -> Option<Self> {
+        Some(Self {
             key: STANDARD.encode(&write.key),
             target: "MOD",
             result: "EQUAL",
-            mod_revision: write.expected.to_string(),
-        }
+            mod_revision: write.expected.number()?.to_string(),
+        })
     }
 }
 
--- a/crates/nutmegkeel_store/src/group.rs
+++ b/crates/nutmegkeel_store/src/group.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 
 use nutmegkeel_core::clock::Time;
+use nutmegkeel_core::revision::{Era, Revision};
 
 use crate::document::{LEASE_S, RENEW_MS};
-use crate::kv::{Committed, Fault, Registry, Write};
+use crate::kv::{Committed, Expected, Fault, Registry, Write};
 use crate::lease::Holder;
 
 /// Writes in one transaction: the users' platform takes 32 entries, and each write comes with the condition
@@ -26,7 +27,7 @@
 /// What is known of a key in the store.
 #[derive(Clone, Copy, Debug)]
 struct Known {
-    revision: u64,
+    revision: Revision,
     number: u64,
 }
 
@@ -42,13 +43,15 @@
     lease: Holder,
     /// The keys as last read or written; none before the first read.
     known: Option<BTreeMap<String, Known>>,
+    /// Era of the store when they were read.
+    era: Era,
 }
 
 impl Group {
     /// A writer that knows nothing yet.
     #[must_use]
     pub const fn open(prefix: String, number: fn(&[u8]) -> Option<u64>) -> Self {
-        Self { prefix, number, lease: Holder::open(LEASE_S, RENEW_MS), known: None }
+        Self { prefix, number, lease: Holder::open(LEASE_S, RENEW_MS), known: None, era: Era(0) }
     }
 
     /// Writes values whose number is higher than that in the store. Returns for each key the number that
@@ -110,7 +113,7 @@
         let write = |entry: &&Entry| Write {
             key: entry.key.clone(),
             value: entry.value.clone(),
-            expected: self.known(&entry.key).map_or(0, |known| known.revision),
+            expected: Expected::unchanged(self.known(&entry.key).map(|known| known.revision)),
             lease: Some(lease),
         };
         let writes: Vec<Write> = newer.iter().map(write).collect();
@@ -127,7 +130,7 @@
     }
 
     fn read_once(&mut self, store: &dyn Registry) -> Result<(), Fault> {
-        if self.known.is_some() {
+        if self.known.is_some() && self.era == store.era() {
             return Ok(());
         }
         let pairs = store.list(&self.prefix)?.into_iter();
@@ -137,6 +140,7 @@
             (pair.key, Known { revision: pair.revision, number })
         });
         self.known = Some(known.collect());
+        self.era = store.era();
         Ok(())
     }
 
--- a/crates/nutmegkeel_store/src/kv.rs
+++ b/crates/nutmegkeel_store/src/kv.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use nutmegkeel_core::revision::{Era, Revision};
 use nutmegkeel_core::verdict::Verdict;
 
 /// A key, its value and the revision of its last write.
@@ -12,22 +13,57 @@
     /// The value.
     pub value: Vec<u8>,
     /// Revision of the last write.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Number of a lease; keys written under it vanish when it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Lease(pub i64);
 
-/// One write inside a transaction: happens only if the key is still at `expected`.
+/// What must hold of a key for a write to happen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Expected {
+    /// Nothing: whatever is there is replaced.
+    Anything,
+    /// The key does not exist.
+    Absent,
+    /// The key was last written at this revision.
+    At(Revision),
+}
+
+impl Expected {
+    /// The count of the revision at which a key must be, zero if it must not exist; none if any will do.
+    #[must_use]
+    pub const fn number(self) -> Option<u64> {
+        match self {
+            Self::Anything => None,
+            Self::Absent => Some(0),
+            Self::At(revision) => Some(revision.number),
+        }
+    }
+
+    /// Whether this was seen in another era than the present one, and may hold by chance for another content.
+    #[must_use]
+    pub fn is_outdated(self, present: Era) -> bool {
+        matches!(self, Self::At(revision) if revision.era != present)
+    }
+
+    /// That a key is as it was last seen, at a revision or not there at all.
+    #[must_use]
+    pub fn unchanged(revision: Option<Revision>) -> Self {
+        revision.map_or(Self::Absent, Self::At)
+    }
+}
+
+/// One write inside a transaction: happens only if the key is as expected.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Write {
     /// The key.
     pub key: String,
     /// The new value.
     pub value: Vec<u8>,
-    /// Revision at which the key must be; zero means that it must not exist.
-    pub expected: u64,
+    /// What must hold of the key.
+    pub expected: Expected,
     /// Lease that the key is written under.
     pub lease: Option<Lease>,
 }
@@ -36,7 +72,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Committed {
     /// All writes took effect at this revision.
-    Written(u64),
+    Written(Revision),
     /// At least one key was not as expected; nothing was written.
     Differs,
 }
@@ -103,7 +139,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Watched {
     /// What changed up to this revision; nothing if the wait passed first.
-    Until(u64, Vec<Change>),
+    Until(Revision, Vec<Change>),
     /// The service no longer knows what came behind the given revision; read anew.
     Forgotten,
 }
@@ -118,7 +154,7 @@
         /// The key.
         key: String,
         /// Revision of the change.
-        revision: u64,
+        revision: Revision,
     },
 }
 
@@ -128,7 +164,7 @@
     /// The keys.
     pub pairs: Vec<Pair>,
     /// The revision; a watch behind it misses nothing.
-    pub as_of: u64,
+    pub as_of: Revision,
 }
 
 /// A service in which processes register, and which tells of changes.
@@ -139,6 +175,18 @@
     /// When the service does not answer.
     fn list_recent(&self, prefix: &str) -> Result<Vec<Pair>, Fault>;
 
+    /// Like [`Store::get`], but the answer may be seconds old and costs little.
+    ///
+    /// # Errors
+    /// When the service does not answer.
+    fn get_recent(&self, key: &str) -> Result<Option<Pair>, Fault>;
+
+    /// Like [`Registry::image`], but the answer may be seconds old and costs little.
+    ///
+    /// # Errors
+    /// When the service does not answer.
+    fn image_recent(&self, prefix: &str) -> Result<Image, Fault>;
+
     /// Reads all keys that begin with `prefix`, with the revision from which a watch goes on. The keys'
     /// own revisions will not do: the service may have dropped the history behind them.
     ///
@@ -146,6 +194,10 @@
     /// When the service does not answer.
     fn image(&self, prefix: &str) -> Result<Image, Fault>;
 
+    /// The era of the service, as far as its answers have told. What was written under a lease of an earlier one
+    /// may be gone.
+    fn era(&self) -> Era;
+
     /// Renews a lease.
     ///
     /// # Errors
@@ -156,19 +208,19 @@
     ///
     /// # Errors
     /// When the service does not answer.
-    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Watched, Fault>;
+    fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched, Fault>;
 }
 
-/// Writes over whatever is there: for a key that only one process writes, whose predecessor may have
-/// written it last. Returns the revision of the write.
+/// Writes over whatever is there, but not over what somebody writes meanwhile: a write that is carried out
+/// late must not replace a newer one. Returns the revision of the write.
 ///
 /// # Errors
 /// When the service does not answer, or somebody else goes on writing the key.
-pub fn overwrite(store: &dyn Store, mut write: Write) -> Result<u64, Fault> {
+pub fn overwrite(store: &dyn Store, mut write: Write) -> Result<Revision, Fault> {
     if let Committed::Written(revision) = store.commit(std::slice::from_ref(&write))? {
         return Ok(revision);
     }
-    write.expected = store.get(&write.key)?.map_or(0, |pair| pair.revision);
+    write.expected = Expected::unchanged(store.get(&write.key)?.map(|pair| pair.revision));
     match store.commit(std::slice::from_ref(&write))? {
         Committed::Written(revision) => Ok(revision),
         Committed::Differs => Err(Fault::NotSent(format!("`{}` is written by another", write.key))),
--- a/crates/nutmegkeel_store/src/registration.rs
+++ b/crates/nutmegkeel_store/src/registration.rs
@@ -3,7 +3,7 @@
 
 use nutmegkeel_core::clock::Time;
 
-use crate::kv::{self, Fault, Lease, Pair, Registry, Write};
+use crate::kv::{Committed, Expected, Fault, Lease, Pair, Registry, Write};
 use crate::lease::Holder;
 
 /// Life of the lease, in seconds. Others drop a silent process by themselves within 12 s, so a
@@ -58,15 +58,19 @@
         }
     }
 
-    /// The address is this process's, so an older entry is that of its predecessor.
+    /// The address is this process's, so an older entry is that of its predecessor. One that a call of the
+    /// predecessor writes late vanishes with its lease, and is missed in the next list.
     fn write(&mut self, store: &dyn Registry, lease: Lease) -> Result<(), Fault> {
         let write = Write {
             key: self.key.clone(),
             value: self.value.clone(),
-            expected: 0,
+            expected: Expected::Anything,
             lease: Some(lease),
         };
         // The lease may have ended meanwhile: the next step begins with a new one.
-        kv::overwrite(store, write).map(|_| ()).inspect_err(|_| self.lease.forget())
+        match store.commit(&[write]).inspect_err(|_| self.lease.forget())? {
+            Committed::Written(_) => Ok(()),
+            Committed::Differs => Err(Fault::NotSent(format!("`{}` was not written", self.key))),
+        }
     }
 }
--- a/crates/nutmegkeel_store/tests/group.rs
+++ b/crates/nutmegkeel_store/tests/group.rs
@@ -115,3 +115,18 @@
     assert!(written.is_ok(), "{written:?}");
     assert_eq!(store.grants(), 2);
 }
+
+/// Guards against lists that are taken for written though the store came back from a copy without them.
+#[test]
+fn a_group_reads_anew_when_the_store_is_back_from_a_copy() {
+    let store = Leased::open(Vec::new());
+    let mut group = group();
+    group.write(&store, at(0), &[entry(1, 5), entry(2, 5)]).expect("the store answers");
+    store.restore(&[(&format!("{PREFIX}1"), &[2])]);
+
+    let written = group.write(&store, at(100), &[entry(1, 5), entry(2, 5)]);
+
+    assert_eq!(written.expect("the store answers").len(), 2);
+    assert_eq!((value(&store, 1), value(&store, 2)), (Some(5), Some(5)));
+    assert_eq!(store.grants(), 2);
+}
--- a/crates/nutmegkeel_store/tests/registration.rs
+++ b/crates/nutmegkeel_store/tests/registration.rs
@@ -2,7 +2,7 @@
 
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_fake::store::{Fate, Leased};
-use nutmegkeel_store::kv::Kept;
+use nutmegkeel_store::kv::{Kept, Store};
 use nutmegkeel_store::registration::{RENEW_MS, Registration};
 
 fn entry() -> Registration {
@@ -35,6 +35,19 @@
     assert_eq!(store.writes(), 2);
 }
 
+/// Guards against restarts that cost the store twice the calls of a first start, because the entry of the
+/// process before is still there.
+#[test]
+fn a_restart_costs_no_more_calls_than_a_start() {
+    let store = Leased::open(Vec::new());
+    entry().step(&store, at(0)).expect("the store answers");
+    let first = store.calls();
+
+    entry().step(&store, at(10)).expect("the store answers");
+
+    assert_eq!(store.calls() - first, first);
+}
+
 /// The store was down longer than the lease. Others find the process again by its entry, which is
 /// written with a new lease at the first call that is answered.
 #[test]
@@ -49,6 +62,21 @@
     assert_eq!(store.writes(), 2);
 }
 
+/// Guards against a process that nobody finds after the store came back from a copy that lacks its entry: the
+/// renewal of a lease that another process has now would succeed.
+#[test]
+fn an_entry_is_written_again_when_the_store_is_back_from_a_copy() {
+    let store = Leased::open(Vec::new());
+    let mut entry = entry();
+    entry.step(&store, at(0)).expect("the store answers");
+    store.restore(&[]);
+
+    entry.step(&store, at(100)).expect("the store answers");
+
+    assert_eq!(store.list("balancers/").expect("the store answers").len(), 1);
+    assert_eq!(store.grants(), 2);
+}
+
 #[test]
 fn a_write_whose_answer_was_lost_is_tried_again() {
     let store = Leased::open(vec![Fate::Answered, Fate::AnswerLost]);
--- a/crates/nutmegkeel_wire/tests/l4.rs
+++ b/crates/nutmegkeel_wire/tests/l4.rs
@@ -2,13 +2,15 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use nutmegkeel_core::l4::balancer::summary;
+use nutmegkeel_core::l4::balancer::{peers, summary};
 use nutmegkeel_core::l4::checkpoint::Checkpoint;
+use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::flow::Flow;
 use nutmegkeel_core::l4::handover;
-use nutmegkeel_core::l4::message::{Load, Message, Reason, Report, State, Summary};
+use nutmegkeel_core::l4::message::{Load, Message, Reason, Report, Roster, State, Summary};
 use nutmegkeel_core::l4::route::Service;
 use nutmegkeel_core::l4::server::Incarnation;
+use nutmegkeel_core::revision::{Era, Revision};
 use nutmegkeel_wire::l4::{Fault, LONGEST, decode, encode};
 use quickcheck::QuickCheck;
 
@@ -52,7 +54,14 @@
     [datagram[0]]
 }
 
-/// Lists of open flows, and the agents of a whole failure domain, vanish on their way: the reader's buffer
+/// Orders for so many failure domains.
+fn evacuated(domains: u8) -> Orders {
+    let name = |number| format!("a-failure-domain-with-long-name-{number}").into();
+    let revision = Revision { era: Era(1_000), number: u64::MAX >> 20 };
+    Orders { revision, domains: (0..domains).map(name).collect() }
+}
+
+/// Lists of open flows, addresses, and the agents of a whole failure domain, vanish on their way: the reader's buffer
 /// is shorter than the datagram.
 #[test]
 fn the_longest_messages_fit_into_a_datagram() {
@@ -82,7 +91,19 @@
         passed_on: false,
     });
 
-    for message in [list, summary] {
+    let roster = Message::Roster(Roster {
+        version: u64::MAX >> 20,
+        domain: "a-failure-domain-with-a-long-name".into(),
+        digest: u64::MAX,
+        known: 100_000,
+        balancers: vec![Ipv4Addr::new(203, 0, 113, 200); peers::ADDRESSES],
+        agents: 100_000,
+        reaches_store: true,
+        leaving: false,
+        orders: Some(evacuated(18)),
+    });
+
+    for message in [list, summary, roster] {
         let mut datagram = Vec::new();
         encode(&message, b"", &mut datagram);
 
