--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -326,6 +326,37 @@
     assert_eq!(opened, Ok(()));
 }
 
+/// Guards against new flows in an evacuated failure domain, and processes that nobody finds, after the store came
+/// back from a copy that was made before the order was given.
+#[test]
+fn orders_and_entries_outlive_the_stores_return_from_an_older_copy() {
+    let fleet = fleet("store-returns", 17, &["desk", "desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+    let copy = fleet.store.copy();
+    std::thread::sleep(Duration::from_secs(1));
+    fleet.evacuate(DOMAIN);
+    std::thread::sleep(Duration::from_secs(1));
+
+    fleet.store.restore(&copy);
+    std::thread::sleep(Duration::from_millis(700));
+    let held = client.open(30_000, 443, &through).map(|_| ());
+    fleet.evacuate(DOMAIN);
+    std::thread::sleep(SOON);
+    let written_again = client.open(30_001, 443, &through).map(|_| ());
+    let entries = fleet.store.keys("nutmegkeel/balancers/all/");
+    let status = status(&fleet, through[0]);
+    fleet.take_back(DOMAIN);
+    std::thread::sleep(Duration::from_secs(1));
+    let taken_back = client.open(30_002, 443, &through).map(|_| ());
+
+    assert_eq!(held, Err(Outcome::Reset));
+    assert_eq!(written_again, Err(Outcome::Reset));
+    assert_eq!(entries.len(), 2, "{entries:?}");
+    assert!(status.contains("of era 1"), "{status}");
+    assert_eq!(taken_back, Ok(()));
+}
+
 /// Servers that have just started are drowned by all that is new, because they are empty. They are given
 /// what the operator says they bear, and the rest is refused at once, not left to time out.
 #[test]
