--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -226,14 +226,15 @@
     /// Guards against a client that waits for its own timeout, or for the next of its copies that
     /// come ever more rarely, while the answer is known.
     fn review(&mut self, now: Time) -> Vec<Action> {
-        self.note_certainty(now);
-        let mut actions = self.recall_if_changed(now);
+        let (is_cut_off, is_settled) = (self.pool.is_cut_off(now), self.is_settled(now));
+        self.note_certainty(is_cut_off, is_settled);
+        let mut actions = self.recall_if_changed(now, is_settled);
         actions.extend(self.collector.due(now).map(Action::Commit));
         actions.extend(self.summarise(now));
         actions.extend(self.tell_late(now));
         actions.extend(self.compare_speeds(now));
         actions.extend(self.rebalance(now));
-        if self.pool.is_cut_off(now) {
+        if is_cut_off {
             return actions;
         }
         for agent in self.pool.newly_silent(now) {
@@ -243,7 +244,7 @@
                 actions.extend(self.reset_flow(flow, seq, Cause::AgentDead, 0));
             }
         }
-        if self.is_settled(now) {
+        if is_settled {
             for flow in self.cache.undecided(now) {
                 actions.extend(self.decide(now, flow));
             }
--- a/crates/nutmegkeel_core/src/l4/balancer/certainty.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/certainty.rs
@@ -63,11 +63,11 @@
     }
 
     /// Notes whether all agents are known now.
-    pub(super) fn note_certainty(&mut self, now: Time) {
-        if self.pool.is_cut_off(now) {
+    pub(super) const fn note_certainty(&mut self, is_cut_off: bool, is_settled: bool) {
+        if is_cut_off {
             self.lose_certainty();
         } else {
-            self.growth.was_settled |= self.is_settled(now);
+            self.growth.was_settled |= is_settled;
         }
     }
 
--- a/crates/nutmegkeel_core/src/l4/balancer/kept.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/kept.rs
@@ -19,8 +19,8 @@
 
 impl Balancer {
     /// Calls for the packets that are kept once agents have stopped appearing, or all are known.
-    pub(super) fn recall_if_changed(&mut self, now: Time) -> Vec<Action> {
-        let view = View { growing: self.is_growing(now), settled: self.is_settled(now) };
+    pub(super) fn recall_if_changed(&mut self, now: Time, settled: bool) -> Vec<Action> {
+        let view = View { growing: self.is_growing(now), settled };
         let changed = view != self.view;
         self.view = view;
         let changed = changed || std::mem::take(&mut self.agent_came);
--- a/crates/nutmegkeel_core/src/l4/balancer/summary.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/summary.rs
@@ -71,22 +71,29 @@
         (domains.remove(&self.identity.domain).unwrap_or_default(), domains)
     }
 
-    /// Takes in what was heard of the agents of another failure domain, and passes it on at home.
+    /// Takes in what was heard of the agents of another failure domain, and passes it on at home, but for what
+    /// somebody has just told: two speakers tell of all agents in each slot, and to pass both on would fill the
+    /// links of a large domain with repetitions.
     pub(super) fn summary(&mut self, now: Time, summary: &Summary) -> Vec<Action> {
         if summary.domain == self.identity.domain {
             return Vec::new();
         }
-        let mut actions = Vec::new();
+        let mut news = Vec::new();
         for report in &summary.reports {
+            if !self.pool.is_repeated(now, report) {
+                news.push(report.clone());
+            }
             let change = self.pool.reported(now, summary, report);
             self.changed(now, report.agent, change);
         }
-        if !summary.passed_on {
-            let message = Message::Summary(Summary { passed_on: true, ..summary.clone() });
-            let near = self.words.of_domain(now, &self.identity.domain);
-            actions.extend(near.map(|(peer, _)| Action::Send(peer, message.clone())));
+        if summary.passed_on || news.is_empty() {
+            return Vec::new();
         }
-        actions
+        let (domain, services) = (Arc::clone(&summary.domain), summary.services.clone());
+        let passed_on = Summary { domain, services, reports: news, passed_on: true };
+        let message = Message::Summary(passed_on);
+        let near = self.words.of_domain(now, &self.identity.domain);
+        near.map(|(peer, _)| Action::Send(peer, message.clone())).collect()
     }
 
     /// Takes in what a word of an agent changed.
--- a/crates/nutmegkeel_core/src/l4/placement/report.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/report.rs
@@ -5,14 +5,28 @@
 use super::candidate::Candidate;
 use super::{Change, Pool};
 use crate::clock::Time;
-use crate::l4::health::{Health, SILENT_MS};
+use crate::l4::health::{Health, SILENT_MS, SUMMARY_MS};
 use crate::l4::message::{Report, Summary};
 
 /// Balancers elsewhere are told of an agent for so long after its last sign, in milliseconds: past the time
 /// after which they give it up too.
 const TOLD_MS: u64 = 2 * SILENT_MS;
 
+/// What a summary repeats within this time is no news, in milliseconds: the two speakers of one slot see nearly the
+/// same, and the next slot is twice as far away.
+const REPEATED_MS: u64 = SUMMARY_MS / 2;
+
 impl Pool {
+    /// Whether somebody has just told the same of an agent.
+    #[must_use]
+    pub fn is_repeated(&self, now: Time, report: &Report) -> bool {
+        self.agents.get(&report.agent).is_some_and(|known| {
+            let word = &known.announcement;
+            let is_same = (word.incarnation, word.number) == (report.incarnation, report.number);
+            is_same && now.since(known.seen) < REPEATED_MS
+        })
+    }
+
     /// Takes in what a balancer of another failure domain heard of an agent there.
     pub fn reported(&mut self, now: Time, summary: &Summary, report: &Report) -> Change {
         let word = summary.announcement(report);
--- a/crates/nutmegkeel_core/tests/l4/summary.rs
+++ b/crates/nutmegkeel_core/tests/l4/summary.rs
@@ -291,6 +291,32 @@
     assert_eq!(again, Vec::new());
 }
 
+/// Numbers of the reports that a balancer passes on to one other at home, if it does.
+fn passed_on(balancer: &mut Balancer, now: u64, reports: Vec<Report>) -> Vec<u64> {
+    let sent = summaries(&balancer.handle(at(now), Event::Summary(summary(reports))));
+    let to_one = sent.iter().filter(|(to, _)| *to == host(2));
+    to_one.flat_map(|(_, one)| one.reports.iter().map(|report| report.number)).collect()
+}
+
+/// Guards against links of a large failure domain that are filled by what two speakers of one slot both tell, and
+/// against an agent that passes for out of sight because what is told of it does not change.
+#[test]
+fn what_was_told_a_moment_ago_is_not_passed_on() {
+    let mut balancers = domain(3);
+    let balancer = &mut balancers[0];
+    let other = Report { agent: host(9), ..report(7, 10) };
+
+    let first = passed_on(balancer, 10, vec![report(1, 10), other.clone()]);
+    let repeated = passed_on(balancer, 30, vec![report(1, 30), other.clone()]);
+    let newer = passed_on(balancer, 40, vec![report(2, 0), other.clone()]);
+    let next_slot = passed_on(balancer, 310, vec![report(2, 270), other]);
+
+    assert_eq!(first, [1, 7]);
+    assert_eq!(repeated, Vec::<u64>::new());
+    assert_eq!(newer, [2]);
+    assert_eq!(next_slot, [2, 7]);
+}
+
 /// A balancer that is being stopped still carries flows of other failure domains, and must go on hearing of
 /// their agents; it tells nobody of its own any more.
 #[test]
