--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -237,13 +237,16 @@
         if is_cut_off {
             return actions;
         }
-        for agent in self.pool.newly_silent(now) {
-            actions.push(Action::Note(Note::AgentSilent { agent }));
-            for (flow, seq) in self.cache.held_by(agent) {
+        let silent = self.pool.newly_silent(now);
+        for agent in &silent {
+            for (flow, seq) in self.cache.held_by(*agent) {
                 self.cache.remove(&flow);
                 actions.extend(self.reset_flow(flow, seq, Cause::AgentDead, 0));
             }
         }
+        if !silent.is_empty() {
+            actions.push(Action::Note(Note::AgentsSilent { agents: silent }));
+        }
         if is_settled {
             for flow in self.cache.undecided(now) {
                 actions.extend(self.decide(now, flow));
--- a/crates/nutmegkeel_core/src/l4/note.rs
+++ b/crates/nutmegkeel_core/src/l4/note.rs
@@ -93,10 +93,10 @@
         /// Agents that are known now.
         known: usize,
     },
-    /// An agent has not been heard of for too long.
-    AgentSilent {
-        /// The agent.
-        agent: Ipv4Addr,
+    /// Agents have not been heard of for too long.
+    AgentsSilent {
+        /// The agents.
+        agents: Vec<Ipv4Addr>,
     },
     /// A backend server began or ceased to count as far slower than its peers.
     Speed(Verdict),
--- a/crates/nutmegkeel_core/src/l4/turnover.rs
+++ b/crates/nutmegkeel_core/src/l4/turnover.rs
@@ -43,14 +43,8 @@
         self.appeared.len() + self.opened.len() + self.closed.len()
     }
 
-    /// The processes, if they are no more than `most`; none if a line would get long.
-    #[must_use]
-    pub fn few(&self, most: usize) -> Option<String> {
-        if self.count() > most {
-            return None;
-        }
-        let all = self.appeared.iter().chain(&self.opened).chain(&self.closed);
-        let names: Vec<String> = all.map(ToString::to_string).collect();
-        Some(names.join(" "))
+    /// All that changed.
+    pub fn all(&self) -> impl Iterator<Item = &Ipv4Addr> {
+        self.appeared.iter().chain(&self.opened).chain(&self.closed)
     }
 }
--- a/crates/nutmegkeel_node/src/l4/journal.rs
+++ b/crates/nutmegkeel_node/src/l4/journal.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::net::Ipv4Addr;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -161,7 +162,7 @@
         Note::Expired { .. } => ("expired", UNUSUAL),
         Note::GivenUp { .. } => ("given_up", UNUSUAL),
         Note::BeyondShare { .. } => ("beyond_share", USUAL),
-        Note::Agents { .. } | Note::AgentSilent { .. } => ("agent", UNUSUAL),
+        Note::Agents { .. } | Note::AgentsSilent { .. } => ("agent", UNUSUAL),
         Note::Speed(_) => ("speed", UNUSUAL),
         Note::InForce { .. } => ("in_force", UNUSUAL),
         Note::Evacuation(_) => ("evacuation", UNUSUAL),
@@ -177,10 +178,18 @@
         Note::Agents { turnover, .. } | Note::Balancers { turnover, .. } => {
             u64::try_from(turnover.count()).unwrap_or(u64::MAX)
         }
+        Note::AgentsSilent { agents } => u64::try_from(agents.len()).unwrap_or(u64::MAX),
         _ => 1,
     }
 }
 
+/// The names of processes, if they are few.
+fn few<'a>(processes: impl IntoIterator<Item = &'a Ipv4Addr>) -> Option<String> {
+    let names: Vec<String> =
+        processes.into_iter().take(NAMED + 1).map(Ipv4Addr::to_string).collect();
+    (names.len() <= NAMED).then(|| names.join(" "))
+}
+
 /// Why something was refused or kept, as a label.
 const fn reason(note: &Note) -> &'static str {
     match note {
@@ -263,10 +272,11 @@
         Note::Agents { turnover, known } => {
             info!(event = "agents", known = known, appeared = turnover.appeared.len(),
                 opened = turnover.opened.len(), closed = turnover.closed.len(),
-                which = turnover.few(NAMED); "agents changed");
+                which = few(turnover.all()); "agents changed");
         }
-        Note::AgentSilent { agent } => {
-            warn!(event = "agent_silent", agent:% = agent; "agent is not heard of");
+        Note::AgentsSilent { agents } => {
+            warn!(event = "agents_silent", count = agents.len(), which = few(agents);
+                "agents are not heard of");
         }
         Note::Speed(Verdict { agent, is_slow: true, times }) => {
             warn!(event = "speed", agent:% = agent, slow = true, service_ms = times.service_ms,
@@ -291,7 +301,7 @@
         Note::Spared { level, abroad } => write_spared(level, *abroad),
         Note::Balancers { turnover, known } => {
             info!(event = "balancers", known = known, appeared = turnover.appeared.len(),
-                left = turnover.closed.len(), which = turnover.few(NAMED); "balancers changed");
+                left = turnover.closed.len(), which = few(turnover.all()); "balancers changed");
         }
         Note::Accepted { flow, load } => {
             info!(event = "accepted", flow:% = flow, busy = load.busy, flows = load.flows;
