--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -90,6 +90,9 @@
     last: Time,
     reviewed: Time,
     turn: usize,
+    /// When it started, and when it last spoke to balancers that have not answered.
+    opened: Time,
+    introduced: Time,
     /// What each other balancer was last told of the balancers.
     told: BTreeMap<Ipv4Addr, Told>,
     /// Lists of addresses that may be sent to balancers, and to agents.
@@ -148,6 +151,8 @@
             last: now,
             reviewed: now,
             turn: 0,
+            opened: now,
+            introduced: now,
             told: BTreeMap::new(),
             lists_to_peers: Allowance::open(now, LISTS_AT_ONCE),
             lists_to_agents: Allowance::open(now, LISTS_PER_S),
@@ -229,6 +234,7 @@
         let (is_cut_off, is_settled) = (self.pool.is_cut_off(now), self.is_settled(now));
         self.note_certainty(is_cut_off, is_settled);
         let mut actions = self.recall_if_changed(now, is_settled);
+        actions.extend(self.introduce_again(now));
         actions.extend(self.collector.due(now).map(Action::Commit));
         actions.extend(self.summarise(now));
         actions.extend(self.tell_late(now));
--- a/crates/nutmegkeel_core/src/l4/balancer/peers.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/peers.rs
@@ -16,6 +16,13 @@
 /// pair, and a balancer still hears all of its own domain within a few ticks.
 const PEERS_PER_TICK: usize = 8;
 
+/// A balancer that has run for longer has found the others, or hears of them by their own signs, in milliseconds.
+const YOUNG_MS: u64 = 2_000;
+
+/// Pause until a young balancer speaks again to others that have not answered, in milliseconds: processes of one start
+/// are up within a few of these.
+const INTRODUCE_MS: u64 = 100;
+
 /// Addresses in one datagram: at four bytes each they fit beside the orders of evacuation, however large the fleet.
 pub const ADDRESSES: usize = 256;
 
@@ -54,6 +61,26 @@
         actions
     }
 
+    /// Speaks again to balancers that have not answered, while this one is young.
+    ///
+    /// Guards against processes that start together and miss each other's first word: the next round of signs may be
+    /// seconds away, and until then the packets of clients are carried without them.
+    pub(super) fn introduce_again(&mut self, now: Time) -> Vec<Action> {
+        if now.since(self.opened) > YOUNG_MS || now.since(self.introduced) < INTRODUCE_MS {
+            return Vec::new();
+        }
+        self.introduced = now;
+        let is_silent = |peer: &Ipv4Addr| self.words.get(*peer).is_none();
+        let silent: Vec<Ipv4Addr> = self.peers.iter().filter(is_silent).collect();
+        if silent.is_empty() {
+            return Vec::new();
+        }
+        let sign = self.sign(now);
+        let turn = usize::try_from(now.millis() / INTRODUCE_MS).unwrap_or(0) * PEERS_PER_TICK;
+        let told = next_few(&silent, turn, PEERS_PER_TICK);
+        told.map(|peer| Action::Send(peer, sign.clone())).collect()
+    }
+
     /// The peers of the own failure domain, and the others.
     fn peers_by_domain(&self) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
         let is_near = |peer: &Ipv4Addr| {
--- a/crates/nutmegkeel_core/src/l4/balancer/queries.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/queries.rs
@@ -28,6 +28,13 @@
         self.peers.iter().collect()
     }
 
+    /// The other balancers of the own failure domain that were heard of lately and stay.
+    #[must_use]
+    pub fn domain_peers(&self, now: Time) -> Vec<Ipv4Addr> {
+        let near = self.words.of_domain(now, &self.identity.domain);
+        near.filter(|(_, word)| !word.leaving).map(|(peer, _)| peer).collect()
+    }
+
     /// Whether other balancers speak to this one.
     #[must_use]
     pub fn hears_others(&self, now: Time) -> bool {
--- a/crates/nutmegkeel_core/tests/l4/introduction.rs
+++ b/crates/nutmegkeel_core/tests/l4/introduction.rs
@@ -111,6 +111,25 @@
     assert!((1..=20).contains(&lists), "{lists} lists");
 }
 
+/// Guards against balancers that start together and find each other late: the first word of one came before the
+/// other listened.
+#[test]
+fn a_young_balancer_speaks_again_to_those_that_have_not_answered() {
+    let mut balancer =
+        Balancer::open(at(0), identity(BALANCER, Policy::default()), &[host(1), host(2)]);
+    balancer.handle(at(0), Event::Tick);
+    balancer.handle(at(10), Event::Roster(host(1), roster(1, &[], 0)));
+
+    let told: Vec<Ipv4Addr> = (50..=3_000)
+        .step_by(50)
+        .flat_map(|now| words(balancer.handle(at(now), Event::Store(true))))
+        .map(|(to, _)| to)
+        .collect();
+
+    assert!(told.iter().all(|to| *to == host(2)), "{told:?}");
+    assert!((10..=21).contains(&told.len()), "{} words", told.len());
+}
+
 /// An agent that got a sign in place of a list, because many asked at once, must get one soon after: it may know
 /// of no other balancer.
 #[test]
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -161,7 +161,7 @@
     let listing = Arc::clone(shared);
     let hooks = membership::Hooks {
         hears: Box::new(move || hearing.core().hears_balancers()),
-        registers: Box::new(|| false),
+        entry: Box::new(|| None),
         answered: Box::new(|_| ()),
         listed: Box::new(move |balancers| listing.handle(Event::Listed(balancers), &mut [])),
     };
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -217,7 +217,7 @@
     let listing = Arc::clone(shared);
     let hooks = membership::Hooks {
         hears: Box::new(move || hearing.hears_others()),
-        registers: Box::new(move || registering.delegate_rank().is_some()),
+        entry: Box::new(move || registering.entry()),
         answered: Box::new(store_answered(shared)),
         listed: Box::new(move |balancers| listing.handle(Event::Listed(balancers), &[])),
     };
@@ -259,9 +259,11 @@
         Some(Watcher { rank: core.delegate_rank(now)?, orders: core.orders().cloned() })
     }
 
-    fn delegate_rank(&self) -> Option<usize> {
+    /// The balancers that this one's entry in the store is to name, while it is to have one.
+    fn entry(&self) -> Option<Vec<Ipv4Addr>> {
         let now = self.clock.now();
-        self.core().delegate_rank(now)
+        let core = self.core();
+        core.watches(now).then(|| core.domain_peers(now))
     }
 
     fn hears_others(&self) -> bool {
--- a/crates/nutmegkeel_node/src/l4/membership.rs
+++ b/crates/nutmegkeel_node/src/l4/membership.rs
@@ -1,5 +1,6 @@
 //! Keeps a process's entry in the store, and reads the list of balancers there.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::Ipv4Addr;
 use std::thread;
@@ -36,6 +37,9 @@
 /// The same while it hears of nobody, in milliseconds.
 const ALONE_MS: u64 = 1_000;
 
+/// Balancers that an entry names at most: some tens of kilobytes.
+const NAMED: usize = 4_096;
+
 /// Where the balancers of a region have their entries.
 fn prefix(settings: &Settings) -> String {
     format!("nutmegkeel/balancers/{}/", settings.region)
@@ -43,16 +47,28 @@
 
 /// The entry of this process among the balancers.
 fn registration(settings: &Settings) -> Registration {
-    let key = format!("{}{}", prefix(settings), settings.ip);
-    Registration::open(key, settings.domain.as_bytes().to_vec())
+    Registration::open(format!("{}{}", prefix(settings), settings.ip), Vec::new())
+}
+
+/// What an entry says: the balancers that its owner knows in its failure domain. Guards against processes that find
+/// each other late when all start at once, and those that have entries are the last.
+fn encode(balancers: &[Ipv4Addr]) -> Vec<u8> {
+    let names: Vec<String> = balancers.iter().take(NAMED).map(ToString::to_string).collect();
+    names.join(" ").into_bytes()
+}
+
+/// The balancers that an entry names; words of another writer that are no addresses are left out.
+fn decode(value: &[u8]) -> impl Iterator<Item = Ipv4Addr> {
+    let words = value.split(u8::is_ascii_whitespace).take(NAMED);
+    words.filter_map(|word| std::str::from_utf8(word).ok()?.parse().ok())
 }
 
 /// What a process knows that decides on its calls, and what it learns from them.
 pub(super) struct Hooks {
     /// Whether the process hears of others by messages.
     pub(super) hears: Box<dyn Fn() -> bool + Send>,
-    /// Whether it is to have an entry.
-    pub(super) registers: Box<dyn Fn() -> bool + Send>,
+    /// The balancers that its entry is to name; none while it is to have no entry.
+    pub(super) entry: Box<dyn Fn() -> Option<Vec<Ipv4Addr>> + Send>,
     /// Takes in whether the store answered.
     pub(super) answered: Box<dyn Fn(bool) + Send>,
     /// Takes in each list that was read.
@@ -112,7 +128,8 @@
 
 impl Member {
     fn step(&mut self, now: Time) -> Result<(), Fault> {
-        if (self.hooks.registers)() {
+        if let Some(balancers) = (self.hooks.entry)() {
+            self.registration.set_value(now, encode(&balancers));
             self.registration.step(&self.store, now)?;
         }
         self.read_if_due(now)
@@ -120,7 +137,8 @@
 
     fn read_if_due(&mut self, now: Time) -> Result<(), Fault> {
         let hears = (self.hooks.hears)();
-        let pause_ms = match (hears, (self.hooks.registers)()) {
+        let has_entry = (self.hooks.entry)().is_some();
+        let pause_ms = match (hears, has_entry) {
             (false, _) => ALONE_MS,
             (true, true) => READ_OWN_MS,
             (true, false) => READ_MS,
@@ -143,9 +161,12 @@
     if is_alone { store.list(prefix) } else { store.list_recent(prefix) }
 }
 
+/// The balancers that have entries, and those that these name.
 fn addresses(pairs: &[Pair], prefix: &str) -> Vec<Ipv4Addr> {
-    let names = pairs.iter().filter_map(|pair| pair.key.strip_prefix(prefix));
-    names.filter_map(|name| name.parse().ok()).collect()
+    let owner = |pair: &Pair| pair.key.strip_prefix(prefix)?.parse().ok();
+    let owners = pairs.iter().filter_map(owner);
+    let named = pairs.iter().flat_map(|pair| decode(&pair.value));
+    owners.chain(named).collect::<BTreeSet<Ipv4Addr>>().into_iter().collect()
 }
 
 /// Counts a failure, and writes a line when the store is lost or regained.
--- a/crates/nutmegkeel_store/src/registration.rs
+++ b/crates/nutmegkeel_store/src/registration.rs
@@ -17,6 +17,10 @@
 /// may be seconds old.
 const LIST_AGE_MS: u64 = 6_000;
 
+/// An entry whose value has changed is written again this much after it was written, in milliseconds: each write
+/// is paid for, and a value that is some seconds old still serves.
+const REWRITE_MS: u64 = 5_000;
+
 /// The entry and its lease.
 #[derive(Debug)]
 pub struct Registration {
@@ -33,6 +37,15 @@
         Self { key, value, lease: Holder::open(LEASE_S, RENEW_MS), written: None }
     }
 
+    /// Sets what the entry is to say from now on; it is written again soon if it says something else.
+    pub fn set_value(&mut self, now: Time, value: Vec<u8>) {
+        if self.value == value || self.written.is_some_and(|at| now.since(at) < REWRITE_MS) {
+            return;
+        }
+        self.value = value;
+        self.written = None;
+    }
+
     /// Does what is due: grants the lease, writes the entry, renews the lease.
     ///
     /// # Errors
--- a/crates/nutmegkeel_store/tests/registration.rs
+++ b/crates/nutmegkeel_store/tests/registration.rs
@@ -48,6 +48,22 @@
     assert_eq!(store.calls() - first, first);
 }
 
+/// Guards against a store that pays for a write with each process that comes or goes.
+#[test]
+fn a_value_that_changes_often_is_written_rarely() {
+    let store = Leased::open(Vec::new());
+    let mut entry = entry();
+
+    for millis in (0..=10_000).step_by(1_000) {
+        entry.set_value(at(millis), millis.to_string().into_bytes());
+        entry.step(&store, at(millis)).expect("the store answers");
+    }
+
+    assert_eq!(store.writes(), 3);
+    let pairs = store.list("balancers/").expect("the store answers");
+    assert_eq!(pairs[0].value, b"10000");
+}
+
 /// The store was down longer than the lease. Others find the process again by its entry, which is
 /// written with a new lease at the first call that is answered.
 #[test]
