--- a/crates/nutmegkeel_fake/src/store.rs
+++ b/crates/nutmegkeel_fake/src/store.rs
@@ -216,10 +216,6 @@
         self.memory.list(prefix)
     }
 
-    fn get_recent(&self, key: &str) -> Result<Option<Pair>, Fault> {
-        self.memory.get(key)
-    }
-
     fn image_recent(&self, prefix: &str) -> Result<Image, Fault> {
         self.image(prefix)
     }
--- a/crates/nutmegkeel_node/src/l4/configuration/watch.rs
+++ b/crates/nutmegkeel_node/src/l4/configuration/watch.rs
@@ -31,8 +31,8 @@
 const LONGEST_RETRY: Duration = Duration::from_millis(600);
 
 /// Pause between the first read and the first watch: by then a balancer knows whom it hears of, and so whether it
-/// is to watch. Until then changes come from others.
-const SETTLE: Duration = Duration::from_millis(300);
+/// is to watch, also on a small host while the whole fleet starts. Until then changes come from others.
+const SETTLE: Duration = Duration::from_secs(1);
 
 /// Pause between two looks whether this balancer is to watch.
 const LOOK: Duration = Duration::from_millis(100);
--- a/crates/nutmegkeel_node/src/l4/membership.rs
+++ b/crates/nutmegkeel_node/src/l4/membership.rs
@@ -26,10 +26,6 @@
 /// whether the store took its entry away.
 const READ_OWN_MS: u64 = 5_000;
 
-/// Pause between the start and the first look at what is due: by then a process knows whom it hears of, and so
-/// whether it is to have an entry.
-const SETTLE: Duration = Duration::from_millis(250);
-
 /// The same for one that has none and hears of others. The list only helps those who missed the messages
 /// between processes: an agent that knows too few balancers learns of the others within this.
 const READ_MS: u64 = 30_000;
@@ -98,7 +94,8 @@
         let first = member.read_if_due(answered_at);
         (member.hooks.answered)(first.is_ok());
         note_reachable(&mut reachable, first);
-        thread::sleep(SETTLE);
+        // By the next look it knows whom it hears of, and so whether it is to have an entry.
+        thread::sleep(LOOK);
         loop {
             let now = clock.now();
             let outcome = member.step(now);
--- a/crates/nutmegkeel_node/src/l4/metered.rs
+++ b/crates/nutmegkeel_node/src/l4/metered.rs
@@ -90,10 +90,6 @@
         self.count("list_recent", self.client.list_recent(prefix))
     }
 
-    fn get_recent(&self, key: &str) -> Result<Option<Pair>, Fault> {
-        self.count("get_recent", self.client.get_recent(key))
-    }
-
     fn image_recent(&self, prefix: &str) -> Result<Image, Fault> {
         self.count("list_recent", self.client.image_recent(prefix))
     }
--- a/crates/nutmegkeel_store/src/document.rs
+++ b/crates/nutmegkeel_store/src/document.rs
@@ -29,12 +29,12 @@
         Self { key, revision: None, lease: Holder::open(LEASE_S, RENEW_MS) }
     }
 
-    /// Reads what this process or its predecessor wrote, perhaps some seconds ago.
+    /// Reads what was written last, by this process or its predecessor.
     ///
     /// # Errors
     /// When the store does not answer.
     pub fn read(&mut self, store: &dyn Registry) -> Result<Option<Vec<u8>>, Fault> {
-        let pair = store.get_recent(&self.key)?;
+        let pair = store.get(&self.key)?;
         self.revision = pair.as_ref().map(|pair| pair.revision);
         Ok(pair.map(|pair| pair.value))
     }
--- a/crates/nutmegkeel_store/src/kv.rs
+++ b/crates/nutmegkeel_store/src/kv.rs
@@ -175,12 +175,6 @@
     /// When the service does not answer.
     fn list_recent(&self, prefix: &str) -> Result<Vec<Pair>, Fault>;
 
-    /// Like [`Store::get`], but the answer may be seconds old and costs little.
-    ///
-    /// # Errors
-    /// When the service does not answer.
-    fn get_recent(&self, key: &str) -> Result<Option<Pair>, Fault>;
-
     /// Like [`Registry::image`], but the answer may be seconds old and costs little.
     ///
     /// # Errors
