--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -4,11 +4,13 @@
 mod collector;
 mod evacuation;
 mod event;
+pub mod introductions;
 mod kept;
 mod opening;
 mod outlook;
-pub mod peers;
+mod peers;
 mod queries;
+mod review;
 mod search;
 mod selection;
 mod shortage;
@@ -22,12 +24,11 @@
 
 use certainty::Growth;
 use collector::Collector;
+use introductions::Introductions;
 use kept::View;
 use outlook::Outlook;
-use peers::{LISTS_AT_ONCE, LISTS_PER_S};
 use search::{carry_to, note_declined};
 
-use super::allowance::Allowance;
 use super::cache::{Cache, Place};
 use super::evacuation::Ledger;
 use super::fetch::Holder;
@@ -90,14 +91,9 @@
     last: Time,
     reviewed: Time,
     turn: usize,
-    /// When it started, and when it last spoke to balancers that have not answered.
-    opened: Time,
-    introduced: Time,
     /// What each other balancer was last told of the balancers.
     told: BTreeMap<Ipv4Addr, Told>,
-    /// Lists of addresses that may be sent to balancers, and to agents.
-    lists_to_peers: Allowance,
-    lists_to_agents: Allowance,
+    introductions: Introductions,
     /// Balancers and agents that changed since the last tick.
     balancers_changed: Turnover,
     agents_changed: Turnover,
@@ -151,11 +147,8 @@
             last: now,
             reviewed: now,
             turn: 0,
-            opened: now,
-            introduced: now,
             told: BTreeMap::new(),
-            lists_to_peers: Allowance::open(now, LISTS_AT_ONCE),
-            lists_to_agents: Allowance::open(now, LISTS_PER_S),
+            introductions: Introductions::open(now),
             balancers_changed: Turnover::default(),
             agents_changed: Turnover::default(),
             outlook: None,
@@ -227,48 +220,6 @@
         self.last = now;
     }
 
-    /// Tells clients what became certain since: their flow's agent is dead, or nobody holds the flow.
-    /// Guards against a client that waits for its own timeout, or for the next of its copies that
-    /// come ever more rarely, while the answer is known.
-    fn review(&mut self, now: Time) -> Vec<Action> {
-        let (is_cut_off, is_settled) = (self.pool.is_cut_off(now), self.is_settled(now));
-        self.note_certainty(is_cut_off, is_settled);
-        let mut actions = self.recall_if_changed(now, is_settled);
-        actions.extend(self.introduce_again(now));
-        actions.extend(self.collector.due(now).map(Action::Commit));
-        actions.extend(self.summarise(now));
-        actions.extend(self.tell_late(now));
-        actions.extend(self.compare_speeds(now));
-        actions.extend(self.rebalance(now));
-        if is_cut_off {
-            return actions;
-        }
-        let silent = self.pool.newly_silent(now);
-        for agent in &silent {
-            for (flow, seq) in self.cache.held_by(*agent) {
-                self.cache.remove(&flow);
-                actions.extend(self.reset_flow(flow, seq, Cause::AgentDead, 0));
-            }
-        }
-        if !silent.is_empty() {
-            actions.push(Action::Note(Note::AgentsSilent { agents: silent }));
-        }
-        if is_settled {
-            for flow in self.cache.undecided(now) {
-                actions.extend(self.decide(now, flow));
-            }
-        }
-        actions
-    }
-
-    /// Notes which failure domains begin or cease to be spared.
-    fn rebalance(&mut self, now: Time) -> Vec<Action> {
-        let levels = self.pool.rebalance(now);
-        let abroad = self.pool.sent_abroad();
-        let note = |level| Action::Note(Note::Spared { level, abroad });
-        levels.into_iter().map(note).collect()
-    }
-
     fn client(&mut self, now: Time, head: &Head) -> Vec<Action> {
         // A first opening begins a new flow, whatever is remembered of one between the same ends.
         if head.opens() && head.ack == 0 {
--- a/crates/nutmegkeel_core/src/l4/balancer/certainty.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/certainty.rs
@@ -12,9 +12,9 @@
 /// and clients of lost flows wait to be told.
 const SETTLE_YOUNG_MS: u64 = ANNOUNCE_MS + 100;
 
-/// Agents may appear one by one in a large fleet at any time. This part of those known, or a larger one, within
-/// [`SETTLE_MS`] means that many are coming back at once.
-const MANY: usize = 16;
+/// In a large fleet some agent appears at any time. One in so many of those known, within [`SETTLE_MS`], means that
+/// many are coming back at once, and that some may not have been heard of yet.
+const ONE_IN: usize = 16;
 
 /// Which agents appeared lately.
 #[derive(Debug)]
@@ -45,7 +45,7 @@
             self.agents = 0;
         }
         self.agents += 1;
-        if !self.was_settled || self.agents * MANY > known {
+        if !self.was_settled || self.agents * ONE_IN > known {
             self.last = now;
         }
     }
--- a/crates/nutmegkeel_core/src/l4/balancer/outlook.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/outlook.rs
@@ -10,8 +10,8 @@
 use crate::clock::Time;
 use crate::l4::roster;
 
-/// How old an outlook may be, in milliseconds: who compares it with his own hears of a change within two ticks
-/// in any case.
+/// How old an outlook may be, in milliseconds: a tenth of the pause between two signs, so that it adds little to how
+/// old a sign is when the next one comes.
 const FRESH_MS: u64 = 50;
 
 /// The balancers and agents that were heard of at one moment.
--- a/crates/nutmegkeel_core/src/l4/evacuation.rs
+++ b/crates/nutmegkeel_core/src/l4/evacuation.rs
@@ -101,7 +101,7 @@
         if as_of.era > known_era && self.orders.revision != Revision::ZERO {
             self.returned = Some(now);
         }
-        if self.is_rewritten(now) {
+        if self.awaits_rewrite(now) {
             domains.extend(self.orders.domains.iter().cloned());
         } else {
             self.returned = None;
@@ -127,7 +127,7 @@
     }
 
     /// Whether orders of an earlier era are held because the operator may still be writing them again.
-    fn is_rewritten(&self, now: Time) -> bool {
+    fn awaits_rewrite(&self, now: Time) -> bool {
         self.returned.is_some_and(|returned| now.since(returned) < REWRITE_MS)
     }
 
@@ -135,7 +135,7 @@
     /// the operator wrote it again.
     #[must_use]
     pub fn needs_read(&self, now: Time) -> bool {
-        self.returned.is_some() && !self.is_rewritten(now)
+        self.returned.is_some() && !self.awaits_rewrite(now)
     }
 
     /// The era of the store that the orders are of.
--- a/crates/nutmegkeel_core/src/l4/turnover.rs
+++ b/crates/nutmegkeel_core/src/l4/turnover.rs
@@ -20,7 +20,7 @@
 }
 
 impl Turnover {
-    /// Notes a change of one process; its last change is the one that counts.
+    /// Notes a change of one process.
     pub fn note(&mut self, process: Ipv4Addr, change: Change) {
         let to = match change {
             Change::None | Change::Stale => return,
--- a/crates/nutmegkeel_wire/tests/l4.rs
+++ b/crates/nutmegkeel_wire/tests/l4.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use nutmegkeel_core::l4::balancer::{peers, summary};
+use nutmegkeel_core::l4::balancer::{introductions, summary};
 use nutmegkeel_core::l4::checkpoint::Checkpoint;
 use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::flow::Flow;
@@ -96,7 +96,7 @@
         domain: "a-failure-domain-with-a-long-name".into(),
         digest: u64::MAX,
         known: 100_000,
-        balancers: vec![Ipv4Addr::new(203, 0, 113, 200); peers::ADDRESSES],
+        balancers: vec![Ipv4Addr::new(203, 0, 113, 200); introductions::ADDRESSES],
         agents: 100_000,
         reaches_store: true,
         leaving: false,
