--- a/crates/nutmegkeel_core/src/l4/evacuation.rs
+++ b/crates/nutmegkeel_core/src/l4/evacuation.rs
@@ -93,31 +93,31 @@
     ///
     /// The first image of a later era may lack orders that were given after the store's copy was made. They hold
     /// on until the operator has written them again, or [`REWRITE_MS`] have passed.
-    pub fn read(&mut self, now: Time, as_of: Revision, mut domains: BTreeSet<Arc<str>>) {
+    pub fn read(&mut self, now: Time, as_of: Revision, domains: BTreeSet<Arc<str>>) {
         if as_of < self.orders.revision {
             return;
         }
-        let known_era = self.orders.revision.era;
-        if as_of.era > known_era && self.orders.revision != Revision::ZERO {
-            self.returned = Some(now);
-        }
-        if self.awaits_rewrite(now) {
-            domains.extend(self.orders.domains.iter().cloned());
-        } else {
+        self.replace(now, Orders { revision: as_of, domains });
+        if !self.awaits_rewrite(now) {
             self.returned = None;
         }
-        self.orders = Orders { revision: as_of, domains };
     }
 
     /// Takes in orders that this process heard of elsewhere, and that may be later than what it read itself.
     pub fn hear(&mut self, now: Time, orders: &Orders) {
-        if orders.revision <= self.orders.revision {
-            return;
+        if orders.revision > self.orders.revision {
+            self.replace(now, orders.clone());
         }
+    }
+
+    fn replace(&mut self, now: Time, mut orders: Orders) {
         if orders.revision.era > self.era() && self.orders.revision != Revision::ZERO {
             self.returned = Some(now);
         }
-        self.orders = orders.clone();
+        if self.awaits_rewrite(now) {
+            orders.domains.extend(self.orders.domains.iter().cloned());
+        }
+        self.orders = orders;
     }
 
     /// Whether orders of an earlier era are held.
--- a/crates/nutmegkeel_core/tests/l4/evacuation.rs
+++ b/crates/nutmegkeel_core/tests/l4/evacuation.rs
@@ -378,6 +378,20 @@
     assert_eq!(feed.orders().domains, orders(0, &[FAR]).domains);
 }
 
+/// A delegate that started after the return knows only what the copy held; its word ends no order that others hold.
+#[test]
+fn a_feed_that_hears_of_fewer_orders_after_the_return_holds_its_own() {
+    let mut feed = Feed::default();
+    feed.read(at(0), revision(500), orders(0, &[FAR]).domains);
+
+    feed.hear(at(50), &Orders { revision: later(440), domains: BTreeSet::new() });
+    let held = feed.orders().domains.clone();
+    feed.read(at(50 + REWRITE_MS), later(450), BTreeSet::new());
+
+    assert_eq!(held, orders(0, &[FAR]).domains);
+    assert!(feed.orders().domains.is_empty());
+}
+
 /// What the operator did, one step at each revision: which domain, and whether it was evacuated.
 fn history(steps: &[(u8, bool)]) -> Vec<Orders> {
     let mut feed = Feed::default();
