--- a/crates/nutmegkeel_core/src/l4.rs
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -5,7 +5,6 @@
 //! backend server accepted. Nobody holds a table of all flows.
 
 pub mod agent;
-pub mod allowance;
 pub mod balancer;
 pub mod cache;
 pub mod checkpoint;
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -37,7 +37,7 @@
 use super::note::{Cause, Note};
 use super::placement::Pool;
 use super::policy::{Mechanism, Policy};
-use super::roster::{Book, TELL_MS, TELL_NEAR_MS, Told};
+use super::roster::{Book, Told};
 use super::route::{Service, Table};
 use super::turnover::Turnover;
 use super::word::Words;
@@ -322,8 +322,7 @@
         if replica > self.table.version && self.identity.policy.uses(Mechanism::Replicas) {
             actions.push(Action::Fetch(Holder { address: from, version: replica }));
         }
-        let pause_ms = if is_near { TELL_NEAR_MS } else { TELL_MS };
-        actions.extend(self.tell_agent(now, from, pause_ms));
+        actions.extend(self.tell_agent(now, from, is_near));
         actions
     }
 
--- a/crates/nutmegkeel_core/src/l4/balancer/introductions.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/introductions.rs
@@ -8,10 +8,11 @@
 use super::peers::{PEERS_PER_TICK, next_few};
 use super::{Action, Balancer};
 use crate::clock::Time;
-use crate::l4::allowance::Allowance;
+use crate::l4::health::ANNOUNCE_MS;
 use crate::l4::message::{Message, Roster};
 use crate::l4::placement::Telling;
-use crate::l4::roster::{TELL_MS, Told};
+use crate::l4::roster::{TELL_MS, TELL_NEAR_MS, Told};
+use crate::placement::mix;
 
 /// A balancer that has run for longer has found the others, or hears of them by their own signs, in milliseconds.
 const YOUNG_MS: u64 = 2_000;
@@ -23,37 +24,32 @@
 /// Addresses in one datagram: at four bytes each they fit beside the orders of evacuation, however large the fleet.
 pub const ADDRESSES: usize = 256;
 
-/// Lists of addresses to other balancers at once, and in a second: each needs one from anybody, so that these
-/// are many lists for each when all start together.
-const LISTS_AT_ONCE: u64 = 16;
-const LISTS_TO_PEERS_PER_S: u64 = 4;
+/// Lists of addresses that one word of a process is answered with, from all who hear it together: one is enough, and
+/// some may be lost.
+const LISTS: usize = 4;
 
-/// Lists of addresses to agents in a second at least.
-const LISTS_PER_S: u64 = 16;
+/// Balancers among which turns are taken to answer a later sign: more than hear it, because the next one comes soon.
+const LATER_HEARERS: usize = 4 * PEERS_PER_TICK;
 
-/// Lists that an agent may get in a second from all balancers together, where that is more.
-const LISTS_PER_AGENT_S: usize = 4;
+/// Time after which others are to answer a process with a list, in milliseconds: as long as between two of an agent's
+/// announcements, so that each of them is answered.
+const TURN_MS: u64 = ANNOUNCE_MS;
 
 /// Digest noted for an agent that was told of no addresses.
 const NO_LIST: u64 = 0;
 
-/// What limits a balancer's introductions.
+/// What a balancer remembers of its introductions.
 #[derive(Debug)]
 pub(super) struct Introductions {
     /// When the balancer started, and when it last spoke to others that have not answered.
     opened: Time,
     spoke: Time,
-    /// Lists of addresses that may be sent to balancers, and to agents.
-    to_peers: Allowance,
-    to_agents: Allowance,
 }
 
 impl Introductions {
     /// Those of a balancer that starts.
     pub(super) const fn open(now: Time) -> Self {
-        let to_peers = Allowance::open(now, LISTS_AT_ONCE);
-        let to_agents = Allowance::open(now, LISTS_PER_S);
-        Self { opened: now, spoke: now, to_peers, to_agents }
+        Self { opened: now, spoke: now }
     }
 }
 
@@ -86,17 +82,26 @@
     /// first time, and where both go on to differ, because one of them has not yet dropped a balancer that died,
     /// a list with every sign would cost ten times what the signs do. So the one that knows more tells, rarely
     /// for one view, and only a few others at a time.
-    pub(super) fn list_for(&mut self, now: Time, peer: Ipv4Addr, roster: &Roster) -> Vec<Message> {
+    pub(super) fn list_for(
+        &mut self,
+        now: Time,
+        peer: Ipv4Addr,
+        roster: &Roster,
+        is_new: bool,
+    ) -> Vec<Message> {
         let orders = self.ledger.revision();
         let outlook = self.outlook(now);
         let lacks_some = roster.digest != outlook.digest && roster.known <= outlook.count();
         let told = Told { at: now, digest: outlook.digest, orders };
+        let count = outlook.balancers.len();
         let before = self.told.get(&peer);
         let was_told = before.is_some_and(|before| before.covers(&told, TELL_MS));
         if !lacks_some || was_told || !roster.balancers.is_empty() {
             return Vec::new();
         }
-        if !self.introductions.to_peers.take(now, LISTS_TO_PEERS_PER_S, LISTS_AT_ONCE) {
+        // Who speaks for the first time speaks to all. Later signs go to a few in turn, again and again.
+        let hearers = if is_new { count } else { count.min(LATER_HEARERS) };
+        if !self.is_turn(now, peer, hearers) {
             return Vec::new();
         }
         self.told.insert(peer, told);
@@ -106,14 +111,17 @@
     /// Tells an agent who the balancers are, or that this one lives, if it is time.
     ///
     /// Guards against a loss of power after which every balancer hands all addresses to every agent: one list
-    /// is enough for an agent, whoever sends it, and those that get a sign instead speak again.
-    pub(super) fn tell_agent(&mut self, now: Time, agent: Ipv4Addr, pause_ms: u64) -> Vec<Action> {
+    /// is enough for an agent, whoever sends it, and those that get a sign instead speak again in 0.3 s.
+    pub(super) fn tell_agent(&mut self, now: Time, agent: Ipv4Addr, is_near: bool) -> Vec<Action> {
+        let pause_ms = if is_near { TELL_NEAR_MS } else { TELL_MS };
         let orders = self.ledger.revision();
         let digest = self.outlook(now).digest;
         let told = Told { at: now, digest, orders };
-        let messages = match self.pool.telling(agent, told, pause_ms) {
+        let telling = self.pool.telling(agent, told, pause_ms);
+        let hearers = if telling == Telling::Addresses { self.hearers(now, is_near) } else { 0 };
+        let messages = match telling {
             Telling::Nothing => return Vec::new(),
-            Telling::Addresses if self.may_list_to_agent(now) => {
+            Telling::Addresses if self.is_turn(now, agent, hearers) => {
                 self.pool.note_told(agent, told);
                 self.own_list(now)
             }
@@ -129,13 +137,20 @@
         messages.into_iter().map(|message| Action::Send(agent, message)).collect()
     }
 
-    fn may_list_to_agent(&mut self, now: Time) -> bool {
-        let outlook = self.outlook(now);
-        let (agents, balancers) = (outlook.agents, outlook.balancers.len().max(1));
-        let per_s =
-            u64::try_from(LISTS_PER_AGENT_S * agents.div_ceil(balancers)).unwrap_or(u64::MAX);
-        let per_s = per_s.max(LISTS_PER_S);
-        self.introductions.to_agents.take(now, per_s, per_s)
+    /// Whether it is this balancer's turn to answer a process's word with a list, where so many hear that word.
+    ///
+    /// Guards against a process that never gets a list: whose turn it is changes for each process by itself, so that
+    /// none is left out because others always speak before it.
+    fn is_turn(&self, now: Time, to: Ipv4Addr, hearers: usize) -> bool {
+        let pair = u64::from(self.identity.address.to_bits()) << 32 | u64::from(to.to_bits());
+        let one_in = u64::try_from(hearers / LISTS).unwrap_or(u64::MAX).max(1);
+        mix(pair ^ mix(now.millis() / TURN_MS)).is_multiple_of(one_in)
+    }
+
+    /// Balancers that hear an agent's word: those of its failure domain, or all if it is not of this one.
+    fn hearers(&mut self, now: Time, is_near: bool) -> usize {
+        let near = if is_near { self.domain_peers(now).len() + 1 } else { usize::MAX };
+        near.min(self.outlook(now).balancers.len())
     }
 
     /// This balancer's word with the addresses of all that it knows, in datagrams of bounded length.
--- a/crates/nutmegkeel_core/src/l4/balancer/peers.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/peers.rs
@@ -113,7 +113,7 @@
             self.outlook = None;
             self.balancers_changed.note(from, Change::Appeared);
         }
-        let list = self.list_for(now, from, roster);
+        let list = self.list_for(now, from, roster, is_new);
         if is_new && list.is_empty() {
             actions.push(Action::Send(from, self.sign(now)));
         }
--- a/crates/nutmegkeel_core/tests/l4/introduction.rs
+++ b/crates/nutmegkeel_core/tests/l4/introduction.rs
@@ -130,18 +130,37 @@
     assert!((10..=21).contains(&told.len()), "{} words", told.len());
 }
 
-/// An agent that got a sign in place of a list, because many asked at once, must get one soon after: it may know
-/// of no other balancer.
+/// Guards against an agent that never hears of a new balancer, whose searches then miss it: agents speak in one order
+/// all the time, balancers come and go, and those who speak first took all the lists.
 #[test]
-fn an_agent_that_got_no_list_gets_one_with_its_next_word() {
-    let mut balancer = Balancer::open(at(0), identity(BALANCER, Policy::default()), &[]);
-    for agent in 1..=100 {
-        let first = Event::Announced(host(agent), word(1, State::Ready, Load::default()));
-        balancer.handle(at(10), first);
+fn no_agent_is_left_without_a_list_because_others_speak_before_it() {
+    let open = |number| Balancer::open(at(0), identity(host(number), Policy::default()), &[]);
+    let mut balancers: Vec<Balancer> = (1..=20).map(open).collect();
+    let mut served: BTreeMap<Ipv4Addr, u64> = BTreeMap::new();
+    let mut longest_ms = 0;
+
+    for (number, now) in (0_u8..40).zip((0..).step_by(300)) {
+        for balancer in &mut balancers {
+            for peer in (1..=20).chain([100 + number]) {
+                balancer.handle(at(now), Event::Roster(host(peer), roster(1, &[], 0)));
+            }
+        }
+        for agent in 21..=80 {
+            let spoken = word(1 + now / 300, State::Ready, Load::default());
+            for balancer in &mut balancers {
+                let event = Event::Announced(host(agent), spoken.clone());
+                if gets_list(&words(balancer.handle(at(now), event)), host(agent)) {
+                    served.insert(host(agent), now);
+                }
+            }
+            let since = served.get(&host(agent)).copied().unwrap_or_default();
+            longest_ms = longest_ms.max(now - since);
+        }
     }
 
-    let next = Event::Announced(host(100), word(2, State::Ready, Load::default()));
-    let words = words(balancer.handle(at(310), next));
+    assert!(longest_ms <= 1_500, "{longest_ms} ms without a list");
+}
 
-    assert!(words.iter().any(|(_, word)| !word.balancers.is_empty()), "{words:?}");
+fn gets_list(words: &[(Ipv4Addr, Roster)], process: Ipv4Addr) -> bool {
+    words.iter().any(|(to, word)| *to == process && !word.balancers.is_empty())
 }
