--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -8,11 +8,13 @@
 
 use nutmegkeel_standin::client::{Client, Outcome};
 use nutmegkeel_standin::fleet::{Fleet, Plan, Signal};
-use nutmegkeel_standin::host::DOMAIN;
+use nutmegkeel_standin::host::{APPLY_MS, DOMAIN};
 use nutmegkeel_standin::store::Mood;
 
 const SOON: Duration = Duration::from_secs(3);
 const LATER: Duration = Duration::from_secs(8);
+/// Time within which a change is to be in force, as the settings of the fleet state it.
+const IN_FORCE: Duration = Duration::from_millis(APPLY_MS);
 
 /// Each test has addresses and ports of its own, so that they may run at once.
 fn fleet(name: &str, net: u8, services: &[&'static str]) -> Fleet {
@@ -287,6 +289,49 @@
     assert_eq!(dropped, Err(Outcome::Reset));
 }
 
+/// Guards against a change that comes into force late because all watches wait on connections that fell silent.
+#[test]
+fn a_change_is_in_force_in_time_though_all_connections_to_the_store_fell_silent() {
+    let fleet = fleet("silent-watch", 18, &["desk", "vault"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+    std::thread::sleep(SOON);
+
+    fleet.proxy.silence_open();
+    fleet.configure(2, &[(443, "vault")]);
+    std::thread::sleep(IN_FORCE);
+    let mut open = client.open(30_000, 443, &through).expect("the flow opens");
+    let moved = client.request(&mut open, &through, SOON);
+
+    assert!(served_by(&moved, "vault"), "{moved:?}");
+}
+
+/// Guards against a change that is never in force because the store came back from an older copy and counted its
+/// revisions past the one that the watches go on from.
+#[test]
+fn a_change_at_a_revision_that_is_given_out_again_is_in_force() {
+    let fleet = fleet("revision-again", 19, &["desk", "vault"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let through = fleet.balancers();
+    let copy = fleet.store.copy();
+    fleet.configure(2, &[(443, "desk")]);
+    std::thread::sleep(Duration::from_secs(1));
+
+    fleet.store.set_mood(Mood::Down);
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.store.restore(&copy);
+    fleet.configure(3, &[(443, "vault")]);
+    for number in 0..20 {
+        fleet.store.put(&format!("other/{number}"), "");
+    }
+    fleet.store.set_mood(Mood::Well);
+    std::thread::sleep(IN_FORCE);
+    let mut open = client.open(30_000, 443, &through).expect("the flow opens");
+    let moved = client.request(&mut open, &through, SOON);
+
+    assert!(served_by(&moved, "vault"), "{moved:?}");
+}
+
 /// A hall is switched off by an operator who had it evacuated, and filings that were still sent there are
 /// lost. The order holds within a second on every process, over a restart of all of them, and until it is
 /// taken back, also when that happens in a part of the history that the store drops. Feeds that are open
