--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -8,13 +8,13 @@
 
 use nutmegkeel_standin::client::{Client, Outcome};
 use nutmegkeel_standin::fleet::{Fleet, Plan, Signal};
-use nutmegkeel_standin::host::{APPLY_MS, DOMAIN};
+use nutmegkeel_standin::host::{CONFIG_APPLY_MS, DOMAIN};
 use nutmegkeel_standin::store::Mood;
 
 const SOON: Duration = Duration::from_secs(3);
 const LATER: Duration = Duration::from_secs(8);
-/// Time within which a change is to be in force, as the settings of the fleet state it.
-const IN_FORCE: Duration = Duration::from_millis(APPLY_MS);
+/// Time within which a change must be in force, from the settings of the fleet.
+const IN_FORCE: Duration = Duration::from_millis(CONFIG_APPLY_MS);
 
 /// Each test has addresses and ports of its own, so that they may run at once.
 fn fleet(name: &str, net: u8, services: &[&'static str]) -> Fleet {
@@ -289,7 +289,7 @@
     assert_eq!(dropped, Err(Outcome::Reset));
 }
 
-/// Guards against a change that comes into force late because all watches wait on connections that fell silent.
+/// Guards against a change that is applied late because all watches wait on silent connections.
 #[test]
 fn a_change_is_in_force_in_time_though_all_connections_to_the_store_fell_silent() {
     let fleet = fleet("silent-watch", 18, &["desk", "vault"]);
@@ -297,7 +297,7 @@
     let through = fleet.balancers();
     std::thread::sleep(SOON);
 
-    fleet.proxy.silence_open();
+    fleet.proxy.silence_open_connections();
     fleet.configure(2, &[(443, "vault")]);
     std::thread::sleep(IN_FORCE);
     let mut open = client.open(30_000, 443, &through).expect("the flow opens");
@@ -306,8 +306,8 @@
     assert!(served_by(&moved, "vault"), "{moved:?}");
 }
 
-/// Guards against a change that is never in force because the store came back from an older copy and counted its
-/// revisions past the one that the watches go on from.
+/// Guards against a change that is missed because the store was restored from an older copy and its revisions have
+/// already passed the one that the watches continue from.
 #[test]
 fn a_change_at_a_revision_that_is_given_out_again_is_in_force() {
     let fleet = fleet("revision-again", 19, &["desk", "vault"]);
--- a/crates/nutmegkeel_core/src/l4.rs
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -31,4 +31,5 @@
 pub mod turnover;
 pub mod waiting;
 pub mod warmup;
+pub mod watch;
 pub mod word;
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -35,3 +35,4 @@
 mod urgency;
 mod waiting;
 mod warmup;
+mod watch;
--- a/crates/nutmegkeel_node/src/l4/configuration/watch.rs
+++ b/crates/nutmegkeel_node/src/l4/configuration/watch.rs
@@ -9,6 +9,7 @@
 use metrics::gauge;
 use nutmegkeel_core::l4::evacuation::{Feed, Orders, REWRITE_MS};
 use nutmegkeel_core::l4::route::Table;
+use nutmegkeel_core::l4::watch::WatchTimeouts;
 use nutmegkeel_core::l4::word::pause_after_change_ms;
 use nutmegkeel_core::revision::{Era, Revision};
 use nutmegkeel_platform::configuration::{self, Entry};
@@ -20,10 +21,6 @@
 use crate::l4::reachability::Reachability;
 use crate::metric;
 
-/// Longest wait of one watch. A connection that went silent is noticed this much and the client's
-/// timeout later; meanwhile changes come from the other balancers that watch.
-const WAIT: Duration = Duration::from_secs(8);
-
 /// Pause before the next try when the store does not answer, the first time; it doubles from try to try.
 const RETRY: Duration = Duration::from_millis(150);
 
@@ -118,6 +115,7 @@
     store: Metered,
     source: Source,
     clock: Clock,
+    timeouts: WatchTimeouts,
     /// Whether the store has been read since the start.
     has_read: bool,
     /// Revision to go on from; none before the first read, and after the history was lost.
@@ -127,8 +125,13 @@
 
 impl Watch {
     /// A watch that has read nothing yet.
-    pub(in crate::l4) fn open(store: Metered, source: Source, clock: Clock) -> Self {
-        Self { store, source, clock, has_read: false, after: None, feed: Feed::default() }
+    pub(in crate::l4) fn open(
+        store: Metered,
+        source: Source,
+        clock: Clock,
+        timeouts: WatchTimeouts,
+    ) -> Self {
+        Self { store, source, clock, timeouts, has_read: false, after: None, feed: Feed::default() }
     }
 
     /// Takes in orders that this process heard of from others.
@@ -140,8 +143,12 @@
 
     /// How long to wait for a change. While orders of an earlier era are held, what the operator has written again
     /// is read soon.
-    fn wait(&self) -> Duration {
-        if self.feed.holds_on() { Duration::from_millis(REWRITE_MS) } else { WAIT }
+    fn timeouts(&self) -> WatchTimeouts {
+        if self.feed.holds_on() {
+            self.timeouts.with_wait_at_most(Duration::from_millis(REWRITE_MS))
+        } else {
+            self.timeouts
+        }
     }
 
     /// What is new. Orders come before a configuration, so that a process which has one knows of them.
@@ -153,7 +160,7 @@
             let image = self.image()?;
             return Ok(self.read(image));
         };
-        match self.store.watch(configuration::PREFIX, after, self.wait())? {
+        match self.store.watch(configuration::PREFIX, after, self.timeouts())? {
             Watched::Until(until, changes) => {
                 self.after = Some(until);
                 Ok(self.follow(changes))
--- a/crates/nutmegkeel_store/src/kv.rs
+++ b/crates/nutmegkeel_store/src/kv.rs
@@ -1,7 +1,6 @@
 //! What the system needs of a key-value service.
 
-use std::time::Duration;
-
+use nutmegkeel_core::l4::watch::WatchTimeouts;
 use nutmegkeel_core::revision::{Era, Revision};
 use nutmegkeel_core::verdict::Verdict;
 
@@ -198,11 +197,16 @@
     /// When the service does not answer.
     fn keep(&self, lease: Lease) -> Result<Kept, Fault>;
 
-    /// Waits at most `wait` for a change behind revision `after` of a key with this prefix.
+    /// Waits for a change behind revision `after` of a key with this prefix, within `timeouts`.
     ///
     /// # Errors
     /// When the service does not answer.
-    fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched, Fault>;
+    fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        timeouts: WatchTimeouts,
+    ) -> Result<Watched, Fault>;
 }
 
 /// Writes over whatever is there, but not over what somebody writes meanwhile: a write that is carried out
