--- a/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
@@ -7,6 +7,7 @@
 
 use nutmegkeel_standin::client::{Client, Outcome};
 use nutmegkeel_standin::fleet::{Fleet, Signal};
+use nutmegkeel_standin::host::CONFIG_APPLY_MS;
 use nutmegkeel_standin::proxy;
 use nutmegkeel_standin::store::Mood;
 use rand::rngs::StdRng;
@@ -30,6 +31,9 @@
 /// Time under load at the end, when no process is disturbed any more.
 const LOADED: Duration = Duration::from_secs(4);
 
+/// Time within which a change must be in force, from the settings of the fleet.
+const IN_FORCE: Duration = Duration::from_millis(CONFIG_APPLY_MS);
+
 /// Time after the last fault within which everything must work again.
 const RECOVERY: Duration = Duration::from_secs(6);
 
@@ -171,15 +175,19 @@
 
     /// Moves a route to another service, drops one, or brings all back.
     fn change(&mut self) {
-        self.version += 1;
         let routes = match self.rng.random_range(0..3) {
             0 => vec![(443, "vault"), (444, "desk")],
             1 => vec![(443, "desk")],
             _ => vec![(443, "desk"), (444, "vault")],
         };
+        self.configure(&routes);
+    }
+
+    fn configure(&mut self, routes: &[(u16, &'static str)]) {
+        self.version += 1;
         self.note(format!("configuration {}: {routes:?}", self.version));
-        self.truth.change(&routes);
-        self.fleet.configure(self.version, &routes);
+        self.truth.change(routes);
+        self.fleet.configure(self.version, routes);
     }
 
     fn replace_server(&mut self) {
@@ -265,10 +273,12 @@
         self.fleet.store.set_mood(Mood::Well);
         self.fleet.proxy.set_mode(proxy::Mode::Pass);
         self.truth.store_is_well(true);
-        self.version += 1;
-        let routes = [(443, "desk"), (444, "vault")];
-        self.truth.change(&routes);
-        self.fleet.configure(self.version, &routes);
+        self.configure(&[(443, "vault"), (444, "desk")]);
+        thread::sleep(IN_FORCE);
+        // Guards against a change that is applied late because all watches wait on silent connections.
+        self.note("open connections to the store: silent".to_owned());
+        self.fleet.proxy.silence_open_connections();
+        self.configure(&[(443, "desk"), (444, "vault")]);
         self.note("all faults end".to_owned());
         thread::sleep(RECOVERY);
     }
