--- a/crates/nutmegkeel_node/src/web.rs
+++ b/crates/nutmegkeel_node/src/web.rs
@@ -1,14 +1,19 @@
 //! The small HTTP server beside each process: health, metrics, and the agent's announcements.
 
 use std::io::{Cursor, Read};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::time::Duration;
 
+use socket2::SockRef;
 use tiny_http::{Method, Request, Response, Server};
 
 /// Largest body that is read, in bytes.
 const LARGEST_BODY: u64 = 64 * 1024;
 
+/// Time after which a connection with unacknowledged data is closed.
+const ACK_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// An answer: status and body.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -49,7 +54,11 @@
 /// # Errors
 /// When the address cannot be bound.
 pub(crate) fn spawn(address: SocketAddr, handler: Handler) -> std::io::Result<Handle> {
-    let server = Server::http(address).map_err(std::io::Error::other)?;
+    let listener = TcpListener::bind(address)?;
+    // Limits how long a client that does not read its answers can block the only serving thread. Accepted
+    // connections inherit the option.
+    SockRef::from(&listener).set_tcp_user_timeout(Some(ACK_TIMEOUT))?;
+    let server = Server::from_listener(listener, None).map_err(std::io::Error::other)?;
     let server = Arc::new(server);
     let serving = Arc::clone(&server);
     std::thread::Builder::new().name("web".to_owned()).spawn(move || {
