--- a/crates/nutmegkeel_core/src/l4/watch.rs
+++ b/crates/nutmegkeel_core/src/l4/watch.rs
@@ -7,25 +7,25 @@
 
 use std::time::Duration;
 
-/// Upper bound of [`WatchTimeouts::wait`], in milliseconds. Limits how late a watch on a silent connection ends.
+/// Upper bound of [`Timeouts::wait`], in milliseconds. Limits how late a watch on a silent connection ends.
 const LONGEST_WAIT_MS: u64 = 8_000;
 
-/// Upper bound of [`WatchTimeouts::answer`], in milliseconds.
+/// Upper bound of [`Timeouts::answer`], in milliseconds.
 const LONGEST_ANSWER_MS: u64 = 1_000;
 
-/// Lower bound of [`WatchTimeouts::total`], in milliseconds. Prevents busy polling of the store.
+/// Lower bound of [`Timeouts::total`], in milliseconds. Prevents busy polling of the store.
 const SHORTEST_TOTAL_MS: u64 = 400;
 
 /// Timeouts of one watch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct WatchTimeouts {
+pub struct Timeouts {
     /// How long the store waits for a change before it answers that there is none.
     pub wait: Duration,
     /// How long the client waits for the answer after that.
     pub answer: Duration,
 }
 
-impl WatchTimeouts {
+impl Timeouts {
     /// Timeouts with which a change is in force within `apply_ms` even if the watch that should have reported it is
     /// never answered. The watch takes at most two thirds of `apply_ms`, but no less than a lower
     /// bound that prevents busy polling. The rest is for the next call and for the processes that fetch the change
--- a/crates/nutmegkeel_fake/src/store.rs
+++ b/crates/nutmegkeel_fake/src/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use nutmegkeel_core::l4::watch::WatchTimeouts;
+use nutmegkeel_core::l4::watch::Timeouts;
 use nutmegkeel_core::revision::{Era, Revision};
 use nutmegkeel_store::kv::{
     Committed, Fault, Image, Kept, Lease, Pair, Registry, Store, Watched, Write,
@@ -232,12 +232,7 @@
         self.memory.state().era
     }
 
-    fn watch(
-        &self,
-        _prefix: &str,
-        after: Revision,
-        _timeouts: WatchTimeouts,
-    ) -> Result<Watched, Fault> {
+    fn watch(&self, _prefix: &str, after: Revision, _timeouts: Timeouts) -> Result<Watched, Fault> {
         Ok(Watched::Until(after, Vec::new()))
     }
 }
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -15,7 +15,7 @@
 use nutmegkeel_core::l4::message::Message;
 use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::route::Table;
-use nutmegkeel_core::l4::watch::WatchTimeouts;
+use nutmegkeel_core::l4::watch::Timeouts;
 use nutmegkeel_platform::settings::Settings;
 use nutmegkeel_platform::store::Newest;
 use nutmegkeel_platform::{control, packet};
@@ -173,7 +173,7 @@
     source: &Source,
 ) -> Result<Fetcher, Fault> {
     let store = Metered::open(settings, newest, Purpose::Configuration);
-    let timeouts = WatchTimeouts::for_apply_time(settings.apply_ms);
+    let timeouts = Timeouts::for_apply_time(settings.apply_ms);
     let watch = Watch::open(store, source.clone(), shared.clock, timeouts);
     let watching = Arc::clone(shared);
     let known = move || watching.watcher();
--- a/crates/nutmegkeel_node/src/l4/configuration/watch.rs
+++ b/crates/nutmegkeel_node/src/l4/configuration/watch.rs
@@ -9,7 +9,7 @@
 use metrics::gauge;
 use nutmegkeel_core::l4::evacuation::{Feed, Orders, REWRITE_MS};
 use nutmegkeel_core::l4::route::Table;
-use nutmegkeel_core::l4::watch::WatchTimeouts;
+use nutmegkeel_core::l4::watch::Timeouts;
 use nutmegkeel_core::l4::word::pause_after_change_ms;
 use nutmegkeel_core::revision::{Era, Revision};
 use nutmegkeel_platform::configuration::{self, Entry};
@@ -115,7 +115,7 @@
     store: Metered,
     source: Source,
     clock: Clock,
-    timeouts: WatchTimeouts,
+    timeouts: Timeouts,
     /// Whether the store has been read since the start.
     has_read: bool,
     /// Revision to go on from; none before the first read, and after the history was lost.
@@ -129,7 +129,7 @@
         store: Metered,
         source: Source,
         clock: Clock,
-        timeouts: WatchTimeouts,
+        timeouts: Timeouts,
     ) -> Self {
         Self { store, source, clock, timeouts, has_read: false, after: None, feed: Feed::default() }
     }
@@ -143,7 +143,7 @@
 
     /// How long to wait for a change. While orders of an earlier era are held, what the operator has written again
     /// is read soon.
-    fn timeouts(&self) -> WatchTimeouts {
+    fn timeouts(&self) -> Timeouts {
         if self.feed.holds_on() {
             self.timeouts.with_wait_at_most(Duration::from_millis(REWRITE_MS))
         } else {
--- a/crates/nutmegkeel_node/src/l4/metered.rs
+++ b/crates/nutmegkeel_node/src/l4/metered.rs
@@ -1,7 +1,7 @@
 //! The store's client, with its calls counted: they are priced, also those that fail.
 
 use metrics::counter;
-use nutmegkeel_core::l4::watch::WatchTimeouts;
+use nutmegkeel_core::l4::watch::Timeouts;
 use nutmegkeel_core::revision::{Era, Revision};
 use nutmegkeel_platform::settings::Settings;
 use nutmegkeel_platform::store::{Client, Newest};
@@ -105,12 +105,7 @@
         self.count("keep", self.client.keep(lease))
     }
 
-    fn watch(
-        &self,
-        prefix: &str,
-        after: Revision,
-        timeouts: WatchTimeouts,
-    ) -> Result<Watched, Fault> {
+    fn watch(&self, prefix: &str, after: Revision, timeouts: Timeouts) -> Result<Watched, Fault> {
         self.count("watch", self.client.watch(prefix, after, timeouts))
     }
 }
--- a/crates/nutmegkeel_store/src/kv.rs
+++ b/crates/nutmegkeel_store/src/kv.rs
@@ -1,6 +1,6 @@
 //! What the system needs of a key-value service.
 
-use nutmegkeel_core::l4::watch::WatchTimeouts;
+use nutmegkeel_core::l4::watch::Timeouts;
 use nutmegkeel_core::revision::{Era, Revision};
 use nutmegkeel_core::verdict::Verdict;
 
@@ -201,12 +201,7 @@
     ///
     /// # Errors
     /// When the service does not answer.
-    fn watch(
-        &self,
-        prefix: &str,
-        after: Revision,
-        timeouts: WatchTimeouts,
-    ) -> Result<Watched, Fault>;
+    fn watch(&self, prefix: &str, after: Revision, timeouts: Timeouts) -> Result<Watched, Fault>;
 }
 
 /// Writes over whatever is there, but not over what somebody writes meanwhile: a write that is carried out
