--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -11,9 +11,6 @@
 use nutmegkeel_standin::fleet::{Fleet, Plan, Signal};
 use nutmegkeel_standin::host::{CONFIG_APPLY_MS, DOMAIN};
 use nutmegkeel_standin::store::Mood;
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
-use serde_json::{Value, json};
 
 const SOON: Duration = Duration::from_secs(3);
 const LATER: Duration = Duration::from_secs(8);
@@ -336,25 +333,11 @@
     assert!(served_by(&moved, "vault"), "{moved:?}");
 }
 
-/// A configuration with random route names, so that it still has about 100 kB when compressed.
-fn large_configuration(version: u64) -> String {
-    let mut rng = StdRng::seed_from_u64(version);
-    let route = |port: u16| {
-        let name: String = (0..2).map(|_| format!("{:032x}", rng.random::<u128>())).collect();
-        json!({
-            "name": name, "host": "198.18.0.1", "prefix": format!("/{port}/"), "type": "safe",
-            "timeout-ms": 2_500, "service": "desk",
-        })
-    };
-    let routes: Vec<Value> = (1_000..4_000).map(route).collect();
-    json!({"version": version, "routes": routes}).to_string()
-}
-
 /// Guards against a process that stops answering all callers because one of them does not read its answers.
 #[test]
 fn a_caller_that_reads_no_answer_does_not_block_others() {
     let fleet = fleet("unread-answers", 20, &["desk"]);
-    fleet.store.put("op/config", &large_configuration(2));
+    fleet.configure_large(2);
     std::thread::sleep(IN_FORCE);
     let address = SocketAddrV4::new(fleet.balancers()[0], fleet.ports.messages());
     let call = format!("GET /configuration HTTP/1.1\r\nHost: {address}\r\n\r\n");
--- a/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
@@ -7,14 +7,13 @@
 
 use nutmegkeel_standin::client::{Client, Outcome};
 use nutmegkeel_standin::fleet::{Fleet, Signal};
-use nutmegkeel_standin::host::CONFIG_APPLY_MS;
 use nutmegkeel_standin::proxy;
 use nutmegkeel_standin::store::Mood;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use super::load::Load;
-use super::truth::Truth;
+use super::truth::{IN_FORCE, Truth};
 use super::{LAST, SETTLE};
 
 /// Ports of the two classes of requests.
@@ -31,9 +30,6 @@
 /// Time under load at the end, when no process is disturbed any more.
 const LOADED: Duration = Duration::from_secs(4);
 
-/// Time within which a change must be in force, from the settings of the fleet.
-const IN_FORCE: Duration = Duration::from_millis(CONFIG_APPLY_MS);
-
 /// Time after the last fault within which everything must work again.
 const RECOVERY: Duration = Duration::from_secs(6);
 
--- a/crates/nutmegkeel_dev/src/soak/processes/truth.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/truth.rs
@@ -5,8 +5,10 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use nutmegkeel_standin::host::CONFIG_APPLY_MS;
+
 /// A change must be in force within this; so long an earlier one may still show.
-const IN_FORCE: Duration = Duration::from_secs(3);
+pub(super) const IN_FORCE: Duration = Duration::from_millis(CONFIG_APPLY_MS);
 
 /// A host that was disturbed is calm again after this.
 const CALM: Duration = Duration::from_secs(6);
