--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -27,7 +27,7 @@
 
 use super::changes::Changes;
 use super::checkpoint::Recorder;
-use super::decision::{Cause, Decision};
+use super::decision::{Cause, Decision, Observed};
 use super::flow::{Flow, Head};
 use super::handover::{Handover, Step};
 use super::health::ANNOUNCE_MS;
@@ -41,7 +41,7 @@
 use super::server::History;
 use super::share::Shares;
 use super::speed::Meter;
-use super::table::Table;
+use super::table::{Held, Table};
 use super::waiting::Queue;
 use super::warmup::Budget;
 use crate::admission::Estimate;
@@ -270,7 +270,7 @@
             return actions;
         }
         if self.refused.contains(now, head) {
-            return reset(flow, head.ack, Cause::Overload).into();
+            return reset_unknown(flow, head.ack, Cause::Overload).into();
         }
         // If another server holds the flow and this one accepted a copy of the opening, this one
         // is never probed: if the sequence numbers of the two servers are close, it would accept
@@ -373,7 +373,22 @@
     }
 }
 
-fn reset(flow: Flow, client_ack: u32, cause: Cause) -> [Action; 2] {
-    let decision = Decision::Reset { flow, cause, asked: 0, version: 0 };
+/// Resets a flow that the agent knows.
+fn reset(now: Time, flow: Flow, held: &Held, cause: Cause) -> [Action; 2] {
+    reset_observed(flow, held.client_ack, cause, Some(held.observed(now)))
+}
+
+/// Resets a flow that the agent does not know.
+fn reset_unknown(flow: Flow, client_ack: u32, cause: Cause) -> [Action; 2] {
+    reset_observed(flow, client_ack, cause, None)
+}
+
+fn reset_observed(
+    flow: Flow,
+    client_ack: u32,
+    cause: Cause,
+    observed: Option<Observed>,
+) -> [Action; 2] {
+    let decision = Decision::Reset { flow, cause, asked: 0, version: 0, observed };
     [Action::Reset { flow, seq: client_ack }, Action::Log(decision)]
 }
--- a/crates/nutmegkeel_core/src/l4/agent/answer.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/answer.rs
@@ -89,7 +89,7 @@
             && held.stage == Stage::Open
             && !held.is_over()
         {
-            actions.extend(reset(head.flow, held.client_ack, Cause::ServerRestarted));
+            actions.extend(reset(now, head.flow, &held, Cause::ServerRestarted));
         }
         actions
     }
--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -233,7 +233,7 @@
             let waited_ms = now.since(waiting.since);
             actions.push(Action::Log(Decision::Expired { flow, waited_ms }));
         } else if let Some(held) = self.table.remove(&flow) {
-            actions.extend(reset(flow, held.client_ack, cause));
+            actions.extend(reset(now, flow, &held, cause));
         }
         actions
     }
--- a/crates/nutmegkeel_core/src/l4/agent/server.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/server.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{Action, Agent, reset};
+use super::{Action, Agent, reset, reset_unknown};
 use crate::clock::Time;
 use crate::l4::decision::{Cause, Decision, ServerChange};
 use crate::l4::health::FORGET_MS;
@@ -45,7 +45,7 @@
                 self.meter.clear();
                 let ended = self.table.take_silent(now, RECENTLY_ACTIVE_MS);
                 for (flow, held) in ended {
-                    actions.extend(reset(flow, held.client_ack, Cause::ServerRestarted));
+                    actions.extend(reset(now, flow, &held, Cause::ServerRestarted));
                 }
                 actions.push(self.log_change(ServerChange::Started));
             }
@@ -72,7 +72,7 @@
         }
         let lost = self.recorder.take_lost(now, server);
         let lost = lost.into_iter().filter(|(flow, _)| self.table.get(flow).is_none());
-        lost.flat_map(|(flow, ack)| reset(flow, ack, Cause::HostRestarted)).collect()
+        lost.flat_map(|(flow, ack)| reset_unknown(flow, ack, Cause::HostRestarted)).collect()
     }
 
     pub(super) fn deregistered(&mut self, now: Time, leaving: &Incarnation) -> Vec<Action> {
@@ -122,7 +122,7 @@
                 actions.push(self.log_change(ServerChange::Dead));
             }
             for (flow, held) in ended {
-                actions.extend(reset(flow, held.client_ack, Cause::ServerDead));
+                actions.extend(reset(now, flow, &held, Cause::ServerDead));
             }
         }
         actions
@@ -136,17 +136,17 @@
     /// running.
     pub(super) fn check_mute(&mut self, now: Time) -> Vec<Action> {
         let outstanding = self.table.outstanding();
-        let limit = self.mute.check(now, outstanding, self.service_time.upper_us());
-        let Some(limit) = limit.filter(|_| self.uses(Mechanism::Mute)) else {
+        let silence = self.mute.check(now, outstanding, self.service_time.upper_us());
+        let Some(silence) = silence.filter(|_| self.uses(Mechanism::Mute)) else {
             return Vec::new();
         };
         let mut actions = Vec::new();
         if self.outliers.spare(now) {
-            actions.push(self.log_change(ServerChange::Mute));
+            actions.push(Action::Log(Decision::Mute { id: self.server_id(), silence }));
             actions.extend(self.announce(now));
         }
-        for (flow, held) in self.table.take_stuck(limit) {
-            actions.extend(reset(flow, held.client_ack, Cause::ServerMute));
+        for (flow, held) in self.table.take_stuck(now.before(silence.limit_ms)) {
+            actions.extend(reset(now, flow, &held, Cause::ServerMute));
         }
         for waiting in self.waiting.take_all() {
             actions.extend(self.give_up(now, &waiting, Cause::ServerMute));
@@ -179,10 +179,12 @@
     }
 
     pub(super) fn log_change(&self, change: ServerChange) -> Action {
-        let id = self
-            .history
-            .server()
-            .map_or_else(|| "".into(), |server| Arc::clone(&server.incarnation.id));
-        Action::Log(Decision::Server { id, change })
+        Action::Log(Decision::Server { id: self.server_id(), change })
+    }
+
+    /// Returns the identity of the current server; empty if there is none.
+    fn server_id(&self) -> Arc<str> {
+        let server = self.history.server();
+        server.map_or_else(|| "".into(), |server| Arc::clone(&server.incarnation.id))
     }
 }
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -377,7 +377,8 @@
     }
 
     fn reset_flow(&self, flow: Flow, seq: u32, cause: Cause, asked: usize) -> Vec<Action> {
-        let decision = Decision::Reset { flow, cause, asked, version: self.table.version };
+        let version = self.table.version;
+        let decision = Decision::Reset { flow, cause, asked, version, observed: None };
         vec![Action::Reset { flow, seq }, Action::Log(decision)]
     }
 }
--- a/crates/nutmegkeel_core/src/l4/decision.rs
+++ b/crates/nutmegkeel_core/src/l4/decision.rs
@@ -10,6 +10,7 @@
 use super::evacuation;
 use super::flow::Flow;
 use super::message::{Load, Reason};
+use super::mute::Silence;
 use super::placement::{Choice, Level, Verdict};
 use super::room::Shortage;
 use super::route::Urgency;
@@ -66,6 +67,9 @@
         asked: usize,
         /// Version of the configuration in force, at a balancer.
         version: u64,
+        /// What the agent had observed of the flow; `None` if it does not know the flow, and at a
+        /// balancer.
+        observed: Option<Observed>,
     },
     /// An opening was refused for lack of room: no backend server can answer it in time, or all
     /// agents that were queried declined it.
@@ -166,6 +170,13 @@
         /// The flow.
         flow: Flow,
     },
+    /// An agent's local backend server left all its requests unanswered for too long.
+    Mute {
+        /// Its incarnation.
+        id: Arc<str>,
+        /// How long it has answered nothing, and why that is too long.
+        silence: Silence,
+    },
     /// The state of an agent's local backend server changed.
     Server {
         /// Its incarnation.
@@ -175,6 +186,15 @@
     },
 }
 
+/// State of a flow as an agent has observed it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Observed {
+    /// Whether the backend server has received the end of the handshake.
+    pub is_open: bool,
+    /// Time since the server last sent a packet of the flow, in milliseconds.
+    pub server_silent_ms: u64,
+}
+
 /// Change in the state of an agent's local backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerChange {
@@ -192,8 +212,6 @@
     Responsive,
     /// It aborts requests.
     Failing,
-    /// It accepts requests and never answers.
-    Mute,
     /// It neither answers nor sends heartbeats; its flows are lost.
     Dead,
 }
--- a/crates/nutmegkeel_core/src/l4/mute.rs
+++ b/crates/nutmegkeel_core/src/l4/mute.rs
@@ -48,6 +48,17 @@
     pub deadline_ms: u64,
 }
 
+/// Silence of a mute server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Silence {
+    /// Time without an answer while requests were in progress, in milliseconds.
+    pub silent_ms: u64,
+    /// Time from which on the server counts as mute, in milliseconds.
+    pub limit_ms: u64,
+    /// Number of requests that wait for an answer.
+    pub requests: usize,
+}
+
 /// Detects a mute server.
 #[derive(Debug)]
 pub struct Detector {
@@ -69,9 +80,9 @@
         self.answers = self.answers.saturating_add(1);
     }
 
-    /// Returns a limit if the server is mute: requests sent to it before this time have waited too
-    /// long and must be given up. `most_us` is the time that nearly every request takes.
-    pub fn check(&mut self, now: Time, outstanding: Outstanding, most_us: u64) -> Option<Time> {
+    /// Returns the server's silence if it is mute. `most_us` is the time that nearly every request
+    /// takes.
+    pub fn check(&mut self, now: Time, outstanding: Outstanding, most_us: u64) -> Option<Silence> {
         let has_stalled = now.since(self.checked_at) > STALL_MS;
         self.checked_at = now;
         if has_stalled {
@@ -81,8 +92,9 @@
         let least_ms = (MIN_OBJECTIVES * outstanding.objective_ms).max(of_deadline_ms);
         let limit_ms = least_ms.max(SILENT_TURNS * most_us / 1_000);
         let silent_since = self.answered_at.max(outstanding.since?);
+        let silent_ms = now.since(silent_since);
         let is_known = self.answers >= MIN_ANSWERS && outstanding.requests >= MIN_REQUESTS;
-        let is_mute = is_known && now.since(silent_since) > limit_ms;
-        is_mute.then(|| now.before(limit_ms))
+        let is_mute = is_known && silent_ms > limit_ms;
+        is_mute.then_some(Silence { silent_ms, limit_ms, requests: outstanding.requests })
     }
 }
--- a/crates/nutmegkeel_core/src/l4/table/held.rs
+++ b/crates/nutmegkeel_core/src/l4/table/held.rs
@@ -1,6 +1,7 @@
 //! A flow that a backend server holds, as far as its packets show.
 
 use crate::clock::Time;
+use crate::l4::decision::Observed;
 use crate::l4::flow::{DATA_WINDOW, Head, follows};
 use crate::l4::health::FORGET_MS;
 use crate::l4::message::Demand;
@@ -80,6 +81,15 @@
         self.ended.is_some()
     }
 
+    /// Returns what the packets of the flow show of its state.
+    #[must_use]
+    pub fn observed(&self, now: Time) -> Observed {
+        Observed {
+            is_open: self.stage == Stage::Open,
+            server_silent_ms: now.since(self.server_last_seen),
+        }
+    }
+
     pub(super) const fn weight(&self) -> Weight {
         if self.is_over() {
             return Weight { busy: 0, open: 0, working: 0 };
--- a/crates/nutmegkeel_node/src/l4/decision_log.rs
+++ b/crates/nutmegkeel_node/src/l4/decision_log.rs
@@ -178,7 +178,7 @@
         Decision::Evacuation(_) => ("evacuation", EXCEPTIONAL_LINES_PER_S),
         Decision::Spared { .. } => ("spared", EXCEPTIONAL_LINES_PER_S),
         Decision::Balancers { .. } => ("balancer", EXCEPTIONAL_LINES_PER_S),
-        Decision::Server { .. } => ("server", EXCEPTIONAL_LINES_PER_S),
+        Decision::Mute { .. } | Decision::Server { .. } => ("server", EXCEPTIONAL_LINES_PER_S),
     }
 }
 
@@ -249,9 +249,12 @@
             info!(event = "relayed", flow:% = flow, to:% = to;
                 "no configuration yet, packet relayed to a balancer that has it");
         }
-        Decision::Reset { flow, cause, asked, version } => {
+        Decision::Reset { flow, cause, asked, version, observed } => {
+            let is_open = observed.map(|observed| observed.is_open);
+            let silent_ms = observed.map(|observed| observed.server_silent_ms);
             warn!(event = "reset", flow:% = flow, cause = cause.name(), asked = asked,
-                configuration = version; "reset sent to the client");
+                configuration = version, open = is_open, server_silent_ms = silent_ms;
+                "reset sent to the client");
         }
         Decision::Refused { flow, cause, urgency, asked, shortage: Some(shortage) } => {
             warn!(event = "refused", flow:% = flow, cause = cause.name(),
@@ -323,6 +326,11 @@
         Decision::Adopted { flow } => {
             info!(event = "adopted", flow:% = flow; "backend server holds the flow");
         }
+        Decision::Mute { id, silence } => {
+            warn!(event = "server", id = &**id, change = "Mute", silent_ms = silence.silent_ms,
+                limit_ms = silence.limit_ms, requests = silence.requests;
+                "backend server answers no request");
+        }
         Decision::Server { id, change } => {
             info!(event = "server", id = &**id, change:? = change; "backend server changed");
         }
