--- a/crates/nutmegkeel_core/tests/l4/mute.rs
+++ b/crates/nutmegkeel_core/tests/l4/mute.rs
@@ -68,6 +68,47 @@
     assert_eq!(agent.state(at(4_200)), State::Failing);
 }
 
+/// Guards against the reset of open flows on a guess: their server pauses for three seconds, longer
+/// than any limit of its silence, and then answers every request.
+#[test]
+fn open_flows_of_a_paused_server_are_not_reset() {
+    let mut agent = agent_after_answers(16);
+    go_mute(&mut agent, 3_000);
+
+    let mut actions = run_ticks(&mut agent, 3_100, 6_000);
+    for port in 2..=5 {
+        actions.extend(agent.handle(at(6_001), Event::FromServer(data(flow(port), 501, 1_101))));
+    }
+    actions.extend(run_ticks(&mut agent, 6_100, 7_000));
+
+    assert_eq!(resets(&actions), Vec::new());
+}
+
+/// An agent whose server has been mute for 2.5 s, with requests that must run once in all its slots
+/// and its queue. Flow 1 is open and idle.
+fn agent_of_full_mute_server() -> Agent {
+    let mut agent = agent_after_answers(16);
+    for port in 2..=9 {
+        open_flow(&mut agent, 3_000, flow(port), demand(true));
+        send_data(&mut agent, 3_002, flow(port), 1_001);
+    }
+    run_ticks(&mut agent, 3_100, 5_500);
+    agent
+}
+
+/// Guards against the reset of an open flow with a request that has only just arrived: its server
+/// has answered nothing for some seconds, and requests of that time still fill its slots although
+/// it works again.
+#[test]
+fn a_request_that_arrives_at_a_mute_server_does_not_reset_its_open_flow() {
+    let mut agent = agent_of_full_mute_server();
+    send_data(&mut agent, 5_501, flow(1), 50_001);
+
+    let actions = run_ticks(&mut agent, 5_600, 6_000);
+
+    assert!(!resets(&actions).contains(&flow(1)), "{actions:?}");
+}
+
 /// Guards against the reset of a flow of a healthy server: it answers most requests in 5 ms and a
 /// few in 50 or 500 ms, and two of the long ones arrive together when there are no others.
 #[test]
