--- a/crates/nutmegkeel_core/src/l4/agent/answer.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/answer.rs
@@ -39,7 +39,6 @@
         match outcome {
             Outcome::Answered { after_ms, behind } => {
                 self.outliers.record_answered();
-                self.mute.record_answer(now);
                 let found_slot = behind < slots;
                 self.record_answer(now, after_ms, found_slot);
                 if found_slot {
--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -189,12 +189,7 @@
             actions.extend(self.give_up(now, &waiting, Cause::Late));
         }
         for waiting in self.waiting.take_excess(now, self.slots(), self.service_time.mean_us()) {
-            match waiting.request.filter(|_| self.table.is_open(&waiting.flow)) {
-                // The server itself rejects what it has no room for, which shows that the request
-                // has not run.
-                Some(request) => actions.extend(self.release_request(now, &waiting, &request)),
-                None => actions.extend(self.give_up(now, &waiting, Cause::Late)),
-            }
+            actions.extend(self.end_wait(now, &waiting, Cause::Late));
         }
         while !self.is_saturated()
             && let Some((waiting, request)) =
@@ -219,16 +214,25 @@
         vec![Action::CountWait { urgency, waited_ms }, Action::Release(waiting.flow)]
     }
 
+    /// Ends the wait of a request without a free slot. On an open flow the request goes to the
+    /// server, which rejects what it has no room for, and so shows that the request has not run.
+    pub(super) fn end_wait(&mut self, now: Time, waiting: &Waiting, cause: Cause) -> Vec<Action> {
+        match waiting.request.filter(|_| self.table.is_open(&waiting.flow)) {
+            Some(request) => self.release_request(now, waiting, &request),
+            None => self.give_up(now, waiting, cause),
+        }
+    }
+
     /// Drops a waiting request that never reached the server. If the server has not seen the end of
-    /// the handshake, or has ended, the client gets a reset. On an open flow nothing is sent: a
-    /// reset would break a flow of a healthy server, and the client's deadline has passed.
+    /// the handshake, or has ended, the client gets a reset. On an open flow of a running server
+    /// nothing is sent, because a reset would break the flow.
     pub(super) fn give_up(&mut self, now: Time, waiting: &Waiting, cause: Cause) -> Vec<Action> {
         if waiting.request.is_none() {
             return Vec::new();
         }
         let flow = waiting.flow;
         let mut actions = vec![Action::Forget(flow)];
-        if self.table.is_open(&flow) && cause == Cause::Late {
+        if self.table.is_open(&flow) && self.history.server().is_some() {
             self.table.set_waiting(flow, false);
             let waited_ms = now.since(waiting.since);
             actions.push(Action::Log(Decision::Expired { flow, waited_ms }));
--- a/crates/nutmegkeel_core/src/l4/agent/server.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/server.rs
@@ -129,11 +129,11 @@
     }
 
     /// Detects a server that accepts requests and never answers. It gets no new flows for a while,
-    /// and flows whose requests may run again are reset, so that their clients retry in time.
+    /// and requests no longer wait for its slots: their clients retry elsewhere as soon as they are
+    /// rejected.
     ///
-    /// Guards against clients that wait without an answer until their deadline on an open flow,
-    /// which cannot be moved. Requests that must run once are left alone, because they may be
-    /// running.
+    /// Open flows are not reset. Silence does not show that the server has lost them: it may have
+    /// paused, or work again while earlier requests still fill its slots.
     pub(super) fn check_mute(&mut self, now: Time) -> Vec<Action> {
         let outstanding = self.table.outstanding();
         let silence = self.mute.check(now, outstanding, self.service_time.upper_us());
@@ -145,11 +145,8 @@
             actions.push(Action::Log(Decision::Mute { id: self.server_id(), silence }));
             actions.extend(self.announce(now));
         }
-        for (flow, held) in self.table.take_stuck(now.before(silence.limit_ms)) {
-            actions.extend(reset(now, flow, &held, Cause::ServerMute));
-        }
-        for waiting in self.waiting.take_all() {
-            actions.extend(self.give_up(now, &waiting, Cause::ServerMute));
+        for waiting in self.waiting.take_requests() {
+            actions.extend(self.end_wait(now, &waiting, Cause::ServerMute));
         }
         actions
     }
--- a/crates/nutmegkeel_core/src/l4/agent/speed.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/speed.rs
@@ -18,11 +18,13 @@
 
     /// Records an answer to a request that did or did not find a free slot.
     ///
-    /// Guards against a full server that looks fast: it rejects what does not fit into its short
-    /// queue, and each rejection would count as a request served in no time.
+    /// Guards against a full server that looks fast, or one that never answers and looks as if it
+    /// did: it rejects what does not fit into its short queue, and each rejection would count as a
+    /// request served in no time.
     pub(super) fn record_answer(&mut self, now: Time, after_ms: u64, found_slot: bool) {
         if found_slot || after_ms > REJECTION_MS {
             self.meter.record_answer(now);
+            self.mute.record_answer(now);
         }
     }
 
--- a/crates/nutmegkeel_core/src/l4/decision.rs
+++ b/crates/nutmegkeel_core/src/l4/decision.rs
@@ -241,7 +241,8 @@
     ServerRestarted,
     /// The backend server is dead.
     ServerDead,
-    /// The backend server accepts requests and never answers.
+    /// The backend server accepts requests and never answers; it has not seen the end of the flow's
+    /// handshake.
     ServerMute,
     /// The request waited for a slot, and its answer would have missed the deadline.
     Late,
--- a/crates/nutmegkeel_core/src/l4/policy.rs
+++ b/crates/nutmegkeel_core/src/l4/policy.rs
@@ -47,8 +47,7 @@
     /// Agents announce themselves in their own failure domain, and its balancers send summaries to
     /// the balancers of other domains.
     Summaries,
-    /// A server that never answers gets no new flows, and clients are notified if their requests
-    /// may run again.
+    /// A server that never answers gets no new flows, and requests do not wait for its slots.
     Mute,
     /// Some agents hold a copy of the configuration for balancers that find it nowhere else.
     Replicas,
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -208,18 +208,6 @@
         outstanding
     }
 
-    /// Removes and returns the flows whose request was sent to the server before `limit` and may
-    /// run again.
-    pub fn take_stuck(&mut self, limit: Time) -> Vec<(Flow, Held)> {
-        let is_stuck = |held: &Held| {
-            let request = held.in_progress();
-            request.is_some_and(|(since, demand)| {
-                since < limit && demand.is_some_and(|demand| !demand.once)
-            })
-        };
-        self.take_if(is_stuck)
-    }
-
     /// Removes and returns the open flows on which the server has sent nothing for `silent_ms`.
     pub fn take_silent(&mut self, now: Time, silent_ms: u64) -> Vec<(Flow, Held)> {
         let is_silent = |held: &Held| {
--- a/crates/nutmegkeel_core/src/l4/waiting.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting.rs
@@ -204,6 +204,14 @@
         self.flows.drain(..excess).collect()
     }
 
+    /// Removes and returns the flows whose request has arrived.
+    pub fn take_requests(&mut self) -> Vec<Waiting> {
+        let has_request = |waiting: &Waiting| waiting.request.is_some();
+        let (requests, others): (VecDeque<_>, _) = self.flows.drain(..).partition(has_request);
+        self.flows = others;
+        requests.into()
+    }
+
     /// Removes and returns all flows.
     pub fn take_all(&mut self) -> Vec<Waiting> {
         self.flows.drain(..).collect()
