--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -30,7 +30,7 @@
         services: services.to_vec(),
         conditions: Vec::new(),
     };
-    let fleet = Fleet::spawn(plan);
+    let fleet = Fleet::spawn(plan).expect("the fleet starts");
     assert!(
         fleet.is_ready_within(LONG_WAIT),
         "balancers are not ready; logs in {:?}",
@@ -101,7 +101,7 @@
 
     fleet.signal(agent, Signal::Kill);
     assert!(fleet.exits_within(agent, SHORT_WAIT));
-    fleet.start(agent);
+    fleet.start(agent).expect("the process starts");
     let after = client.request(&mut open, &balancers, SHORT_WAIT);
 
     assert_eq!(after, before);
@@ -138,8 +138,8 @@
 
     fleet.signal(agent, Signal::Kill);
     assert!(fleet.exits_within(agent, SHORT_WAIT));
-    fleet.start_server(agent);
-    fleet.start(agent);
+    fleet.start_server(agent).expect("the server starts");
+    fleet.start(agent).expect("the process starts");
     let outcome = client.wait_for_outcome(&open, SHORT_WAIT);
 
     assert!(served_by(&before, "desk"), "{before:?}");
@@ -164,7 +164,7 @@
     }
     for host in &hosts {
         assert!(fleet.exits_within(*host, SHORT_WAIT));
-        fleet.start(*host);
+        fleet.start(*host).expect("the process starts");
     }
     let during = client.request(&mut open, &balancers, LONG_WAIT);
     let refused = client.open(30_001, 443, &balancers).map(|_| ());
@@ -194,7 +194,7 @@
         assert!(fleet.exits_within(*balancer, SHORT_WAIT));
     }
     for balancer in &balancers {
-        fleet.start(*balancer);
+        fleet.start(*balancer).expect("the process starts");
     }
     let ready = fleet.is_ready_within(SHORT_WAIT);
     let outcomes: Vec<_> = fleet
@@ -225,7 +225,7 @@
     let before = client.request(&mut open, &balancers, SHORT_WAIT);
     std::thread::sleep(SHORT_WAIT);
 
-    fleet.restart_server(agent);
+    fleet.restart_server(agent).expect("the server starts");
     let outcome = client.wait_for_outcome(&open, SHORT_WAIT);
     let mut next = client.open(30_001, 443, &balancers).expect("the flow opens");
     let after = client.request(&mut next, &balancers, SHORT_WAIT);
@@ -271,7 +271,7 @@
 
     fleet.signal(second, Signal::Kill);
     assert!(fleet.exits_within(second, SHORT_WAIT));
-    fleet.start(second);
+    fleet.start(second).expect("the process starts");
     let ready = fleet.is_ready_within(LONG_WAIT);
     let opened = client.open(30_000, 443, &[second]);
 
@@ -384,7 +384,7 @@
         assert!(fleet.exits_within(*host, SHORT_WAIT));
     }
     for host in &hosts {
-        fleet.start(*host);
+        fleet.start(*host).expect("the process starts");
     }
     assert!(fleet.is_ready_within(LONG_WAIT));
     let restarted = client.open(30_002, 443, &balancers).map(|_| ());
--- a/crates/nutmegkeel/tests/soak.rs
+++ b/crates/nutmegkeel/tests/soak.rs
@@ -23,6 +23,7 @@
         report.faults,
         report.folder
     );
+    assert_eq!(report.harness_failure, None, "logs in {:?}", report.folder);
     assert!(report.answered > 0, "no request was answered; logs in {:?}", report.folder);
 }
 
--- a/crates/nutmegkeel_dev/src/soak.rs
+++ b/crates/nutmegkeel_dev/src/soak.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use nutmegkeel_fake::soak;
+use nutmegkeel_standin::fleet;
 
 /// Number of faults injected in one run.
 const FAULTS_PER_RUN: usize = 60;
@@ -35,11 +36,13 @@
 /// metrics port is taken exits at once.
 const NETWORKS: std::ops::Range<u64> = 20..250;
 
-/// Runs `count` seeds of the real programs; returns true when no invariant was violated.
+/// Runs `count` seeds of the real programs; returns true when all were completed and no invariant
+/// was violated.
 ///
 /// # Errors
 /// When the path of the running program is unknown, or a run panics.
 pub fn run_processes(first_seed: u64, count: u64, seconds: u64) -> std::io::Result<bool> {
+    kill_processes_on_panic();
     let program = processes::program_path()?;
     let mut passed = true;
     let mut seed = first_seed;
@@ -62,6 +65,16 @@
     Ok(passed)
 }
 
+/// Guards against processes under test that run on: a panic aborts this program.
+fn kill_processes_on_panic() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        report(info);
+        println!("the soak test itself failed; its seeds are not judged");
+        fleet::kill_processes();
+    }));
+}
+
 fn network_of(seed: u64) -> u8 {
     let place = NETWORKS.start + seed % (NETWORKS.end - NETWORKS.start);
     u8::try_from(place).unwrap_or(u8::MAX)
@@ -79,7 +92,10 @@
     for violation in &report.violations {
         println!("  violated: {violation}");
     }
-    if report.violations.is_empty() {
+    if let Some(failure) = &report.harness_failure {
+        println!("  not judged, the soak test itself failed: {failure}");
+    }
+    if report.has_passed() {
         return true;
     }
     for fault in &report.faults {
--- a/crates/nutmegkeel_dev/src/soak/processes.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes.rs
@@ -6,6 +6,7 @@
 mod checker;
 mod load;
 
+use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::thread;
@@ -16,7 +17,7 @@
 use nutmegkeel_standin::fleet::{Fleet, Plan};
 
 use caller::{Caller, Demand};
-use chaos::Chaos;
+use chaos::{Chaos, End};
 use checker::Checker;
 use load::Load;
 
@@ -64,12 +65,34 @@
     pub unanswered: u64,
     /// Invariants that were violated.
     pub violations: Vec<String>,
+    /// Why the run could not go on, if a stand-in failed; the system is not to blame for it.
+    pub harness_failure: Option<String>,
     /// Injected faults in order, each with its time in seconds.
     pub faults: Vec<String>,
     /// Directory of the settings and logs.
     pub folder: PathBuf,
 }
 
+impl Report {
+    /// Returns whether the run was completed without a violation.
+    #[must_use]
+    pub const fn has_passed(&self) -> bool {
+        self.violations.is_empty() && self.harness_failure.is_none()
+    }
+
+    fn failed(seed: u64, folder: PathBuf, failure: &io::Error) -> Self {
+        Self {
+            seed,
+            answered: 0,
+            unanswered: 0,
+            violations: Vec::new(),
+            harness_failure: Some(failure.to_string()),
+            faults: Vec::new(),
+            folder,
+        }
+    }
+}
+
 /// Runs one seed.
 #[must_use]
 pub fn run(options: &Options) -> Report {
@@ -78,7 +101,7 @@
         options.seed,
         std::process::id()
     ));
-    let fleet = Fleet::spawn(Plan {
+    let spawned = Fleet::spawn(Plan {
         program: options.program.clone(),
         folder: folder.clone(),
         base: PORT,
@@ -87,17 +110,23 @@
         services: vec!["desk", "desk", "desk", "vault", "vault"],
         conditions: if options.load { CONDITIONS.to_vec() } else { Vec::new() },
     });
+    let fleet = match spawned {
+        Ok(fleet) => fleet,
+        Err(failure) => return Report::failed(options.seed, folder, &failure),
+    };
     let checker = Arc::new(Checker::open(&fleet.routes()));
     let load = Arc::new(Load::open(options.load));
-    let mut chaos = Chaos::open(options.seed, fleet, Arc::clone(&checker), Arc::clone(&load));
+    let mut chaos = Chaos::open(options, fleet, Arc::clone(&checker), Arc::clone(&load));
     let clients = spawn_clients(chaos.fleet(), &checker, &load);
     let until = Instant::now() + Duration::from_secs(options.seconds);
-    while Instant::now() < until {
+    while Instant::now() < until && !chaos.has_failed() {
         chaos.inject();
     }
-    chaos.end_faults();
-    if options.load {
-        chaos.run_under_load();
+    if !chaos.has_failed() {
+        chaos.end_faults();
+        if options.load {
+            chaos.run_under_load();
+        }
     }
     load.end();
     for client in clients {
@@ -105,9 +134,10 @@
             checker.record_violation("a client of the soak test panicked".to_owned());
         }
     }
-    let faults = chaos.check_recovery();
+    let End { faults, harness_failure } = chaos.end();
     let (answered, unanswered, violations) = checker.totals();
-    Report { seed: options.seed, answered, unanswered, violations, faults, folder }
+    let seed = options.seed;
+    Report { seed, answered, unanswered, violations, harness_failure, faults, folder }
 }
 
 fn spawn_clients(
@@ -133,7 +163,7 @@
 ///
 /// # Errors
 /// When the path of the running program is unknown.
-pub fn program_path() -> std::io::Result<PathBuf> {
+pub fn program_path() -> io::Result<PathBuf> {
     let own = std::env::current_exe()?;
     Ok(own.parent().unwrap_or_else(|| Path::new(".")).join("nutmegkeel"))
 }
--- a/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
@@ -1,5 +1,6 @@
 //! Fault injection of one soak run.
 
+use std::io;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::thread;
@@ -14,7 +15,7 @@
 
 use super::checker::{CONFIG_APPLY, Checker};
 use super::load::Load;
-use super::{FINAL_CLIENT, READY_TIMEOUT};
+use super::{FINAL_CLIENT, Options, READY_TIMEOUT};
 
 /// Ports of the two classes of requests.
 const PORTS: [u16; 2] = [443, 444];
@@ -44,16 +45,31 @@
     fleet: Fleet,
     checker: Arc<Checker>,
     load: Arc<Load>,
+    /// Why a stand-in or a process could not be started.
+    failure: Option<io::Error>,
+}
+
+/// End of a run.
+pub(super) struct End {
+    /// Injected faults in order, each with its time.
+    pub faults: Vec<String>,
+    /// Why the run could not go on, if a stand-in or a process could not be started.
+    pub harness_failure: Option<String>,
 }
 
 impl Chaos {
     /// Creates the fault injector of a seed once the fleet is ready.
-    pub(super) fn open(seed: u64, fleet: Fleet, checker: Arc<Checker>, load: Arc<Load>) -> Self {
+    pub(super) fn open(
+        options: &Options,
+        fleet: Fleet,
+        checker: Arc<Checker>,
+        load: Arc<Load>,
+    ) -> Self {
         if !fleet.is_ready_within(READY_TIMEOUT) {
             checker.record_violation("the fleet was not ready at the start".to_owned());
         }
         let chaos = Self {
-            rng: StdRng::seed_from_u64(seed),
+            rng: StdRng::seed_from_u64(options.seed),
             began: Instant::now(),
             version: 1,
             frozen: Vec::new(),
@@ -61,11 +77,18 @@
             fleet,
             checker,
             load,
+            failure: None,
         };
         chaos.fleet.agents().into_iter().for_each(|host| chaos.reset_server(host));
         chaos
     }
 
+    /// Returns whether a stand-in or a process could not be started, so that nothing more can be
+    /// concluded from the run.
+    pub(super) const fn has_failed(&self) -> bool {
+        self.failure.is_some()
+    }
+
     pub(super) const fn fleet(&self) -> &Fleet {
         &self.fleet
     }
@@ -130,7 +153,7 @@
             self.fleet.signal(host, Signal::Kill);
             self.fleet.exits_within(host, READY_TIMEOUT);
         }
-        self.fleet.start(host);
+        self.failure = self.fleet.start(host).err().or(self.failure.take());
     }
 
     fn freeze(&mut self) {
@@ -207,8 +230,10 @@
         }
         self.checker.record_end(&id);
         self.checker.record_disturbance(host);
-        self.fleet.start_server(host);
-        self.reset_server(host);
+        self.failure = self.fleet.start_server(host).err().or(self.failure.take());
+        if !self.has_failed() {
+            self.reset_server(host);
+        }
     }
 
     fn reload(&mut self) {
@@ -287,9 +312,18 @@
         thread::sleep(RECOVERY);
     }
 
+    /// Checks the recovery, unless the soak test itself failed, and ends the run.
+    pub(super) fn end(mut self) -> End {
+        if !self.has_failed() {
+            self.check_recovery();
+        }
+        let harness_failure = self.failure.map(|failure| failure.to_string());
+        End { faults: self.faults, harness_failure }
+    }
+
     /// Checks that after the faults the right service answers every request through any balancer,
-    /// and that no process has exited by itself. Returns the faults.
-    pub(super) fn check_recovery(mut self) -> Vec<String> {
+    /// and that no process has exited by itself.
+    fn check_recovery(&mut self) {
         let client_address = self.fleet.client(FINAL_CLIENT);
         let client = Client::bind(client_address, self.fleet.ports);
         let balancers = self.fleet.balancers();
@@ -317,6 +351,5 @@
                 self.checker.record_violation(format!("the process of {host} exited by itself"));
             }
         }
-        self.faults
     }
 }
