--- a/crates/nutmegkeel_core/src/l4/agent/server.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/server.rs
@@ -102,29 +102,20 @@
         }
     }
 
-    /// Detects a backend server that stopped answering. It gets no new flows at first. When its
-    /// heartbeats are overdue too, its flows are reset, because their clients would wait until
-    /// their own timeouts.
+    /// Detects a backend server that stopped answering. It gets no new flows.
+    ///
+    /// Its open flows are not reset, even when its heartbeats are missing too: it may be paused, or
+    /// this process was, and has not read the server's packets yet. The heartbeat of a new server
+    /// shows that they are lost.
     pub(super) fn check_responsiveness(&mut self, now: Time) -> Vec<Action> {
-        let Some(since) = self.unanswered_since else {
+        let is_unanswered =
+            self.unanswered_since.is_some_and(|since| now.since(since) > UNRESPONSIVE_MS);
+        if !is_unanswered || self.unresponsive || !self.uses(Mechanism::Unresponsive) {
             return Vec::new();
-        };
-        let mut actions = Vec::new();
-        let is_spared = self.uses(Mechanism::Unresponsive);
-        if is_spared && !self.unresponsive && now.since(since) > UNRESPONSIVE_MS {
-            self.unresponsive = true;
-            actions.push(self.log_change(ServerChange::Unresponsive));
-            actions.extend(self.announce(now));
-        }
-        if self.unresponsive && self.history.is_overdue(now) {
-            let ended = self.table.take_silent(now, RECENTLY_ACTIVE_MS);
-            if !ended.is_empty() {
-                actions.push(self.log_change(ServerChange::Dead));
-            }
-            for (flow, held) in ended {
-                actions.extend(reset(now, flow, &held, Cause::ServerDead));
-            }
         }
+        self.unresponsive = true;
+        let mut actions = vec![self.log_change(ServerChange::Unresponsive)];
+        actions.extend(self.announce(now));
         actions
     }
 
--- a/crates/nutmegkeel_core/src/l4/decision.rs
+++ b/crates/nutmegkeel_core/src/l4/decision.rs
@@ -212,8 +212,6 @@
     Responsive,
     /// It aborts requests.
     Failing,
-    /// It neither answers nor sends heartbeats; its flows are lost.
-    Dead,
 }
 
 /// Why a client got a reset or no answer.
@@ -239,7 +237,7 @@
     Undecided,
     /// The backend server no longer holds the flow.
     ServerRestarted,
-    /// The backend server is dead.
+    /// The backend server reported that it ends.
     ServerDead,
     /// The backend server accepts requests and never answers; it has not seen the end of the flow's
     /// handshake.
