--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -262,6 +262,9 @@
 
     fn carry(&mut self, now: Time, from: Ipv4Addr, head: &Head, known: bool) -> Vec<Action> {
         let flow = head.flow;
+        if let Some(cause) = self.refused.cause(now, head) {
+            return reset_unknown(flow, head.ack, cause).into();
+        }
         if self.table.holds(now, head) {
             let mut actions = self.accept(now, head, from);
             if !known {
@@ -269,9 +272,6 @@
             }
             return actions;
         }
-        if self.refused.contains(now, head) {
-            return reset_unknown(flow, head.ack, Cause::Overload).into();
-        }
         // If another server holds the flow and this one accepted a copy of the opening, this one
         // is never probed: if the sequence numbers of the two servers are close, it would accept
         // the packet as its own.
--- a/crates/nutmegkeel_core/src/l4/agent/contended.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/contended.rs
@@ -100,10 +100,7 @@
 
     fn refuse(&mut self, now: Time, waiting: &Waiting, cause: Cause) -> Vec<Action> {
         let mut actions = self.give_up(now, waiting, cause);
-        if let Some(request) = &waiting.request {
-            if self.table.get(&waiting.flow).is_none() {
-                self.refused.insert(now, request);
-            }
+        if waiting.request.is_some() {
             let (flow, urgency) = (waiting.flow, waiting.demand.urgency);
             let waited_ms = now.since(waiting.since);
             actions.push(Action::Log(Decision::GivenUp { flow, cause, urgency, waited_ms }));
--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -227,9 +227,9 @@
     /// the handshake, or has ended, the client gets a reset. On an open flow of a running server
     /// nothing is sent, because a reset would break the flow.
     pub(super) fn give_up(&mut self, now: Time, waiting: &Waiting, cause: Cause) -> Vec<Action> {
-        if waiting.request.is_none() {
+        let Some(request) = &waiting.request else {
             return Vec::new();
-        }
+        };
         let flow = waiting.flow;
         let mut actions = vec![Action::Forget(flow)];
         if self.table.is_open(&flow) && self.history.server().is_some() {
@@ -237,6 +237,7 @@
             let waited_ms = now.since(waiting.since);
             actions.push(Action::Log(Decision::Expired { flow, waited_ms }));
         } else if let Some(held) = self.table.remove(&flow) {
+            self.refused.insert(now, request, cause);
             actions.extend(reset(now, flow, &held, cause));
         }
         actions
--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -387,6 +387,21 @@
     assert!(late.contains(&Action::Forget(flow(9))), "{late:?}");
 }
 
+/// Guards against the reset of an open flow: the server repeats its answer to the opening after the
+/// client was refused, and the client's second packet opens the flow while the reset is on its way.
+#[test]
+fn a_refused_flow_is_not_opened_by_a_later_packet() {
+    let mut agent = with_waiting_request();
+    agent.handle(at(2_600), Event::Tick);
+
+    agent.handle(at(2_601), Event::FromServer(accepted(flow(9), 500)));
+    let head = data(flow(9), 1_001, 501);
+    let again = agent.handle(at(2_602), Event::Carry { from: BALANCER, head, known: true });
+
+    assert!(!to_server(&again), "{again:?}");
+    assert!(again.contains(&Action::Reset { flow: flow(9), seq: 501 }), "{again:?}");
+}
+
 #[test]
 fn waiting_requests_are_refused_when_the_server_has_ended() {
     let mut agent = with_waiting_request();
--- a/crates/nutmegkeel_core/tests/l4/contended_agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/contended_agent.rs
@@ -142,6 +142,21 @@
     assert_eq!(reset(&unrelated), None);
 }
 
+/// Guards against a request that must run once and runs although its client was refused: the server
+/// repeats its answer to the opening before the client's second packet arrives.
+#[test]
+fn a_refused_request_never_reaches_the_server() {
+    let mut agent = busy_agent(contention(&[]), 1_000);
+    open_and_send(&mut agent, 1_002, flow(21), once(1));
+    agent.handle(at(1_002 + 3_990), Event::Tick);
+
+    agent.handle(at(4_993), Event::FromServer(accepted(flow(21), 500)));
+    let again = send_request(&mut agent, 4_994, flow(21));
+
+    assert!(!passes_to_server(&again), "{again:?}");
+    assert_eq!(reset(&again), Some(flow(21)));
+}
+
 /// Guards against breaking an open flow of another server: a refused client opens a new flow from
 /// the same port, another server accepts it, and a balancer that does not know the flow asks this
 /// agent.
