--- a/crates/nutmegkeel_core/src/l4/agent/server.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/server.rs
@@ -15,9 +15,9 @@
 /// opening, can then go to another server.
 const UNRESPONSIVE_MS: u64 = 150;
 
-/// Flows on which the backend server sent a packet within this time are not reset, in milliseconds.
-/// The first heartbeat of an incarnation arrives right after its start, so a restart that it
-/// reports cannot have ended such a flow.
+/// Flows on which the backend server sent a packet later than this time before the first heartbeat
+/// of a new incarnation are not reset, in milliseconds. The heartbeat arrives right after the start,
+/// so the packet may be one of the new incarnation.
 const RECENTLY_ACTIVE_MS: u64 = 1_000;
 
 /// Time without a heartbeat after which an agent concludes that there is no server on its host, in
@@ -43,10 +43,7 @@
             Update::Replaced => {
                 self.outliers.clear();
                 self.meter.clear();
-                let ended = self.table.take_silent(now, RECENTLY_ACTIVE_MS);
-                for (flow, held) in ended {
-                    actions.extend(reset(now, flow, &held, Cause::ServerRestarted));
-                }
+                actions.extend(self.reset_flows_of_predecessor(now));
                 actions.push(self.log_change(ServerChange::Started));
             }
         }
@@ -61,6 +58,19 @@
         actions
     }
 
+    /// Resets the flows that were lost with the earlier incarnation of the server.
+    ///
+    /// Guards against the reset of a flow that the new incarnation accepted before its first
+    /// heartbeat: if a second heartbeat had to confirm it, the flow may have been idle since.
+    fn reset_flows_of_predecessor(&mut self, now: Time) -> Vec<Action> {
+        let Some(server) = self.history.server() else {
+            return Vec::new();
+        };
+        let lost = self.table.take_silent_since(server.first_seen.before(RECENTLY_ACTIVE_MS));
+        let reset = |(flow, held)| reset(now, flow, &held, Cause::ServerRestarted);
+        lost.into_iter().flat_map(reset).collect()
+    }
+
     /// Resets the flows that were lost with the host. A flow that has been opened again from the
     /// same port is left alone.
     pub(super) fn reset_lost_flows(&mut self, now: Time) -> Vec<Action> {
--- a/crates/nutmegkeel_core/src/l4/server.rs
+++ b/crates/nutmegkeel_core/src/l4/server.rs
@@ -83,6 +83,8 @@
     pub first_seq: u64,
     /// Sequence number of the last heartbeat.
     pub seq: u64,
+    /// When the first heartbeat of the incarnation arrived, even if it was not confirmed then.
+    pub first_seen: Time,
     /// When the last heartbeat arrived.
     pub last_seen: Time,
     /// Whether no earlier process can have received a heartbeat of this incarnation, so that this
@@ -91,7 +93,7 @@
 }
 
 impl Server {
-    fn new(now: Time, beat: &Heartbeat, is_first: bool) -> Self {
+    fn new(now: Time, beat: &Heartbeat, first_seen: Time, is_first: bool) -> Self {
         Self {
             incarnation: beat.incarnation.clone(),
             service: beat.service,
@@ -100,6 +102,7 @@
             warm_at: now.after(beat.warmup_ms),
             first_seq: beat.seq,
             seq: beat.seq,
+            first_seen,
             last_seen: now,
             seen_from_start: is_first,
         }
@@ -246,8 +249,10 @@
             self.retire(&old);
         }
         self.retired.remove(&beat.incarnation);
-        self.unconfirmed = None;
-        self.server = Some(Server::new(now, beat, self.is_first_seen(now, beat)));
+        let confirmed = self.unconfirmed.take().filter(|one| one.incarnation == beat.incarnation);
+        let first_seen = confirmed.map_or(now, |confirmed| confirmed.received_at);
+        let is_first_heartbeat = self.is_first_heartbeat(now, beat);
+        self.server = Some(Server::new(now, beat, first_seen, is_first_heartbeat));
         if is_first { Update::First } else { Update::Replaced }
     }
 
@@ -260,7 +265,7 @@
     /// that is not certain which flows its server holds makes balancers query the server about
     /// every lost flow. The age is computed from the host's clock, which both processes read. If
     /// the clock was set back, the start lies in the future and proves nothing.
-    fn is_first_seen(&self, now: Time, beat: &Heartbeat) -> bool {
+    fn is_first_heartbeat(&self, now: Time, beat: &Heartbeat) -> bool {
         let started = beat.incarnation.started_ms;
         let age_ms = started.and_then(|started| now.millis().checked_sub(started));
         beat.seq <= 1 || age_ms.is_some_and(|age_ms| age_ms < self.min_interval_ms())
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -208,12 +208,10 @@
         outstanding
     }
 
-    /// Removes and returns the open flows on which the server has sent nothing for `silent_ms`.
-    pub fn take_silent(&mut self, now: Time, silent_ms: u64) -> Vec<(Flow, Held)> {
+    /// Removes and returns the open flows on which the server has sent nothing from this time on.
+    pub fn take_silent_since(&mut self, time: Time) -> Vec<(Flow, Held)> {
         let is_silent = |held: &Held| {
-            held.stage == Stage::Open
-                && !held.is_over()
-                && now.since(held.server_last_seen) > silent_ms
+            held.stage == Stage::Open && !held.is_over() && held.server_last_seen < time
         };
         self.take_if(is_silent)
     }
--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -2,6 +2,7 @@
 use nutmegkeel_core::l4::flow::{Flow, Head};
 use nutmegkeel_core::l4::message::{Admission, Demand, Gossip, Message, Offer, Reason, State};
 use nutmegkeel_core::l4::route::Service;
+use nutmegkeel_core::l4::server::Heartbeat;
 
 use crate::fixture::{
     BALANCER, accepted, agent, at, bounced, data, demand, flow, gossip, heartbeat,
@@ -645,6 +646,23 @@
     assert_eq!(agent.state(at(1_500)), State::Ready);
 }
 
+/// Guards against the reset of an open flow of a new server that starts before its first heartbeat
+/// arrives and has to be confirmed by a second one: the flow has been idle since.
+#[test]
+fn flows_of_a_server_that_replaces_another_with_its_second_heartbeat_stay() {
+    let mut agent = serving();
+    request(&mut agent, 100, flow(1));
+    let beat = |seq| Heartbeat { service: Service::named("elsewhere"), ..heartbeat("x", seq) };
+    request(&mut agent, 3_000, flow(2));
+    answer(&mut agent, 3_050, 2..=2);
+    agent.handle(at(3_100), Event::Heartbeat(beat(1)));
+
+    let actions = agent.handle(at(4_300), Event::Heartbeat(beat(2)));
+
+    assert!(actions.contains(&Action::Reset { flow: flow(1), seq: 501 }), "{actions:?}");
+    assert!(!actions.contains(&Action::Reset { flow: flow(2), seq: 501 }), "{actions:?}");
+}
+
 /// Guards against openings that reach a server of the wrong service: another server may have
 /// started at this address, and the next heartbeat decides.
 #[test]
