--- a/crates/nutmegkeel/tests/soak.rs
+++ b/crates/nutmegkeel/tests/soak.rs
@@ -11,8 +11,12 @@
 }
 
 fn soak_with(seed: u64, net: u8, load: bool) -> Report {
+    run(&options(seed, net, load, false))
+}
+
+fn options(seed: u64, net: u8, load: bool, interruptions: bool) -> Options {
     let program = env!("CARGO_BIN_EXE_nutmegkeel").into();
-    run(&Options { program, seed, seconds: SECONDS, net, load })
+    Options { program, seed, seconds: SECONDS, net, load, interruptions }
 }
 
 fn assert_no_violations(report: &Report) {
@@ -58,3 +62,16 @@
 fn seed_803_keeps_flows_of_a_slow_server_in_a_burst() {
     assert_no_violations(&soak_with(803, 254, true));
 }
+
+/// Guards against open flows that an agent resets because its server hangs or is very slow: silence
+/// does not show that the server has lost them.
+#[test]
+fn seed_46009_keeps_flows_of_servers_that_hang() {
+    assert_no_violations(&run(&options(46_009, 250, true, true)));
+}
+
+/// Guards against the same where servers pause, heartbeats included.
+#[test]
+fn seed_46012_keeps_flows_of_servers_that_pause() {
+    assert_no_violations(&run(&options(46_012, 0, true, true)));
+}
--- a/crates/nutmegkeel_dev/src/soak.rs
+++ b/crates/nutmegkeel_dev/src/soak.rs
@@ -51,8 +51,14 @@
         let runs: Vec<_> = (seed..until)
             .map(|seed| {
                 let net = network_of(seed);
-                let options =
-                    processes::Options { program: program.clone(), seed, seconds, net, load: true };
+                let options = processes::Options {
+                    program: program.clone(),
+                    seed,
+                    seconds,
+                    net,
+                    load: true,
+                    interruptions: true,
+                };
                 std::thread::spawn(move || processes::run(&options))
             })
             .collect();
--- a/crates/nutmegkeel_dev/src/soak/processes.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes.rs
@@ -5,6 +5,7 @@
 mod chaos;
 mod checker;
 mod load;
+mod resets;
 
 use std::io;
 use std::path::{Path, PathBuf};
@@ -52,6 +53,9 @@
     pub net: u8,
     /// Whether load faults are injected too: bursts, a heavy caller and slow servers.
     pub load: bool,
+    /// Whether backend servers and agents are interrupted for a moment too: servers pause, hang and
+    /// become very slow, agents stall.
+    pub interruptions: bool,
 }
 
 /// Result of one run.
@@ -135,6 +139,7 @@
         }
     }
     let End { faults, harness_failure } = chaos.end();
+    checker.judge_resets(&folder);
     let (answered, unanswered, violations) = checker.totals();
     let seed = options.seed;
     Report { seed, answered, unanswered, violations, harness_failure, faults, folder }
--- a/crates/nutmegkeel_dev/src/soak/processes/caller.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/caller.rs
@@ -1,15 +1,17 @@
 //! Client of a soak run: alternates between a long flow and short ones, or opens many at once.
 
+use std::collections::VecDeque;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use nutmegkeel_standin::client::{Client, OpenFlow, Outcome};
+use nutmegkeel_standin::client::{Client, OpenFlow, Outcome, RETRANSMIT_INTERVAL};
 use nutmegkeel_standin::host::TIMEOUT_MS;
 
-use super::checker::{Checker, Observation};
+use super::checker::Checker;
 use super::load::Load;
+use super::resets::Reset;
 
 /// Pause of a client between two rounds. Four clients then send a few hundred requests a second and
 /// leave processor time to the processes under test.
@@ -35,6 +37,9 @@
 /// Concurrent flows of the heavy caller, where other clients have two.
 const HEAVY_FLOWS: u16 = 24;
 
+/// Number of flows that a client keeps open and uses in turn.
+const LONG_FLOWS: usize = 3;
+
 /// Load that a client generates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Demand {
@@ -52,6 +57,8 @@
     load: Arc<Load>,
     demand: Demand,
     next_port: u16,
+    /// Flows that the client keeps open, the next to be used first.
+    long: VecDeque<LongFlow>,
 }
 
 /// A flow that a client keeps open.
@@ -70,11 +77,11 @@
         demand: Demand,
     ) -> Self {
         checker.expect_answer(client.address());
-        Self { client, balancers, checker, load, demand, next_port: FIRST_PORT }
+        let (next_port, long) = (FIRST_PORT, VecDeque::new());
+        Self { client, balancers, checker, load, demand, next_port, long }
     }
 
     pub(super) fn run(mut self) {
-        let mut long = None;
         let mut turn = 0_usize;
         while !self.load.is_over() {
             turn += 1;
@@ -88,21 +95,29 @@
                 (Demand::Usual, Some(port)) => self.request_concurrently(BURST_FLOWS, port),
                 (Demand::Usual, None) => {
                     thread::sleep(ROUND_PAUSE);
-                    long = self.round(usual_port, long);
+                    self.round(usual_port);
                 }
             }
         }
     }
 
-    /// Opens a short flow and uses the long one; returns the long one if it is still usable.
-    fn round(&mut self, port: u16, long: Option<LongFlow>) -> Option<LongFlow> {
-        let Some((mut open, holder)) = self.open_and_request(port) else { return long };
-        let Some(mut kept) = long else { return Some(LongFlow { open, port, holder }) };
+    /// Opens a short flow and uses the next long one. A short flow becomes a long one while there
+    /// are too few.
+    fn round(&mut self, port: u16) {
+        let Some((mut open, holder)) = self.open_and_request(port) else { return };
+        if self.long.len() < LONG_FLOWS {
+            self.long.push_back(LongFlow { open, port, holder });
+            return;
+        }
         self.client.request(&mut open, &self.balancers, ABANDON_AFTER);
         if self.load.is_varied() {
             self.client.close(&open, self.balancers[0]);
         }
-        self.request_on_long_flow(&mut kept).then_some(kept)
+        if let Some(mut next) = self.long.pop_front()
+            && self.request_on_long_flow(&mut next)
+        {
+            self.long.push_back(next);
+        }
     }
 
     fn open_and_request(&mut self, port: u16) -> Option<(OpenFlow, String)> {
@@ -149,29 +164,28 @@
         }
     }
 
-    /// Sends a request on the long flow; returns whether the flow is still usable.
+    /// Sends a request on a long flow; returns whether the flow is still usable.
     fn request_on_long_flow(&self, long: &mut LongFlow) -> bool {
-        let (port, holder) = (long.port, long.holder.as_str());
         let sent = Instant::now();
         match self.client.request(&mut long.open, &self.balancers, self.timeout()) {
             Outcome::Answered(id) => {
-                self.checker.check_long_flow(&Observation::LongFlow {
-                    port,
-                    holder,
-                    answered_by: Some(&id),
-                });
+                self.checker.check_answer(&long.holder, &id);
                 true
             }
             Outcome::Reset => {
-                self.checker.check_long_flow(&Observation::LongFlow {
-                    port,
-                    holder,
-                    answered_by: None,
+                let copies = sent.elapsed().as_millis() / RETRANSMIT_INTERVAL.as_millis();
+                let packets = usize::try_from(copies).unwrap_or(usize::MAX).saturating_add(1);
+                self.checker.record_reset(Reset {
+                    at: Instant::now(),
+                    flow: long.open.flow().to_string(),
+                    port: long.port,
+                    holder: long.holder.clone(),
+                    through: self.balancers.iter().take(packets).copied().collect(),
                 });
                 false
             }
             Outcome::Silence => {
-                self.record_unanswered(port, sent, &Outcome::Silence);
+                self.record_unanswered(long.port, sent, &Outcome::Silence);
                 true
             }
         }
@@ -190,10 +204,17 @@
         if self.load.is_varied() { FINAL_ANSWER_TIMEOUT } else { ANSWER_TIMEOUT }
     }
 
+    /// Allocates consecutive ports, none of which belongs to a flow that is kept open: the end of a
+    /// short flow would end that flow.
     fn allocate_ports(&mut self, count: u16) -> u16 {
-        let are_left = self.next_port.checked_add(2 * count).is_some();
-        let first = if are_left { self.next_port } else { FIRST_PORT };
-        self.next_port = first + count;
-        first
+        loop {
+            let are_left = self.next_port.checked_add(2 * count).is_some();
+            let first = if are_left { self.next_port } else { FIRST_PORT };
+            self.next_port = first + count;
+            let ports = first..self.next_port;
+            if !self.long.iter().any(|long| ports.contains(&long.open.flow().client.port())) {
+                return first;
+            }
+        }
     }
 }
--- a/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
@@ -20,9 +20,21 @@
 /// Ports of the two classes of requests.
 const PORTS: [u16; 2] = [443, 444];
 
-/// Number of fault kinds that do not change load, and of those that do.
+/// Number of fault kinds that do not change load, of those that do, and of those that interrupt a
+/// backend server or an agent for a moment.
 const FAULTS: i32 = 11;
 const LOAD_FAULTS: i32 = 4;
+const INTERRUPTIONS: i32 = 4;
+
+/// Duration of an interruption, in milliseconds. It ends beyond all limits of a server's silence:
+/// open flows must survive each.
+const INTERRUPTION_MS: std::ops::RangeInclusive<u64> = 100..=4_500;
+
+/// Response time of a very slow server, in milliseconds. Many of its answers miss their deadline.
+const VERY_SLOW_MS: std::ops::RangeInclusive<u64> = 510..=4_000;
+
+/// Time for which a very slow server's answers may stay away, the slowest included.
+const VERY_SLOW_TROUBLE: Duration = Duration::from_secs(8);
 
 /// Response time of a slow server, in milliseconds, where others respond at once. The range ends at
 /// twice the objective; open flows at the server must survive it.
@@ -45,6 +57,8 @@
     fleet: Fleet,
     checker: Arc<Checker>,
     load: Arc<Load>,
+    /// Whether servers and agents are interrupted too.
+    interrupts: bool,
     /// Why a stand-in or a process could not be started.
     failure: Option<io::Error>,
 }
@@ -77,9 +91,13 @@
             fleet,
             checker,
             load,
+            interrupts: options.interruptions,
             failure: None,
         };
-        chaos.fleet.agents().into_iter().for_each(|host| chaos.reset_server(host));
+        for host in chaos.fleet.agents() {
+            chaos.checker.record_server(chaos.fleet.server(host).id(), host);
+            chaos.reset_server(host);
+        }
         chaos
     }
 
@@ -96,7 +114,8 @@
     pub(super) fn inject(&mut self) {
         let pause = self.rng.random_range(50..900);
         thread::sleep(Duration::from_millis(pause));
-        let kinds = FAULTS + if self.load.is_varied() { LOAD_FAULTS } else { 0 };
+        let load_kinds = if self.load.is_varied() { LOAD_FAULTS } else { 0 };
+        let kinds = FAULTS + load_kinds + if self.interrupts { INTERRUPTIONS } else { 0 };
         match self.rng.random_range(0..kinds) {
             0 => self.restart_balancer(Signal::Term),
             1 => self.restart_balancer(Signal::Kill),
@@ -112,7 +131,11 @@
             11 => self.toggle_burst(),
             12 => self.toggle_heavy_caller(),
             13 => self.slow_server(),
-            _ => self.reset_servers(),
+            14 => self.reset_servers(),
+            15 => self.pause_server(),
+            16 => self.hang_server(),
+            17 => self.slow_server_down(),
+            _ => self.stall_agent(),
         }
     }
 
@@ -144,6 +167,7 @@
             self.checker.record_disturbance(host);
         }
         if was_frozen {
+            self.checker.record_resumption(host);
             self.fleet.signal(host, Signal::Continue);
             self.frozen.retain(|other| *other != host);
         }
@@ -160,7 +184,7 @@
         let hosts = [self.fleet.balancers(), self.fleet.agents()].concat();
         let host = self.pick(&hosts);
         self.record(format!("{host} is suspended"));
-        self.checker.record_disturbance(host);
+        self.checker.record_suspension(host);
         self.fleet.signal(host, Signal::Stop);
         self.frozen.push(host);
     }
@@ -168,8 +192,8 @@
     fn resume_all(&mut self) {
         for host in std::mem::take(&mut self.frozen) {
             self.record(format!("{host} resumes"));
-            self.checker.record_disturbance(host);
             self.fleet.signal(host, Signal::Continue);
+            self.checker.record_resumption(host);
         }
     }
 
@@ -231,9 +255,11 @@
         self.checker.record_end(&id);
         self.checker.record_disturbance(host);
         self.failure = self.fleet.start_server(host).err().or(self.failure.take());
-        if !self.has_failed() {
-            self.reset_server(host);
+        if self.has_failed() {
+            return;
         }
+        self.checker.record_server(self.fleet.server(host).id(), host);
+        self.reset_server(host);
     }
 
     fn reload(&mut self) {
@@ -265,6 +291,48 @@
         self.fleet.server(host).set_answer_ms(answer_ms);
     }
 
+    /// Slows a server down so far that its agent may take it for mute.
+    fn slow_server_down(&mut self) {
+        let host = self.pick(&self.fleet.agents());
+        let answer_ms = self.rng.random_range(VERY_SLOW_MS);
+        self.record(format!("{} responds after {answer_ms} ms", self.fleet.server(host).id()));
+        self.checker.record_trouble(host, VERY_SLOW_TROUBLE);
+        self.fleet.server(host).set_answer_ms(answer_ms);
+    }
+
+    fn pause_server(&mut self) {
+        let host = self.pick(&self.fleet.agents());
+        let duration = self.draw_interruption();
+        self.record(format!("{} pauses for {duration:?}", self.fleet.server(host).id()));
+        self.checker.record_trouble(host, duration);
+        self.fleet.server(host).pause(duration);
+    }
+
+    fn hang_server(&mut self) {
+        let host = self.pick(&self.fleet.agents());
+        let duration = self.draw_interruption();
+        self.record(format!("{} hangs for {duration:?}", self.fleet.server(host).id()));
+        self.checker.record_trouble(host, duration);
+        self.fleet.server(host).hang(duration);
+    }
+
+    /// Suspends an agent's process and resumes it; one that is suspended already only resumes.
+    fn stall_agent(&mut self) {
+        let host = self.pick(&self.fleet.agents());
+        let duration = self.draw_interruption();
+        self.record(format!("{host} stalls for {duration:?}"));
+        self.checker.record_suspension(host);
+        self.fleet.signal(host, Signal::Stop);
+        thread::sleep(duration);
+        self.fleet.signal(host, Signal::Continue);
+        self.checker.record_resumption(host);
+        self.frozen.retain(|other| *other != host);
+    }
+
+    fn draw_interruption(&mut self) -> Duration {
+        Duration::from_millis(self.rng.random_range(INTERRUPTION_MS))
+    }
+
     fn reset_servers(&mut self) {
         self.record("no server is slow".to_owned());
         for host in self.fleet.agents() {
--- a/crates/nutmegkeel_dev/src/soak/processes/checker.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/checker.rs
@@ -2,11 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
+use std::path::Path;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use nutmegkeel_standin::host::CONFIG_APPLY_MS;
 
+use super::resets::{self, Reset, Sender};
+
 /// Time within which a change must be in force; an earlier configuration may apply until then.
 pub(super) const CONFIG_APPLY: Duration = Duration::from_millis(CONFIG_APPLY_MS);
 
@@ -16,24 +19,45 @@
 /// Time after which a draining server must get no new flow.
 const DRAIN_TIME: Duration = Duration::from_millis(1_500);
 
-/// What a client observed on its long flow.
-pub(super) enum Observation<'a> {
-    /// A server answered a request on the flow, or the flow was reset.
-    LongFlow {
-        /// Destination port of the flow.
-        port: u16,
-        /// Server that holds the flow.
-        holder: &'a str,
-        /// Server that answered, or none if the flow was reset.
-        answered_by: Option<&'a str>,
-    },
+/// Period in which a host, or its backend server, did not work as usual.
+#[derive(Clone, Copy, Debug)]
+struct Disturbance {
+    began: Instant,
+    /// `None` while it lasts.
+    ended: Option<Instant>,
+}
+
+impl Disturbance {
+    /// Returns whether the host was disturbed at this time, or had not recovered yet.
+    fn affects(&self, at: Instant) -> bool {
+        self.began <= at && !self.is_past(at)
+    }
+
+    /// Returns whether the host had recovered by this time.
+    fn is_past(&self, at: Instant) -> bool {
+        self.ended.is_some_and(|ended| ended + SETTLING_TIME <= at)
+    }
+}
+
+/// Disturbances of each host.
+type Disturbances = BTreeMap<Ipv4Addr, Vec<Disturbance>>;
+
+fn is_affected(disturbances: &Disturbances, host: Ipv4Addr, at: Instant) -> bool {
+    disturbances.get(&host).is_some_and(|all| all.iter().any(|one| one.affects(at)))
 }
 
 #[derive(Debug, Default)]
 struct State {
     /// Configured routes, each set with the time of its change.
     routes: Vec<(Instant, BTreeMap<u16, String>)>,
-    disturbed: BTreeMap<Ipv4Addr, Instant>,
+    /// Disturbances of the processes of the system.
+    disturbed: Disturbances,
+    /// Disturbances of the backend servers. They excuse missing answers, and no reset of an open
+    /// flow.
+    troubled: Disturbances,
+    /// Host of each backend server.
+    hosts: BTreeMap<String, Ipv4Addr>,
+    resets: Vec<Reset>,
     drained: BTreeMap<String, (Instant, Ipv4Addr)>,
     ended: BTreeMap<String, Instant>,
     store_changed: Option<Instant>,
@@ -68,8 +92,34 @@
         self.state().routes.push((Instant::now(), routes));
     }
 
+    /// Records a disturbance that is over at once.
     pub(super) fn record_disturbance(&self, host: Ipv4Addr) {
-        self.state().disturbed.insert(host, Instant::now());
+        let now = Instant::now();
+        let disturbance = Disturbance { began: now, ended: Some(now) };
+        self.state().disturbed.entry(host).or_default().push(disturbance);
+    }
+
+    pub(super) fn record_suspension(&self, host: Ipv4Addr) {
+        let disturbance = Disturbance { began: Instant::now(), ended: None };
+        self.state().disturbed.entry(host).or_default().push(disturbance);
+    }
+
+    pub(super) fn record_resumption(&self, host: Ipv4Addr) {
+        let now = Instant::now();
+        for disturbance in self.state().disturbed.entry(host).or_default() {
+            disturbance.ended.get_or_insert(now);
+        }
+    }
+
+    /// Records that the backend server on a host may leave requests unanswered for a time.
+    pub(super) fn record_trouble(&self, host: Ipv4Addr, duration: Duration) {
+        let now = Instant::now();
+        let disturbance = Disturbance { began: now, ended: Some(now + duration) };
+        self.state().troubled.entry(host).or_default().push(disturbance);
+    }
+
+    pub(super) fn record_server(&self, id: &str, host: Ipv4Addr) {
+        self.state().hosts.insert(id.to_owned(), host);
     }
 
     pub(super) fn record_store_health(&self, healthy: bool) {
@@ -105,24 +155,41 @@
         }
         if let Some((since, host)) = state.drained.get(id).copied()
             && sent > since + DRAIN_TIME
-            && !state.is_disturbed(host)
+            && !is_affected(&state.disturbed, host, Instant::now())
+            && !is_affected(&state.troubled, host, Instant::now())
         {
             state.violations.push(format!("{id} got a new flow while draining"));
         }
     }
 
-    /// Checks what a client observed on its long flow.
-    pub(super) fn check_long_flow(&self, observation: &Observation<'_>) {
-        let Observation::LongFlow { port, holder, answered_by } = observation;
+    /// Checks the answer to a request on an open flow.
+    pub(super) fn check_answer(&self, holder: &str, answered_by: &str) {
         let mut state = self.state();
-        match answered_by {
-            Some(id) if id != holder => {
-                let what = format!("a flow at {holder} was answered by {id}");
+        if answered_by == holder {
+            state.answered += 1;
+        } else {
+            let what = format!("a flow at {holder} was answered by {answered_by}");
+            state.violations.push(what);
+        }
+    }
+
+    /// Records a reset of an open flow, to be judged when the logs are complete.
+    pub(super) fn record_reset(&self, reset: Reset) {
+        let mut state = self.state();
+        state.unanswered += 1;
+        state.resets.push(reset);
+    }
+
+    /// Checks the resets of open flows against the logs in a directory.
+    pub(super) fn judge_resets(&self, folder: &Path) {
+        let mut state = self.state();
+        for reset in std::mem::take(&mut state.resets) {
+            let senders = resets::senders(folder, &reset.flow);
+            if !state.may_reset(&reset, &senders) {
+                let Reset { flow, holder, .. } = reset;
+                let what = format!("the open flow {flow} at {holder} was reset by {senders:?}");
                 state.violations.push(what);
             }
-            Some(_) => state.answered += 1,
-            None if state.may_reset(*port, holder) => state.unanswered += 1,
-            None => state.violations.push(format!("an open flow at {holder} was reset")),
         }
     }
 
@@ -170,18 +237,29 @@
         })
     }
 
-    /// Returns whether an open flow may have been reset: its server has ended, a host was
-    /// disturbed, or its route was removed.
-    fn may_reset(&self, port: u16, holder: &str) -> bool {
-        let dropped = self
-            .routes
-            .iter()
-            .rev()
-            .take_while(|(since, _)| since.elapsed() < SETTLING_TIME * 2)
-            .chain(self.routes.last())
-            .any(|(_, routes)| !routes.contains_key(&port));
-        let any_disturbed = self.disturbed.values().any(|at| at.elapsed() < SETTLING_TIME);
-        dropped || self.ended.contains_key(holder) || any_disturbed
+    /// Returns whether an open flow may have been reset: its server has ended, its route was
+    /// removed, or a balancer reset it while the flow's agent or balancers were disturbed.
+    ///
+    /// The agent of a running server knows what the server holds, so no disturbance excuses it.
+    fn may_reset(&self, reset: &Reset, senders: &[Sender]) -> bool {
+        if self.may_have_dropped(reset.port, reset.at) || self.ended.contains_key(&reset.holder) {
+            return true;
+        }
+        let host = self.hosts.get(&reset.holder).copied();
+        if senders.iter().any(|sender| Some(sender.host) == host) {
+            return false;
+        }
+        let involved = host.into_iter().chain(reset.through.iter().copied());
+        let mut involved = involved.chain(senders.iter().map(|sender| sender.host));
+        involved.any(|host| is_affected(&self.disturbed, host, reset.at))
+    }
+
+    /// Returns whether a configuration that removes the route of a port may have been in force at
+    /// this time.
+    fn may_have_dropped(&self, port: u16, at: Instant) -> bool {
+        let routes = self.routes.iter().rev();
+        let recent = routes.take_while(|(since, _)| *since + SETTLING_TIME * 2 > at);
+        recent.chain(self.routes.last()).any(|(_, routes)| !routes.contains_key(&port))
     }
 
     /// Returns whether no fault could have affected a request to `port` sent at `sent`: from
@@ -194,11 +272,8 @@
             .last()
             .is_some_and(|(since, routes)| is_past(since) && routes.contains_key(&port));
         let store_settled = self.store_healthy && self.store_changed.as_ref().is_none_or(is_past);
-        let hosts_settled = self.disturbed.values().chain(self.ended.values()).all(is_past);
-        routed && store_settled && hosts_settled
-    }
-
-    fn is_disturbed(&self, host: Ipv4Addr) -> bool {
-        self.disturbed.get(&host).is_some_and(|at| at.elapsed() < SETTLING_TIME)
+        let disturbances = self.disturbed.values().chain(self.troubled.values()).flatten();
+        let hosts_settled = disturbances.into_iter().all(|one| one.is_past(sent));
+        routed && store_settled && hosts_settled && self.ended.values().all(is_past)
     }
 }
