--- a/crates/nutmegkeel_dev/src/compare.rs
+++ b/crates/nutmegkeel_dev/src/compare.rs
@@ -7,7 +7,7 @@
 
 use std::collections::VecDeque;
 use std::io;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::{Mutex, PoisonError};
 
 use indicatif::{ProgressBar, ProgressStyle};
@@ -54,6 +54,8 @@
     pub jobs: usize,
     /// Purpose, for the bench's journal.
     pub why: String,
+    /// Whether each seed varies the moments and sizes of a day's faults.
+    pub vary: bool,
 }
 
 /// Error of a comparison.
@@ -91,6 +93,39 @@
     Ok(table.is_clean())
 }
 
+/// Plays all days with the first way and prints the result of each; returns true if no play broke a
+/// rule. Days that do not fit a deployment are not played.
+///
+/// # Errors
+/// When a folder is missing, or the bench cannot be started.
+pub fn check(options: &Options) -> Result<bool, Fault> {
+    let Some(way) = options.ways.first() else { return Err(Fault::Empty) };
+    play::build(&options.bench, way)?;
+    let cells = play_all(options, &days(options)?)?;
+    let reports: Vec<_> = cells.iter().filter_map(|cell| cell.outcome.report()).collect();
+    let broken = reports.iter().filter(|report| !report.is_clean()).count();
+    let not_played = cells.len() - reports.len();
+    println!("{} played, {broken} with a rule broken, {not_played} not played", reports.len());
+    Ok(broken == 0)
+}
+
+/// Returns the files of the days in a folder.
+///
+/// # Errors
+/// When the folder cannot be read.
+pub fn day_files(folder: &Path) -> Result<Vec<String>, Fault> {
+    let fault = |error| Fault::Io { what: folder.display().to_string(), error };
+    let mut files = Vec::new();
+    for entry in std::fs::read_dir(folder).map_err(fault)? {
+        let path = entry.map_err(fault)?.path();
+        if path.extension().is_some_and(|kind| kind == "toml") {
+            files.push(path.display().to_string());
+        }
+    }
+    files.sort_unstable();
+    Ok(files)
+}
+
 fn days(options: &Options) -> Result<Vec<Day>, Fault> {
     let mut days = Vec::new();
     for site in &options.sites {
--- a/crates/nutmegkeel_dev/src/compare/play.rs
+++ b/crates/nutmegkeel_dev/src/compare/play.rs
@@ -86,6 +86,17 @@
     Failed(String),
 }
 
+impl Outcome {
+    /// Returns the report, if the bench wrote one.
+    #[must_use]
+    pub const fn report(&self) -> Option<&Report> {
+        match self {
+            Self::Played(report) => Some(report),
+            Self::Failed(_) => None,
+        }
+    }
+}
+
 /// Lets the bench build a checkout, so that no build runs during a play.
 pub(super) fn build(bench: &Path, way: &Way) -> Result<(), Fault> {
     run_bench(bench, way, &["build".to_owned()]).map(|_| ())
@@ -95,7 +106,7 @@
 pub(super) fn play(options: &Options, day: &Day, way: &Way) -> Result<Outcome, Fault> {
     let name = format!("{}-{}-{}-{}", way.name, day.deployment(), day.label(), day.seed);
     let file = std::env::temp_dir().join(format!("nutmegkeel-{}-{name}.json", std::process::id()));
-    let arguments = [
+    let mut arguments = vec![
         "run".to_owned(),
         day.site.display().to_string(),
         day.name.clone(),
@@ -107,6 +118,9 @@
         "--why".to_owned(),
         options.why.clone(),
     ];
+    if options.vary {
+        arguments.push("--vary".to_owned());
+    }
     let output = run_bench(&options.bench, way, &arguments)?;
     let Ok(text) = std::fs::read_to_string(&file) else {
         return Ok(Outcome::Failed(last_line(&output)));
--- a/crates/nutmegkeel_dev/src/compare/table.rs
+++ b/crates/nutmegkeel_dev/src/compare/table.rs
@@ -38,17 +38,11 @@
     /// Returns whether every day was played and broke no rule.
     #[must_use]
     pub fn is_clean(&self) -> bool {
-        self.plays.values().all(|outcome| match outcome {
-            Outcome::Played(report) => report.is_clean(),
-            Outcome::Failed(_) => false,
-        })
+        self.plays.values().all(|outcome| outcome.report().is_some_and(Report::is_clean))
     }
 
     fn report(&self, day: &Day, way: &str) -> Option<&Report> {
-        match self.plays.get(&(day.clone(), way.to_owned()))? {
-            Outcome::Played(report) => Some(report),
-            Outcome::Failed(_) => None,
-        }
+        self.plays.get(&(day.clone(), way.to_owned()))?.report()
     }
 
     /// Returns the days by deployment and name. The row for all days of a deployment has no name.
--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -1,7 +1,7 @@
 //! Command line of the developer tools, such as `cargo dev demo`, and of the stand-in processes.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use bpaf::Parser;
@@ -14,6 +14,7 @@
     Measure(Measurement),
     Model,
     Compare(compare::Options),
+    PlayDays(compare::Options),
     Soak(u64, u64),
     SoakProcesses(u64, u64, u64),
     Platform(SocketAddr),
@@ -28,6 +29,7 @@
         measure_command(),
         model_command(),
         compare_command(),
+        play_days_command(),
         soak_command(),
         soak_processes(),
         platform(),
@@ -41,6 +43,7 @@
         Command::Measure(measurement) => measure::run(&measurement),
         Command::Model => model::run(),
         Command::Compare(options) => compare::run(&options).map_err(std::io::Error::other),
+        Command::PlayDays(options) => compare::check(&options).map_err(std::io::Error::other),
         Command::SoakProcesses(seed, count, seconds) => soak::run_processes(seed, count, seconds),
         Command::Soak(seed, minutes) => Ok(soak::run(seed, minutes)),
         Command::Platform(address) => standin::platform::spawn(address).map(|_handle| {
@@ -155,13 +158,34 @@
         .many();
     let jobs = bpaf::long("jobs").help("Number of concurrent plays").argument("COUNT").fallback(2);
     let why = bpaf::long("why").help("Purpose, for the journal").argument::<String>("TEXT");
-    bpaf::construct!(compare::Options { bench, sites, days, seeds, ways, jobs, why })
+    let vary = bpaf::pure(false);
+    bpaf::construct!(compare::Options { bench, sites, days, seeds, ways, jobs, why, vary })
         .map(Command::Compare)
         .to_options()
         .descr("Compare versions of the system on the same days and seeds of the users' bench")
         .command("compare")
 }
 
+fn play_days_command() -> impl Parser<Command> {
+    let bench = bpaf::long("bench").help("The users' bench").argument::<PathBuf>("PROGRAM");
+    let sites = bpaf::long("site").help("File of a deployment").argument::<PathBuf>("FILE").many();
+    let days = bpaf::long("day")
+        .help("File of a day; by default all in deploy/days")
+        .argument::<String>("FILE")
+        .some("no day")
+        .fallback_with(|| compare::day_files(Path::new("deploy/days")));
+    let seeds = bpaf::long("seeds").help("Seeds of each day").argument("COUNT").fallback(1);
+    let ways = bpaf::pure(vec![compare::Way { name: "here".into(), folder: ".".into() }]);
+    let jobs = bpaf::long("jobs").help("Number of concurrent plays").argument("COUNT").fallback(2);
+    let why = bpaf::long("why").help("Purpose, for the journal").argument::<String>("TEXT");
+    let vary = bpaf::pure(true);
+    bpaf::construct!(compare::Options { bench, sites, days, seeds, ways, jobs, why, vary })
+        .map(Command::PlayDays)
+        .to_options()
+        .descr("Play days of our own on the users' bench, with varied moments and sizes")
+        .command("play-days")
+}
+
 fn soak_command() -> impl Parser<Command> {
     let seed = bpaf::long("seed").help("First seed").argument("SEED").fallback(1);
     let minutes = bpaf::long("minutes").help("Duration in minutes").argument("MINUTES").fallback(1);
--- a/crates/nutmegkeel_dev/tests/compare.rs
+++ b/crates/nutmegkeel_dev/tests/compare.rs
@@ -6,7 +6,7 @@
 use nutmegkeel_dev::compare::play::{Day, Outcome, read};
 use nutmegkeel_dev::compare::statistic::Summary;
 use nutmegkeel_dev::compare::table::{Cell, Table};
-use nutmegkeel_dev::compare::{Fault, Options, Way, run};
+use nutmegkeel_dev::compare::{Fault, Options, Way, check, run};
 
 fn folder(name: &str) -> PathBuf {
     let folder =
@@ -89,10 +89,9 @@
     assert!(matches!(read(r#"{"G":0.9}"#), Outcome::Failed(_)));
 }
 
-/// The bench is a program that runs in each checkout; here a script that copies the report there.
-#[test]
-fn complete_comparison_plays_both_checkouts() {
-    let folder = folder("whole");
+/// Returns options for one deployment and day. The bench is a program that runs in each checkout;
+/// here a script that copies the report there.
+fn options(folder: &Path, ways: Vec<Way>) -> Options {
     let bench = folder.join("bench");
     let script = "#!/bin/sh\nwhile [ $# -gt 0 ]; do\n  [ \"$1\" = --report ] && cp report.json \"$2\"\n  shift\ndone\n";
     std::fs::write(&bench, script).expect("the file can be written");
@@ -100,23 +99,26 @@
         .expect("the test owns it");
     let site = folder.join("small.toml");
     std::fs::write(&site, "").expect("the file can be written");
-    let checkout = |name: &str, worth: &str| {
-        let checkout = folder.join(name);
-        std::fs::create_dir_all(&checkout).expect("a folder can be made");
-        let text =
-            format!(r#"{{"G":{worth},"all":{{"late":0,"failed":0}},"breaks":{{}},"fault":null}}"#);
-        std::fs::write(checkout.join("report.json"), text).expect("the file can be written");
-        way(name, &checkout)
-    };
-    let options = Options {
-        bench,
-        sites: vec![site],
-        days: vec!["trouble-1".to_owned()],
-        seeds: 2,
-        ways: vec![checkout("standing", "0.9"), checkout("other", "0.8")],
-        jobs: 2,
-        why: "test".to_owned(),
-    };
+    let (days, why) = (vec!["trouble-1".to_owned()], "test".to_owned());
+    Options { bench, sites: vec![site], days, seeds: 2, ways, jobs: 2, why, vary: false }
+}
+
+/// Returns a checkout with this report.
+fn checkout(folder: &Path, name: &str, worth: &str, breaks: &str) -> Way {
+    let checkout = folder.join(name);
+    std::fs::create_dir_all(&checkout).expect("a folder can be made");
+    let text =
+        format!(r#"{{"G":{worth},"all":{{"late":0,"failed":0}},"breaks":{breaks},"fault":null}}"#);
+    std::fs::write(checkout.join("report.json"), text).expect("the file can be written");
+    way(name, &checkout)
+}
+
+#[test]
+fn complete_comparison_plays_both_checkouts() {
+    let folder = folder("whole");
+    let ways =
+        vec![checkout(&folder, "standing", "0.9", "{}"), checkout(&folder, "other", "0.8", "{}")];
+    let options = options(&folder, ways);
 
     let clean = run(&options);
     let alone = run(&Options { ways: options.ways[..1].to_vec(), ..options.clone() });
@@ -126,6 +128,20 @@
     std::fs::remove_dir_all(&folder).expect("the test owns it");
 }
 
+#[test]
+fn days_pass_only_if_no_rule_is_broken() {
+    let folder = folder("days");
+    let clean = options(&folder, vec![checkout(&folder, "clean", "0.9", "{}")]);
+    let broken = options(&folder, vec![checkout(&folder, "broken", "0.0", r#"{"FLOW":1}"#)]);
+
+    let passes = check(&clean);
+    let fails = check(&broken);
+
+    assert!(passes.expect("all is played"));
+    assert!(!fails.expect("all is played"));
+    std::fs::remove_dir_all(&folder).expect("the test owns it");
+}
+
 #[test]
 fn way_is_parsed_from_name_and_folder() {
     assert_eq!("fifo=/tmp/a".parse(), Ok(way("fifo", Path::new("/tmp/a"))));
