--- a/crates/nutmegkeel_core/src/l4/server.rs
+++ b/crates/nutmegkeel_core/src/l4/server.rs
@@ -200,16 +200,17 @@
     }
 
     /// Applies a heartbeat of an ended incarnation. The incarnation becomes current again only if
-    /// the heartbeat is newer than its last one and the current incarnation is overdue or absent.
+    /// the heartbeat is newer than its last one, the current incarnation is overdue or absent, and a
+    /// second heartbeat confirms it.
     ///
     /// Guards against a heartbeat that is delayed until its sender has crashed and another server
-    /// has started at the same address: applying it would reset the flows of the new server.
+    /// has started at the same address: applying it would reset the flows of the new server, which
+    /// may be overdue only because it is paused.
     fn reinstate(&mut self, now: Time, beat: &Heartbeat, last: u64) -> Update {
-        if beat.seq > last && (self.server.is_none() || self.is_overdue(now)) {
-            self.replace(now, beat)
-        } else {
-            Update::Stale
+        if beat.seq <= last || (self.server.is_some() && !self.is_overdue(now)) {
+            return Update::Stale;
         }
+        if self.confirm(now, beat) { self.replace(now, beat) } else { Update::Contested }
     }
 
     /// Returns whether a heartbeat of an unknown incarnation needs confirmation.
--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -663,6 +663,23 @@
     assert!(!actions.contains(&Action::Reset { flow: flow(2), seq: 501 }), "{actions:?}");
 }
 
+/// Guards against the reset of the open flows of a paused server: a heartbeat of its predecessor was
+/// delayed until the server was overdue.
+#[test]
+fn a_delayed_heartbeat_does_not_replace_a_paused_server() {
+    let mut agent = agent();
+    agent.handle(at(0), Event::Heartbeat(heartbeat("old", 3)));
+    agent.handle(at(1_200), Event::Heartbeat(heartbeat("new", 1)));
+    request(&mut agent, 1_300, flow(1));
+
+    let delayed = agent.handle(at(4_300), Event::Heartbeat(heartbeat("old", 4)));
+    let resumed = agent.handle(at(4_400), Event::Heartbeat(heartbeat("new", 2)));
+
+    assert!(!resets(&delayed), "{delayed:?}");
+    assert!(!resets(&resumed), "{resumed:?}");
+    assert_eq!(agent.state(at(4_400)), State::Ready);
+}
+
 /// Guards against openings that reach a server of the wrong service: another server may have
 /// started at this address, and the next heartbeat decides.
 #[test]
