--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -111,8 +111,6 @@
     taken_back: Option<Time>,
     /// Limits the openings that a cold server gets.
     budget: Budget,
-    /// Whether a packet to the server got no answer while no server was known.
-    server_absent: bool,
     announcement_number: u64,
     announced_at: Time,
 }
@@ -137,7 +135,6 @@
             replica: Replica::default(),
             taken_back: None,
             budget: Budget::default(),
-            server_absent: false,
             waiting: Queue::open(&identity.policy),
             shares: Shares::default(),
             refused: Refused::default(),
@@ -306,7 +303,6 @@
     fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = self.check_responsiveness(now);
         actions.extend(self.check_mute(now));
-        actions.extend(self.check_absence(now));
         actions.extend(self.save(now));
         actions.extend(self.fetch_replica(now));
         self.restart_meter_when_warm(now);
--- a/crates/nutmegkeel_core/src/l4/agent/server.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/server.rs
@@ -6,7 +6,6 @@
 use crate::clock::Time;
 use crate::l4::decision::{Cause, Decision, ServerChange};
 use crate::l4::health::FORGET_MS;
-use crate::l4::message::Message;
 use crate::l4::policy::Mechanism;
 use crate::l4::server::{Heartbeat, Incarnation, Update};
 
@@ -50,7 +49,6 @@
         actions.extend(self.reset_lost_flows(now));
         // A server that sends heartbeats gets another try.
         self.unanswered_since = None;
-        self.server_absent = false;
         actions.extend(self.mark_responsive(now));
         if update != Update::Unchanged || was_contested {
             actions.extend(self.announce(now));
@@ -98,16 +96,16 @@
     /// Returns whether this process has seen a packet of every flow that the backend server holds:
     /// it received the server's first heartbeat, or has run for longer than a flow lives.
     ///
-    /// If no server is known, there are no flows once a server would have sent a heartbeat or
-    /// answered a packet. Before that, the server on the host of a process that has just started
-    /// may hold earlier flows.
+    /// If no server is known, there are no flows once a server would have sent a heartbeat. Before
+    /// that, the server on the host of a process that has just started may hold earlier flows, even
+    /// if it answers nothing: it may be paused.
     pub(super) fn is_certain(&self, now: Time) -> bool {
         let age_ms = now.since(self.started);
         match self.history.server() {
             Some(server) => server.seen_from_start || age_ms > FORGET_MS,
             None => {
                 let limit_ms = self.identity.heartbeat_ms * ABSENT_PERCENT / 100;
-                self.server_absent || self.history.has_ended() || age_ms > limit_ms
+                self.history.has_ended() || age_ms > limit_ms
             }
         }
     }
@@ -152,20 +150,6 @@
         actions
     }
 
-    /// Detects that there is no server on this host, and reports it to the balancers that asked for
-    /// a flow. Guards against clients of lost flows that wait for seconds for a host without a
-    /// server.
-    pub(super) fn check_absence(&mut self, now: Time) -> Vec<Action> {
-        if self.history.server().is_some() {
-            return Vec::new();
-        }
-        let unanswered = self.probes.take_unanswered(now);
-        self.server_absent |= !unanswered.is_empty();
-        let load = self.load();
-        let absent = |(flow, from)| Action::Send(from, Message::Absent { flow, load });
-        unanswered.into_iter().map(absent).collect()
-    }
-
     pub(super) fn mark_responsive(&mut self, now: Time) -> Vec<Action> {
         if !self.unresponsive {
             return Vec::new();
--- a/crates/nutmegkeel_core/src/l4/probe.rs
+++ b/crates/nutmegkeel_core/src/l4/probe.rs
@@ -9,14 +9,6 @@
 /// Time after which a probe ends, in milliseconds. The server answers within a millisecond.
 const PROBE_TIMEOUT_MS: u64 = 1_000;
 
-/// Time after the last packet of a query within which the server must answer, in milliseconds. A
-/// server answers within a millisecond, and the packet does not leave the host.
-const UNANSWERED_MS: u64 = 150;
-
-/// Number of packets with data after which a server that holds the flow has answered. It
-/// acknowledges every second one, whatever it is working on, and one packet may be lost.
-const ACKNOWLEDGED_AFTER: u32 = 3;
-
 /// Time for which the server's answer that it does not hold a flow is remembered, in milliseconds.
 /// Guards against passing it the packets of a flow again and again while the flow's own agent is
 /// briefly unreachable.
@@ -85,21 +77,6 @@
         self.queries.remove(flow).map(|query| query.from)
     }
 
-    /// Removes and returns the queries that a server would have answered if one were running. A
-    /// single packet proves nothing: a server that holds the flow may still be working on the
-    /// request.
-    pub fn take_unanswered(&mut self, now: Time) -> Vec<(Flow, Ipv4Addr)> {
-        let is_silent = |query: &Query| {
-            query.requests >= ACKNOWLEDGED_AFTER && now.since(query.at) > UNANSWERED_MS
-        };
-        let silent = self.queries.iter().filter(|(_, query)| is_silent(query));
-        let silent: Vec<_> = silent.map(|(flow, query)| (*flow, query.from)).collect();
-        for (flow, _) in &silent {
-            self.queries.remove(flow);
-        }
-        silent
-    }
-
     /// Records that the server does not hold a flow.
     pub fn deny(&mut self, now: Time, flow: Flow) {
         self.denied.insert(flow, now);
