--- a/crates/nutmegkeel_dev/src/soak/processes/checker.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/checker.rs
@@ -242,7 +242,8 @@
     ///
     /// The agent of a running server knows what the server holds, so no disturbance excuses it.
     fn may_reset(&self, reset: &Reset, senders: &[Sender]) -> bool {
-        if self.may_have_dropped(reset.port, reset.at) || self.ended.contains_key(&reset.holder) {
+        let has_ended = self.ended.get(&reset.holder).is_some_and(|ended| *ended <= reset.at);
+        if has_ended || self.may_have_dropped(reset.port, reset.at) {
             return true;
         }
         let host = self.hosts.get(&reset.holder).copied();
@@ -257,9 +258,9 @@
     /// Returns whether a configuration that removes the route of a port may have been in force at
     /// this time.
     fn may_have_dropped(&self, port: u16, at: Instant) -> bool {
-        let routes = self.routes.iter().rev();
-        let recent = routes.take_while(|(since, _)| *since + SETTLING_TIME * 2 > at);
-        recent.chain(self.routes.last()).any(|(_, routes)| !routes.contains_key(&port))
+        let known = self.routes.iter().rev().filter(|(since, _)| *since <= at);
+        let recent = known.clone().take_while(|(since, _)| *since + SETTLING_TIME * 2 > at);
+        recent.chain(known.clone().next()).any(|(_, routes)| !routes.contains_key(&port))
     }
 
     /// Returns whether no fault could have affected a request to `port` sent at `sent`: from
