--- a/crates/nutmegkeel_dev/src/soak/processes.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes.rs
@@ -118,7 +118,7 @@
         Ok(fleet) => fleet,
         Err(failure) => return Report::failed(options.seed, folder, &failure),
     };
-    let checker = Arc::new(Checker::open(&fleet.routes()));
+    let checker = Arc::new(Checker::open(&fleet.routes(), folder.clone()));
     let load = Arc::new(Load::open(options.load));
     let mut chaos = Chaos::open(options, fleet, Arc::clone(&checker), Arc::clone(&load));
     let clients = spawn_clients(chaos.fleet(), &checker, &load);
@@ -139,7 +139,6 @@
         }
     }
     let End { faults, harness_failure } = chaos.end();
-    checker.judge_resets(&folder);
     let (answered, unanswered, violations) = checker.totals();
     let seed = options.seed;
     Report { seed, answered, unanswered, violations, harness_failure, faults, folder }
--- a/crates/nutmegkeel_dev/src/soak/processes/caller.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/caller.rs
@@ -175,7 +175,7 @@
             Outcome::Reset => {
                 let copies = sent.elapsed().as_millis() / RETRANSMIT_INTERVAL.as_millis();
                 let packets = usize::try_from(copies).unwrap_or(usize::MAX).saturating_add(1);
-                self.checker.record_reset(Reset {
+                self.checker.check_reset(&Reset {
                     at: Instant::now(),
                     flow: long.open.flow().to_string(),
                     port: long.port,
--- a/crates/nutmegkeel_dev/src/soak/processes/checker.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/checker.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
-use std::path::Path;
+use std::path::PathBuf;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use nutmegkeel_standin::host::CONFIG_APPLY_MS;
@@ -16,6 +17,9 @@
 /// Time after which a disturbed host counts as recovered.
 const SETTLING_TIME: Duration = Duration::from_secs(6);
 
+/// Time within which a process has written the line of a reset that its client has received.
+const LOG_DELAY: Duration = Duration::from_millis(200);
+
 /// Time after which a draining server must get no new flow.
 const DRAIN_TIME: Duration = Duration::from_millis(1_500);
 
@@ -57,7 +61,6 @@
     troubled: Disturbances,
     /// Host of each backend server.
     hosts: BTreeMap<String, Ipv4Addr>,
-    resets: Vec<Reset>,
     drained: BTreeMap<String, (Instant, Ipv4Addr)>,
     ended: BTreeMap<String, Instant>,
     store_changed: Option<Instant>,
@@ -73,11 +76,13 @@
 #[derive(Debug)]
 pub(super) struct Checker {
     state: Mutex<State>,
+    /// Directory of the logs.
+    folder: PathBuf,
 }
 
 impl Checker {
-    pub(super) fn open(routes: &[(u16, &'static str)]) -> Self {
-        let checker = Self { state: Mutex::default() };
+    pub(super) fn open(routes: &[(u16, &'static str)], folder: PathBuf) -> Self {
+        let checker = Self { state: Mutex::default(), folder };
         checker.state().store_healthy = true;
         checker.record_routes(routes);
         checker
@@ -173,23 +178,17 @@
         }
     }
 
-    /// Records a reset of an open flow, to be judged when the logs are complete.
-    pub(super) fn record_reset(&self, reset: Reset) {
+    /// Checks a reset of an open flow against the logs. Processes that reset the flow later, when
+    /// its server has ended, are not in them yet.
+    pub(super) fn check_reset(&self, reset: &Reset) {
+        thread::sleep(LOG_DELAY);
+        let senders = resets::senders(&self.folder, &reset.flow);
         let mut state = self.state();
         state.unanswered += 1;
-        state.resets.push(reset);
-    }
-
-    /// Checks the resets of open flows against the logs in a directory.
-    pub(super) fn judge_resets(&self, folder: &Path) {
-        let mut state = self.state();
-        for reset in std::mem::take(&mut state.resets) {
-            let senders = resets::senders(folder, &reset.flow);
-            if !state.may_reset(&reset, &senders) {
-                let Reset { flow, holder, .. } = reset;
-                let what = format!("the open flow {flow} at {holder} was reset by {senders:?}");
-                state.violations.push(what);
-            }
+        if !state.may_reset(reset, &senders) {
+            let Reset { flow, holder, .. } = reset;
+            let what = format!("the open flow {flow} at {holder} was reset by {senders:?}");
+            state.violations.push(what);
         }
     }
 
