--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -272,7 +272,10 @@
         // If another server holds the flow and this one accepted a copy of the opening, this one
         // is never probed: if the sequence numbers of the two servers are close, it would accept
         // the packet as its own.
-        if self.table.is_elsewhere(head) || self.is_certain(now) || self.probes.denied(now, &flow) {
+        if self.table.is_elsewhere(head)
+            || self.is_certain(now, &flow)
+            || self.probes.denied(now, &flow)
+        {
             return vec![self.decline(from, Reason::NotHeld)];
         }
         vec![Action::ToServer(self.probes.insert_query(now, flow, from, head.len > 0))]
@@ -289,7 +292,7 @@
             return vec![Action::Send(from, Message::Holds { flow, load })];
         }
         let is_opening = self.table.get(&flow).is_some();
-        if !is_opening && (self.is_certain(now) || self.probes.denied(now, &flow)) {
+        if !is_opening && (self.is_certain(now, &flow) || self.probes.denied(now, &flow)) {
             return vec![Action::Send(from, Message::Absent { flow, load })];
         }
         vec![Action::Send(from, Message::Unsure { flow, load })]
--- a/crates/nutmegkeel_core/src/l4/agent/server.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/server.rs
@@ -5,6 +5,7 @@
 use super::{Action, Agent, reset, reset_unknown};
 use crate::clock::Time;
 use crate::l4::decision::{Cause, Decision, ServerChange};
+use crate::l4::flow::Flow;
 use crate::l4::health::FORGET_MS;
 use crate::l4::policy::Mechanism;
 use crate::l4::server::{Heartbeat, Incarnation, Update};
@@ -93,19 +94,21 @@
         actions
     }
 
-    /// Returns whether this process has seen a packet of every flow that the backend server holds:
-    /// it received the server's first heartbeat, or has run for longer than a flow lives.
+    /// Returns whether this process would have seen a packet of a flow if the backend server held
+    /// it: it received the server's first heartbeat, or has run for longer than a flow lives.
     ///
     /// If no server is known, there are no flows once a server would have sent a heartbeat. Before
     /// that, the server on the host of a process that has just started may hold earlier flows, even
-    /// if it answers nothing: it may be paused.
-    pub(super) fn is_certain(&self, now: Time) -> bool {
+    /// if it answers nothing: it may be paused. One that still holds a flow of the predecessor's
+    /// list may be paused for longer.
+    pub(super) fn is_certain(&self, now: Time, flow: &Flow) -> bool {
         let age_ms = now.since(self.started);
         match self.history.server() {
             Some(server) => server.seen_from_start || age_ms > FORGET_MS,
             None => {
                 let limit_ms = self.identity.heartbeat_ms * ABSENT_PERCENT / 100;
-                self.history.has_ended() || age_ms > limit_ms
+                let may_hold = age_ms <= limit_ms || self.recorder.lists(now, flow);
+                self.history.has_ended() || !may_hold
             }
         }
     }
--- a/crates/nutmegkeel_core/src/l4/checkpoint.rs
+++ b/crates/nutmegkeel_core/src/l4/checkpoint.rs
@@ -102,6 +102,17 @@
         }
     }
 
+    /// Returns whether the predecessor's checkpoint has a flow and no backend server is known that
+    /// shows whether the flow was lost. No client waits for longer than it matters.
+    #[must_use]
+    pub fn lists(&self, now: Time, flow: &Flow) -> bool {
+        let is_recent = now.since(self.started) <= RECOVERY_MS;
+        let Predecessor::Read(checkpoint) = &self.predecessor else {
+            return false;
+        };
+        is_recent && checkpoint.flows.contains_key(flow)
+    }
+
     /// Returns the flows that were lost with the predecessor's backend server. Returns them once,
     /// and none if the current server is the same incarnation and still holds them.
     pub fn take_lost(&mut self, now: Time, server: &Server) -> Vec<(Flow, u32)> {
--- a/crates/nutmegkeel_core/tests/l4/checkpoint.rs
+++ b/crates/nutmegkeel_core/tests/l4/checkpoint.rs
@@ -1,6 +1,7 @@
 use nutmegkeel_core::l4::agent::{Action, Agent, Event};
 use nutmegkeel_core::l4::checkpoint::{Checkpoint, MIN_INTERVAL_MS};
 use nutmegkeel_core::l4::flow::Flow;
+use nutmegkeel_core::l4::message::Message;
 
 use crate::fixture::{BALANCER, accepted, agent, at, data, flow, gossip, heartbeat, incarnation};
 
@@ -177,3 +178,20 @@
     assert_eq!(first.map(|checkpoint| checkpoint.flows.len()), Some(9));
     assert_eq!(second, None);
 }
+
+/// Guards against the reset of an open flow after a restart of its agent: its server is paused for
+/// longer than the interval of its heartbeats, and the agent denies that the flow is there.
+#[test]
+fn an_agent_without_a_server_does_not_deny_a_flow_of_its_predecessor() {
+    let mut agent = agent();
+    agent.handle(at(10), recovered_from("a", flow(1), 501));
+
+    let listed = agent.handle(at(3_000), Event::Locate(BALANCER, flow(1)));
+    let unlisted = agent.handle(at(3_000), Event::Locate(BALANCER, flow(2)));
+    let later = agent.handle(at(12_000), Event::Locate(BALANCER, flow(1)));
+
+    let load = agent.load();
+    assert_eq!(listed, [Action::Send(BALANCER, Message::Unsure { flow: flow(1), load })]);
+    assert_eq!(unlisted, [Action::Send(BALANCER, Message::Absent { flow: flow(2), load })]);
+    assert_eq!(later, [Action::Send(BALANCER, Message::Absent { flow: flow(1), load })]);
+}
