--- a/crates/nutmegkeel_dev/src/soak/processes/caller.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/caller.rs
@@ -1,7 +1,7 @@
 //! Client of a soak run: alternates between a long flow and short ones, or opens many at once.
 
 use std::collections::VecDeque;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -133,7 +133,7 @@
                 Some((open, id))
             }
             Ok((outcome, _)) | Err(outcome) => {
-                self.record_unanswered(port, sent, &outcome);
+                self.record_unanswered(from_port, port, sent, &outcome);
                 None
             }
         }
@@ -148,15 +148,19 @@
         let sent = Instant::now();
         let ports = first..first + flows;
         let mut is_served = false;
-        for outcome in
-            self.client.request_concurrently(ports, port, &self.balancers, FINAL_ANSWER_TIMEOUT)
-        {
+        let outcomes = self.client.request_concurrently(
+            ports.clone(),
+            port,
+            &self.balancers,
+            FINAL_ANSWER_TIMEOUT,
+        );
+        for (from_port, outcome) in ports.zip(outcomes) {
             match outcome {
                 Outcome::Answered(id) => {
                     is_served = true;
                     self.checker.record_answer(self.client.address(), port, &id, sent);
                 }
-                lost => self.record_unanswered(port, sent, &lost),
+                lost => self.record_unanswered(from_port, port, sent, &lost),
             }
         }
         if !is_served {
@@ -185,16 +189,18 @@
                 false
             }
             Outcome::Silence => {
-                self.record_unanswered(long.port, sent, &Outcome::Silence);
+                let from_port = long.open.flow().client.port();
+                self.record_unanswered(from_port, long.port, sent, &Outcome::Silence);
                 true
             }
         }
     }
 
     /// Records a request that was refused or got no answer.
-    fn record_unanswered(&self, port: u16, sent: Instant, outcome: &Outcome) {
+    fn record_unanswered(&self, from_port: u16, port: u16, sent: Instant, outcome: &Outcome) {
         if self.load.is_varied() && *outcome == Outcome::Silence {
-            self.checker.record_timeout(port, sent);
+            let client = SocketAddrV4::new(self.client.address(), from_port);
+            self.checker.record_timeout(client, port, sent);
         } else {
             self.checker.record_unanswered();
         }
--- a/crates/nutmegkeel_dev/src/soak/processes/checker.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/checker.rs
@@ -1,7 +1,7 @@
 //! Expected state of a soak run, and the invariants that are checked against it.
 
 use std::collections::BTreeMap;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -193,11 +193,12 @@
     }
 
     /// Records a request, sent at `sent`, without an answer or a refusal by its deadline.
-    pub(super) fn record_timeout(&self, port: u16, sent: Instant) {
+    pub(super) fn record_timeout(&self, client: SocketAddrV4, port: u16, sent: Instant) {
         let mut state = self.state();
         state.unanswered += 1;
         if state.was_undisturbed(port, sent) {
-            let what = format!("a request to port {port} got no final answer without a fault");
+            let what =
+                format!("a request of {client} to port {port} got no final answer without a fault");
             state.violations.push(what);
         }
     }
