--- a/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
@@ -8,8 +8,8 @@
 
 use nutmegkeel_standin::client::{Client, Outcome};
 use nutmegkeel_standin::fleet::{Fleet, Signal};
-use nutmegkeel_standin::proxy;
 use nutmegkeel_standin::store::Mode;
+use nutmegkeel_standin::{proxy, server};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -132,9 +132,9 @@
             12 => self.toggle_heavy_caller(),
             13 => self.slow_server(),
             14 => self.reset_servers(),
-            15 => self.pause_server(),
-            16 => self.hang_server(),
-            17 => self.slow_server_down(),
+            15 => self.interrupt_server("pauses", server::Handle::pause),
+            16 => self.interrupt_server("hangs", server::Handle::hang),
+            17 => self.make_server_very_slow(),
             _ => self.stall_agent(),
         }
     }
@@ -292,7 +292,7 @@
     }
 
     /// Slows a server down so far that its agent may take it for mute.
-    fn slow_server_down(&mut self) {
+    fn make_server_very_slow(&mut self) {
         let host = self.pick(&self.fleet.agents());
         let answer_ms = self.rng.random_range(VERY_SLOW_MS);
         self.record(format!("{} responds after {answer_ms} ms", self.fleet.server(host).id()));
@@ -300,20 +300,12 @@
         self.fleet.server(host).set_answer_ms(answer_ms);
     }
 
-    fn pause_server(&mut self) {
+    fn interrupt_server(&mut self, what: &str, interrupt: fn(&server::Handle, Duration)) {
         let host = self.pick(&self.fleet.agents());
         let duration = self.draw_interruption();
-        self.record(format!("{} pauses for {duration:?}", self.fleet.server(host).id()));
+        self.record(format!("{} {what} for {duration:?}", self.fleet.server(host).id()));
         self.checker.record_trouble(host, duration);
-        self.fleet.server(host).pause(duration);
-    }
-
-    fn hang_server(&mut self) {
-        let host = self.pick(&self.fleet.agents());
-        let duration = self.draw_interruption();
-        self.record(format!("{} hangs for {duration:?}", self.fleet.server(host).id()));
-        self.checker.record_trouble(host, duration);
-        self.fleet.server(host).hang(duration);
+        interrupt(self.fleet.server(host), duration);
     }
 
     /// Suspends an agent's process and resumes it; one that is suspended already only resumes.
--- a/crates/nutmegkeel_dev/src/soak/processes/checker.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/checker.rs
@@ -27,7 +27,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Disturbance {
     began: Instant,
-    /// `None` while it lasts.
+    /// May lie in the future; `None` until it is known.
     ended: Option<Instant>,
 }
 
--- a/crates/nutmegkeel_dev/src/soak/processes/resets.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/resets.rs
@@ -28,8 +28,8 @@
     pub cause: String,
 }
 
-/// Returns the processes that reset a flow, by the logs in a directory. A process that has reset
-/// many flows at once leaves out lines.
+/// Returns the processes that reset a flow, by the logs in a directory. A process that resets many
+/// flows at once leaves out lines, so a sender may be missing.
 pub(super) fn senders(folder: &Path, flow: &str) -> Vec<Sender> {
     let Ok(files) = std::fs::read_dir(folder) else {
         return Vec::new();
