--- a/crates/nutmegkeel_core/src/l4/checkpoint.rs
+++ b/crates/nutmegkeel_core/src/l4/checkpoint.rs
@@ -102,15 +102,14 @@
         }
     }
 
-    /// Returns whether the predecessor's checkpoint has a flow and no backend server is known that
-    /// shows whether the flow was lost. No client waits for longer than it matters.
+    /// Returns whether the predecessor's checkpoint has a flow, and no backend server is known yet
+    /// that shows whether the flow was lost.
     #[must_use]
     pub fn lists(&self, now: Time, flow: &Flow) -> bool {
-        let is_recent = now.since(self.started) <= RECOVERY_MS;
         let Predecessor::Read(checkpoint) = &self.predecessor else {
             return false;
         };
-        is_recent && checkpoint.flows.contains_key(flow)
+        self.is_recovering(now) && checkpoint.flows.contains_key(flow)
     }
 
     /// Returns the flows that were lost with the predecessor's backend server. Returns them once,
@@ -126,7 +125,7 @@
             return Vec::new();
         }
         let is_new_server = server.seen_from_start || server.first_seq <= MAX_NEW_SEQ;
-        let is_lost = is_new_server && now.since(self.started) <= RECOVERY_MS;
+        let is_lost = is_new_server && self.is_recovering(now);
         if is_lost { checkpoint.flows.into_iter().collect() } else { Vec::new() }
     }
 
@@ -177,10 +176,15 @@
         self.number = self.number.max(number);
     }
 
+    /// Returns whether the predecessor's checkpoint is still useful.
+    const fn is_recovering(&self, now: Time) -> bool {
+        now.since(self.started) <= RECOVERY_MS
+    }
+
     /// Stops waiting for the predecessor's checkpoint after a time, so that a store that does not
     /// answer cannot keep this process from saving its own flows.
     fn expire_predecessor(&mut self, now: Time) {
-        if now.since(self.started) > RECOVERY_MS {
+        if !self.is_recovering(now) {
             self.predecessor = Predecessor::Done;
         }
     }
--- a/crates/nutmegkeel_core/src/l4/probe.rs
+++ b/crates/nutmegkeel_core/src/l4/probe.rs
@@ -28,8 +28,8 @@
 struct Query {
     /// The balancer that sent the query.
     from: Ipv4Addr,
-    /// Number of packets with data that were passed to the server.
-    requests: u32,
+    /// Whether a packet with data was passed to the server.
+    has_request: bool,
     /// When the last packet was passed to it.
     at: Time,
 }
@@ -52,9 +52,9 @@
 
     /// Like [`Self::insert`], for a balancer that queries whether the server holds the flow.
     pub fn insert_query(&mut self, now: Time, flow: Flow, from: Ipv4Addr, is_request: bool) -> u32 {
-        let before = self.queries.get(&flow).map_or(0, |query| query.requests);
-        let requests = before + u32::from(is_request);
-        self.queries.insert(flow, Query { from, requests, at: now });
+        let had_request = self.queries.get(&flow).is_some_and(|query| query.has_request);
+        let has_request = had_request || is_request;
+        self.queries.insert(flow, Query { from, has_request, at: now });
         self.insert(now, flow, from)
     }
 
@@ -62,7 +62,7 @@
     /// request yet.
     #[must_use]
     pub fn unanswered_requests(&self) -> usize {
-        self.queries.values().filter(|query| query.requests > 0).count()
+        self.queries.values().filter(|query| query.has_request).count()
     }
 
     /// Returns the balancer that sent the packet with this probe number.
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -213,13 +213,9 @@
         let is_silent = |held: &Held| {
             held.stage == Stage::Open && !held.is_over() && held.server_last_seen < time
         };
-        self.take_if(is_silent)
-    }
-
-    fn take_if(&mut self, predicate: impl Fn(&Held) -> bool) -> Vec<(Flow, Held)> {
-        let matching = self.flows.iter().filter(|(_, held)| predicate(held));
-        let matching: Vec<Flow> = matching.map(|(flow, _)| *flow).collect();
-        matching.into_iter().filter_map(|flow| Some((flow, self.remove(&flow)?))).collect()
+        let silent = self.flows.iter().filter(|(_, held)| is_silent(held));
+        let silent: Vec<Flow> = silent.map(|(flow, _)| *flow).collect();
+        silent.into_iter().filter_map(|flow| Some((flow, self.remove(&flow)?))).collect()
     }
 
     /// Removes expired flows, and requests that no client waits for any more.
--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -147,17 +147,33 @@
         .command("model")
 }
 
+fn bench_argument() -> impl Parser<PathBuf> {
+    bpaf::long("bench").help("The users' bench").argument::<PathBuf>("PROGRAM")
+}
+
+fn sites_argument() -> impl Parser<Vec<PathBuf>> {
+    bpaf::long("site").help("File of a deployment").argument::<PathBuf>("FILE").many()
+}
+
+fn jobs_argument() -> impl Parser<usize> {
+    bpaf::long("jobs").help("Number of concurrent plays").argument("COUNT").fallback(2)
+}
+
+fn why_argument() -> impl Parser<String> {
+    bpaf::long("why").help("Purpose, for the journal").argument::<String>("TEXT")
+}
+
 fn compare_command() -> impl Parser<Command> {
-    let bench = bpaf::long("bench").help("The users' bench").argument::<PathBuf>("PROGRAM");
-    let sites = bpaf::long("site").help("File of a deployment").argument::<PathBuf>("FILE").many();
+    let bench = bench_argument();
+    let sites = sites_argument();
     let days = bpaf::long("day").help("A day, by name").argument::<String>("DAY").many();
     let seeds = bpaf::long("seeds").help("Seeds of each day").argument("COUNT").fallback(3);
     let ways = bpaf::long("way")
         .help("A checkout and its name in the table; the first is the baseline")
         .argument::<compare::Way>("NAME=FOLDER")
         .many();
-    let jobs = bpaf::long("jobs").help("Number of concurrent plays").argument("COUNT").fallback(2);
-    let why = bpaf::long("why").help("Purpose, for the journal").argument::<String>("TEXT");
+    let jobs = jobs_argument();
+    let why = why_argument();
     let vary = bpaf::pure(false);
     bpaf::construct!(compare::Options { bench, sites, days, seeds, ways, jobs, why, vary })
         .map(Command::Compare)
@@ -167,8 +183,8 @@
 }
 
 fn play_days_command() -> impl Parser<Command> {
-    let bench = bpaf::long("bench").help("The users' bench").argument::<PathBuf>("PROGRAM");
-    let sites = bpaf::long("site").help("File of a deployment").argument::<PathBuf>("FILE").many();
+    let bench = bench_argument();
+    let sites = sites_argument();
     let days = bpaf::long("day")
         .help("File of a day; by default all in deploy/days")
         .argument::<String>("FILE")
@@ -176,8 +192,8 @@
         .fallback_with(|| compare::day_files(Path::new("deploy/days")));
     let seeds = bpaf::long("seeds").help("Seeds of each day").argument("COUNT").fallback(1);
     let ways = bpaf::pure(vec![compare::Way { name: "here".into(), folder: ".".into() }]);
-    let jobs = bpaf::long("jobs").help("Number of concurrent plays").argument("COUNT").fallback(2);
-    let why = bpaf::long("why").help("Purpose, for the journal").argument::<String>("TEXT");
+    let jobs = jobs_argument();
+    let why = why_argument();
     let vary = bpaf::pure(true);
     bpaf::construct!(compare::Options { bench, sites, days, seeds, ways, jobs, why, vary })
         .map(Command::PlayDays)
--- a/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
@@ -26,8 +26,8 @@
 const LOAD_FAULTS: i32 = 4;
 const INTERRUPTIONS: i32 = 4;
 
-/// Duration of an interruption, in milliseconds. It ends beyond all limits of a server's silence:
-/// open flows must survive each.
+/// Duration of an interruption, in milliseconds. The longest exceeds every limit on a server's
+/// silence, and open flows must survive it.
 const INTERRUPTION_MS: std::ops::RangeInclusive<u64> = 100..=4_500;
 
 /// Response time of a very slow server, in milliseconds. Many of its answers miss their deadline.
@@ -130,7 +130,9 @@
             10 => self.reload(),
             11 => self.toggle_burst(),
             12 => self.toggle_heavy_caller(),
-            13 => self.slow_server(),
+            13 => {
+                self.slow_server(SLOW_MS);
+            }
             14 => self.reset_servers(),
             15 => self.interrupt_server("pauses", server::Handle::pause),
             16 => self.interrupt_server("hangs", server::Handle::hang),
@@ -284,20 +286,18 @@
     }
 
     /// Slows down the answers of a server without affecting its heartbeats.
-    fn slow_server(&mut self) {
+    fn slow_server(&mut self, answer_ms: std::ops::RangeInclusive<u64>) -> Ipv4Addr {
         let host = self.pick(&self.fleet.agents());
-        let answer_ms = self.rng.random_range(SLOW_MS);
+        let answer_ms = self.rng.random_range(answer_ms);
         self.record(format!("{} responds after {answer_ms} ms", self.fleet.server(host).id()));
         self.fleet.server(host).set_answer_ms(answer_ms);
+        host
     }
 
     /// Slows a server down so far that its agent may take it for mute.
     fn make_server_very_slow(&mut self) {
-        let host = self.pick(&self.fleet.agents());
-        let answer_ms = self.rng.random_range(VERY_SLOW_MS);
-        self.record(format!("{} responds after {answer_ms} ms", self.fleet.server(host).id()));
+        let host = self.slow_server(VERY_SLOW_MS);
         self.checker.record_trouble(host, VERY_SLOW_TROUBLE);
-        self.fleet.server(host).set_answer_ms(answer_ms);
     }
 
     fn interrupt_server(&mut self, what: &str, interrupt: fn(&server::Handle, Duration)) {
@@ -349,7 +349,7 @@
     pub(super) fn run_under_load(&mut self) {
         self.toggle_heavy_caller();
         self.toggle_burst();
-        self.slow_server();
+        self.slow_server(SLOW_MS);
         thread::sleep(LOAD_PHASE);
         self.reset_load();
     }
