--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -16,7 +16,8 @@
     Compare(compare::Options),
     PlayDays(compare::Options),
     Soak(u64, u64),
-    SoakProcesses(u64, u64, u64),
+    SoakProcesses(soak::Series),
+    Busy,
     Platform(SocketAddr),
     Fabric(PathBuf),
     Backend(PathBuf),
@@ -32,6 +33,7 @@
         play_days_command(),
         soak_command(),
         soak_processes(),
+        busy(),
         platform(),
         fabric(),
         backend(),
@@ -44,7 +46,11 @@
         Command::Model => model::run(),
         Command::Compare(options) => compare::run(&options).map_err(std::io::Error::other),
         Command::PlayDays(options) => compare::check(&options).map_err(std::io::Error::other),
-        Command::SoakProcesses(seed, count, seconds) => soak::run_processes(seed, count, seconds),
+        Command::SoakProcesses(series) => soak::run_processes(&series),
+        Command::Busy => {
+            soak::busy::run();
+            Ok(true)
+        }
         Command::Soak(seed, minutes) => Ok(soak::run(seed, minutes)),
         Command::Platform(address) => standin::platform::spawn(address).map(|_handle| {
             loop {
@@ -218,12 +224,28 @@
         .help("Duration of the faults of each seed")
         .argument("SECONDS")
         .fallback(10);
-    bpaf::construct!(Command::SoakProcesses(seed, count, seconds))
+    let busy = bpaf::long("busy")
+        .help("Number of processes that keep processors busy meanwhile")
+        .argument("COUNT")
+        .fallback(0);
+    let hold_ms = bpaf::long("hold-ms")
+        .help("Time for which clients hold back the first request on a flow of a burst")
+        .argument("MS")
+        .fallback(0);
+    bpaf::construct!(soak::Series { seed, count, seconds, busy, hold_ms })
+        .map(Command::SoakProcesses)
         .to_options()
         .descr("Run the real programs over stand-ins under random faults")
         .command("soak-processes")
 }
 
+fn busy() -> impl Parser<Command> {
+    bpaf::pure(Command::Busy)
+        .to_options()
+        .descr("Keep one processor busy until standard input ends")
+        .command("busy")
+}
+
 fn capacity_point() -> impl Parser<Measurement> {
     let name = bpaf::positional::<String>("KIND");
     let count = bpaf::positional::<u32>("COUNT");
--- a/crates/nutmegkeel_dev/src/soak.rs
+++ b/crates/nutmegkeel_dev/src/soak.rs
@@ -1,5 +1,6 @@
 //! Soak tests: random faults for the simulated core and for the real programs.
 
+pub mod busy;
 pub mod processes;
 
 use std::time::{Duration, Instant};
@@ -36,14 +37,31 @@
 /// metrics port is taken exits at once.
 const NETWORKS: std::ops::Range<u64> = 20..250;
 
-/// Runs `count` seeds of the real programs; returns true when all were completed and no invariant
-/// was violated.
+/// Seeds of the real programs to run, and the load under which they run.
+#[derive(Clone, Debug)]
+pub struct Series {
+    /// First seed.
+    pub seed: u64,
+    /// Number of seeds.
+    pub count: u64,
+    /// Duration of the faults of each seed, in seconds.
+    pub seconds: u64,
+    /// Number of processes that keep processors busy meanwhile.
+    pub busy: usize,
+    /// Time for which clients hold back the first request on a flow of a burst, in milliseconds.
+    pub hold_ms: u64,
+}
+
+/// Runs a series; returns true when all seeds were completed and no invariant was violated.
 ///
 /// # Errors
-/// When the path of the running program is unknown, or a run panics.
-pub fn run_processes(first_seed: u64, count: u64, seconds: u64) -> std::io::Result<bool> {
+/// When the path of the running program is unknown, a busy process cannot be started, or a run
+/// panics.
+pub fn run_processes(series: &Series) -> std::io::Result<bool> {
     kill_processes_on_panic();
     let program = processes::program_path()?;
+    let _busy = busy::spawn(series.busy)?;
+    let Series { seed: first_seed, count, seconds, hold_ms, .. } = *series;
     let mut passed = true;
     let mut seed = first_seed;
     while seed < first_seed + count {
@@ -58,6 +76,7 @@
                     net,
                     load: true,
                     interruptions: true,
+                    hold_ms,
                 };
                 std::thread::spawn(move || processes::run(&options))
             })
--- a/crates/nutmegkeel_dev/src/soak/processes.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes.rs
@@ -56,6 +56,8 @@
     /// Whether backend servers and agents are interrupted for a moment too: servers pause, hang and
     /// become very slow, agents stall.
     pub interruptions: bool,
+    /// Time for which clients hold back the first request on a flow of a burst, in milliseconds.
+    pub hold_ms: u64,
 }
 
 /// Result of one run.
@@ -121,7 +123,7 @@
     let checker = Arc::new(Checker::open(&fleet.routes(), folder.clone()));
     let load = Arc::new(Load::open(options.load));
     let mut chaos = Chaos::open(options, fleet, Arc::clone(&checker), Arc::clone(&load));
-    let clients = spawn_clients(chaos.fleet(), &checker, &load);
+    let clients = spawn_clients(chaos.fleet(), &checker, &load, options.hold_ms);
     let until = Instant::now() + Duration::from_secs(options.seconds);
     while Instant::now() < until && !chaos.has_failed() {
         chaos.inject();
@@ -148,6 +150,7 @@
     fleet: &Fleet,
     checker: &Arc<Checker>,
     load: &Arc<Load>,
+    hold_ms: u64,
 ) -> Vec<thread::JoinHandle<()>> {
     let clients = if load.is_varied() { CLIENTS + 1 } else { CLIENTS };
     let spawn = |number| {
@@ -157,6 +160,7 @@
             Arc::clone(checker),
             Arc::clone(load),
             if number == HEAVY_CLIENT { Demand::Heavy } else { Demand::Usual },
+            Duration::from_millis(hold_ms),
         );
         thread::spawn(move || caller.run())
     };
--- a/crates/nutmegkeel_dev/src/soak/processes/caller.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/caller.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use nutmegkeel_standin::client::{Client, OpenFlow, Outcome, RETRANSMIT_INTERVAL};
+use nutmegkeel_standin::client::{Client, OpenFlow, Outcome, RETRANSMIT_INTERVAL, Timing};
 use nutmegkeel_standin::host::TIMEOUT_MS;
 
 use super::checker::Checker;
@@ -56,6 +56,8 @@
     checker: Arc<Checker>,
     load: Arc<Load>,
     demand: Demand,
+    /// Time for which it holds back the first request on a flow of a burst.
+    hold: Duration,
     next_port: u16,
     /// Flows that the client keeps open, the next to be used first.
     long: VecDeque<LongFlow>,
@@ -75,10 +77,11 @@
         checker: Arc<Checker>,
         load: Arc<Load>,
         demand: Demand,
+        hold: Duration,
     ) -> Self {
         checker.expect_answer(client.address());
         let (next_port, long) = (FIRST_PORT, VecDeque::new());
-        Self { client, balancers, checker, load, demand, next_port, long }
+        Self { client, balancers, checker, load, demand, hold, next_port, long }
     }
 
     pub(super) fn run(mut self) {
@@ -152,7 +155,7 @@
             ports.clone(),
             port,
             &self.balancers,
-            FINAL_ANSWER_TIMEOUT,
+            &Timing { hold: self.hold, within: FINAL_ANSWER_TIMEOUT },
         );
         for (from_port, outcome) in ports.zip(outcomes) {
             match outcome {
