--- a/crates/nutmegkeel_core/src/l4/agent/contended.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/contended.rs
@@ -6,10 +6,11 @@
 use super::{Action, Agent};
 use crate::clock::Time;
 use crate::l4::decision::{Cause, Decision};
-use crate::l4::flow::{Flow, Head, OPENING_TIMEOUT_MS};
+use crate::l4::flow::{Flow, Head};
 use crate::l4::message::{Demand, Offer};
 use crate::l4::policy::Mechanism;
 use crate::l4::share::Standing;
+use crate::l4::table::Arrival;
 use crate::l4::waiting::{Capacity, Waiting};
 
 impl Agent {
@@ -118,10 +119,8 @@
         let Some(demand) = demand.filter(|_| self.waiting.is_contended()) else {
             return false;
         };
-        // The arrival time of the opening is no longer known. Its client waited for the answer no
-        // longer than this.
-        let (flow, since, request) = (head.flow, now.before(OPENING_TIMEOUT_MS), Some(*head));
-        let is_retry = false;
+        let (flow, request) = (head.flow, Some(*head));
+        let Arrival { since, is_retry } = self.table.arrival(now, &flow);
         self.waiting.push(Waiting { flow, since, opened: now, demand, is_retry, request });
         true
     }
--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -8,6 +8,7 @@
 use crate::l4::flow::Head;
 use crate::l4::message::{Admission, Offer, Reason};
 use crate::l4::policy::Mechanism;
+use crate::l4::table::Arrival;
 use crate::l4::waiting::Waiting;
 
 /// Number of requests that may queue at the backend server before others wait at the agent: one to
@@ -25,6 +26,12 @@
     pub(super) since: Time,
 }
 
+impl Opening {
+    const fn arrival(&self) -> Arrival {
+        Arrival { since: self.since, is_retry: self.offer.is_retry }
+    }
+}
+
 impl Agent {
     /// Handles an opening. The server accepts it at once; its first request may have to wait for a
     /// slot.
@@ -51,10 +58,10 @@
         self.budget.record(now);
         self.waiting.remove(&flow);
         self.refused.remove(&flow);
-        self.table.open(now, flow, opening.head.seq, demand);
+        let Arrival { since, is_retry } = opening.arrival();
+        self.table.open(now, flow, opening.head.seq, demand, opening.arrival());
         self.record_asked(now, flow, opening.from);
         if self.may_wait(demand) && self.is_saturated() {
-            let (since, is_retry) = (opening.since, opening.offer.is_retry);
             let waiting = Waiting { flow, since, opened: now, demand, is_retry, request: None };
             self.waiting.push(waiting);
             self.table.set_waiting(flow, true);
@@ -135,8 +142,8 @@
             self.table.record_client(now, head);
             return vec![Action::ToServer(0)];
         };
-        let (flow, since, request) = (head.flow, now, Some(*head));
-        let is_retry = false;
+        let (flow, request) = (head.flow, Some(*head));
+        let Arrival { since, is_retry } = self.table.arrival(now, &flow);
         self.waiting.push(Waiting { flow, since, opened: now, demand, is_retry, request });
         self.table.set_waiting(flow, true);
         self.wait(now, head)
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -11,7 +11,7 @@
 use super::mute::Outstanding;
 use crate::clock::Time;
 
-pub use held::{Held, Stage};
+pub use held::{Arrival, Held, Stage};
 
 /// Time for which an accepted opening counts as a request in progress, in milliseconds. The request
 /// follows within a round trip, or the client has gone.
@@ -51,8 +51,8 @@
     }
 
     /// Records an opening that goes to the server, and what its requests demand.
-    pub fn open(&mut self, now: Time, flow: Flow, seq: u32, demand: Demand) {
-        self.insert(flow, Held::opening(now, seq, demand));
+    pub fn open(&mut self, now: Time, flow: Flow, seq: u32, demand: Demand, arrival: Arrival) {
+        self.insert(flow, Held::opening(now, seq, demand, arrival));
     }
 
     /// Passes the next request of a flow to the server. It counts as in progress from now on: after
@@ -83,6 +83,14 @@
         self.flows.get(flow)?.demand
     }
 
+    /// Returns the arrival of a request whose first packet is received now. A flow on which the client
+    /// has ended the handshake before was opened in advance, so that its opening does not count.
+    #[must_use]
+    pub fn arrival(&self, now: Time, flow: &Flow) -> Arrival {
+        let opening = self.flows.get(flow).and_then(|held| held.arrival);
+        opening.unwrap_or(Arrival { since: now, is_retry: false })
+    }
+
     /// Returns what a request demands if a client's packet starts one and its demand is known.
     #[must_use]
     pub fn begins(&self, head: &Head) -> Option<Demand> {
@@ -147,6 +155,7 @@
         let behind = self.load.busy;
         self.update(head.flow, |held| {
             held.stage = Stage::Open;
+            held.arrival = None;
             held.last_used = now;
             held.client_ack = head.ack;
             if held.brings_data(head) {
--- a/crates/nutmegkeel_core/src/l4/table/held.rs
+++ b/crates/nutmegkeel_core/src/l4/table/held.rs
@@ -27,6 +27,16 @@
     Open,
 }
 
+/// When a request arrived at the system, and from whom. For a request that ends the handshake, both
+/// are those of the opening, since its client has waited from then on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// When it first reached a balancer.
+    pub since: Time,
+    /// Whether its client was refused before for lack of room, and now retries.
+    pub is_retry: bool,
+}
+
 /// State of one flow.
 #[derive(Clone, Debug)]
 pub struct Held {
@@ -38,6 +48,8 @@
     pub client_ack: u32,
     /// What the requests on this flow demand; `None` if this is not known.
     pub(super) demand: Option<Demand>,
+    /// The opening, until a packet of the client goes to the server.
+    pub(super) arrival: Option<Arrival>,
     /// Whether the flow's request waits at the agent for a slot, or will when it arrives.
     pub(super) waits: bool,
     pub(super) client_next: Option<u32>,
@@ -58,6 +70,7 @@
             opened_with: 0,
             client_ack: 0,
             demand: None,
+            arrival: None,
             waits: false,
             client_next: None,
             last_used: now,
@@ -71,8 +84,9 @@
     }
 
     /// Creates a flow whose opening goes to the server, with the demand of its requests.
-    pub(super) const fn opening(now: Time, seq: u32, demand: Demand) -> Self {
-        Self { opened_with: seq, demand: Some(demand), ..Self::new(now, Stage::Opening(None)) }
+    pub(super) const fn opening(now: Time, seq: u32, demand: Demand, arrival: Arrival) -> Self {
+        let (demand, arrival) = (Some(demand), Some(arrival));
+        Self { opened_with: seq, demand, arrival, ..Self::new(now, Stage::Opening(None)) }
     }
 
     /// Returns whether the flow was ended by both ends or by a reset.
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -11,6 +11,7 @@
 mod evacuated_fleet;
 mod evacuation;
 mod fetch;
+mod final_answer;
 mod fixture;
 mod full_server;
 mod introduction;
