--- a/crates/nutmegkeel_core/src/l4/agent/contended.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/contended.rs
@@ -6,11 +6,10 @@
 use super::{Action, Agent};
 use crate::clock::Time;
 use crate::l4::decision::{Cause, Decision};
-use crate::l4::flow::{Flow, Head};
-use crate::l4::message::{Demand, Offer};
+use crate::l4::flow::Flow;
+use crate::l4::message::Demand;
 use crate::l4::policy::Mechanism;
 use crate::l4::share::Standing;
-use crate::l4::table::Arrival;
 use crate::l4::waiting::{Capacity, Waiting};
 
 impl Agent {
@@ -50,9 +49,7 @@
     /// Returns whether the request of an opening can be served. One that cannot is refused before
     /// it costs its client a connection and a round trip.
     pub(super) fn can_serve(&mut self, now: Time, opening: &Opening) -> bool {
-        let (flow, since) = (opening.head.flow, opening.since);
-        let Offer { demand, is_retry, .. } = opening.offer;
-        let waiting = Waiting { flow, since, opened: now, demand, is_retry, request: None };
+        let waiting = opening.waiting(now);
         let capacity = self.capacity();
         !self.is_saturated() || self.waiting.can_serve(now, &capacity, &self.shares, &waiting)
     }
@@ -78,7 +75,7 @@
         let mut actions = Vec::new();
         let capacity = self.capacity();
         for waiting in self.waiting.take_expired(now, capacity.answer_ms()) {
-            actions.extend(self.refuse(now, &waiting, Cause::Late));
+            actions.extend(self.end_late_wait(now, &waiting));
         }
         let table = &self.table;
         let may_refuse = |flow: &Flow| !table.is_open(flow);
@@ -99,7 +96,7 @@
         actions
     }
 
-    fn refuse(&mut self, now: Time, waiting: &Waiting, cause: Cause) -> Vec<Action> {
+    pub(super) fn refuse(&mut self, now: Time, waiting: &Waiting, cause: Cause) -> Vec<Action> {
         let mut actions = self.give_up(now, waiting, cause);
         if waiting.request.is_some() {
             let (flow, urgency) = (waiting.flow, waiting.demand.urgency);
@@ -108,20 +105,4 @@
         }
         actions
     }
-
-    /// Queues a request again whose opening no longer has a place in the queue.
-    ///
-    /// Guards against requests that overtake all waiting ones because their client or its network
-    /// path is slow. They would go to the server's own queue, and the more so the more packets are
-    /// lost under load.
-    pub(super) fn requeue(&mut self, now: Time, head: &Head) -> bool {
-        let demand = self.table.demand(&head.flow).filter(|_| self.is_saturated());
-        let Some(demand) = demand.filter(|_| self.waiting.is_contended()) else {
-            return false;
-        };
-        let (flow, request) = (head.flow, Some(*head));
-        let Arrival { since, is_retry } = self.table.arrival(now, &flow);
-        self.waiting.push(Waiting { flow, since, opened: now, demand, is_retry, request });
-        true
-    }
 }
--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -9,7 +9,7 @@
 use crate::l4::message::{Admission, Offer, Reason};
 use crate::l4::policy::Mechanism;
 use crate::l4::table::Arrival;
-use crate::l4::waiting::Waiting;
+use crate::l4::waiting::{Capacity, Waiting};
 
 /// Number of requests that may queue at the backend server before others wait at the agent: one to
 /// take the next free slot, and one because an opening turns into a request only a round trip
@@ -30,6 +30,13 @@
     const fn arrival(&self) -> Arrival {
         Arrival { since: self.since, is_retry: self.offer.is_retry }
     }
+
+    /// Returns the place that its request would have in the queue.
+    pub(super) const fn waiting(&self, now: Time) -> Waiting {
+        let Offer { demand, is_retry, .. } = self.offer;
+        let (flow, since) = (self.head.flow, self.since);
+        Waiting { flow, since, opened: now, demand, is_retry, request: None }
+    }
 }
 
 impl Agent {
@@ -58,12 +65,10 @@
         self.budget.record(now);
         self.waiting.remove(&flow);
         self.refused.remove(&flow);
-        let Arrival { since, is_retry } = opening.arrival();
         self.table.open(now, flow, opening.head.seq, demand, opening.arrival());
         self.record_asked(now, flow, opening.from);
         if self.may_wait(demand) && self.is_saturated() {
-            let waiting = Waiting { flow, since, opened: now, demand, is_retry, request: None };
-            self.waiting.push(waiting);
+            self.waiting.push(opening.waiting(now));
             self.table.set_waiting(flow, true);
         } else {
             self.table.admit(now, flow);
@@ -90,7 +95,9 @@
         }
         let (busy, slots) = (self.load().busy, server.slots.max(1));
         let Offer { demand, admission, .. } = opening.offer;
-        let is_late = if self.waiting.is_contended() {
+        let is_late = if self.is_hopeless(now, opening) {
+            true
+        } else if self.waiting.is_contended() {
             admission == Admission::IfInTime && !self.can_serve(now, opening)
         } else {
             !demand.once && self.expected_ms() > u64::from(demand.deadline_ms)
@@ -110,6 +117,26 @@
         (at_server + 1).div_ceil(self.slots()) * self.service_time.upper_us() / 1_000
     }
 
+    /// Returns whether the server is too slow to answer the request of an opening before its
+    /// deadline.
+    fn is_hopeless(&self, now: Time, opening: &Opening) -> bool {
+        opening.waiting(now).is_hopeless(now, self.earliest_answer_ms())
+    }
+
+    /// Returns the expected time until the answer to a request that goes next, in milliseconds; zero
+    /// while the server has a free slot.
+    ///
+    /// A free slot is always tried. Guards against a server that gets no requests because it was
+    /// slow, and so cannot show that it no longer is.
+    fn earliest_answer_ms(&self) -> u64 {
+        let Capacity { slots, at_server, mean_us, most_us } = self.capacity();
+        if at_server < slots {
+            return 0;
+        }
+        let mean_us = mean_us.max(self.meter.round_ms(slots) * 1_000);
+        Capacity { slots, at_server, mean_us, most_us }.earliest_ms()
+    }
+
     pub(super) fn slots(&self) -> u64 {
         self.history.server().map_or(1, |server| u64::from(server.slots.max(1)))
     }
@@ -165,7 +192,6 @@
         }
         self.table.record_waiting(now, head);
         if is_request && !self.waiting.record_request(head) && !self.requeue(now, head) {
-            // The request came so long after its opening that it has lost its place in the queue.
             self.table.admit(now, head.flow);
             self.table.record_client(now, head);
             return vec![Action::ToServer(0)];
@@ -174,6 +200,21 @@
         if is_request { vec![Action::Keep(*head), Action::Log(decision)] } else { Vec::new() }
     }
 
+    /// Queues a request again whose opening no longer has a place in the queue.
+    ///
+    /// Guards against requests that overtake all waiting ones because their client or its network
+    /// path is slow. They would go to the server's own queue, and the more so the more packets are
+    /// lost under load.
+    fn requeue(&mut self, now: Time, head: &Head) -> bool {
+        let Some(demand) = self.table.demand(&head.flow).filter(|_| self.is_saturated()) else {
+            return false;
+        };
+        let (flow, request) = (head.flow, Some(*head));
+        let Arrival { since, is_retry } = self.table.arrival(now, &flow);
+        self.waiting.push(Waiting { flow, since, opened: now, demand, is_retry, request });
+        true
+    }
+
     /// Releases waiting requests to the server as slots become free, and resets clients as soon as
     /// their request cannot be answered in time. A draining server still serves the flows that it
     /// has accepted.
@@ -188,12 +229,15 @@
             }
             return actions;
         }
+        for waiting in self.waiting.take_hopeless(now, self.earliest_answer_ms()) {
+            actions.extend(self.end_late_wait(now, &waiting));
+        }
         if self.waiting.is_contended() {
             actions.extend(self.release_in_order(now));
             return actions;
         }
         for waiting in self.waiting.take_expired(now, self.service_time.mean_us() / 1_000) {
-            actions.extend(self.give_up(now, &waiting, Cause::Late));
+            actions.extend(self.end_late_wait(now, &waiting));
         }
         for waiting in self.waiting.take_excess(now, self.slots(), self.service_time.mean_us()) {
             actions.extend(self.end_wait(now, &waiting, Cause::Late));
@@ -207,6 +251,25 @@
         actions
     }
 
+    /// Ends the wait of a request whose answer would miss the deadline. On an open flow it goes to
+    /// the server, which rejects what it has no room for, if the client would otherwise wait for
+    /// long without an answer.
+    pub(super) fn end_late_wait(&mut self, now: Time, waiting: &Waiting) -> Vec<Action> {
+        let flow = waiting.flow;
+        if self.table.is_open(&flow) && waiting.has_long_left(now) {
+            let (waited_ms, left_ms) = (now.since(waiting.since), waiting.left_ms(now));
+            let decision = Decision::PassedOn { flow, waited_ms, left_ms };
+            let mut actions = vec![Action::Log(decision)];
+            actions.extend(self.end_wait(now, waiting, Cause::Late));
+            return actions;
+        }
+        if self.waiting.is_contended() {
+            self.refuse(now, waiting, Cause::Late)
+        } else {
+            self.give_up(now, waiting, Cause::Late)
+        }
+    }
+
     /// Passes a request that waited to the server.
     pub(super) fn release_request(
         &mut self,
@@ -232,7 +295,8 @@
 
     /// Drops a waiting request that never reached the server. If the server has not seen the end of
     /// the handshake, or has ended, the client gets a reset. On an open flow of a running server
-    /// nothing is sent, because a reset would break the flow.
+    /// nothing is sent, because a reset would break the flow, and the server would work on the
+    /// request after its client has gone, in place of one that it can answer.
     pub(super) fn give_up(&mut self, now: Time, waiting: &Waiting, cause: Cause) -> Vec<Action> {
         let Some(request) = &waiting.request else {
             return Vec::new();
--- a/crates/nutmegkeel_core/src/l4/decision.rs
+++ b/crates/nutmegkeel_core/src/l4/decision.rs
@@ -144,6 +144,16 @@
         /// How long it waited, in milliseconds.
         waited_ms: u64,
     },
+    /// A request on an open flow whose answer would miss the deadline went to the server, which
+    /// rejects it if its queue is full.
+    PassedOn {
+        /// The flow.
+        flow: Flow,
+        /// How long it waited, in milliseconds.
+        waited_ms: u64,
+        /// Time until its deadline, in milliseconds.
+        left_ms: u64,
+    },
     /// A request that waited for a slot was dropped.
     GivenUp {
         /// The flow.
--- a/crates/nutmegkeel_core/src/l4/speed.rs
+++ b/crates/nutmegkeel_core/src/l4/speed.rs
@@ -119,16 +119,27 @@
             return 0;
         }
         let service_ms = self.total.service_ms();
-        let recent_ms = self.recent().service_ms();
+        let recent_ms = self.recent(RECENT_ANSWERS).service_ms();
         let is_faster = 2 * recent_ms < service_ms;
         u16::try_from(if is_faster { recent_ms } else { service_ms }).unwrap_or(u16::MAX)
     }
 
-    /// Returns the most recent answers, and the work since the one before them.
-    fn recent(&self) -> Work {
+    /// Returns how long each of `slots` slots has taken for its last request, in milliseconds,
+    /// including the time since the last answer.
+    ///
+    /// A server that has become much slower is noticed within this time, long before it has given
+    /// the answers that [`Self::service_ms`] needs. In return, a few long requests make it look slow.
+    #[must_use]
+    pub fn round_ms(&self, slots: u64) -> u64 {
+        let recent = self.recent(slots);
+        recent.slot_ms / recent.answers.max(slots).max(1)
+    }
+
+    /// Returns the last `answers` answers or a few more, and the work since the one before them.
+    fn recent(&self, answers: u64) -> Work {
         let mut recent = Work::default();
         for span in self.spans.iter().rev() {
-            if recent.answers >= RECENT_ANSWERS && span.work.answers > 0 {
+            if recent.answers >= answers && span.work.answers > 0 {
                 break;
             }
             recent = recent.plus(span.work);
--- a/crates/nutmegkeel_core/src/l4/waiting.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting.rs
@@ -45,6 +45,11 @@
 /// once.
 const BURST_MS: u64 = 4_000;
 
+/// Longest time for which a client may wait in vain, in percent of the deadline. A server that
+/// needs longer for its next answer counts as too slow: it serves so few requests that telling all
+/// others at once helps more callers than it harms.
+const SILENCE_PERCENT: u64 = 25;
+
 /// A flow whose first request waits.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Waiting {
@@ -72,6 +77,23 @@
         }
     }
 
+    /// Returns whether the server is too slow to answer before the deadline, even if this request
+    /// goes next and is answered after `earliest_ms`.
+    #[must_use]
+    pub fn is_hopeless(&self, now: Time, earliest_ms: u64) -> bool {
+        earliest_ms >= self.longest_silence_ms() && self.left_ms(now) < earliest_ms
+    }
+
+    /// Returns whether its client would wait for long if it got no answer until its deadline.
+    #[must_use]
+    pub fn has_long_left(&self, now: Time) -> bool {
+        self.left_ms(now) >= self.longest_silence_ms()
+    }
+
+    const fn longest_silence_ms(&self) -> u64 {
+        self.demand.deadline_ms as u64 * SILENCE_PERCENT / 100
+    }
+
     /// Returns whether an answer that takes `answer_ms` still meets the objective.
     fn is_in_time(&self, now: Time, answer_ms: u64) -> bool {
         now.since(self.since) + answer_ms <= u64::from(self.demand.objective_ms)
@@ -83,7 +105,8 @@
     }
 
     /// Returns the time until its deadline, in milliseconds.
-    fn left_ms(&self, now: Time) -> u64 {
+    #[must_use]
+    pub fn left_ms(&self, now: Time) -> u64 {
         u64::from(self.demand.deadline_ms).saturating_sub(now.since(self.since))
     }
 }
@@ -188,6 +211,18 @@
         expired.into()
     }
 
+    /// Removes and returns the requests that the server is too slow to answer before their deadline,
+    /// given the time until the answer to the request that goes next.
+    pub fn take_hopeless(&mut self, now: Time, earliest_ms: u64) -> Vec<Waiting> {
+        let is_hopeless =
+            |waiting: &Waiting| waiting.request.is_some() && waiting.is_hopeless(now, earliest_ms);
+        let mut hopeless = VecDeque::new();
+        if self.flows.iter().any(is_hopeless) {
+            (hopeless, self.flows) = self.flows.drain(..).partition(is_hopeless);
+        }
+        hopeless.into()
+    }
+
     /// Removes and returns the oldest requests beyond what the slots can serve, once an overload
     /// lasts longer than a burst.
     ///
--- a/crates/nutmegkeel_core/src/l4/waiting/rank.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting/rank.rs
@@ -28,6 +28,13 @@
         ahead.saturating_mul(self.mean_us) / self.slots.max(1) / 1_000
     }
 
+    /// Returns the time until the answer to a request that goes next, in milliseconds, if each takes
+    /// the mean time.
+    #[must_use]
+    pub fn earliest_ms(&self) -> u64 {
+        self.start_ms(0).saturating_add(self.answer_ms())
+    }
+
     /// Returns the mean time of an answer, in milliseconds.
     #[must_use]
     pub const fn answer_ms(&self) -> u64 {
--- a/crates/nutmegkeel_node/src/l4/decision_log.rs
+++ b/crates/nutmegkeel_node/src/l4/decision_log.rs
@@ -168,6 +168,7 @@
         Decision::Refused { .. } => ("refused", EXCEPTIONAL_LINES_PER_S),
         Decision::Kept { .. } => ("kept", ROUTINE_LINES_PER_S),
         Decision::Expired { .. } => ("expired", EXCEPTIONAL_LINES_PER_S),
+        Decision::PassedOn { .. } => ("passed_on", EXCEPTIONAL_LINES_PER_S),
         Decision::GivenUp { .. } => ("given_up", EXCEPTIONAL_LINES_PER_S),
         Decision::BeyondShare { .. } => ("beyond_share", ROUTINE_LINES_PER_S),
         Decision::Agents { .. } | Decision::AgentsSilent { .. } => {
@@ -274,6 +275,10 @@
             warn!(event = "expired", flow:% = flow, waited_ms = waited_ms;
                 "request expired while waiting for a slot");
         }
+        Decision::PassedOn { flow, waited_ms, left_ms } => {
+            warn!(event = "passed_on", flow:% = flow, waited_ms = waited_ms,
+                left_ms = left_ms; "request passed to a server that is too slow for it");
+        }
         Decision::GivenUp { flow, cause, urgency, waited_ms } => {
             warn!(event = "given_up", flow:% = flow, cause = cause.name(),
                 urgency = urgency.number(), waited_ms = waited_ms;
