--- a/crates/nutmegkeel_dev/src/caller.rs
+++ b/crates/nutmegkeel_dev/src/caller.rs
@@ -117,12 +117,13 @@
             .endpoint
             .connect(address, SERVER_NAME)
             .map_err(|error| Fault::NotOpened(error.to_string()))?;
+        let began = Instant::now();
         let connection = tokio::time::timeout(OPEN_TIMEOUT, connecting)
             .await
             .map_err(|_| Fault::NotOpened("no answer".to_owned()))?
-            .map_err(|error| Fault::NotOpened(error.to_string()))?;
+            .map_err(|error| not_opened("handshake", began, &error))?;
         let opened = h3::client::new(h3_quinn::Connection::new(connection.clone())).await;
-        let (mut driver, requests) = opened.map_err(|error| Fault::NotOpened(error.to_string()))?;
+        let (mut driver, requests) = opened.map_err(|error| not_opened("HTTP/3", began, &error))?;
         tokio::spawn(async move { std::future::poll_fn(|cx| driver.poll_close(cx)).await });
         Ok(Flow { connection, requests })
     }
@@ -181,6 +182,17 @@
     }
 }
 
+/// Describes why a flow was not opened: in which stage, after which time, and with which error and
+/// code.
+fn not_opened(
+    stage: &str,
+    began: Instant,
+    error: &(impl std::fmt::Display + std::fmt::Debug),
+) -> Fault {
+    let after_ms = began.elapsed().as_millis();
+    Fault::NotOpened(format!("{stage} failed after {after_ms} ms: {error} ({error:?})"))
+}
+
 /// Ignores the error of a server that stops reading a request early, since it still answers
 /// (RFC 9114, section 4.1).
 fn ignore_stop_sending(sent: Result<(), StreamError>) -> Result<(), Fault> {
--- a/crates/nutmegkeel_dev/src/demo.rs
+++ b/crates/nutmegkeel_dev/src/demo.rs
@@ -10,6 +10,8 @@
 use calls::Calls;
 use deployment::Deployment;
 
+use crate::standin::fabric::Trouble;
+
 /// Options of the demo.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -17,6 +19,8 @@
     pub seconds: u64,
     /// Whether to keep everything running afterwards.
     pub keep: bool,
+    /// Share of the callers' packets that the fabric loses in each direction, in percent.
+    pub loss_percent: u32,
 }
 
 /// Runs the demo; returns true when no flow broke, no request reached a wrong class and none ran
@@ -25,7 +29,8 @@
 /// # Errors
 /// When a process cannot be started or does not come up.
 pub fn run(options: &Options) -> std::io::Result<bool> {
-    let mut deployment = Deployment::open()?;
+    let mut deployment =
+        Deployment::open(Trouble { loss_percent: options.loss_percent, ..Trouble::default() })?;
     println!("started {} processes; waiting for both classes", deployment.processes());
     let runtime = tokio::runtime::Runtime::new()?;
     let certificate = deployment.certificate();
--- a/crates/nutmegkeel_dev/src/demo/deployment.rs
+++ b/crates/nutmegkeel_dev/src/demo/deployment.rs
@@ -18,7 +18,7 @@
 use crate::port;
 use crate::process::{Process, Signal};
 use crate::standin::backend::{self, Records};
-use crate::standin::fabric;
+use crate::standin::fabric::{self, Trouble};
 
 /// Number of balancers, including the one that starts later.
 const BALANCERS: usize = 4;
@@ -98,7 +98,7 @@
 
 impl Deployment {
     /// Builds the product and starts all processes except the last balancer.
-    pub(crate) fn open() -> io::Result<Self> {
+    pub(crate) fn open(trouble: Trouble) -> io::Result<Self> {
         let product = build_product()?;
         let tool = std::env::current_exe()?;
         let name = format!("nutmegkeel-demo-{}", std::process::id());
@@ -118,7 +118,7 @@
         };
         let (balancers, listed) = make_balancers(&directory, &shared)?;
         let web_addresses = listed.iter().map(|balancer| balancer.web).collect();
-        let fabric = fabric::Settings { public: public.to_vec(), balancers: listed };
+        let fabric = fabric::Settings { public: public.to_vec(), balancers: listed, trouble };
         let fabric = write(&directory, "fabric.json", &serde_json::to_string(&fabric)?)?;
         let standins = vec![
             spawn(&directory, "platform", &tool, &["platform", &platform.to_string()])?,
--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -79,7 +79,11 @@
     let keep = bpaf::long("keep")
         .help("Keep everything running afterwards, until Enter is pressed")
         .switch();
-    bpaf::construct!(demo::Options { seconds, keep })
+    let loss_percent = bpaf::long("loss")
+        .help("Share of the callers' packets that the fabric loses in each direction")
+        .argument("PERCENT")
+        .fallback(0);
+    bpaf::construct!(demo::Options { seconds, keep, loss_percent })
         .map(Command::Demo)
         .to_options()
         .descr("Run the whole system over stand-ins, with stops, kills and a drain")
@@ -128,6 +132,7 @@
     );
     bpaf::construct!([
         path_measurement(),
+        opening_measurement(),
         forward,
         silence,
         routing,
@@ -270,6 +275,17 @@
         .command("path")
 }
 
+fn opening_measurement() -> impl Parser<Measurement> {
+    bpaf::long("mute-ms")
+        .help("Time for which all replies to the caller are lost")
+        .argument("MS")
+        .fallback(0)
+        .map(Measurement::Opening)
+        .to_options()
+        .descr("Time to open a flow while replies to its caller are lost")
+        .command("opening")
+}
+
 fn platform() -> impl Parser<Command> {
     bpaf::positional("ADDRESS")
         .map(Command::Platform)
--- a/crates/nutmegkeel_dev/src/measure.rs
+++ b/crates/nutmegkeel_dev/src/measure.rs
@@ -1,6 +1,6 @@
 //! Measurements: each prints a table and a final JSON line.
 //!
-//! All except `path`, `forward` and `silence` drive the core in-process over fakes. Their figures
+//! All except `path`, `opening`, `forward` and `silence` drive the core in-process over fakes. Their figures
 //! are the same on every run with the same seed, except for processor times.
 
 pub mod capacity;
@@ -10,6 +10,7 @@
 pub mod leaving;
 pub mod limits;
 pub mod membership;
+pub mod opening;
 pub mod path;
 pub mod retries;
 pub mod routing;
@@ -24,6 +25,8 @@
 pub enum Measurement {
     /// Latency that the system adds to a call, over this number of flows.
     Path(u64),
+    /// Time to open a flow while replies to its caller are lost for this time, in milliseconds.
+    Opening(u64),
     /// Processor time of a balancer per packet.
     Forward,
     /// Time until callers of a killed agent detect it.
@@ -55,6 +58,7 @@
 pub fn run(measurement: &Measurement) -> io::Result<bool> {
     Ok(match measurement {
         Measurement::Path(flows) => path::run(*flows)?,
+        Measurement::Opening(mute_ms) => opening::run(*mute_ms)?,
         Measurement::Forward => forward::run()?,
         Measurement::Silence => silence::run()?,
         Measurement::Routing => routing::run(),
--- a/crates/nutmegkeel_dev/src/measure/forward.rs
+++ b/crates/nutmegkeel_dev/src/measure/forward.rs
@@ -18,6 +18,7 @@
 use crate::demo::deployment::{CLASSES, Deployment};
 use crate::port;
 use crate::process::Process;
+use crate::standin::fabric::Trouble;
 
 /// Length of a caller's packet, in bytes.
 const PACKET: usize = 1_200;
@@ -40,7 +41,7 @@
 /// # Errors
 /// When the system does not come up.
 pub(super) fn run() -> io::Result<bool> {
-    let deployment = Deployment::open()?;
+    let deployment = Deployment::open(Trouble::default())?;
     std::thread::sleep(Duration::from_secs(2));
     let keys = deployment.keys()?;
     let (class_address, frames, balancer) = deployment.balancer(0)?;
--- a/crates/nutmegkeel_dev/src/measure/path.rs
+++ b/crates/nutmegkeel_dev/src/measure/path.rs
@@ -9,6 +9,7 @@
 use crate::caller::Caller;
 use crate::demo::calls;
 use crate::demo::deployment::Deployment;
+use crate::standin::fabric::Trouble;
 
 /// Number of status checks on each flow.
 const CHECKS: u64 = 3;
@@ -35,7 +36,7 @@
 /// # Errors
 /// When the system does not come up or a call fails.
 pub fn run(flows: u64) -> io::Result<bool> {
-    let deployment = Deployment::open()?;
+    let deployment = Deployment::open(Trouble::default())?;
     let runtime = tokio::runtime::Runtime::new()?;
     let (mut opens, mut checks, mut filings) =
         (Latencies::default(), Latencies::default(), Latencies::default());
--- a/crates/nutmegkeel_dev/src/measure/silence.rs
+++ b/crates/nutmegkeel_dev/src/measure/silence.rs
@@ -8,6 +8,7 @@
 use crate::caller::{Caller, Flow};
 use crate::demo::calls;
 use crate::demo::deployment::Deployment;
+use crate::standin::fabric::Trouble;
 
 /// Time for all processes to discover each other.
 const SETTLE: Duration = Duration::from_secs(4);
@@ -25,7 +26,7 @@
 /// # Errors
 /// When the system does not come up.
 pub(super) fn run() -> io::Result<bool> {
-    let mut deployment = Deployment::open()?;
+    let mut deployment = Deployment::open(Trouble::default())?;
     let runtime = tokio::runtime::Runtime::new()?;
     let classes = deployment.classes();
     let class = &classes[0];
--- a/crates/nutmegkeel_dev/src/standin/fabric.rs
+++ b/crates/nutmegkeel_dev/src/standin/fabric.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
+use rand::Rng;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -36,6 +37,24 @@
     pub public: Vec<SocketAddr>,
     /// Balancers, including those not started yet.
     pub balancers: Vec<Balancer>,
+    /// Faults of the network.
+    pub trouble: Trouble,
+}
+
+/// Faults of the network between callers and balancers.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Trouble {
+    /// Share of the packets that are lost in each direction, in percent.
+    pub loss_percent: u32,
+    /// Time after the first packet of a caller for which all replies to it are lost, in
+    /// milliseconds.
+    pub mute_ms: u64,
+}
+
+impl Trouble {
+    fn loses_packet(self) -> bool {
+        rand::rng().random_ratio(self.loss_percent.min(100), 100)
+    }
 }
 
 type Healthy = Arc<RwLock<Vec<Balancer>>>;
@@ -62,7 +81,7 @@
         let mut tasks = tokio::task::JoinSet::new();
         for (index, address) in settings.public.into_iter().enumerate() {
             let socket = Arc::new(UdpSocket::bind(address).await?);
-            tasks.spawn(forward(socket, index, Arc::clone(&healthy)));
+            tasks.spawn(forward(socket, index, Arc::clone(&healthy), settings.trouble));
         }
         while tasks.join_next().await.is_some() {}
         Ok(())
@@ -85,17 +104,17 @@
     }
 }
 
-async fn forward(public: Arc<UdpSocket>, index: usize, healthy: Healthy) {
+async fn forward(public: Arc<UdpSocket>, index: usize, healthy: Healthy, trouble: Trouble) {
     let callers: Callers = Arc::default();
     let mut datagram = [0; MAX_DATAGRAM];
     loop {
         let Ok((length, from)) = public.recv_from(&mut datagram).await else {
             continue;
         };
-        let Some(balancer) = pick(&healthy, index) else {
+        let Some(balancer) = pick(&healthy, index).filter(|_| !trouble.loses_packet()) else {
             continue;
         };
-        let Ok(socket) = caller_socket(&callers, &public, from).await else {
+        let Ok(socket) = caller_socket(&callers, &public, from, trouble).await else {
             continue;
         };
         // The fabric may lose packets; QUIC retransmits them.
@@ -113,6 +132,7 @@
     callers: &Callers,
     public: &Arc<UdpSocket>,
     from: SocketAddr,
+    trouble: Trouble,
 ) -> std::io::Result<Arc<UdpSocket>> {
     {
         let mut callers = callers.lock().unwrap_or_else(PoisonError::into_inner);
@@ -125,7 +145,7 @@
     let caller = Caller { socket: Arc::clone(&socket), last_seen: Instant::now() };
     callers.lock().unwrap_or_else(PoisonError::into_inner).insert(from, caller);
     let back = (Arc::clone(callers), Arc::clone(public), Arc::clone(&socket));
-    tokio::spawn(forward_replies(back.0, back.1, back.2, from));
+    tokio::spawn(forward_replies(back.0, back.1, back.2, from, trouble));
     Ok(socket)
 }
 
@@ -134,11 +154,14 @@
     public: Arc<UdpSocket>,
     socket: Arc<UdpSocket>,
     caller: SocketAddr,
+    trouble: Trouble,
 ) {
+    let (began, mute) = (Instant::now(), Duration::from_millis(trouble.mute_ms));
     let mut datagram = [0; MAX_DATAGRAM];
     loop {
         let received = tokio::time::timeout(IDLE_TIMEOUT, socket.recv_from(&mut datagram)).await;
         match received {
+            Ok(Ok(_)) if began.elapsed() < mute || trouble.loses_packet() => {}
             Ok(Ok((length, _))) => {
                 let _ = public.send_to(&datagram[..length], caller).await;
             }
--- a/crates/nutmegkeel_dev/tests/demo.rs
+++ b/crates/nutmegkeel_dev/tests/demo.rs
@@ -47,3 +47,16 @@
     assert!(ran.status.success(), "{output}");
     assert_eq!(report["packets_not_understood"], 0, "{output}");
 }
+
+/// Guards against a handshake that its agent closes while the caller still waits: replies are lost
+/// for some seconds, and the next one is sent after the agent has given up.
+#[test]
+fn a_flow_opens_after_some_seconds_without_replies() {
+    let ran = Command::new(env!("CARGO_BIN_EXE_nutmegkeel_dev"))
+        .args(["measure", "opening", "--mute-ms", "4500"])
+        .output()
+        .expect("the measurement starts");
+
+    let output = String::from_utf8_lossy(&ran.stdout);
+    assert!(ran.status.success(), "{output}");
+}
--- a/crates/nutmegkeel_node/src/agent/flow.rs
+++ b/crates/nutmegkeel_node/src/agent/flow.rs
@@ -4,15 +4,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use log::info;
 use metrics::{counter, gauge};
 use nutmegkeel_core::agent::Event;
 use nutmegkeel_core::lifecycle::Phase;
-use quinn::{Endpoint, Incoming};
+use quinn::{ConnectionError, Endpoint, Incoming};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::error::Elapsed;
 
 use super::request;
 use super::shared::Shared;
+use super::transport::IDLE_TIMEOUT;
 use crate::metric;
 
 /// The HTTP/3 server side of a flow.
@@ -20,9 +23,12 @@
 
 /// HTTP/3 error code for closing without an error (RFC 9114, section 8.1).
 const NO_ERROR: quinn::VarInt = quinn::VarInt::from_u32(0x100);
-/// Maximum duration of a handshake. Without this limit, a caller that opens a flow and then sends
-/// nothing would keep a leaving agent from ending until the idle timeout.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum duration of a handshake. A caller whose packets are lost repeats them at intervals that
+/// grow to seconds, and waits as long as for any packet of an open flow.
+const HANDSHAKE_TIMEOUT: Duration = IDLE_TIMEOUT;
+/// Time that a handshake gets once its agent leaves. Without this limit, a caller that opens a flow
+/// and then sends nothing would keep the agent from ending.
+const LEAVING_HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time that a caller has to react to GOAWAY before a leaving agent closes its idle flow.
 const GOAWAY_GRACE: Duration = Duration::from_millis(500);
 
@@ -35,6 +41,8 @@
             // A refused caller learns at once that it gets no connection.
             counter!(metric::REFUSED, "class" => shared.class.to_string(), "reason" => "flows")
                 .increment(1);
+            info!(event = "flow_refused", caller:% = incoming.remote_address(),
+                phase:? = shared.phase(); "flow refused");
             incoming.refuse();
         }
     }
@@ -62,17 +70,47 @@
 
 async fn serve(shared: Arc<Shared>, incoming: Incoming) {
     let _guard = Guard::open(Arc::clone(&shared));
-    let Ok(connecting) = incoming.accept() else {
-        return;
+    let caller = incoming.remote_address();
+    match open(incoming, &mut shared.phases()).await {
+        Ok((transport, connection)) => {
+            answer_all(&shared, connection).await;
+            transport.close(NO_ERROR, b"");
+        }
+        Err(fault) => {
+            info!(event = "flow_not_opened", caller:% = caller, phase:? = shared.phase(),
+                error:% = fault; "flow not opened");
+        }
+    }
+}
+
+/// Why a flow did not open.
+#[derive(Debug, thiserror::Error)]
+enum Fault {
+    #[error("handshake: {0}")]
+    Handshake(#[from] ConnectionError),
+    #[error("handshake: not completed in time")]
+    Timeout(#[from] Elapsed),
+    #[error("handshake: not completed before the agent leaves")]
+    Leaving,
+    #[error("HTTP/3: {0}")]
+    Http(#[from] h3::error::ConnectionError),
+}
+
+async fn open(
+    incoming: Incoming,
+    phases: &mut watch::Receiver<Phase>,
+) -> Result<(quinn::Connection, Connection), Fault> {
+    let handshake = tokio::time::timeout(HANDSHAKE_TIMEOUT, incoming.accept()?);
+    let until_leaving = async {
+        wait_for_leaving(phases).await;
+        tokio::time::sleep(LEAVING_HANDSHAKE_TIMEOUT).await;
     };
-    let Ok(Ok(transport)) = tokio::time::timeout(HANDSHAKE_TIMEOUT, connecting).await else {
-        return;
+    let transport = tokio::select! {
+        completed = handshake => completed??,
+        () = until_leaving => return Err(Fault::Leaving),
     };
-    let opened = h3::server::Connection::new(h3_quinn::Connection::new(transport.clone())).await;
-    if let Ok(connection) = opened {
-        answer_all(&shared, connection).await;
-        transport.close(NO_ERROR, b"");
-    }
+    let connection = h3_quinn::Connection::new(transport.clone());
+    Ok((transport, h3::server::Connection::new(connection).await?))
 }
 
 /// Answers requests until the caller closes the flow, or until the agent leaves and none is in
--- a/crates/nutmegkeel_node/src/agent/transport.rs
+++ b/crates/nutmegkeel_node/src/agent/transport.rs
@@ -27,7 +27,7 @@
 ///
 /// Guards against a flow that stays silent after its agent died. A caller that only receives sends
 /// nothing that a balancer could answer with a reset, so this timeout is its only signal.
-const IDLE_TIMEOUT: VarInt = VarInt::from_u32(10_000);
+pub(super) const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval of the packets that keep an idle flow open; three may be lost before the flow ends.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(3);
 /// Maximum number of requests in progress on one flow.
@@ -85,7 +85,7 @@
         .stream_receive_window(STREAM_WINDOW)
         .receive_window(FLOW_WINDOW)
         .send_window(SEND_WINDOW)
-        .max_idle_timeout(Some(IdleTimeout::from(IDLE_TIMEOUT)))
+        .max_idle_timeout(IdleTimeout::try_from(IDLE_TIMEOUT).ok())
         .keep_alive_interval(Some(KEEP_ALIVE_INTERVAL))
         .mtu_discovery_config(Some(discovery));
     transport
