--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -146,6 +146,29 @@
     assert_eq!(outcome, Outcome::Reset);
 }
 
+/// Guards against the same silence on a slow host: the server has sent more heartbeats than a new
+/// one when its agent starts.
+#[test]
+fn an_idle_client_gets_a_reset_although_its_agent_starts_late() {
+    let mut fleet = fleet("power-slow", 21, &["desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let balancers = fleet.balancers();
+    let agent = fleet.agents()[0];
+    let mut open = client.open(30_000, 443, &balancers).expect("the flow opens");
+    let before = client.request(&mut open, &balancers, SHORT_WAIT);
+    std::thread::sleep(LONG_WAIT);
+
+    fleet.signal(agent, Signal::Kill);
+    assert!(fleet.exits_within(agent, SHORT_WAIT));
+    fleet.start_server(agent).expect("the server starts");
+    std::thread::sleep(SHORT_WAIT);
+    fleet.start(agent).expect("the process starts");
+    let outcome = client.wait_for_outcome(&open, SHORT_WAIT);
+
+    assert!(served_by(&before, "desk"), "{before:?}");
+    assert_eq!(outcome, Outcome::Reset);
+}
+
 /// Guards against open flows that stall until the store is back, although their servers are alive:
 /// all processes were killed and restarted while it was down, and none has a configuration. Only
 /// new flows have to wait for it.
--- a/crates/nutmegkeel_core/src/l4/checkpoint.rs
+++ b/crates/nutmegkeel_core/src/l4/checkpoint.rs
@@ -38,8 +38,8 @@
 /// milliseconds. No client waits longer for an answer.
 const RECOVERY_MS: u64 = 10_000;
 
-/// Highest sequence number that the first received heartbeat of a new backend server may have if
-/// the server reports no start time. Guards against a delayed heartbeat of an earlier incarnation,
+/// Highest sequence number that the first received heartbeat of a new backend server may have if no
+/// start times show that it is new. Guards against a delayed heartbeat of an earlier incarnation,
 /// which would look like a new server and cause resets of the current server's flows.
 const MAX_NEW_SEQ: u64 = 3;
 
@@ -124,7 +124,9 @@
             self.saved = checkpoint;
             return Vec::new();
         }
-        let is_new_server = server.seen_from_start || server.first_seq <= MAX_NEW_SEQ;
+        let is_new_server = server.seen_from_start
+            || server.first_seq <= MAX_NEW_SEQ
+            || server.incarnation.started_after(&checkpoint.server);
         let is_lost = is_new_server && self.is_recovering(now);
         if is_lost { checkpoint.flows.into_iter().collect() } else { Vec::new() }
     }
--- a/crates/nutmegkeel_core/src/l4/server.rs
+++ b/crates/nutmegkeel_core/src/l4/server.rs
@@ -31,6 +31,14 @@
     pub started_ms: Option<u64>,
 }
 
+impl Incarnation {
+    /// Returns whether both report when they started, and this one did so later.
+    #[must_use]
+    pub fn started_after(&self, other: &Self) -> bool {
+        self.started_ms.zip(other.started_ms).is_some_and(|(own, other)| own > other)
+    }
+}
+
 /// A heartbeat of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
--- a/crates/nutmegkeel_core/tests/l4/checkpoint.rs
+++ b/crates/nutmegkeel_core/tests/l4/checkpoint.rs
@@ -2,8 +2,11 @@
 use nutmegkeel_core::l4::checkpoint::{Checkpoint, MIN_INTERVAL_MS};
 use nutmegkeel_core::l4::flow::Flow;
 use nutmegkeel_core::l4::message::Message;
+use nutmegkeel_core::l4::server::Incarnation;
 
-use crate::fixture::{BALANCER, accepted, agent, at, data, flow, gossip, heartbeat, incarnation};
+use crate::fixture::{
+    BALANCER, accepted, agent, at, data, flow, gossip, heartbeat, heartbeat_started_at, incarnation,
+};
 
 /// An earlier process's checkpoint with one flow at this server.
 fn recovered_from(server: &str, flow: Flow, ack: u32) -> Event {
@@ -75,6 +78,36 @@
     assert!(actions.contains(&reset_of(flow(1), 700)), "{actions:?}");
 }
 
+/// Guards against clients that wait until their deadline because their host is slow to start: the
+/// agent misses the first heartbeats of the new server, whose start shows that it is new.
+#[test]
+fn flows_are_reset_when_the_agent_starts_long_after_its_new_server() {
+    let mut agent = agent();
+    let server = Incarnation { id: "a".into(), started_ms: Some(1_000) };
+    let listed = Checkpoint { number: 1, server, flows: [(flow(1), 700)].into() };
+    agent.handle(at(5_000), Event::Recovered(Some(listed)));
+
+    let beat = heartbeat_started_at("b", 2_000, 9);
+    let actions = agent.handle(at(5_050), Event::Heartbeat(beat));
+
+    assert!(actions.contains(&reset_of(flow(1), 700)), "{actions:?}");
+}
+
+/// Guards against resets by a delayed heartbeat that arrives first at a new process: its sender
+/// started before the server of the checkpoint.
+#[test]
+fn a_delayed_heartbeat_of_a_server_that_started_earlier_resets_nothing() {
+    let mut agent = agent();
+    let server = Incarnation { id: "b".into(), started_ms: Some(2_000) };
+    let listed = Checkpoint { number: 1, server, flows: [(flow(1), 700)].into() };
+    agent.handle(at(5_000), Event::Recovered(Some(listed)));
+
+    let beat = heartbeat_started_at("a", 1_000, 9);
+    let actions = agent.handle(at(5_050), Event::Heartbeat(beat));
+
+    assert!(!actions.contains(&reset_of(flow(1), 700)), "{actions:?}");
+}
+
 /// Guards against resets of all flows of a healthy server after its agent's process was replaced:
 /// the checkpoint of the earlier process lists flows that are still open.
 #[test]
