--- a/crates/nutmegkeel_dev/src/soak.rs
+++ b/crates/nutmegkeel_dev/src/soak.rs
@@ -33,9 +33,7 @@
 const CONCURRENT_RUNS: u64 = 6;
 
 /// Loopback networks that runs use in turn, since stand-ins keep their addresses until the end.
-/// Networks outside this range belong to the tests, which may run at the same time: a process whose
-/// metrics port is taken exits at once.
-const NETWORKS: std::ops::Range<u64> = 20..250;
+const NETWORKS: std::ops::Range<u64> = 1..250;
 
 /// Seeds of the real programs to run, and the load under which they run.
 #[derive(Clone, Debug)]
--- a/crates/nutmegkeel_node/tests/fetcher.rs
+++ b/crates/nutmegkeel_node/tests/fetcher.rs
@@ -13,6 +13,7 @@
 use nutmegkeel_core::l4::fetch::Holder;
 use nutmegkeel_core::l4::route::Table;
 use nutmegkeel_node::l4::configuration::{Fetcher, Source};
+use nutmegkeel_standin::loopback;
 
 const PORT: u16 = 23_117;
 
@@ -22,7 +23,7 @@
 
 /// Returns the address of a process of the test.
 fn address(number: u8) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(127, 91, 254, number), PORT)
+    SocketAddrV4::new(Ipv4Addr::new(127, loopback::block(), 254, number), PORT)
 }
 
 fn holder(number: u8, version: u64) -> Holder {
