--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -97,6 +97,8 @@
     mute: mute::Detector,
     unanswered_since: Option<Time>,
     unresponsive: bool,
+    /// When the server last sent a packet, or reported that it ends.
+    last_sent_at: Time,
     leaving: bool,
     recorder: Recorder,
     handover: Handover,
@@ -152,6 +154,7 @@
             mute: mute::Detector::open(now),
             unanswered_since: None,
             unresponsive: false,
+            last_sent_at: now,
             leaving: false,
             announcement_number: 0,
             announced_at: Time::ZERO,
@@ -263,6 +266,9 @@
             return reset_unknown(flow, head.ack, cause).into();
         }
         if self.table.holds(now, head) {
+            if let Some(held) = self.take_ended(now, &flow) {
+                return reset(now, flow, &held, Cause::ServerDead).into();
+            }
             let mut actions = self.accept(now, head, from);
             if !known {
                 actions.push(Action::Send(from, Message::Holds { flow, load: self.load() }));
--- a/crates/nutmegkeel_core/src/l4/agent/answer.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/answer.rs
@@ -13,6 +13,7 @@
 impl Agent {
     pub(super) fn handle_server_packet(&mut self, now: Time, head: &Head) -> Vec<Action> {
         self.unanswered_since = None;
+        self.last_sent_at = now;
         let mut actions = vec![Action::ToClient];
         actions.extend(self.mark_responsive(now));
         if self.table.get(&head.flow).is_none() && !head.flags.rst {
--- a/crates/nutmegkeel_core/src/l4/agent/server.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/server.rs
@@ -9,6 +9,7 @@
 use crate::l4::health::FORGET_MS;
 use crate::l4::policy::Mechanism;
 use crate::l4::server::{Heartbeat, Incarnation, Update};
+use crate::l4::table::Held;
 
 /// Time without an answer to any opening after which the backend server gets no more, in
 /// milliseconds. A server answers within a millisecond. The client's first copy, 200 ms after the
@@ -20,6 +21,9 @@
 /// so the packet may be one of the new incarnation.
 const RECENTLY_ACTIVE_MS: u64 = 1_000;
 
+/// Time without a packet after which a server that reported its end has exited, in milliseconds.
+const EXIT_MS: u64 = 500;
+
 /// Time without a heartbeat after which an agent concludes that there is no server on its host, in
 /// percent of the heartbeat interval. One and a half intervals, because a running server sends its
 /// next heartbeat within one.
@@ -88,12 +92,23 @@
         if !self.history.deregistered(leaving) {
             return Vec::new();
         }
+        self.last_sent_at = now;
         let (id, change) = (Arc::clone(&leaving.id), ServerChange::Ended);
         let mut actions = vec![Action::Log(Decision::Server { id, change })];
         actions.extend(self.announce(now));
         actions
     }
 
+    /// Removes and returns a flow whose server has reported its end and sends nothing any more.
+    ///
+    /// Guards against clients that wait until their deadline for a server that has exited and has no
+    /// successor: no process would return their packets.
+    pub(super) fn take_ended(&mut self, now: Time, flow: &Flow) -> Option<Held> {
+        let has_exited = self.history.has_ended() && now.since(self.last_sent_at) > EXIT_MS;
+        self.table.get(flow).filter(|held| has_exited && !held.is_over())?;
+        self.table.remove(flow)
+    }
+
     /// Returns whether this process would have seen a packet of a flow if the backend server held
     /// it: it received the server's first heartbeat, or has run for longer than a flow lives.
     ///
--- a/crates/nutmegkeel_core/tests/l4/final_answer.rs
+++ b/crates/nutmegkeel_core/tests/l4/final_answer.rs
@@ -8,8 +8,8 @@
 
 use crate::contended::contention;
 use crate::fixture::{
-    BALANCER, accepted, agent_with, at, data, demand, flow, heartbeat, offer, open_flow, opening,
-    send_data,
+    BALANCER, accepted, agent_with, at, data, demand, flow, heartbeat, incarnation, offer,
+    open_flow, opening, send_data,
 };
 
 /// Number of requests that the server gets before others wait: four slots and two queued.
@@ -225,3 +225,22 @@
         assert!(!accepted.iter().any(is_declined), "{accepted:?}");
     }
 }
+
+/// Guards against a client that waits until its deadline for a server that has reported its end and
+/// has no successor. The flow stays as long as the server still sends.
+#[test]
+fn a_request_to_a_server_that_has_ended_is_reset_at_once() {
+    let mut agent = serving(Policy::default());
+    open_flow(&mut agent, 100, flow(20), DEMAND);
+    send_data(&mut agent, 110, flow(20), 1_001);
+    agent.handle(at(160), Event::FromServer(data(flow(20), 501, 1_101)));
+    agent.handle(at(1_000), Event::Deregistered(incarnation("a")));
+
+    let ending = agent.handle(at(1_100), next_request(flow(20)));
+    agent.handle(at(1_400), Event::FromServer(data(flow(21), 501, 1_101)));
+    let later = agent.handle(at(1_800), next_request(flow(20)));
+    let ended = agent.handle(at(2_000), next_request(flow(20)));
+
+    assert!(!ending.iter().chain(&later).any(resets(flow(20))), "{ending:?} {later:?}");
+    assert!(ended.iter().any(resets(flow(20))), "{ended:?}");
+}
