--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -43,6 +43,12 @@
     matches!(outcome, Outcome::Answered(id) if id.starts_with(service))
 }
 
+/// Returns the host of the server that gave an answer.
+fn holder(fleet: &Fleet, outcome: &Outcome) -> Ipv4Addr {
+    let gave = |ip: &Ipv4Addr| *outcome == Outcome::Answered(fleet.server(*ip).id().to_owned());
+    fleet.agents().into_iter().find(gave).expect("one of the servers answered")
+}
+
 /// Returns the status of a balancer as the command line prints it.
 fn status(fleet: &Fleet, balancer: Ipv4Addr) -> String {
     let at = SocketAddrV4::new(balancer, fleet.ports.messages()).to_string();
@@ -169,6 +175,66 @@
     assert_eq!(outcome, Outcome::Reset);
 }
 
+/// Guards against the reset of an open flow whose server is well: its agent does not run for longer
+/// than balancers wait for a sign of it.
+#[test]
+fn a_flow_survives_a_pause_of_its_agent() {
+    let mut fleet = fleet("agent-pauses", 22, &["desk", "desk", "desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let balancers = fleet.balancers();
+    let mut open = client.open(30_000, 443, &balancers).expect("the flow opens");
+    let before = client.request(&mut open, &balancers, SHORT_WAIT);
+    let agent = holder(&fleet, &before);
+
+    fleet.signal(agent, Signal::Stop);
+    std::thread::sleep(SHORT_WAIT);
+    let during = client.request(&mut open, &balancers, Duration::from_millis(500));
+    fleet.signal(agent, Signal::Continue);
+    let after = client.request(&mut open, &balancers, SHORT_WAIT);
+
+    assert!(served_by(&before, "desk"), "{before:?}");
+    assert_eq!(during, Outcome::Silence);
+    assert_eq!(after, before);
+}
+
+/// Guards against the reset of an open flow whose server is only paused while its agent is replaced.
+/// The flow is younger than the agent's list of flows.
+#[test]
+fn a_young_flow_of_a_paused_server_survives_the_restart_of_its_agent() {
+    let mut fleet = fleet("young-flow", 23, &["desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let balancers = fleet.balancers();
+    let agent = fleet.agents()[0];
+    let mut open = client.open(30_000, 443, &balancers).expect("the flow opens");
+    let before = client.request(&mut open, &balancers, SHORT_WAIT);
+
+    fleet.server(agent).pause(Duration::from_millis(1_800));
+    fleet.signal(agent, Signal::Kill);
+    assert!(fleet.exits_within(agent, SHORT_WAIT));
+    fleet.start(agent).expect("the process starts");
+    let after = client.request(&mut open, &balancers, SHORT_WAIT);
+
+    assert!(served_by(&before, "desk"), "{before:?}");
+    assert_eq!(after, before);
+}
+
+/// Guards against clients that wait until their deadline for a server that has crashed and has no
+/// successor, beside an agent that runs.
+#[test]
+fn a_client_gets_a_reset_when_its_server_crashes_for_good() {
+    let mut fleet = fleet("crashed", 24, &["desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let balancers = fleet.balancers();
+    let mut open = client.open(30_000, 443, &balancers).expect("the flow opens");
+    let before = client.request(&mut open, &balancers, SHORT_WAIT);
+
+    fleet.stop_server(fleet.agents()[0]);
+    let outcome = client.request(&mut open, &balancers, SHORT_WAIT);
+
+    assert!(served_by(&before, "desk"), "{before:?}");
+    assert_eq!(outcome, Outcome::Reset);
+}
+
 /// Guards against open flows that stall until the store is back, although their servers are alive:
 /// all processes were killed and restarted while it was down, and none has a configuration. Only
 /// new flows have to wait for it.
@@ -265,11 +331,8 @@
     let client = Client::bind(fleet.client(0), fleet.ports);
     let balancers = fleet.balancers();
     let mut open = client.open(30_000, 443, &balancers).expect("the flow opens");
-    let Outcome::Answered(id) = client.request(&mut open, &balancers, SHORT_WAIT) else {
-        panic!("the request is answered");
-    };
-    let host = fleet.agents().into_iter().find(|ip| fleet.server(*ip).id() == id);
-    let server = fleet.server(host.expect("one of the servers answered"));
+    let before = client.request(&mut open, &balancers, SHORT_WAIT);
+    let server = fleet.server(holder(&fleet, &before));
 
     server.drain();
     std::thread::sleep(Duration::from_millis(900));
@@ -280,7 +343,7 @@
     let after = client.request(&mut open, &balancers, SHORT_WAIT);
 
     assert_eq!(server.opened(), opened);
-    assert_eq!(after, Outcome::Answered(id));
+    assert_eq!(after, before);
 }
 
 /// Guards against a balancer that does not serve because it restarted while the store is down. It
--- a/crates/nutmegkeel_dev/src/process.rs
+++ b/crates/nutmegkeel_dev/src/process.rs
@@ -1,9 +1,11 @@
-//! Child processes that are killed when their owner drops them.
+//! Child processes that are killed when their owner drops them, or when this program ends.
 
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use nutmegkeel_standin::guard;
+
 /// A signal to a child process.
 #[derive(Clone, Copy, Debug)]
 pub enum Signal {
@@ -50,7 +52,9 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        Ok(Self { name: name.to_owned(), child })
+        let process = Self { name: name.to_owned(), child };
+        guard::record_start(process.id())?;
+        Ok(process)
     }
 
     /// Returns the name under which the process was started.
@@ -74,6 +78,7 @@
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
+        guard::record_end(self.id());
         let _ = self.child.wait();
     }
 
--- a/crates/nutmegkeel_dev/src/soak.rs
+++ b/crates/nutmegkeel_dev/src/soak.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use nutmegkeel_fake::soak;
-use nutmegkeel_standin::fleet;
+use nutmegkeel_standin::guard;
 
 /// Number of faults injected in one run.
 const FAULTS_PER_RUN: usize = 60;
@@ -94,7 +94,7 @@
     std::panic::set_hook(Box::new(move |info| {
         report(info);
         println!("the soak test itself failed; its seeds are not judged");
-        fleet::kill_processes();
+        guard::kill_all();
     }));
 }
 
--- a/crates/nutmegkeel_dev/tests/demo.rs
+++ b/crates/nutmegkeel_dev/tests/demo.rs
@@ -1,6 +1,8 @@
 //! The whole system as separate processes, under a graceful stop, a kill, a start and a drain.
 
-use std::process::Command;
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
 
 use serde_json::Value;
 
@@ -60,3 +62,48 @@
     let output = String::from_utf8_lossy(&ran.stdout);
     assert!(ran.status.success(), "{output}");
 }
+
+/// Returns the ids of the processes that a process has started.
+fn children(parent: u32) -> Vec<u32> {
+    let processes = std::fs::read_dir("/proc").expect("processes are listed").flatten();
+    let ids = processes.filter_map(|entry| entry.file_name().to_str()?.parse::<u32>().ok());
+    ids.filter(|id| parent_of(*id) == Some(parent)).collect()
+}
+
+fn parent_of(id: u32) -> Option<u32> {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    status.lines().find_map(|line| line.strip_prefix("PPid:"))?.trim().parse().ok()
+}
+
+/// Repeats a check until it holds; returns false if it does not within the time.
+fn holds_within(within: Duration, check: impl Fn() -> bool) -> bool {
+    let until = Instant::now() + within;
+    while Instant::now() < until {
+        if check() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    false
+}
+
+/// Guards against processes under test that run on, and keep their ports, after the program that
+/// started them was killed.
+#[test]
+fn a_killed_demo_leaves_no_processes() {
+    let mut demo = Command::new(env!("CARGO_BIN_EXE_nutmegkeel_dev"))
+        .args(["demo", "--seconds", "60"])
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the demo starts");
+    let all_started = holds_within(Duration::from_secs(60), || children(demo.id()).len() > 12);
+    let started = children(demo.id());
+
+    demo.kill().expect("the demo runs");
+    demo.wait().expect("the demo has ended");
+    let is_gone = |id: &u32| !Path::new(&format!("/proc/{id}")).exists();
+    let all_gone = holds_within(Duration::from_secs(5), || started.iter().all(is_gone));
+
+    assert!(all_started, "{started:?}");
+    assert!(all_gone, "{started:?}");
+}
