--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -95,13 +95,12 @@
         }
         let (busy, slots) = (self.load().busy, server.slots.max(1));
         let Offer { demand, admission, .. } = opening.offer;
-        let is_late = if self.is_hopeless(now, opening) {
-            true
-        } else if self.waiting.is_contended() {
+        let is_full = if self.waiting.is_contended() {
             admission == Admission::IfInTime && !self.can_serve(now, opening)
         } else {
             !demand.once && self.expected_ms() > u64::from(demand.deadline_ms)
         };
+        let is_late = is_full || self.is_unanswerable(now, opening);
         match admission {
             Admission::IfIdle if busy >= slots => Some(Reason::Busy),
             Admission::IfInTime if is_late => Some(Reason::Late),
@@ -119,8 +118,8 @@
 
     /// Returns whether the server is too slow to answer the request of an opening before its
     /// deadline.
-    fn is_hopeless(&self, now: Time, opening: &Opening) -> bool {
-        opening.waiting(now).is_hopeless(now, self.earliest_answer_ms())
+    fn is_unanswerable(&self, now: Time, opening: &Opening) -> bool {
+        opening.waiting(now).is_unanswerable(now, self.earliest_answer_ms())
     }
 
     /// Returns the expected time until the answer to a request that goes next, in milliseconds; zero
@@ -229,7 +228,7 @@
             }
             return actions;
         }
-        for waiting in self.waiting.take_hopeless(now, self.earliest_answer_ms()) {
+        for waiting in self.waiting.take_unanswerable(now, self.earliest_answer_ms()) {
             actions.extend(self.end_late_wait(now, &waiting));
         }
         if self.waiting.is_contended() {
--- a/crates/nutmegkeel_core/src/l4/table/held.rs
+++ b/crates/nutmegkeel_core/src/l4/table/held.rs
@@ -27,8 +27,8 @@
     Open,
 }
 
-/// When a request arrived at the system, and from whom. For a request that ends the handshake, both
-/// are those of the opening, since its client has waited from then on.
+/// When a request arrived at the system, and whether its client retries. For a request that ends the
+/// handshake, both are those of the opening, since its client has waited from then on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Arrival {
     /// When it first reached a balancer.
--- a/crates/nutmegkeel_core/src/l4/waiting.rs
+++ b/crates/nutmegkeel_core/src/l4/waiting.rs
@@ -80,7 +80,7 @@
     /// Returns whether the server is too slow to answer before the deadline, even if this request
     /// goes next and is answered after `earliest_ms`.
     #[must_use]
-    pub fn is_hopeless(&self, now: Time, earliest_ms: u64) -> bool {
+    pub fn is_unanswerable(&self, now: Time, earliest_ms: u64) -> bool {
         earliest_ms >= self.longest_silence_ms() && self.left_ms(now) < earliest_ms
     }
 
@@ -213,14 +213,15 @@
 
     /// Removes and returns the requests that the server is too slow to answer before their deadline,
     /// given the time until the answer to the request that goes next.
-    pub fn take_hopeless(&mut self, now: Time, earliest_ms: u64) -> Vec<Waiting> {
-        let is_hopeless =
-            |waiting: &Waiting| waiting.request.is_some() && waiting.is_hopeless(now, earliest_ms);
-        let mut hopeless = VecDeque::new();
-        if self.flows.iter().any(is_hopeless) {
-            (hopeless, self.flows) = self.flows.drain(..).partition(is_hopeless);
+    pub fn take_unanswerable(&mut self, now: Time, earliest_ms: u64) -> Vec<Waiting> {
+        let is_unanswerable = |waiting: &Waiting| {
+            waiting.request.is_some() && waiting.is_unanswerable(now, earliest_ms)
+        };
+        let mut unanswerable = VecDeque::new();
+        if self.flows.iter().any(is_unanswerable) {
+            (unanswerable, self.flows) = self.flows.drain(..).partition(is_unanswerable);
         }
-        hopeless.into()
+        unanswerable.into()
     }
 
     /// Removes and returns the oldest requests beyond what the slots can serve, once an overload
--- a/crates/nutmegkeel_node/src/agent.rs
+++ b/crates/nutmegkeel_node/src/agent.rs
@@ -5,6 +5,7 @@
 mod backend;
 mod claims;
 mod flow;
+mod line_budget;
 mod request;
 mod shared;
 mod socket;
--- a/crates/nutmegkeel_node/src/agent/flow.rs
+++ b/crates/nutmegkeel_node/src/agent/flow.rs
@@ -41,8 +41,10 @@
             // A refused caller learns at once that it gets no connection.
             counter!(metric::REFUSED, "class" => shared.class.to_string(), "reason" => "flows")
                 .increment(1);
-            info!(event = "flow_refused", caller:% = incoming.remote_address(),
-                phase:? = shared.phase(); "flow refused");
+            if shared.unopened_lines.try_spend(shared.now()) {
+                info!(event = "flow_refused", caller:% = incoming.remote_address(),
+                    phase:? = shared.phase(); "flow refused");
+            }
             incoming.refuse();
         }
     }
@@ -76,10 +78,11 @@
             answer_all(&shared, connection).await;
             transport.close(NO_ERROR, b"");
         }
-        Err(fault) => {
+        Err(fault) if shared.unopened_lines.try_spend(shared.now()) => {
             info!(event = "flow_not_opened", caller:% = caller, phase:? = shared.phase(),
                 error:% = fault; "flow not opened");
         }
+        Err(_) => {}
     }
 }
 
--- a/crates/nutmegkeel_node/src/agent/shared.rs
+++ b/crates/nutmegkeel_node/src/agent/shared.rs
@@ -24,6 +24,7 @@
 
 use super::Fault;
 use super::announcement::Announcement;
+use super::line_budget::LineBudget;
 use crate::address;
 use crate::clock::Clock;
 use crate::lock::lock;
@@ -56,6 +57,8 @@
     phase: watch::Sender<Phase>,
     next_id: AtomicU64,
     superseded: AtomicBool,
+    /// Limits the lines about flows that do not open.
+    pub(super) unopened_lines: LineBudget,
     join: SocketAddr,
     pub(super) clock: Clock,
     pub(super) keys: Ring,
@@ -96,6 +99,7 @@
         phase: watch::Sender::new(Phase::Announced),
         next_id: AtomicU64::new(0),
         superseded: AtomicBool::new(false),
+        unopened_lines: LineBudget::default(),
         join: common.join,
         clock,
         keys: common.keys.clone(),
