--- a/crates/nutmegkeel_core/tests/l4/final_answer.rs
+++ b/crates/nutmegkeel_core/tests/l4/final_answer.rs
@@ -47,6 +47,13 @@
     agent.handle(at(now), Event::Open { from: BALANCER, head: opening(flow, 0), offer });
 }
 
+/// Opens flow 20 and lets the server answer its first request.
+fn open_idle_flow(agent: &mut Agent) {
+    open_flow(agent, 100, flow(20), DEMAND);
+    send_data(agent, 110, flow(20), 1_001);
+    agent.handle(at(160), Event::FromServer(data(flow(20), 501, 1_101)));
+}
+
 fn first_request(flow: Flow) -> Event {
     Event::Carry { from: BALANCER, head: data(flow, 1_001, 501), known: true }
 }
@@ -125,7 +132,7 @@
 }
 
 /// Runs the ticks of a period while the server answers its requests in order, one slot after
-/// another, each after `service_ms`. Returns the next request to answer.
+/// another, each after `service_ms`. The client of each answer sends its next request at once.
 fn run_slow(agent: &mut Agent, from_ms: u64, until_ms: u64, service_ms: u64) {
     let interval_ms = service_ms / 4;
     let mut port = 0;
@@ -145,9 +152,7 @@
 /// busy, and each answer takes 3 s. Flow 20 is open and idle.
 fn agent_of_slow_server(policy: Policy) -> Agent {
     let mut agent = serving(policy);
-    open_flow(&mut agent, 100, flow(20), DEMAND);
-    send_data(&mut agent, 110, flow(20), 1_001);
-    agent.handle(at(160), Event::FromServer(data(flow(20), 501, 1_101)));
+    open_idle_flow(&mut agent);
     fill(&mut agent, 200, 1);
     run_slow(&mut agent, 300, 9_000, 3_000);
     agent
@@ -181,9 +186,7 @@
 #[test]
 fn requests_at_a_server_that_stops_answering_learn_of_it_soon() {
     let mut agent = serving(Policy::default());
-    open_flow(&mut agent, 100, flow(20), DEMAND);
-    send_data(&mut agent, 110, flow(20), 1_001);
-    agent.handle(at(160), Event::FromServer(data(flow(20), 501, 1_101)));
+    open_idle_flow(&mut agent);
     fill(&mut agent, 200, 1);
     agent.handle(at(210), next_request(flow(20)));
     open_flow(&mut agent, 210, flow(21), DEMAND);
@@ -231,9 +234,7 @@
 #[test]
 fn a_request_to_a_server_that_has_ended_is_reset_at_once() {
     let mut agent = serving(Policy::default());
-    open_flow(&mut agent, 100, flow(20), DEMAND);
-    send_data(&mut agent, 110, flow(20), 1_001);
-    agent.handle(at(160), Event::FromServer(data(flow(20), 501, 1_101)));
+    open_idle_flow(&mut agent);
     agent.handle(at(1_000), Event::Deregistered(incarnation("a")));
 
     let ending = agent.handle(at(1_100), next_request(flow(20)));
