--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -1,7 +1,7 @@
 //! End-to-end tests on the users' platform: balancers and agents as separate processes, with
 //! stand-ins for the store, the backend servers and the clients.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpStream};
 use std::path::PathBuf;
 use std::process::Command;
@@ -197,6 +197,26 @@
     assert_eq!(after, before);
 }
 
+/// Guards against balancers that take an agent that does not run for one that has ended: only its
+/// host's kernel tells the two apart.
+#[test]
+fn the_port_of_an_agent_is_open_while_it_is_suspended_and_closed_once_it_has_ended() {
+    let mut fleet = fleet("agent-port", 25, &["desk"]);
+    let agent = fleet.agents()[0];
+    let address = SocketAddrV4::new(agent, fleet.ports.messages()).into();
+    let connect =
+        || TcpStream::connect_timeout(&address, SHORT_WAIT).map(drop).map_err(|error| error.kind());
+
+    fleet.signal(agent, Signal::Stop);
+    let suspended = connect();
+    fleet.signal(agent, Signal::Kill);
+    assert!(fleet.exits_within(agent, SHORT_WAIT));
+    let ended = connect();
+
+    assert_eq!(suspended, Ok(()));
+    assert_eq!(ended, Err(ErrorKind::ConnectionRefused));
+}
+
 /// Guards against the reset of an open flow whose server is only paused while its agent is replaced.
 /// The flow is younger than the agent's list of flows.
 #[test]
--- a/crates/nutmegkeel_node/src/l4.rs
+++ b/crates/nutmegkeel_node/src/l4.rs
@@ -11,6 +11,7 @@
 mod link;
 mod membership;
 mod metered;
+pub mod port_check;
 mod reachability;
 mod reload;
 mod requests;
--- a/crates/nutmegkeel_node/src/metric.rs
+++ b/crates/nutmegkeel_node/src/metric.rs
@@ -45,6 +45,8 @@
 pub const STORE_ANSWER_AGE: &str = "nutmegkeel_store_answer_age_ms";
 /// Calls to other processes for their configuration, by result.
 pub const FETCHES: &str = "nutmegkeel_configuration_fetches_total";
+/// Attempts to connect to a port of a silent process, by result.
+pub const PORT_CHECKS: &str = "nutmegkeel_port_checks_total";
 /// Version of the configuration in force at a balancer.
 pub const CONFIGURATION: &str = "nutmegkeel_configuration_version";
 /// Failure domains that are evacuated, as far as a balancer knows.
--- a/crates/nutmegkeel_node/src/web.rs
+++ b/crates/nutmegkeel_node/src/web.rs
@@ -14,6 +14,10 @@
 /// Time after which a connection with unacknowledged data is closed.
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Number of new connections that may wait. While this process is suspended, each balancer adds up
+/// to seven, and a full queue would look as if the host were down.
+const QUEUE_CAPACITY: i32 = 1_024;
+
 /// A response: status and body.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -58,6 +62,7 @@
     // Limits how long a client that does not read its answers can block the only serving thread.
     // Accepted connections inherit the option.
     SockRef::from(&listener).set_tcp_user_timeout(Some(ACK_TIMEOUT))?;
+    SockRef::from(&listener).listen(QUEUE_CAPACITY)?;
     let server = Server::from_listener(listener, None).map_err(std::io::Error::other)?;
     let server = Arc::new(server);
     let serving = Arc::clone(&server);
