--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod balancers;
 mod contended;
+mod crash;
 mod evacuation;
 mod event;
 mod refused;
@@ -36,6 +37,7 @@
 use super::outlier;
 use super::peer_state::States;
 use super::policy::{Mechanism, Policy};
+use super::port::Monitor;
 use super::probe::Probes;
 use super::roster::{Roster, SEND_INTERVAL_MS};
 use super::server::History;
@@ -99,6 +101,14 @@
     unresponsive: bool,
     /// When the server last sent a packet, or reported that it ends.
     last_sent_at: Time,
+    /// When the server last sent a packet or a heartbeat.
+    heard_at: Time,
+    /// Since when the server owes an answer to a packet.
+    awaiting_since: Option<Time>,
+    /// Checks of the server's port while it is silent.
+    port: Monitor,
+    /// Whether the port of the current server was seen open.
+    was_port_open: bool,
     leaving: bool,
     recorder: Recorder,
     handover: Handover,
@@ -155,6 +165,10 @@
             unanswered_since: None,
             unresponsive: false,
             last_sent_at: now,
+            heard_at: now,
+            awaiting_since: None,
+            port: Monitor::open(crash::CHECK_INTERVAL_MS),
+            was_port_open: false,
             leaving: false,
             announcement_number: 0,
             announced_at: Time::ZERO,
@@ -213,8 +227,14 @@
 
     /// Handles an event.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
+        let is_answered = event.client_head().is_some_and(|head| head.len > 0 || head.opens());
         let mut actions = self.dispatch(now, event);
+        let is_passed_on = actions.iter().any(|action| matches!(action, Action::ToServer(_)));
         actions.extend(self.release(now));
+        let is_released = actions.iter().any(|action| matches!(action, Action::Release(_)));
+        if is_released || (is_answered && is_passed_on) {
+            self.record_awaiting(now);
+        }
         self.measure(now);
         actions
     }
@@ -230,6 +250,7 @@
             Event::FromServer(head) => self.handle_server_packet(now, &head),
             Event::Bounced(head) => self.bounced(now, &head),
             Event::Heartbeat(beat) => self.heartbeat(now, &beat),
+            Event::ServerPortChecked(finding) => self.server_port_checked(now, finding),
             Event::Deregistered(leaving) => self.deregistered(now, &leaving),
             Event::Gossip(from, gossip) => self.apply_gossip(now, from, &gossip),
             Event::FlowsSaved(number) => {
@@ -311,6 +332,7 @@
 
     fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = self.check_responsiveness(now);
+        actions.extend(self.check_silent_server(now));
         actions.extend(self.check_mute(now));
         actions.extend(self.save(now));
         actions.extend(self.fetch_replica(now));
--- a/crates/nutmegkeel_core/src/l4/agent/answer.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/answer.rs
@@ -14,6 +14,7 @@
     pub(super) fn handle_server_packet(&mut self, now: Time, head: &Head) -> Vec<Action> {
         self.unanswered_since = None;
         self.last_sent_at = now;
+        self.record_heard(now);
         let mut actions = vec![Action::ToClient];
         actions.extend(self.mark_responsive(now));
         if self.table.get(&head.flow).is_none() && !head.flags.rst {
@@ -70,6 +71,7 @@
 
     pub(super) fn bounced(&mut self, now: Time, head: &Head) -> Vec<Action> {
         self.unanswered_since = None;
+        self.record_heard(now);
         let mut actions = self.mark_responsive(now);
         let probe = self.probes.take(head.tag);
         if let Some(from) = probe.filter(|_| head.opens()) {
--- a/crates/nutmegkeel_core/src/l4/agent/event.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/event.rs
@@ -2,11 +2,13 @@
 
 use std::net::Ipv4Addr;
 
+use crate::clock::Time;
 use crate::l4::checkpoint::Checkpoint;
 use crate::l4::decision::Decision;
 use crate::l4::fetch::Holder;
 use crate::l4::flow::{Flow, Head};
 use crate::l4::message::{Gossip, Message, Offer};
+use crate::l4::port::Finding;
 use crate::l4::route::Urgency;
 use crate::l4::server::{Heartbeat, Incarnation};
 
@@ -39,6 +41,8 @@
     Bounced(Head),
     /// The backend server sent a heartbeat.
     Heartbeat(Heartbeat),
+    /// A check of the backend server's port has ended.
+    ServerPortChecked(Finding),
     /// The backend server deregistered.
     Deregistered(Incarnation),
     /// A balancer sent its state.
@@ -57,6 +61,16 @@
     Tick,
 }
 
+impl Event {
+    /// Returns the head of the client's packet that a balancer sent, if this is one.
+    pub(super) const fn client_head(&self) -> Option<&Head> {
+        match self {
+            Self::Open { head, .. } | Self::Carry { head, .. } => Some(head),
+            _ => None,
+        }
+    }
+}
+
 /// An action that the caller must perform. The packet at hand is the one that came with the event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -81,6 +95,11 @@
         /// Sequence number of the reset.
         seq: u32,
     },
+    /// Check the port of the backend server, and report the result with the time of this request.
+    CheckServerPort {
+        /// When the check was requested.
+        asked_at: Time,
+    },
     /// Write a checkpoint to the store.
     Save(Checkpoint),
     /// Fetch a copy of the configuration from this balancer.
--- a/crates/nutmegkeel_core/src/l4/agent/server.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/server.rs
@@ -34,6 +34,9 @@
         let was_contested = self.history.is_contested();
         let update = self.history.heartbeat(now, beat);
         let mut actions = Vec::new();
+        if !matches!(update, Update::Stale | Update::Contested) {
+            self.record_heard(now);
+        }
         match update {
             Update::Stale => return actions,
             Update::Contested => {
@@ -43,8 +46,12 @@
             }
             Update::Unchanged => {}
             Update::Draining => actions.push(self.log_change(ServerChange::Draining)),
-            Update::First => actions.push(self.log_change(ServerChange::Started)),
+            Update::First => {
+                actions.push(self.log_change(ServerChange::Started));
+                actions.extend(self.check_started_server(now));
+            }
             Update::Replaced => {
+                actions.extend(self.check_started_server(now));
                 self.outliers.clear();
                 self.meter.clear();
                 actions.extend(self.reset_flows_of_predecessor(now));
--- a/crates/nutmegkeel_core/src/l4/decision.rs
+++ b/crates/nutmegkeel_core/src/l4/decision.rs
@@ -231,6 +231,8 @@
     Draining,
     /// It reported that it ends.
     Ended,
+    /// It has ended without a report: its port is closed.
+    Crashed,
     /// It does not answer openings.
     Unresponsive,
     /// It answers again.
@@ -266,6 +268,8 @@
     ServerRestarted,
     /// The backend server reported that it ends.
     ServerDead,
+    /// The backend server has ended without a report: its port is closed.
+    ServerCrashed,
     /// The backend server accepts requests and never answers; it has not seen the end of the flow's
     /// handshake.
     ServerMute,
@@ -297,6 +301,7 @@
             Self::Undecided => "undecided",
             Self::ServerRestarted => "server_restarted",
             Self::ServerDead => "server_dead",
+            Self::ServerCrashed => "server_crashed",
             Self::ServerMute => "server_mute",
             Self::Late => "late",
             Self::Overload => "overload",
--- a/crates/nutmegkeel_core/src/l4/server.rs
+++ b/crates/nutmegkeel_core/src/l4/server.rs
@@ -188,13 +188,20 @@
                 && (leaving.started_ms.is_none() || known.started_ms == leaving.started_ms)
         };
         let ends = self.server.as_ref().is_some_and(is_match);
-        if ends && let Some(old) = self.server.take() {
-            self.retire(&old);
+        if ends {
+            self.end();
         }
         ends
     }
 
-    /// Returns whether the last known server has deregistered.
+    /// Ends the current incarnation, which has crashed.
+    pub fn end(&mut self) {
+        if let Some(old) = self.server.take() {
+            self.retire(&old);
+        }
+    }
+
+    /// Returns whether the last known server has ended.
     #[must_use]
     pub fn has_ended(&self) -> bool {
         self.server.is_none() && !self.retired.is_empty()
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -222,9 +222,18 @@
         let is_silent = |held: &Held| {
             held.stage == Stage::Open && !held.is_over() && held.server_last_seen < time
         };
-        let silent = self.flows.iter().filter(|(_, held)| is_silent(held));
-        let silent: Vec<Flow> = silent.map(|(flow, _)| *flow).collect();
-        silent.into_iter().filter_map(|flow| Some((flow, self.remove(&flow)?))).collect()
+        self.take(is_silent)
+    }
+
+    /// Removes and returns the flows whose openings the server has answered.
+    pub fn take_answered(&mut self) -> Vec<(Flow, Held)> {
+        self.take(|held| held.stage != Stage::Opening(None) && !held.is_over())
+    }
+
+    fn take(&mut self, matches: impl Fn(&Held) -> bool) -> Vec<(Flow, Held)> {
+        let taken = self.flows.iter().filter(|(_, held)| matches(held));
+        let taken: Vec<Flow> = taken.map(|(flow, _)| *flow).collect();
+        taken.into_iter().filter_map(|flow| Some((flow, self.remove(&flow)?))).collect()
     }
 
     /// Removes expired flows, and requests that no client waits for any more.
--- a/crates/nutmegkeel_core/src/l4/table/held.rs
+++ b/crates/nutmegkeel_core/src/l4/table/held.rs
@@ -95,6 +95,16 @@
         self.ended.is_some()
     }
 
+    /// Returns the sequence number of a reset of the flow: the client's last acknowledgement, or the
+    /// one that it would send next.
+    #[must_use]
+    pub const fn reset_seq(&self) -> u32 {
+        match self.stage {
+            Stage::Opening(Some(number)) => number.wrapping_add(1),
+            Stage::Opening(None) | Stage::Open => self.client_ack,
+        }
+    }
+
     /// Returns what the packets of the flow show of its state.
     #[must_use]
     pub fn observed(&self, now: Time) -> Observed {
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -7,6 +7,7 @@
 mod checkpoint;
 mod contended;
 mod contended_agent;
+mod crash;
 mod delegate;
 mod evacuated_fleet;
 mod evacuation;
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -20,6 +20,7 @@
 use super::configuration::{Fetcher, Source};
 use super::decision_log::DecisionLog;
 use super::link::{self, Link};
+use super::port_check::Checker;
 use super::reload::Reload;
 use super::requests::Requests;
 use super::{Fault, checkpoint, membership, serve, spawn_configuration, spawn_metrics};
@@ -56,6 +57,8 @@
     /// Fetches copies of the configuration. Set once, after everything that it uses has been
     /// created.
     fetcher: OnceLock<Fetcher>,
+    /// Checks the backend server's port. Set once, like the fetcher.
+    checker: OnceLock<Checker>,
 }
 
 /// A running agent.
@@ -103,7 +106,9 @@
         kept: Mutex::new(Requests::open(REQUEST_TTL_MS)),
         checkpoints,
         fetcher: OnceLock::new(),
+        checker: OnceLock::new(),
     });
+    spawn_checker(&shared)?;
     let replica = spawn_replica(&shared, settings)?;
     spawn_readers(&shared)?;
     let restored = Arc::clone(&shared);
@@ -181,6 +186,16 @@
     spawn_configuration(settings.messages, source)
 }
 
+/// Starts checks of the backend server's port.
+fn spawn_checker(shared: &Arc<Shared>) -> Result<(), Fault> {
+    let checked = Arc::clone(shared);
+    let checker = Checker::spawn(move |_, finding| {
+        checked.handle(Event::ServerPortChecked(finding), &mut []);
+    })?;
+    shared.checker.get_or_init(|| checker);
+    Ok(())
+}
+
 fn spawn_readers(shared: &Arc<Shared>) -> Result<(), Fault> {
     let server = Arc::clone(shared);
     link::spawn_reader("server", Arc::clone(&shared.server_socket), move |bytes, _| {
@@ -311,6 +326,11 @@
                         fetcher.fetch(holder);
                     }
                 }
+                Action::CheckServerPort { asked_at } => {
+                    if let Some(checker) = self.checker.get() {
+                        checker.check(self.server, asked_at);
+                    }
+                }
                 Action::CountAnswer(millis) => {
                     histogram!(metric::ANSWER_SECONDS).record(Duration::from_millis(millis));
                 }
