--- a/crates/nutmegkeel_core/src/l4/agent/crash.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/crash.rs
@@ -34,11 +34,12 @@
 
     /// Requests a check of the server's port, if the server is silent.
     ///
-    /// Guards against clients that wait until their deadline for a server that has crashed.
+    /// Guards against clients that wait until their deadline for a server that has crashed, and
+    /// against denying the flows of a server that is only paused.
     pub(super) fn check_silent_server(&mut self, now: Time) -> Option<Action> {
         let is_silent = match self.history.server() {
             Some(_) => self.is_answer_missing(now) || self.history.is_overdue(now),
-            None => false,
+            None => !self.history.has_ended(),
         };
         if is_silent { self.request_port_check(now) } else { None }
     }
--- a/crates/nutmegkeel_core/src/l4/agent/server.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/server.rs
@@ -8,6 +8,7 @@
 use crate::l4::flow::Flow;
 use crate::l4::health::FORGET_MS;
 use crate::l4::policy::Mechanism;
+use crate::l4::port;
 use crate::l4::server::{Heartbeat, Incarnation, Update};
 use crate::l4::table::Held;
 
@@ -119,18 +120,23 @@
     /// Returns whether this process would have seen a packet of a flow if the backend server held
     /// it: it received the server's first heartbeat, or has run for longer than a flow lives.
     ///
-    /// If no server is known, there are no flows once a server would have sent a heartbeat. Before
-    /// that, the server on the host of a process that has just started may hold earlier flows, even
-    /// if it answers nothing: it may be paused. One that still holds a flow of the predecessor's
-    /// list may be paused for longer.
+    /// If no server is known, there are no flows once a server would have sent a heartbeat, unless a
+    /// process has its port open: the server may be paused and hold earlier flows. The port of a
+    /// server on the own host is unanswered only if the queue of new connections is full, because
+    /// the server accepts none.
     pub(super) fn is_certain(&self, now: Time, flow: &Flow) -> bool {
         let age_ms = now.since(self.started);
         match self.history.server() {
             Some(server) => server.seen_from_start || age_ms > FORGET_MS,
+            None if self.history.has_ended() => true,
             None => {
                 let limit_ms = self.identity.heartbeat_ms * ABSENT_PERCENT / 100;
-                let may_hold = age_ms <= limit_ms || self.recorder.lists(now, flow);
-                self.history.has_ended() || !may_hold
+                let is_absent = match self.port.state(now) {
+                    Some(port::State::Closed) => true,
+                    Some(port::State::Open | port::State::Unanswered) => false,
+                    None => !self.port.is_pending(now) && !self.recorder.lists(now, flow),
+                };
+                is_absent && age_ms > limit_ms
             }
         }
     }
--- a/crates/nutmegkeel_core/tests/l4/crash.rs
+++ b/crates/nutmegkeel_core/tests/l4/crash.rs
@@ -6,8 +6,8 @@
 use nutmegkeel_core::l4::port::{Finding, State};
 
 use crate::fixture::{
-    BALANCER, agent, at, data, demand, flow, heartbeat_started_at, offer, open_flow, opening,
-    send_data,
+    BALANCER, accepted, agent, at, data, demand, flow, heartbeat, heartbeat_started_at, offer,
+    open_flow, opening, send_data,
 };
 
 /// Returns when a check of the server's port was requested.
@@ -194,3 +194,58 @@
     assert_eq!(count(&beats), 0);
     assert!((1..=12).contains(&count(&paused)), "{}", count(&paused));
 }
+
+/// Returns what a restarted agent says of a flow, at this time after its start.
+fn located(state: State, now_ms: u64) -> Vec<Action> {
+    let mut agent = agent();
+    run(&mut agent, 100, now_ms - 1, state);
+    agent.handle(at(now_ms), Event::Locate(BALANCER, flow(1)))
+}
+
+/// Guards against the reset of an open flow whose server pauses while its agent is replaced: the
+/// new agent has heard nothing of the server.
+#[test]
+fn an_agent_denies_no_flow_while_a_process_has_the_servers_port_open() {
+    let unsure = |actions: &[Action]| {
+        actions.iter().any(|one| matches!(one, Action::Send(_, Message::Unsure { .. })))
+    };
+
+    assert!(unsure(&located(State::Open, 1_900)));
+    assert!(unsure(&located(State::Open, 8_000)));
+    assert!(unsure(&located(State::Unanswered, 5_000)));
+}
+
+/// Guards against clients that wait for a server that no longer exists, and against a port that
+/// another program keeps open.
+#[test]
+fn an_agent_without_a_server_denies_flows() {
+    let denies = |actions: &[Action]| {
+        actions.iter().any(|one| matches!(one, Action::Send(_, Message::Absent { .. })))
+    };
+
+    assert!(denies(&located(State::Closed, 1_900)));
+    assert!(denies(&located(State::Open, 20_000)));
+}
+
+/// Guards against a denial because a paused server left a probe unanswered.
+#[test]
+fn a_probe_that_a_paused_server_leaves_unanswered_is_no_denial() {
+    let mut agent = agent();
+    run(&mut agent, 100, 1_900, State::Open);
+    let packet = Event::Carry { from: BALANCER, head: data(flow(1), 1_001, 501), known: true };
+
+    let probed = deliver(&mut agent, 2_000, packet.clone(), State::Open);
+    let waited = run(&mut agent, 2_100, 3_500, State::Open);
+    let again = deliver(&mut agent, 3_600, packet, State::Open);
+    agent.handle(at(3_700), Event::FromServer(accepted(flow(1), 500)));
+    agent.handle(at(3_701), Event::Heartbeat(heartbeat("a", 9)));
+
+    let is_denial = |action: &Action| {
+        matches!(
+            action,
+            Action::Return(..) | Action::Send(_, Message::Absent { .. }) | Action::Reset { .. }
+        )
+    };
+    let all = [probed, waited, again].concat();
+    assert!(!all.iter().any(is_denial), "{all:?}");
+}
