--- a/crates/nutmegkeel/tests/soak.rs
+++ b/crates/nutmegkeel/tests/soak.rs
@@ -16,7 +16,8 @@
 
 fn options(seed: u64, net: u8, load: bool, interruptions: bool) -> Options {
     let program = env!("CARGO_BIN_EXE_nutmegkeel").into();
-    Options { program, seed, seconds: SECONDS, net, load, interruptions, hold_ms: 0 }
+    let (seconds, outages, hold_ms) = (SECONDS, false, 0);
+    Options { program, seed, seconds, net, load, interruptions, outages, hold_ms }
 }
 
 fn assert_no_violations(report: &Report) {
--- a/crates/nutmegkeel_core/src/l4/balancer/search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -39,7 +39,7 @@
         let entry = self.cache.entry(now, flow);
         let (seq, asked) = (entry.client_ack, entry.declined.len());
         self.cache.mark_decided(&flow);
-        self.reset_flow(flow, seq, Cause::NotHeld, asked)
+        self.reset_flow(flow, seq, self.cause_of_loss(now), asked)
     }
 
     /// Asks the remaining agents without a packet. Returns nothing if there are none.
@@ -75,6 +75,11 @@
         !entry.declined.is_empty() && !entry.unanswered.iter().any(may_answer)
     }
 
+    /// Returns why a flow is reset that no agent which answered holds.
+    fn cause_of_loss(&self, now: Time) -> Cause {
+        if self.pool.has_stopped(now) { Cause::AgentStopped } else { Cause::NotHeld }
+    }
+
     /// Returns an agent that was skipped and may answer now. Guards against a client that waits for
     /// the next whole search because a single agent could not decide when it was asked.
     fn next_to_retry(&mut self, now: Time, flow: Flow) -> Option<Ipv4Addr> {
@@ -239,7 +244,7 @@
     fn not_found(&mut self, now: Time, head: &Head) -> Vec<Action> {
         if self.is_held_nowhere(now, head.flow) {
             let asked = self.cache.entry(now, head.flow).declined.len();
-            self.reset(head, Cause::NotHeld, asked)
+            self.reset(head, self.cause_of_loss(now), asked)
         } else {
             self.wait_for_answers(now, head)
         }
--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -237,7 +237,10 @@
         .help("Time for which clients hold back the first request on a flow of a burst")
         .argument("MS")
         .fallback(0);
-    bpaf::construct!(soak::Series { seed, count, seconds, busy, hold_ms })
+    let outages = bpaf::long("outages")
+        .help("Also suspend processes for seconds beside other faults, and let servers crash for good")
+        .switch();
+    bpaf::construct!(soak::Series { seed, count, seconds, busy, hold_ms, outages })
         .map(Command::SoakProcesses)
         .to_options()
         .descr("Run the real programs over stand-ins under random faults")
--- a/crates/nutmegkeel_dev/src/soak.rs
+++ b/crates/nutmegkeel_dev/src/soak.rs
@@ -48,6 +48,8 @@
     pub busy: usize,
     /// Time for which clients hold back the first request on a flow of a burst, in milliseconds.
     pub hold_ms: u64,
+    /// Whether processes are suspended beside other faults, and servers crash for good.
+    pub outages: bool,
 }
 
 /// Runs a series; returns true when all seeds were completed and no invariant was violated.
@@ -59,7 +61,7 @@
     kill_processes_on_panic();
     let program = processes::program_path()?;
     let _busy = busy::spawn(series.busy)?;
-    let Series { seed: first_seed, count, seconds, hold_ms, .. } = *series;
+    let Series { seed: first_seed, count, seconds, hold_ms, outages, .. } = *series;
     let mut passed = true;
     let mut seed = first_seed;
     while seed < first_seed + count {
@@ -74,6 +76,7 @@
                     net,
                     load: true,
                     interruptions: true,
+                    outages,
                     hold_ms,
                 };
                 std::thread::spawn(move || processes::run(&options))
--- a/crates/nutmegkeel_dev/src/soak/processes.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes.rs
@@ -5,6 +5,7 @@
 mod chaos;
 mod checker;
 mod load;
+mod outages;
 mod resets;
 
 use std::io;
@@ -56,6 +57,8 @@
     /// Whether backend servers and agents are interrupted for a moment too: servers pause, hang and
     /// become very slow, agents stall.
     pub interruptions: bool,
+    /// Whether processes are also suspended while other faults go on, and servers crash for good.
+    pub outages: bool,
     /// Time for which clients hold back the first request on a flow of a burst, in milliseconds.
     pub hold_ms: u64,
 }
--- a/crates/nutmegkeel_dev/src/soak/processes/caller.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/caller.rs
@@ -193,6 +193,7 @@
             }
             Outcome::Silence => {
                 let from_port = long.open.flow().client.port();
+                self.checker.check_silence(&long.holder, &self.balancers, sent);
                 self.record_unanswered(from_port, long.port, sent, &Outcome::Silence);
                 true
             }
--- a/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
@@ -15,6 +15,7 @@
 
 use super::checker::{CONFIG_APPLY, Checker};
 use super::load::Load;
+use super::outages::{self, Outages};
 use super::{FINAL_CLIENT, Options, READY_TIMEOUT};
 
 /// Ports of the two classes of requests.
@@ -48,19 +49,21 @@
 
 /// Injects the faults of a run.
 pub(super) struct Chaos {
-    rng: StdRng,
+    pub(super) rng: StdRng,
     began: Instant,
     version: u64,
     /// Hosts whose process is suspended.
-    frozen: Vec<Ipv4Addr>,
+    pub(super) frozen: Vec<Ipv4Addr>,
     faults: Vec<String>,
-    fleet: Fleet,
-    checker: Arc<Checker>,
+    pub(super) fleet: Fleet,
+    pub(super) checker: Arc<Checker>,
     load: Arc<Load>,
     /// Whether servers and agents are interrupted too.
     interrupts: bool,
+    /// Outages that go on beside other faults, if the run has any.
+    pub(super) outages: Option<Outages>,
     /// Why a stand-in or a process could not be started.
-    failure: Option<io::Error>,
+    pub(super) failure: Option<io::Error>,
 }
 
 /// End of a run.
@@ -92,6 +95,7 @@
             checker,
             load,
             interrupts: options.interruptions,
+            outages: options.outages.then(Outages::default),
             failure: None,
         };
         for host in chaos.fleet.agents() {
@@ -114,8 +118,11 @@
     pub(super) fn inject(&mut self) {
         let pause = self.rng.random_range(50..900);
         thread::sleep(Duration::from_millis(pause));
+        self.resume_due();
         let load_kinds = if self.load.is_varied() { LOAD_FAULTS } else { 0 };
-        let kinds = FAULTS + load_kinds + if self.interrupts { INTERRUPTIONS } else { 0 };
+        let interruptions = if self.interrupts { INTERRUPTIONS } else { 0 };
+        let outages = if self.outages.is_some() { outages::KINDS } else { 0 };
+        let kinds = FAULTS + load_kinds + interruptions + outages;
         match self.rng.random_range(0..kinds) {
             0 => self.restart_balancer(Signal::Term),
             1 => self.restart_balancer(Signal::Kill),
@@ -137,15 +144,18 @@
             15 => self.interrupt_server("pauses", server::Handle::pause),
             16 => self.interrupt_server("hangs", server::Handle::hang),
             17 => self.make_server_very_slow(),
-            _ => self.stall_agent(),
+            18 => self.stall_agent(),
+            19 => self.crash_server(),
+            20 => self.restore_servers(),
+            _ => self.suspend_for_seconds(),
         }
     }
 
-    fn record(&mut self, fault: String) {
+    pub(super) fn record(&mut self, fault: String) {
         self.faults.push(format!("{:.1} s: {fault}", self.began.elapsed().as_secs_f64()));
     }
 
-    fn pick(&mut self, hosts: &[Ipv4Addr]) -> Ipv4Addr {
+    pub(super) fn pick(&mut self, hosts: &[Ipv4Addr]) -> Ipv4Addr {
         hosts[self.rng.random_range(0..hosts.len())]
     }
 
@@ -244,7 +254,7 @@
     }
 
     fn replace_server(&mut self) {
-        let host = self.pick(&self.fleet.agents());
+        let host = self.pick(&self.served_hosts());
         let id = self.fleet.server(host).id().to_owned();
         if self.rng.random_bool(0.5) {
             self.record(format!("{id} drains and is replaced"));
@@ -287,7 +297,7 @@
 
     /// Slows down the answers of a server without affecting its heartbeats.
     fn slow_server(&mut self, answer_ms: std::ops::RangeInclusive<u64>) -> Ipv4Addr {
-        let host = self.pick(&self.fleet.agents());
+        let host = self.pick(&self.served_hosts());
         let answer_ms = self.rng.random_range(answer_ms);
         self.record(format!("{} responds after {answer_ms} ms", self.fleet.server(host).id()));
         self.fleet.server(host).set_answer_ms(answer_ms);
@@ -301,7 +311,7 @@
     }
 
     fn interrupt_server(&mut self, what: &str, interrupt: fn(&server::Handle, Duration)) {
-        let host = self.pick(&self.fleet.agents());
+        let host = self.pick(&self.served_hosts());
         let duration = self.draw_interruption();
         self.record(format!("{} {what} for {duration:?}", self.fleet.server(host).id()));
         self.checker.record_trouble(host, duration);
@@ -327,12 +337,12 @@
 
     fn reset_servers(&mut self) {
         self.record("no server is slow".to_owned());
-        for host in self.fleet.agents() {
+        for host in self.served_hosts() {
             self.reset_server(host);
         }
     }
 
-    fn reset_server(&self, host: Ipv4Addr) {
+    pub(super) fn reset_server(&self, host: Ipv4Addr) {
         if self.load.is_varied() {
             self.fleet.server(host).set_answer_ms(0);
         }
@@ -356,6 +366,7 @@
 
     pub(super) fn end_faults(&mut self) {
         self.resume_all();
+        self.restore_servers();
         if self.load.is_varied() {
             self.reset_load();
         }
--- a/crates/nutmegkeel_dev/src/soak/processes/checker.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/checker.rs
@@ -20,6 +20,12 @@
 /// Time within which a process has written the line of a reset that its client has received.
 const LOG_DELAY: Duration = Duration::from_millis(200);
 
+/// Cause of a reset by which a balancer tells a client to retry, as logs name it.
+const MAY_RETRY: &str = "agent_stopped";
+
+/// Time within which the clients of a server that has crashed must be told.
+const TOLD_WITHIN: Duration = Duration::from_secs(2);
+
 /// Time after which a draining server must get no new flow.
 const DRAIN_TIME: Duration = Duration::from_millis(1_500);
 
@@ -63,6 +69,8 @@
     hosts: BTreeMap<String, Ipv4Addr>,
     drained: BTreeMap<String, (Instant, Ipv4Addr)>,
     ended: BTreeMap<String, Instant>,
+    /// Servers that have crashed and had no successor at that time.
+    crashed: BTreeMap<String, Instant>,
     store_changed: Option<Instant>,
     store_healthy: bool,
     answered: u64,
@@ -141,6 +149,23 @@
         self.state().ended.insert(id.to_owned(), Instant::now());
     }
 
+    /// Records that a server ends without a successor and without a report.
+    pub(super) fn record_crash(&self, id: &str) {
+        let now = Instant::now();
+        let mut state = self.state();
+        state.ended.insert(id.to_owned(), now);
+        state.crashed.insert(id.to_owned(), now);
+    }
+
+    /// Checks a request on an open flow, sent at `sent`, that got neither an answer nor a reset.
+    pub(super) fn check_silence(&self, holder: &str, through: &[Ipv4Addr], sent: Instant) {
+        let mut state = self.state();
+        if state.must_have_told(holder, through, sent) {
+            let what = format!("a request on a flow at {holder}, which has crashed, got no reset");
+            state.violations.push(what);
+        }
+    }
+
     pub(super) fn record_unanswered(&self) {
         self.state().unanswered += 1;
     }
@@ -238,9 +263,10 @@
     }
 
     /// Returns whether an open flow may have been reset: its server has ended, its route was
-    /// removed, or a balancer reset it while the flow's agent or balancers were disturbed.
+    /// removed, or a balancer reset it that was disturbed, as was one that its packets were sent to.
     ///
-    /// The agent of a running server knows what the server holds, so no disturbance excuses it.
+    /// The agent of a running server knows what the server holds, so no disturbance excuses it. While
+    /// an agent does not run, balancers may only tell clients that wait for it to retry.
     fn may_reset(&self, reset: &Reset, senders: &[Sender]) -> bool {
         let has_ended = self.ended.get(&reset.holder).is_some_and(|ended| *ended <= reset.at);
         if has_ended || self.may_have_dropped(reset.port, reset.at) {
@@ -250,9 +276,22 @@
         if senders.iter().any(|sender| Some(sender.host) == host) {
             return false;
         }
-        let involved = host.into_iter().chain(reset.through.iter().copied());
-        let mut involved = involved.chain(senders.iter().map(|sender| sender.host));
-        involved.any(|host| is_affected(&self.disturbed, host, reset.at))
+        let is_disturbed = |host: &Ipv4Addr| is_affected(&self.disturbed, *host, reset.at);
+        let mut balancers = reset.through.iter().chain(senders.iter().map(|sender| &sender.host));
+        let only_retries = senders.iter().all(|sender| sender.cause == MAY_RETRY);
+        balancers.any(is_disturbed) || (only_retries && host.as_ref().is_some_and(is_disturbed))
+    }
+
+    /// Returns whether a client must have been told that its server has crashed, given that none of
+    /// the processes that tell it was disturbed.
+    fn must_have_told(&self, holder: &str, through: &[Ipv4Addr], sent: Instant) -> bool {
+        let Some(crashed) = self.crashed.get(holder) else {
+            return false;
+        };
+        let is_past = |disturbance: &Disturbance| disturbance.is_past((*crashed).min(sent));
+        let involved = self.hosts.get(holder).into_iter().chain(through);
+        let disturbances = involved.filter_map(|host| self.disturbed.get(host)).flatten();
+        crashed.elapsed() > TOLD_WITHIN && disturbances.into_iter().all(is_past)
     }
 
     /// Returns whether a configuration that removes the route of a port may have been in force at
