--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -53,6 +53,14 @@
 /// stalled, because announcements alone arrive more often.
 const STALL_MS: u64 = 1_000;
 
+/// Stall after which the configuration may be out of date, in milliseconds. Other processes apply a
+/// change within this time.
+const OUTDATED_MS: u64 = 3_000;
+
+/// Time after such a stall in which the configuration may still be out of date, in milliseconds.
+/// Messages that have waited are read meanwhile, and a newer configuration is fetched.
+const CATCH_UP_MS: u64 = 300;
+
 /// Pause between two checks for silent agents and for clients that wait for a decision, in
 /// milliseconds. A check iterates over all agents, so it is not done with every packet.
 const REVIEW_MS: u64 = 50;
@@ -90,6 +98,8 @@
     reaches_store: bool,
     discovery: Discovery,
     last_event: Time,
+    /// When a stall ended after which the configuration may be out of date.
+    resumed_at: Option<Time>,
     reviewed_at: Time,
     gossip_turn: usize,
     /// Information about the balancers that was last sent to each other balancer.
@@ -148,6 +158,7 @@
             reaches_store: true,
             discovery: Discovery::open(now),
             last_event: now,
+            resumed_at: None,
             reviewed_at: now,
             gossip_turn: 0,
             sent: BTreeMap::new(),
@@ -222,9 +233,18 @@
             self.pool.extend_timeouts(gap);
             self.reset_discovery();
         }
+        if gap >= OUTDATED_MS {
+            self.resumed_at = Some(now);
+        }
         self.last_event = now;
     }
 
+    /// Returns whether this process has just resumed and may not have heard of changes that came into
+    /// force meanwhile.
+    fn is_behind(&self, now: Time) -> bool {
+        self.resumed_at.is_some_and(|resumed_at| now.since(resumed_at) < CATCH_UP_MS)
+    }
+
     fn client_packet(&mut self, now: Time, head: &Head) -> Vec<Action> {
         // A first opening begins a new flow, even if the cache has an older flow with the same
         // addresses and ports.
@@ -238,7 +258,13 @@
         if self.table.version == 0 {
             return self.relay(now, head);
         }
-        let Some(route) = self.table.routes.get(&head.flow.service).cloned() else {
+        let route = self.table.routes.get(&head.flow.service).cloned();
+        // Guards against a new flow by a route that has changed, and against the reset of an open
+        // flow whose route is new.
+        if self.is_behind(now) && (head.opens() || route.is_none()) {
+            return self.keep(head, Cause::Behind);
+        }
+        let Some(route) = route else {
             self.cache.remove(&head.flow);
             return self.reset(head, Cause::NoRoute, 0);
         };
@@ -340,6 +366,7 @@
         }
         let decision = Decision::InForce { version: table.version, routes: table.routes.len() };
         let is_first = self.table.version == 0;
+        self.resumed_at = None;
         self.shortage.configured(&table);
         self.table = table;
         let mut actions = vec![Action::Log(decision)];
--- a/crates/nutmegkeel_core/src/l4/balancer/kept.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/kept.rs
@@ -15,12 +15,15 @@
 pub(super) struct View {
     discovering: bool,
     complete: bool,
+    behind: bool,
 }
 
 impl Balancer {
-    /// Recalls the kept packets once agents have stopped appearing, or all are known.
+    /// Recalls the kept packets once agents have stopped appearing, all are known, or this process
+    /// has caught up after a stall.
     pub(super) fn recall_if_changed(&mut self, now: Time, complete: bool) -> Vec<Action> {
-        let view = View { discovering: self.is_discovering(now), complete };
+        let (discovering, behind) = (self.is_discovering(now), self.is_behind(now));
+        let view = View { discovering, complete, behind };
         let changed = view != self.view;
         self.view = view;
         let changed = changed || std::mem::take(&mut self.agent_appeared);
@@ -30,7 +33,8 @@
     /// Recalls the kept packets, if there are any and they may be handled now.
     pub(super) fn recall(&mut self, now: Time) -> Vec<Action> {
         let has_routes = self.table.version > 0 || self.configured_peers(now).next().is_some();
-        if !has_routes && !self.identity.policy.uses(Mechanism::Unrouted) {
+        let has_routes = has_routes || self.identity.policy.uses(Mechanism::Unrouted);
+        if !has_routes || self.is_behind(now) {
             return Vec::new();
         }
         if std::mem::take(&mut self.has_kept) { vec![Action::Recall] } else { Vec::new() }
--- a/crates/nutmegkeel_core/src/l4/decision.rs
+++ b/crates/nutmegkeel_core/src/l4/decision.rs
@@ -246,6 +246,8 @@
 pub enum Cause {
     /// No configuration is known yet.
     NoConfiguration,
+    /// This process has just resumed, and its configuration may be out of date.
+    Behind,
     /// No route has the address.
     NoRoute,
     /// No agent takes flows of the service.
@@ -290,6 +292,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no_configuration",
+            Self::Behind => "behind",
             Self::NoRoute => "no_route",
             Self::NoAgent => "no_agent",
             Self::AllBusy => "all_busy",
--- a/crates/nutmegkeel_core/tests/l4/balancer.rs
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -7,7 +7,7 @@
 
 use crate::fixture::{
     BALANCER, PORT, announce, announcement, at, balancer, data, default_service, flow, forwarded,
-    gossip, host, identity, opening, resets, table,
+    gossip, host, identity, opening, resets, service_address, table,
 };
 
 fn declined(from: u8, head: nutmegkeel_core::l4::flow::Head, reason: Reason) -> Event {
@@ -137,6 +137,47 @@
     assert!(!resets(&actions), "{actions:?}");
 }
 
+/// Guards against a flow that a balancer opens by a route that was changed while it was stopped. Its
+/// packets have waited, and it reads them before it hears of the change.
+#[test]
+fn a_balancer_that_was_stopped_opens_no_flow_by_an_old_route() {
+    let vault = Service::named("vault");
+    let mut balancer = balancer(&[1, 2]);
+    let mut other = announcement(9_000, State::Ready, Load::default());
+    other.service = Some(vault);
+    balancer.handle(at(3_000), Event::Announced(host(3), other.clone()));
+
+    let early = balancer.handle(at(8_000), Event::Client(opening(flow(1), 0)));
+    balancer.handle(at(8_005), Event::Announced(host(3), other));
+    let changed = balancer.handle(at(8_010), Event::Configured(table(2, &[(PORT, vault)])));
+    let recalled = balancer.handle(at(8_010), Event::Recalled(opening(flow(1), 0)));
+
+    assert_eq!(forwarded(&early), None);
+    assert!(changed.contains(&Action::Recall), "{changed:?}");
+    assert_eq!(forwarded(&recalled), Some(host(3)));
+}
+
+/// Guards against the reset of an open flow whose route was added while its balancer was stopped,
+/// and against openings that wait for a change that does not come.
+#[test]
+fn a_balancer_that_was_stopped_resets_no_flow_of_a_new_route() {
+    let mut balancer = balancer(&[1, 2]);
+    let mut unknown = data(flow(1), 1_001, 500);
+    unknown.flow.service = service_address(PORT + 1);
+
+    let early = balancer.handle(at(8_000), Event::Client(unknown));
+    balancer.handle(at(8_000), Event::Client(opening(flow(2), 0)));
+    announce(&mut balancer, &[1, 2], 8_010, 8_010);
+    let late = balancer.handle(at(8_320), Event::Tick);
+    let refused = balancer.handle(at(8_320), Event::Recalled(unknown));
+    let placed = balancer.handle(at(8_320), Event::Recalled(opening(flow(2), 0)));
+
+    assert!(!resets(&early), "{early:?}");
+    assert!(late.contains(&Action::Recall), "{late:?}");
+    assert!(resets(&refused), "{refused:?}");
+    assert!(forwarded(&placed).is_some(), "{placed:?}");
+}
+
 /// Guards against a client that waits on a lost flow after a power loss. Its packet arrives while
 /// agents are still appearing, and its next copy follows only after 1.6 s. The balancer must reset
 /// the flow as soon as all agents have answered.
