--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -14,6 +14,8 @@
 
 const SHORT_WAIT: Duration = Duration::from_secs(3);
 const LONG_WAIT: Duration = Duration::from_secs(8);
+/// Time after which the entries of processes that do not renew them have lapsed.
+const LEASE_TIME: Duration = Duration::from_secs(9);
 /// Time within which a change must be in force, from the settings of the processes.
 const APPLY_TIME: Duration = Duration::from_millis(CONFIG_APPLY_MS);
 
@@ -440,6 +442,40 @@
     assert!(served_by(&outcome, "vault"), "{outcome:?}");
 }
 
+/// Guards against open flows that are lost, changes that are missed and entries that stay away after
+/// a pause of all balancers: their leases and watches lapse, and the agents hear of nobody.
+#[test]
+fn flows_and_changes_survive_a_pause_of_all_balancers() {
+    let mut fleet = fleet("balancers-pause", 27, &["desk", "vault"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let balancers = fleet.balancers();
+    let prefix = "nutmegkeel/balancers/all/";
+    let mut open = client.open(30_000, 444, &balancers).expect("the flow opens");
+    let before = client.request(&mut open, &balancers, SHORT_WAIT);
+    std::thread::sleep(SHORT_WAIT);
+
+    for balancer in &balancers {
+        fleet.signal(*balancer, Signal::Stop);
+    }
+    fleet.configure(2, &[(443, "vault"), (444, "vault")]);
+    std::thread::sleep(LEASE_TIME);
+    let lapsed = fleet.store.keys(prefix);
+    for balancer in &balancers {
+        fleet.signal(*balancer, Signal::Continue);
+    }
+    let after = client.request(&mut open, &balancers, SHORT_WAIT);
+    std::thread::sleep(APPLY_TIME);
+    let mut next = client.open(30_001, 443, &balancers).expect("the flow opens");
+    let changed = client.request(&mut next, &balancers, SHORT_WAIT);
+    let entries = fleet.store.keys(prefix);
+
+    assert!(served_by(&before, "vault"), "{before:?}");
+    assert_eq!(lapsed, [""; 0]);
+    assert_eq!(after, before);
+    assert!(served_by(&changed, "vault"), "{changed:?}");
+    assert_eq!(entries.len(), 2, "{entries:?}");
+}
+
 /// Guards against a change that is missed because the store was restored from an older copy and its
 /// revisions have already passed the one from which the watches continue.
 #[test]
--- a/crates/nutmegkeel_core/tests/l4/stopped.rs
+++ b/crates/nutmegkeel_core/tests/l4/stopped.rs
@@ -4,7 +4,7 @@
 
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
-use nutmegkeel_core::l4::message::{self, Load, Message, Reason};
+use nutmegkeel_core::l4::message::{self, Load, Message, Reason, Report, Summary};
 use nutmegkeel_core::l4::port::{Finding, State};
 use nutmegkeel_core::l4::route::Kind;
 
@@ -32,25 +32,43 @@
     balancer
 }
 
-/// Times at which agents are checked.
-fn checks(actions: &[Action]) -> Vec<Time> {
-    let asked_at = |action: &Action| match action {
-        Action::CheckPort { agent, asked_at } if *agent == host(1) => Some(*asked_at),
+/// Returns the requested checks: the agents, each with the time of the request.
+fn checks(actions: &[Action]) -> Vec<(Ipv4Addr, Time)> {
+    let check = |action: &Action| match action {
+        Action::CheckPort { agent, asked_at } => Some((*agent, *asked_at)),
         _ => None,
     };
-    actions.iter().filter_map(asked_at).collect()
+    actions.iter().filter_map(check).collect()
 }
 
-/// Delivers an event; checks of the first agent's port find this state at once.
+/// Delivers an event; checks of agents' ports find this state at once.
 fn deliver(balancer: &mut Balancer, now_ms: u64, event: Event, state: State) -> Vec<Action> {
     let mut actions = balancer.handle(at(now_ms), event);
-    for asked_at in checks(&actions) {
-        let found = Event::PortChecked(host(1), Finding { state, asked_at });
+    for (agent, asked_at) in checks(&actions) {
+        let found = Event::PortChecked(agent, Finding { state, asked_at });
         actions.extend(balancer.handle(at(now_ms), found));
     }
     actions
 }
 
+/// Returns a summary of another failure domain with one agent, which was heard `age_ms` ago.
+fn remote_summary(age_ms: u64) -> Summary {
+    let report = Report {
+        agent: host(9),
+        age_ms: u32::try_from(age_ms).expect("a short test"),
+        incarnation: 1,
+        number: 1,
+        service: Some(0),
+        slots: 4,
+        cold: false,
+        room: None,
+        state: message::State::Ready,
+        load: Load::default(),
+    };
+    let (domain, services) = ("tema".into(), vec![default_service()]);
+    Summary { domain, services, reports: vec![report], forwarded: false }
+}
+
 /// Runs a balancer while the other agents announce themselves and each check of the first one's
 /// port finds this state. Returns the actions, with their times.
 fn run(balancer: &mut Balancer, from_ms: u64, until_ms: u64, state: State) -> Vec<(u64, Action)> {
@@ -229,11 +247,10 @@
 
         let actions = run(&mut balancer, 3_050, 30_000, state);
 
-        let is_check = |action: &Action| matches!(action, Action::CheckPort { .. });
-        let checked: Vec<_> = actions.iter().filter(|(_, action)| is_check(action)).collect();
+        let actions: Vec<Action> = actions.into_iter().map(|(_, action)| action).collect();
+        let checked = checks(&actions);
         assert!(!checked.is_empty() && checked.len() <= most, "{state:?}: {checked:?}");
-        let is_first = |action: &Action| matches!(action, Action::CheckPort { agent, .. } if *agent == host(1));
-        assert!(checked.iter().all(|(_, action)| is_first(action)), "{checked:?}");
+        assert!(checked.iter().all(|(agent, _)| *agent == host(1)), "{checked:?}");
     }
 }
 
@@ -275,3 +292,50 @@
     assert_eq!(reset_ms(&actions), None);
     assert!(placed(&mut balancer, 7_210).contains(&host(1)));
 }
+
+/// Guards against the reset of flows at a suspended agent of another failure domain, which this
+/// balancer knows from summaries only. They end after four seconds, and its flows are kept on.
+#[test]
+fn flows_of_a_silent_agent_in_another_failure_domain_are_kept_while_its_host_answers() {
+    let remote = |state: State| {
+        let mut balancer = balancer(&ALL);
+        let mut resets = Vec::new();
+        for now_ms in (3_000..=14_000).step_by(50) {
+            let mut actions = Vec::new();
+            if now_ms % 300 == 0 {
+                announce(&mut balancer, &ALL, now_ms, now_ms);
+                let age_ms = (now_ms.saturating_sub(3_600)).min(4_000);
+                let event = Event::Summary(remote_summary(age_ms));
+                if age_ms < 4_000 {
+                    actions.extend(deliver(&mut balancer, now_ms, event, state));
+                }
+            }
+            if now_ms == 3_600 {
+                let holds = Event::Holds { from: host(9), flow: flow(1), load: Load::default() };
+                balancer.handle(at(now_ms), holds);
+            }
+            actions.extend(deliver(&mut balancer, now_ms, Event::Tick, state));
+            resets.extend(actions.into_iter().map(|action| (now_ms, action)));
+        }
+        reset_ms(&resets)
+    };
+
+    let answers = remote(State::Open).expect("the time is bounded");
+    let is_gone = remote(State::Unanswered).expect("the client is told");
+
+    assert!((13_600..13_800).contains(&answers), "{answers}");
+    assert!((5_600..6_000).contains(&is_gone), "{is_gone}");
+}
+
+/// Guards against a client that keeps trying a server that it cannot reach: its balancer is cut off
+/// from one agent only, and hears all others.
+#[test]
+fn a_balancer_that_is_cut_off_from_one_agent_sends_its_clients_elsewhere() {
+    let mut balancer = balancer_with_flow(Kind::Idempotent);
+
+    let actions = run(&mut balancer, 3_050, 6_000, State::Unanswered);
+    let placed = placed(&mut balancer, 6_010);
+
+    assert_eq!(reset_ms(&actions), Some(5_050));
+    assert!(!placed.contains(&host(1)), "{placed:?}");
+}
