--- a/crates/nutmegkeel_core/src/balancer.rs
+++ b/crates/nutmegkeel_core/src/balancer.rs
@@ -14,6 +14,8 @@
 use crate::membership::Timing;
 use crate::peer::{self, Message, Peer};
 use crate::placement::{Candidate, Choice, Hop, Key, Pool, Rule};
+use crate::port::Finding;
+use crate::silent::{Silent, Step};
 
 /// An agent that was sent a new flow and has not answered for this time is probed, in
 /// milliseconds.
@@ -38,6 +40,8 @@
     Read(Vec<Entry>),
     /// The platform accepted a write that this balancer sent.
     Accepted(Entry),
+    /// A check of an agent's port has ended.
+    PortChecked(SocketAddr, Finding),
     /// The clock advanced; sent about every 50 ms.
     Tick,
     /// An operator drains this instance of another process.
@@ -55,6 +59,14 @@
     Unplaced,
     /// Read the configuration from the platform.
     Read,
+    /// Check whether the agent at this address has its port open, and report the result with the
+    /// time of this request.
+    CheckPort {
+        /// The agent.
+        agent: SocketAddr,
+        /// When the check was requested.
+        asked_at: Time,
+    },
     /// See [`peer::Action`].
     Peer(peer::Action),
 }
@@ -67,6 +79,7 @@
     pools: BTreeMap<class::Name, Pool>,
     classes: BTreeMap<SocketAddr, class::Name>,
     unanswered: BTreeMap<SocketAddr, Time>,
+    silent: Silent,
     next_read: Time,
     has_read: bool,
 }
@@ -81,6 +94,7 @@
             pools: BTreeMap::new(),
             classes: BTreeMap::new(),
             unanswered: BTreeMap::new(),
+            silent: Silent::default(),
             next_read: FIRST_READ,
             has_read: false,
         }
@@ -130,22 +144,26 @@
             Event::Reported(hop, report) => self.reported(now, hop, report),
             Event::Message(from, message) => {
                 let actions = self.peer.receive(now, from, message);
-                self.handle_peer(actions)
+                self.handle_peer(now, actions)
             }
             Event::Read(entries) => {
                 self.has_read = true;
                 let actions = self.peer.apply_entries(entries);
-                self.handle_peer(actions)
+                self.handle_peer(now, actions)
             }
             Event::Accepted(entry) => {
                 let actions = self.peer.apply_entries(vec![entry]);
-                self.handle_peer(actions)
+                self.handle_peer(now, actions)
+            }
+            Event::PortChecked(agent, finding) => {
+                self.silent.port_checked(agent, finding);
+                Vec::new()
             }
             Event::Tick => self.tick(now),
             Event::Drain(hop) => {
                 vec![Action::Peer(self.peer.drain(hop.address, hop.instance))]
             }
-            Event::Leave => self.leave(),
+            Event::Leave => self.leave(now),
         }
     }
 
@@ -167,13 +185,14 @@
             pool.apply_report(hop, report);
         }
         let actions = self.peer.confirm_alive(now, hop.address, hop.instance);
-        self.handle_peer(actions)
+        self.handle_peer(now, actions)
     }
 
     fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut from_peer = self.peer.tick(now);
         from_peer.extend(self.probe_unanswered(now));
-        let mut actions = self.handle_peer(from_peer);
+        let mut actions = self.handle_peer(now, from_peer);
+        actions.extend(self.check_silent(now));
         if now >= self.next_read && self.reads_platform() {
             self.next_read = now.after(READ_INTERVAL_MS);
             actions.push(Action::Read);
@@ -209,21 +228,53 @@
         self.peer.domain_balancers().range(..me).take(READERS).count() < READERS
     }
 
-    fn leave(&mut self) -> Vec<Action> {
+    fn leave(&mut self, now: Time) -> Vec<Action> {
         self.peer.membership_mut().update(Role::Balancer, Phase::Leaving);
         let actions = self.peer.push_record();
-        self.handle_peer(actions)
+        self.handle_peer(now, actions)
+    }
+
+    /// Requests checks of silent agents' ports, and reports which agents have ended.
+    fn check_silent(&mut self, now: Time) -> Vec<Action> {
+        let steps = self.silent.step(now).into_iter();
+        let action = |step| match step {
+            Step::Check(agent) => Action::CheckPort { agent, asked_at: now },
+            Step::Ended(agent, instance) => Action::Peer(peer::Action::Gone(agent, instance)),
+        };
+        steps.map(action).collect()
     }
 
-    fn handle_peer(&mut self, actions: Vec<peer::Action>) -> Vec<Action> {
-        for action in &actions {
-            match action {
-                peer::Action::Changed(rumor) => self.record_agent(rumor),
+    fn handle_peer(&mut self, now: Time, actions: Vec<peer::Action>) -> Vec<Action> {
+        let mut handled = Vec::new();
+        for action in actions {
+            match &action {
+                peer::Action::Changed(rumor) => {
+                    self.record_health(now, rumor);
+                    self.record_agent(rumor);
+                }
                 peer::Action::InForce(entry) => self.apply_target(entry),
                 _ => {}
             }
+            handled.push(Action::Peer(action));
+        }
+        // An agent that was declared dead on silence has ended only once its port shows it.
+        handled.retain(|action| match action {
+            Action::Peer(peer::Action::Gone(address, instance)) => {
+                !self.silent.is_declared(*address, *instance)
+            }
+            _ => true,
+        });
+        handled
+    }
+
+    fn record_health(&mut self, now: Time, rumor: &Rumor) {
+        let Record { address, instance, .. } = rumor.record;
+        let is_running = rumor.record.phase != Phase::Gone;
+        match rumor.health {
+            Health::Suspect if is_running => self.silent.suspect(address, instance),
+            Health::Dead if is_running => self.silent.declare_dead(now, address, instance),
+            Health::Alive | Health::Suspect | Health::Dead => self.silent.remove(address),
         }
-        actions.into_iter().map(Action::Peer).collect()
     }
 
     fn apply_target(&mut self, entry: &Entry) {
--- a/crates/nutmegkeel_core/src/l4.rs
+++ b/crates/nutmegkeel_core/src/l4.rs
@@ -22,7 +22,6 @@
 pub mod peer_state;
 pub mod placement;
 pub mod policy;
-pub mod port;
 pub mod probe;
 pub mod room;
 pub mod roster;
--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -37,7 +37,6 @@
 use super::outlier;
 use super::peer_state::States;
 use super::policy::{Mechanism, Policy};
-use super::port::Monitor;
 use super::probe::Probes;
 use super::roster::{Roster, SEND_INTERVAL_MS};
 use super::server::History;
@@ -48,6 +47,7 @@
 use super::warmup::Budget;
 use crate::admission::Estimate;
 use crate::clock::Time;
+use crate::port::Monitor;
 
 pub use event::{Action, Event};
 
--- a/crates/nutmegkeel_core/src/l4/agent/crash.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/crash.rs
@@ -3,7 +3,7 @@
 use super::{Action, Agent, reset_observed};
 use crate::clock::Time;
 use crate::l4::decision::{Cause, Decision, ServerChange};
-use crate::l4::port::{Finding, State};
+use crate::port::{Finding, State};
 
 /// Interval between two checks of a silent server's port, in milliseconds.
 pub(super) const CHECK_INTERVAL_MS: u64 = 1_000;
--- a/crates/nutmegkeel_core/src/l4/agent/event.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/event.rs
@@ -8,9 +8,9 @@
 use crate::l4::fetch::Holder;
 use crate::l4::flow::{Flow, Head};
 use crate::l4::message::{Gossip, Message, Offer};
-use crate::l4::port::Finding;
 use crate::l4::route::Urgency;
 use crate::l4::server::{Heartbeat, Incarnation};
+use crate::port::Finding;
 
 /// An event for an agent.
 #[derive(Clone, Debug)]
--- a/crates/nutmegkeel_core/src/l4/agent/server.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/server.rs
@@ -8,9 +8,9 @@
 use crate::l4::flow::Flow;
 use crate::l4::health::FORGET_MS;
 use crate::l4::policy::Mechanism;
-use crate::l4::port;
 use crate::l4::server::{Heartbeat, Incarnation, Update};
 use crate::l4::table::Held;
+use crate::port;
 
 /// Time without an answer to any opening after which the backend server gets no more, in
 /// milliseconds. A server answers within a millisecond. The client's first copy, 200 ms after the
--- a/crates/nutmegkeel_core/src/l4/balancer/event.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/event.rs
@@ -9,8 +9,8 @@
 use crate::l4::fetch::Holder;
 use crate::l4::flow::{Flow, Head};
 use crate::l4::message::{Announcement, Gossip, Load, Message, Reason, Summary};
-use crate::l4::port::Finding;
 use crate::l4::route::Table;
+use crate::port::Finding;
 
 /// Input of a balancer.
 #[derive(Clone, Debug)]
--- a/crates/nutmegkeel_core/src/l4/balancer/stopped.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/stopped.rs
@@ -6,8 +6,8 @@
 use crate::clock::Time;
 use crate::l4::decision::{Cause, Decision};
 use crate::l4::flow::Flow;
-use crate::l4::port::Finding;
 use crate::l4::route::Kind;
+use crate::port::Finding;
 
 /// Minimum time for which a client waits for a stopped agent, in milliseconds. Most processes that
 /// are suspended run again sooner.
--- a/crates/nutmegkeel_core/src/l4/decision.rs
+++ b/crates/nutmegkeel_core/src/l4/decision.rs
@@ -12,10 +12,10 @@
 use super::message::{Load, Reason};
 use super::mute::Silence;
 use super::placement::{Choice, Level, Verdict};
-use super::port;
 use super::room::Shortage;
 use super::route::Urgency;
 use super::share::Standing;
+use crate::port;
 
 /// A decision and its inputs.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/nutmegkeel_core/src/l4/placement/candidate.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -7,10 +7,10 @@
 use crate::clock::Time;
 use crate::l4::health::{CHECK_INTERVAL_MS, CHECK_MS, Health, LATE_MS, STOPPED_MS};
 use crate::l4::message::{Announcement, Load, Report, State};
-use crate::l4::port::Monitor;
 use crate::l4::room::Occupancy;
 use crate::l4::roster::Sent;
 use crate::l4::route::{Kind, Service};
+use crate::port::Monitor;
 
 /// Share of its slots that a cold backend server counts for, in percent, until its service time is
 /// known.
--- a/crates/nutmegkeel_core/src/l4/placement/liveness.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/liveness.rs
@@ -9,7 +9,7 @@
 use crate::clock::Time;
 use crate::l4::health::{CHECK_MS, FORGET_MS, Health, LOST_MS, UNREPORTED_MS};
 use crate::l4::message::Load;
-use crate::l4::port::Finding;
+use crate::port::Finding;
 
 /// Number of announcements up to which an agent counts as recently started. It corresponds to one
 /// to three seconds, because the number also advances with each tick while a balancer has not
--- a/crates/nutmegkeel_core/src/l4/port.rs
+++ b/crates/nutmegkeel_core/src/port.rs
@@ -3,6 +3,8 @@
 //! Silence alone does not tell a process that is suspended from one that has ended, or from a host
 //! that is down. The kernel of the host does: it answers whether or not the process runs.
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Time;
 
 /// Pause before a check that was not answered is repeated, in milliseconds. Its packet may have been
@@ -21,7 +23,7 @@
 const MAX_CHECKS: u32 = 12;
 
 /// State of a port.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum State {
     /// The connection was established: a process has the port open, even if it is suspended.
     Open,
@@ -45,7 +47,7 @@
 }
 
 /// Result of a check.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finding {
     /// State of the port.
     pub state: State,
--- a/crates/nutmegkeel_core/tests/l4/crash.rs
+++ b/crates/nutmegkeel_core/tests/l4/crash.rs
@@ -3,7 +3,7 @@
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::l4::agent::{Action, Agent, Event};
 use nutmegkeel_core::l4::message::{Message, Reason};
-use nutmegkeel_core::l4::port::{Finding, State};
+use nutmegkeel_core::port::{Finding, State};
 
 use crate::fixture::{
     BALANCER, accepted, agent, at, data, demand, flow, heartbeat, heartbeat_started_at, offer,
--- a/crates/nutmegkeel_core/tests/l4/stopped.rs
+++ b/crates/nutmegkeel_core/tests/l4/stopped.rs
@@ -5,8 +5,8 @@
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
 use nutmegkeel_core::l4::message::{self, Load, Message, Reason, Report, Summary};
-use nutmegkeel_core::l4::port::{Finding, State};
 use nutmegkeel_core::l4::route::Kind;
+use nutmegkeel_core::port::{Finding, State};
 
 use crate::fixture::{
     PORT, announce, announcement, at, balancer, data, default_service, flow, forwarded, host,
--- a/crates/nutmegkeel_dev/src/demo/deployment.rs
+++ b/crates/nutmegkeel_dev/src/demo/deployment.rs
@@ -229,6 +229,14 @@
         Ok(server.name.clone())
     }
 
+    /// Sends a signal to the agent of the server called `name`.
+    pub(crate) fn signal_agent(&self, name: &str, signal: Signal) -> io::Result<()> {
+        let server = self.servers.iter().find(|server| server.name == name);
+        let server = server.ok_or_else(|| io::Error::other("there is no such server"))?;
+        server.agent.signal(signal);
+        Ok(())
+    }
+
     pub(crate) fn agent_exited(&mut self, name: &str) -> bool {
         let server = self.servers.iter_mut().find(|server| server.name == name);
         server.is_some_and(|server| server.agent.exited_cleanly_within(EXIT_TIMEOUT))
--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -99,6 +99,11 @@
         "Processor time of a balancer per packet",
         Measurement::Forward,
     );
+    let suspension = fixed_measurement(
+        "suspension",
+        "Flows that survive a suspension of their agent",
+        Measurement::Suspension,
+    );
     let silence = fixed_measurement(
         "silence",
         "Time until callers of a killed agent detect it",
@@ -135,6 +140,7 @@
         opening_measurement(),
         forward,
         silence,
+        suspension,
         routing,
         limits,
         retries,
--- a/crates/nutmegkeel_dev/src/measure.rs
+++ b/crates/nutmegkeel_dev/src/measure.rs
@@ -1,6 +1,6 @@
 //! Measurements: each prints a table and a final JSON line.
 //!
-//! All except `path`, `opening`, `forward` and `silence` drive the core in-process over fakes. Their
+//! All except `path`, `opening`, `forward`, `silence` and `suspension` drive the core in-process over fakes. Their
 //! figures are the same on every run with the same seed, except for processor times.
 
 pub mod capacity;
@@ -15,6 +15,7 @@
 pub mod retries;
 pub mod routing;
 pub mod silence;
+pub mod suspension;
 
 use std::io;
 
@@ -31,6 +32,8 @@
     Forward,
     /// Time until callers of a killed agent detect it.
     Silence,
+    /// See [`suspension`].
+    Suspension,
     /// Placement of new flows against baselines.
     Routing,
     /// Goodput under overload, with admission control and without a limit.
@@ -61,6 +64,7 @@
         Measurement::Opening(mute_ms) => opening::run(*mute_ms)?,
         Measurement::Forward => forward::run()?,
         Measurement::Silence => silence::run()?,
+        Measurement::Suspension => suspension::run()?,
         Measurement::Routing => routing::run(),
         Measurement::Limits => limits::run(),
         Measurement::Retries => retries::run(),
--- a/crates/nutmegkeel_dev/src/measure/silence.rs
+++ b/crates/nutmegkeel_dev/src/measure/silence.rs
@@ -11,7 +11,7 @@
 use crate::standin::fabric::Trouble;
 
 /// Time for all processes to discover each other.
-const SETTLE: Duration = Duration::from_secs(4);
+pub(super) const SETTLE: Duration = Duration::from_secs(4);
 /// Number of flows opened, enough for each server of the class to hold some.
 const FLOWS: usize = 30;
 /// Aim for callers that send: the time for suspicion, a probe by the balancer, and a reset.
@@ -86,7 +86,7 @@
     Ok(met)
 }
 
-async fn open_flows(caller: &Caller, class: &calls::Class) -> io::Result<Vec<Flow>> {
+pub(super) async fn open_flows(caller: &Caller, class: &calls::Class) -> io::Result<Vec<Flow>> {
     let mut flows = Vec::new();
     for number in 0..FLOWS as u64 {
         let mut flow = caller.flow(class.address).await.map_err(io::Error::other)?;
--- a/crates/nutmegkeel_dev/tests/demo.rs
+++ b/crates/nutmegkeel_dev/tests/demo.rs
@@ -63,6 +63,19 @@
     assert!(ran.status.success(), "{output}");
 }
 
+/// Guards against open flows that end because their agent does not run for some seconds: balancers
+/// declare it dead, and would reset each flow that sends a packet.
+#[test]
+fn flows_survive_a_suspension_of_their_agent() {
+    let ran = Command::new(env!("CARGO_BIN_EXE_nutmegkeel_dev"))
+        .args(["measure", "suspension"])
+        .output()
+        .expect("the measurement starts");
+
+    let output = String::from_utf8_lossy(&ran.stdout);
+    assert!(ran.status.success(), "{output}");
+}
+
 /// Returns the ids of the processes that a process has started.
 fn children(parent: u32) -> Vec<u32> {
     let processes = std::fs::read_dir("/proc").expect("processes are listed").flatten();
--- a/crates/nutmegkeel_node/src/agent.rs
+++ b/crates/nutmegkeel_node/src/agent.rs
@@ -18,10 +18,11 @@
 use std::thread;
 use std::time::Duration;
 
-use log::info;
+use log::{info, warn};
 use nutmegkeel_core::agent::Event;
 use nutmegkeel_core::lifecycle::Phase;
 use nutmegkeel_store::etcd;
+use tokio::net::TcpListener;
 
 use crate::address;
 use crate::clock::Clock;
@@ -151,6 +152,7 @@
     let endpoint = transport::open(settings, &shared)?;
     drop(entered);
     runtime.spawn(flow::accept_all(Arc::clone(&shared), endpoint));
+    runtime.spawn(show_open_port(shared.own));
     runtime.spawn(run_ticks(Arc::clone(&shared)));
     let store = etcd::Client::open(&settings.common.platform);
     let claims = Arc::clone(&shared);
@@ -161,6 +163,26 @@
     Ok(Handle { shared, _web: web, _runtime: runtime })
 }
 
+/// Keeps a port for connections open at the address for frames. Balancers check it before they
+/// consider the flows of this process lost.
+///
+/// Without it they do so as soon as their probes go unanswered.
+async fn show_open_port(address: SocketAddr) {
+    match TcpListener::bind(address).await {
+        // Connections carry nothing. One that cannot be accepted waits in the queue, where it serves
+        // its purpose too.
+        Ok(listener) => loop {
+            if listener.accept().await.is_err() {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        },
+        Err(error) => {
+            warn!(event = "port_not_open", address:display = address, fault:% = error;
+                "no port for connections");
+        }
+    }
+}
+
 async fn run_ticks(shared: Arc<Shared>) {
     let mut interval = tokio::time::interval(TICK_INTERVAL);
     loop {
--- a/crates/nutmegkeel_node/src/balancer.rs
+++ b/crates/nutmegkeel_node/src/balancer.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Sender, channel};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockWriteGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock, RwLockWriteGuard};
 use std::thread;
 use std::time::Duration;
 
@@ -31,6 +31,7 @@
 use crate::clock::Clock;
 use crate::lock::lock;
 use crate::metric;
+use crate::port_check::Checker;
 use crate::settings;
 use crate::web::{self, Answer, Call};
 
@@ -67,6 +68,8 @@
     leaving: AtomicBool,
     stopped: AtomicBool,
     platform: etcd::Client,
+    /// Checks agents' ports. Set once, after everything that it uses has been created.
+    checker: OnceLock<Checker>,
 }
 
 /// A running balancer.
@@ -95,6 +98,7 @@
     let clock = Clock::open();
     let (reads, read_requests) = channel();
     let shared = Arc::new(open(settings, clock, reads)?);
+    spawn_checker(&shared).map_err(Fault::Thread)?;
     let web = {
         let shared = Arc::clone(&shared);
         let address = settings.common.web;
@@ -177,6 +181,11 @@
                 // The reader ends only with the process.
                 let _ = self.reads.send(());
             }
+            Action::CheckPort { agent, asked_at } => {
+                if let Some(checker) = self.checker.get() {
+                    checker.check(agent, asked_at);
+                }
+            }
             Action::Forward(_) | Action::Unplaced => {}
         }
     }
@@ -268,9 +277,22 @@
         leaving: AtomicBool::new(false),
         stopped: AtomicBool::new(false),
         platform: etcd::Client::open(&common.platform),
+        checker: OnceLock::new(),
     })
 }
 
+/// Starts checks of the ports of silent agents.
+fn spawn_checker(shared: &Arc<Shared>) -> io::Result<()> {
+    let checked = Arc::clone(shared);
+    let checker = Checker::spawn(move |agent, finding| {
+        info!(event = "port_checked", process:display = agent, state = finding.state.name();
+            "port of a silent process checked");
+        checked.handle(Event::PortChecked(agent, finding));
+    })?;
+    shared.checker.get_or_init(|| checker);
+    Ok(())
+}
+
 fn bind(field: &'static str, address: SocketAddr) -> Result<UdpSocket, Fault> {
     let bound = UdpSocket::bind(address).and_then(|socket| {
         socket.set_read_timeout(Some(POLL_INTERVAL))?;
--- a/crates/nutmegkeel_node/src/l4.rs
+++ b/crates/nutmegkeel_node/src/l4.rs
@@ -11,7 +11,6 @@
 mod link;
 mod membership;
 mod metered;
-pub mod port_check;
 mod reachability;
 mod reload;
 mod requests;
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -20,13 +20,13 @@
 use super::configuration::{Fetcher, Source};
 use super::decision_log::DecisionLog;
 use super::link::{self, Link};
-use super::port_check::Checker;
 use super::reload::Reload;
 use super::requests::Requests;
 use super::{Fault, checkpoint, membership, serve, spawn_configuration, spawn_metrics};
 use crate::clock::Clock;
 use crate::lock::lock;
 use crate::metric;
+use crate::port_check::Checker;
 use crate::web::{self, Answer};
 
 /// How long an agent goes on serving after it has announced that it leaves. Balancers receive the
@@ -328,7 +328,7 @@
                 }
                 Action::CheckServerPort { asked_at } => {
                     if let Some(checker) = self.checker.get() {
-                        checker.check(self.server, asked_at);
+                        checker.check(self.server.into(), asked_at);
                     }
                 }
                 Action::CountAnswer(millis) => {
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -2,7 +2,7 @@
 //! balancers.
 
 use std::collections::VecDeque;
-use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddrV4, UdpSocket};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::thread;
 use std::time::Duration;
@@ -29,12 +29,12 @@
 use super::kept::{Packet, Packets};
 use super::link::{self, Link};
 use super::metered::{Metered, Purpose};
-use super::port_check::Checker;
 use super::reload::Reload;
 use super::{Fault, membership, serve, spawn_metrics};
 use crate::clock::Clock;
 use crate::lock::lock;
 use crate::metric;
+use crate::port_check::Checker;
 use crate::web::{self, Answer};
 
 /// Time until the platform has taken a leaving process out of rotation, in milliseconds. It does so
@@ -208,7 +208,9 @@
 fn spawn_checker(shared: &Arc<Shared>) -> Result<(), Fault> {
     let checked = Arc::clone(shared);
     let checker = Checker::spawn(move |address, finding| {
-        checked.handle(Event::PortChecked(*address.ip(), finding), &[]);
+        if let IpAddr::V4(agent) = address.ip() {
+            checked.handle(Event::PortChecked(agent, finding), &[]);
+        }
     })?;
     shared.checker.get_or_init(|| checker);
     Ok(())
@@ -401,7 +403,7 @@
                 }
                 Action::CheckPort { agent, asked_at } => {
                     if let Some(checker) = self.checker.get() {
-                        checker.check(self.link.address_of(agent), asked_at);
+                        checker.check(self.link.address_of(agent).into(), asked_at);
                     }
                 }
                 Action::Log(decision) => self.decision_log.record(now, decision),
--- a/crates/nutmegkeel_node/src/lib.rs
+++ b/crates/nutmegkeel_node/src/lib.rs
@@ -9,5 +9,6 @@
 mod lock;
 pub mod metric;
 pub mod output;
+pub mod port_check;
 pub mod settings;
 mod web;
--- a/crates/nutmegkeel_node/src/l4/port_check.rs
+++ b/crates/nutmegkeel_node/src/port_check.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
@@ -13,7 +13,7 @@
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Token, Waker};
 use nutmegkeel_core::clock::Time;
-use nutmegkeel_core::l4::port::{Finding, State};
+use nutmegkeel_core::port::{Finding, State};
 
 use crate::metric;
 
@@ -29,7 +29,7 @@
 /// Request for a check.
 #[derive(Clone, Copy, Debug)]
 struct Request {
-    address: SocketAddrV4,
+    address: SocketAddr,
     asked_at: Time,
 }
 
@@ -45,7 +45,7 @@
     ///
     /// # Errors
     /// When the thread cannot be started, or the system's readiness queue cannot be created.
-    pub fn spawn(checked: impl Fn(SocketAddrV4, Finding) + Send + 'static) -> io::Result<Self> {
+    pub fn spawn(checked: impl Fn(SocketAddr, Finding) + Send + 'static) -> io::Result<Self> {
         let poll = Poll::new()?;
         let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
         let (requests, received) = sync_channel(MAX_ATTEMPTS);
@@ -55,7 +55,7 @@
     }
 
     /// Requests a check. One that exceeds the limit is left out and counted.
-    pub fn check(&self, address: SocketAddrV4, asked_at: Time) {
+    pub fn check(&self, address: SocketAddr, asked_at: Time) {
         if self.requests.try_send(Request { address, asked_at }).is_err() {
             counter!(metric::PORT_CHECKS, "result" => "left_out").increment(1);
             return;
@@ -83,7 +83,7 @@
 }
 
 impl Worker {
-    fn run(mut self, checked: &impl Fn(SocketAddrV4, Finding)) {
+    fn run(mut self, checked: &impl Fn(SocketAddr, Finding)) {
         let mut events = Events::with_capacity(MAX_ATTEMPTS);
         loop {
             let due = self.attempts.values().map(|attempt| attempt.until).min();
@@ -115,7 +115,7 @@
     }
 
     fn start(&mut self, request: Request) -> io::Result<()> {
-        let mut stream = TcpStream::connect(SocketAddr::V4(request.address))?;
+        let mut stream = TcpStream::connect(request.address)?;
         self.last = Token(self.last.0.wrapping_add(1).max(WAKER.0 + 1));
         self.poll.registry().register(&mut stream, self.last, Interest::WRITABLE)?;
         let until = Instant::now() + TIMEOUT;
@@ -142,7 +142,7 @@
     }
 }
 
-fn state_of(address: SocketAddrV4, error: &io::Error) -> State {
+fn state_of(address: SocketAddr, error: &io::Error) -> State {
     if error.kind() == io::ErrorKind::ConnectionRefused {
         return State::Closed;
     }
--- a/crates/nutmegkeel_node/tests/port_check.rs
+++ b/crates/nutmegkeel_node/tests/port_check.rs
@@ -1,12 +1,12 @@
 //! Checks of ports over real connections.
 
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
 use nutmegkeel_core::clock::Time;
-use nutmegkeel_core::l4::port::{Finding, State};
-use nutmegkeel_node::l4::port_check::Checker;
+use nutmegkeel_core::port::{Finding, State};
+use nutmegkeel_node::port_check::Checker;
 use nutmegkeel_standin::loopback;
 use socket2::SockRef;
 
@@ -16,11 +16,11 @@
 /// Time limit for a result, far beyond the time after which a check is unanswered.
 const RESULT_LIMIT: Duration = Duration::from_secs(10);
 
-fn address(number: u8) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(127, loopback::block(), 253, number), PORT)
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(127, loopback::block(), 253, number), PORT))
 }
 
-fn checker() -> (Checker, Receiver<(SocketAddrV4, Finding)>) {
+fn checker() -> (Checker, Receiver<(SocketAddr, Finding)>) {
     let (results, received) = channel();
     let checked = move |address, finding| {
         // The receiver may have ended with its test.
@@ -29,13 +29,13 @@
     (Checker::spawn(checked).expect("the thread starts"), received)
 }
 
-fn check(address: SocketAddrV4) -> Option<(SocketAddrV4, Finding)> {
+fn check(address: SocketAddr) -> Option<(SocketAddr, Finding)> {
     let (checker, results) = checker();
     checker.check(address, ASKED_AT);
     results.recv_timeout(RESULT_LIMIT).ok()
 }
 
-fn found(address: SocketAddrV4, state: State) -> Option<(SocketAddrV4, Finding)> {
+fn found(address: SocketAddr, state: State) -> Option<(SocketAddr, Finding)> {
     Some((address, Finding { state, asked_at: ASKED_AT }))
 }
 
@@ -65,7 +65,7 @@
     let address = address(3);
     let listener = TcpListener::bind(address).expect("the address is free");
     SockRef::from(&listener).listen(0).expect("the queue can be shortened");
-    let connect = |_| TcpStream::connect_timeout(&address.into(), Duration::from_millis(100)).ok();
+    let connect = |_| TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
     let waiting: Vec<TcpStream> = (0..4).map_while(connect).collect();
 
     let result = check(address);
@@ -80,7 +80,7 @@
     let (slow, fast) = (address(4), address(5));
     let listener = TcpListener::bind(slow).expect("the address is free");
     SockRef::from(&listener).listen(0).expect("the queue can be shortened");
-    let connect = |_| TcpStream::connect_timeout(&slow.into(), Duration::from_millis(100)).ok();
+    let connect = |_| TcpStream::connect_timeout(&slow, Duration::from_millis(100)).ok();
     let _waiting: Vec<TcpStream> = (0..4).map_while(connect).collect();
     let (checker, results) = checker();
 
