--- a/crates/nutmegkeel_core/src/l4/agent/crash.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/crash.rs
@@ -3,6 +3,7 @@
 use super::{Action, Agent, reset_observed};
 use crate::clock::Time;
 use crate::l4::decision::{Cause, Decision, ServerChange};
+use crate::l4::policy::Mechanism;
 use crate::port::{Finding, State};
 
 /// Interval between two checks of a silent server's port, in milliseconds.
@@ -45,7 +46,8 @@
     }
 
     fn request_port_check(&mut self, now: Time) -> Option<Action> {
-        self.port.request(now).then_some(Action::CheckServerPort { asked_at: now })
+        let is_due = self.uses(Mechanism::PortChecks) && self.port.request(now);
+        is_due.then_some(Action::CheckServerPort { asked_at: now })
     }
 
     /// Returns whether the server owes an answer and has been silent for too long.
--- a/crates/nutmegkeel_core/src/l4/balancer/stopped.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/stopped.rs
@@ -6,6 +6,7 @@
 use crate::clock::Time;
 use crate::l4::decision::{Cause, Decision};
 use crate::l4::flow::Flow;
+use crate::l4::policy::Mechanism;
 use crate::l4::route::Kind;
 use crate::port::Finding;
 
@@ -24,6 +25,9 @@
     /// Guards against resetting the flows of an agent that is only suspended: its backend server is
     /// well and holds them.
     pub(super) fn check_ports(&mut self, now: Time) -> Vec<Action> {
+        if !self.identity.policy.uses(Mechanism::PortChecks) {
+            return Vec::new();
+        }
         let due = self.pool.request_port_checks(now);
         due.into_iter().map(|agent| Action::CheckPort { agent, asked_at: now }).collect()
     }
--- a/crates/nutmegkeel_core/src/l4/policy.rs
+++ b/crates/nutmegkeel_core/src/l4/policy.rs
@@ -34,6 +34,9 @@
     Outliers,
     /// A server that leaves openings unanswered gets no further ones.
     Unresponsive,
+    /// The ports of silent agents and backend servers are checked, so that a process that does not
+    /// run is told from one that has ended.
+    PortChecks,
     /// Agents announce themselves with each tick to balancers that have not answered yet.
     Introductions,
     /// Packets that cannot be decided on yet are kept.
@@ -68,7 +71,7 @@
 
 impl Mechanism {
     /// All mechanisms, in the order of the documentation.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::FlowLists,
         Self::AgentQueue,
         Self::NewestFirst,
@@ -76,6 +79,7 @@
         Self::FreeSlotFirst,
         Self::Outliers,
         Self::Unresponsive,
+        Self::PortChecks,
         Self::Introductions,
         Self::KeptPackets,
         Self::Relay,
@@ -114,6 +118,7 @@
             Self::FreeSlotFirst => "free-slot-first",
             Self::Outliers => "outliers",
             Self::Unresponsive => "unresponsive",
+            Self::PortChecks => "port-checks",
             Self::Introductions => "introductions",
             Self::KeptPackets => "kept-packets",
             Self::Relay => "relay",
--- a/crates/nutmegkeel_core/tests/l4/stopped.rs
+++ b/crates/nutmegkeel_core/tests/l4/stopped.rs
@@ -4,13 +4,15 @@
 
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
+use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::message::{self, Load, Message, Reason, Report, Summary};
+use nutmegkeel_core::l4::policy::{Mechanism, Policy};
 use nutmegkeel_core::l4::route::Kind;
 use nutmegkeel_core::port::{Finding, State};
 
 use crate::fixture::{
-    PORT, announce, announcement, at, balancer, data, default_service, flow, forwarded, host,
-    opening, route, service_address, table,
+    BALANCER, PORT, announce, announcement, at, balancer, data, default_service, flow, forwarded,
+    host, identity, opening, route, service_address, table,
 };
 
 /// Agents of the tests; the first one is silent from 3,000 ms on.
@@ -22,7 +24,14 @@
 
 /// A balancer that knows a flow at the first agent. Its requests are of this kind.
 fn balancer_with_flow(kind: Kind) -> Balancer {
-    let mut balancer = balancer(&ALL);
+    balancer_with_policy(kind, Policy::default())
+}
+
+fn balancer_with_policy(kind: Kind, policy: Policy) -> Balancer {
+    let mut balancer = Balancer::open(at(0), identity(BALANCER, policy), &[]);
+    balancer.handle(at(0), Event::Ordered(Orders::default()));
+    balancer.handle(at(0), Event::Configured(table(1, &[(PORT, default_service())])));
+    announce(&mut balancer, &ALL, 0, 3_000);
     let mut table = table(2, &[]);
     table.routes.insert(service_address(PORT), route(default_service(), kind));
     balancer.handle(at(3_000), Event::Configured(table));
@@ -339,3 +348,13 @@
     assert_eq!(reset_ms(&actions), Some(5_050));
     assert!(!placed.contains(&host(1)), "{placed:?}");
 }
+
+#[test]
+fn without_port_checks_silence_decides() {
+    let policy = Policy::without([Mechanism::PortChecks]);
+    let mut balancer = balancer_with_policy(Kind::Once, policy);
+
+    let actions = run(&mut balancer, 3_050, 6_000, State::Open);
+
+    assert_eq!(reset_ms(&actions), Some(5_050));
+}
