--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -227,12 +227,12 @@
 
     /// Handles an event.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
-        let is_answered = event.client_head().is_some_and(|head| head.len > 0 || head.opens());
+        let owes_answer = event.client_head().is_some_and(|head| head.len > 0 || head.opens());
         let mut actions = self.dispatch(now, event);
         let is_passed_on = actions.iter().any(|action| matches!(action, Action::ToServer(_)));
         actions.extend(self.release(now));
         let is_released = actions.iter().any(|action| matches!(action, Action::Release(_)));
-        if is_released || (is_answered && is_passed_on) {
+        if is_released || (owes_answer && is_passed_on) {
             self.record_awaiting(now);
         }
         self.measure(now);
--- a/crates/nutmegkeel_core/src/l4/agent/crash.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/crash.rs
@@ -26,8 +26,8 @@
         self.awaiting_since.get_or_insert(now);
     }
 
-    /// Requests a check of the port of a server that has started. If a port is closed that was never
-    /// seen open, this does not show that its server has ended.
+    /// Requests a check of the port of a server that has started: only a port that was seen open
+    /// shows by being closed that its server has ended.
     pub(super) fn check_started_server(&mut self, now: Time) -> Option<Action> {
         self.was_port_open = false;
         self.request_port_check(now)
--- a/crates/nutmegkeel_core/src/l4/balancer/stopped.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/stopped.rs
@@ -51,12 +51,10 @@
         if !stopped.is_empty() {
             actions.push(Action::Log(Decision::AgentsStopped { agents: stopped }));
         }
-        for agent in self.pool.stopped(now) {
-            for (flow, since, seq) in self.cache.waiting_at(agent) {
-                if self.is_over(now, since, &flow) {
-                    self.cache.remove(&flow);
-                    actions.extend(self.reset_flow(flow, seq, Cause::AgentStopped, 0));
-                }
+        for (flow, since, seq) in self.cache.waiting_at(&self.pool.stopped(now)) {
+            if self.is_over(now, since, &flow) {
+                self.cache.remove(&flow);
+                actions.extend(self.reset_flow(flow, seq, Cause::AgentStopped, 0));
             }
         }
         actions
--- a/crates/nutmegkeel_core/src/l4/cache.rs
+++ b/crates/nutmegkeel_core/src/l4/cache.rs
@@ -238,15 +238,20 @@
         entries.map(|(flow, entry)| (*flow, entry.client_ack)).collect()
     }
 
-    /// Returns the flows that an agent reported to hold and whose clients have repeated a request,
-    /// each with the time of the request and the client's last acknowledgement number.
+    /// Returns the flows that one of these agents reported to hold and whose clients have repeated a
+    /// request, each with the time of the request and the client's last acknowledgement number.
     #[must_use]
-    pub fn waiting_at(&self, agent: Ipv4Addr) -> Vec<(Flow, Time, u32)> {
-        let is_held = |entry: &Entry| entry.place == Some(Place::Held(agent));
-        let entries = self.entries.iter().filter(|(_, entry)| is_held(entry));
-        entries
-            .filter_map(|(flow, entry)| Some((*flow, entry.waits_since()?, entry.client_ack)))
-            .collect()
+    pub fn waiting_at(&self, agents: &BTreeSet<Ipv4Addr>) -> Vec<(Flow, Time, u32)> {
+        if agents.is_empty() {
+            return Vec::new();
+        }
+        let waiting = |(flow, entry): (&Flow, &Entry)| match entry.place {
+            Some(Place::Held(agent)) if agents.contains(&agent) => {
+                Some((*flow, entry.waits_since()?, entry.client_ack))
+            }
+            _ => None,
+        };
+        self.entries.iter().filter_map(waiting).collect()
     }
 
     /// Returns since when the client of a flow waits, with a request that it has repeated or for a
--- a/crates/nutmegkeel_core/src/l4/placement/liveness.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/liveness.rs
@@ -1,6 +1,6 @@
 //! Liveness of agents: which ones are alive, which are lost, and what follows from that.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
@@ -75,8 +75,9 @@
 
     /// Returns the agents that are stopped now.
     #[must_use]
-    pub fn stopped(&self, now: Time) -> Vec<Ipv4Addr> {
-        self.find_agents(|candidate| self.health_of(now, candidate) == Health::Stopped)
+    pub fn stopped(&self, now: Time) -> BTreeSet<Ipv4Addr> {
+        let is_stopped = |candidate: &Candidate| self.health_of(now, candidate) == Health::Stopped;
+        self.find_agents(is_stopped).into_iter().collect()
     }
 
     /// Returns whether an agent is stopped that may hold flows.
@@ -183,6 +184,7 @@
         for candidate in self.agents.values_mut() {
             candidate.last_seen = candidate.last_seen.after(span_ms);
             candidate.reported_at = candidate.reported_at.after(span_ms);
+            candidate.port.extend(span_ms);
         }
     }
 }
--- a/crates/nutmegkeel_core/src/port.rs
+++ b/crates/nutmegkeel_core/src/port.rs
@@ -79,6 +79,14 @@
         *self = Self::open(self.interval_ms);
     }
 
+    /// Extends the time for which the host's answer counts by a period in which this process did not
+    /// run and could repeat no check.
+    pub fn extend(&mut self, span_ms: u64) {
+        if let Some(answer) = &mut self.answer {
+            answer.asked_at = answer.asked_at.after(span_ms);
+        }
+    }
+
     /// Returns whether a check is due, and counts it as requested.
     pub fn request(&mut self, now: Time) -> bool {
         let pause_ms = match self.latest {
--- a/crates/nutmegkeel_core/src/silent.rs
+++ b/crates/nutmegkeel_core/src/silent.rs
@@ -14,6 +14,10 @@
 /// milliseconds. No caller waits longer for an answer.
 const KEPT_MS: u64 = 10_000;
 
+/// Longest usual gap between two steps, in milliseconds. A longer one means that this process did not
+/// run, and heard of no agent meanwhile.
+const STALL_MS: u64 = 1_000;
+
 /// What to do about a silent agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -38,6 +42,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Silent {
     agents: BTreeMap<SocketAddr, Agent>,
+    /// When the last step was.
+    stepped_at: Time,
 }
 
 impl Silent {
@@ -80,18 +86,28 @@
 
     /// Returns what is to be done now.
     pub fn step(&mut self, now: Time) -> Vec<Step> {
-        let ended = self.agents.extract_if(.., |_, agent| agent.has_ended(now));
-        let mut steps: Vec<Step> =
-            ended.map(|(address, agent)| Step::Ended(address, agent.instance)).collect();
+        let gap_ms = now.since(self.stepped_at);
+        self.stepped_at = now;
+        if gap_ms > STALL_MS {
+            self.agents.values_mut().for_each(|agent| agent.extend_timeouts(gap_ms));
+        }
         let due = self.agents.iter_mut().filter_map(|(address, agent)| {
             agent.port.request(now).then_some(Step::Check(*address))
         });
-        steps.extend(due);
+        let mut steps: Vec<Step> = due.collect();
+        let ended = self.agents.extract_if(.., |_, agent| agent.has_ended(now));
+        steps.extend(ended.map(|(address, agent)| Step::Ended(address, agent.instance)));
         steps
     }
 }
 
 impl Agent {
+    /// Extends its timeouts by a period in which this process did not run.
+    fn extend_timeouts(&mut self, span_ms: u64) {
+        self.declared_at = self.declared_at.map(|at| at.after(span_ms));
+        self.port.extend(span_ms);
+    }
+
     /// Returns whether the flows of the agent are lost: it was declared dead, and its port is closed
     /// or its host does not answer.
     fn has_ended(&self, now: Time) -> bool {
--- a/crates/nutmegkeel_core/tests/l4/stopped.rs
+++ b/crates/nutmegkeel_core/tests/l4/stopped.rs
@@ -349,6 +349,18 @@
     assert!(!placed.contains(&host(1)), "{placed:?}");
 }
 
+/// Guards against the reset of a stopped agent's flows by a balancer that was stopped itself: its
+/// last check is old when it resumes.
+#[test]
+fn a_balancer_that_resumes_resets_no_flow_of_a_stopped_agent() {
+    let mut balancer = balancer_with_flow(Kind::Once);
+    run(&mut balancer, 3_050, 6_000, State::Open);
+
+    let actions = run(&mut balancer, 11_000, 11_500, State::Open);
+
+    assert_eq!(reset_ms(&actions), None);
+}
+
 #[test]
 fn without_port_checks_silence_decides() {
     let policy = Policy::without([Mechanism::PortChecks]);
--- a/crates/nutmegkeel_core/tests/silent.rs
+++ b/crates/nutmegkeel_core/tests/silent.rs
@@ -57,6 +57,24 @@
     assert!((5_000..=7_050).contains(&ended), "{ended}");
 }
 
+/// Guards against resets of an agent's flows by a balancer that was suspended itself, and has not
+/// heard yet that the agent runs again.
+#[test]
+fn a_suspension_of_this_process_ends_no_agent() {
+    let mut silent = Silent::default();
+    for now_ms in (0..=3_000).step_by(50) {
+        let now = Time::from_millis(now_ms);
+        silent.declare_dead(now, address(1), INSTANCE);
+        if silent.step(now).contains(&Step::Check(address(1))) {
+            silent.port_checked(address(1), Finding { state: State::Open, asked_at: now });
+        }
+    }
+
+    let resumed = silent.step(Time::from_millis(20_000));
+
+    assert_eq!(resumed, [Step::Check(address(1))]);
+}
+
 /// Guards against the end of an agent that refuted its death.
 #[test]
 fn an_agent_that_is_heard_again_has_not_ended() {
