--- a/crates/nutmegkeel/tests/soak.rs
+++ b/crates/nutmegkeel/tests/soak.rs
@@ -76,3 +76,10 @@
 fn seed_46012_keeps_flows_of_servers_that_pause() {
     assert_no_violations(&run(&options(46_012, 0, true, true)));
 }
+
+/// Guards against open flows that balancers reset because their agent is suspended, against clients
+/// of a crashed server that are not told, and against a balancer that resumes with old routes.
+#[test]
+fn seed_60012_keeps_flows_beside_suspensions_and_crashes() {
+    assert_no_violations(&run(&Options { outages: true, ..options(60_012, 248, true, true) }));
+}
--- a/crates/nutmegkeel_core/src/l4/placement/candidate.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -5,7 +5,7 @@
 use super::inheritance::Inheritance;
 use super::{Change, Choice, Slowness};
 use crate::clock::Time;
-use crate::l4::health::{CHECK_INTERVAL_MS, CHECK_MS, Health, LATE_MS, STOPPED_MS};
+use crate::l4::health::{CHECK_INTERVAL_MS, CHECK_MS, Health, LATE_MS, SILENT_MS, STOPPED_MS};
 use crate::l4::message::{Announcement, Load, Report, State};
 use crate::l4::room::Occupancy;
 use crate::l4::roster::Sent;
@@ -147,9 +147,13 @@
     /// Returns whether the port of the agent is to be checked now, and counts the check as
     /// requested: its silence may be that of a process that is suspended.
     pub(super) fn request_port_check(&mut self, now: Time, visibility: Visibility) -> bool {
-        let is_silent = visibility.until.since(self.last_seen) >= CHECK_MS;
-        let may_return = matches!(self.health(visibility), Health::Late | Health::Stopped);
-        is_silent && may_return && self.announcement.service.is_some() && self.port.request(now)
+        let silence_ms = visibility.until.since(self.last_seen);
+        let is_silent = match self.health(visibility) {
+            Health::Late => (CHECK_MS..SILENT_MS).contains(&silence_ms),
+            Health::Stopped => true,
+            Health::Fresh | Health::Restarting | Health::Silent => false,
+        };
+        is_silent && self.announcement.service.is_some() && self.port.request(now)
     }
 
     /// Records that the agent was heard now.
--- a/crates/nutmegkeel_core/tests/l4/stopped.rs
+++ b/crates/nutmegkeel_core/tests/l4/stopped.rs
@@ -4,6 +4,7 @@
 
 use nutmegkeel_core::clock::Time;
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
+use nutmegkeel_core::l4::decision::Decision;
 use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::message::{self, Load, Message, Reason, Report, Summary};
 use nutmegkeel_core::l4::policy::{Mechanism, Policy};
@@ -263,6 +264,37 @@
     }
 }
 
+/// Guards against checks that cost more than they show when a failure domain of 300 hosts goes dark:
+/// two for each host, and its clients are told as if there were none.
+#[test]
+fn a_dark_failure_domain_costs_two_checks_for_each_host() {
+    let mut balancer = Balancer::open(at(0), identity(BALANCER, Policy::default()), &[]);
+    let agent = |number: u16| {
+        let [high, low] = number.to_be_bytes();
+        Ipv4Addr::new(10, 0, 2 + high, low)
+    };
+    let mut checked = Vec::new();
+    let mut silent_ms = None;
+    for now_ms in (0..=12_000).step_by(50) {
+        let alive = if now_ms <= 6_000 { 0..900 } else { 300..900 };
+        let mut actions = Vec::new();
+        for number in alive.filter(|_| now_ms % 300 == 0) {
+            let announced = announcement(now_ms + 100, message::State::Ready, Load::default());
+            let event = Event::Announced(agent(number), announced);
+            actions.extend(deliver(&mut balancer, now_ms, event, State::Unanswered));
+        }
+        actions.extend(deliver(&mut balancer, now_ms, Event::Tick, State::Unanswered));
+        checked.extend(checks(&actions));
+        let is_silent = |action: &Action| matches!(action, Action::Log(Decision::AgentsSilent { agents }) if agents.len() == 300);
+        if actions.iter().any(is_silent) {
+            silent_ms.get_or_insert(now_ms);
+        }
+    }
+
+    assert_eq!(checked.len(), 600);
+    assert_eq!(silent_ms, Some(8_050));
+}
+
 /// Guards against checks of a whole failure domain when this balancer is the one that is cut off.
 #[test]
 fn a_balancer_that_is_cut_off_checks_no_ports() {
--- a/crates/nutmegkeel_node/src/port_check.rs
+++ b/crates/nutmegkeel_node/src/port_check.rs
@@ -23,6 +23,9 @@
 /// Maximum number of attempts at a time. Each uses one descriptor.
 const MAX_ATTEMPTS: usize = 512;
 
+/// Pause after a wait for results that failed or was interrupted.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+
 /// Token of the waker; attempts have higher ones.
 const WAKER: Token = Token(0);
 
@@ -88,8 +91,10 @@
         loop {
             let due = self.attempts.values().map(|attempt| attempt.until).min();
             let timeout = due.map(|due| due.saturating_duration_since(Instant::now()));
-            // An interrupted wait is repeated.
-            let _ = self.poll.poll(&mut events, timeout);
+            if let Err(error) = self.poll.poll(&mut events, timeout) {
+                info!(event = "port_check_delayed", fault:% = error; "wait for results failed");
+                thread::sleep(RETRY_PAUSE);
+            }
             let ready: Vec<Token> = events.iter().map(|event| event.token()).collect();
             let mut ended = self.start_requested();
             ended.extend(ready.into_iter().filter_map(|token| self.finish(token)));
