--- a/crates/nutmegkeel_core/src/l4/health.rs
+++ b/crates/nutmegkeel_core/src/l4/health.rs
@@ -19,7 +19,7 @@
 pub const CHECK_MS: u64 = SILENT_MS / 2;
 
 /// Interval between two checks of the port of a silent agent whose host answers, in milliseconds.
-/// Clients of a host that goes down meanwhile are told half as soon again as those of any other.
+/// Clients of a host that goes down meanwhile are told within three seconds.
 pub const CHECK_INTERVAL_MS: u64 = SILENT_MS;
 
 /// Time for which the flows of a silent agent are kept while its host answers, in milliseconds. No
