--- a/crates/nutmegkeel_dev/src/soak/processes/checker.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/checker.rs
@@ -263,7 +263,7 @@
     }
 
     /// Returns whether an open flow may have been reset: its server has ended, its route was
-    /// removed, or a balancer reset it that was disturbed, as was one that its packets were sent to.
+    /// removed, or the balancer that reset it, or one that its packets were sent to, was disturbed.
     ///
     /// The agent of a running server knows what the server holds, so no disturbance excuses it. While
     /// an agent does not run, balancers may only tell clients that wait for it to retry.
