--- a/crates/nutmegkeel/tests/commands.rs
+++ b/crates/nutmegkeel/tests/commands.rs
@@ -3,9 +3,11 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
+use nutmegkeel_standin::process::Process;
+
 /// Time within which a starting balancer accepts connections of operators.
 const STARTED_WITHIN: Duration = Duration::from_secs(10);
 
@@ -47,26 +49,13 @@
     settings
 }
 
-/// Balancer process that is killed when it is dropped.
-struct BalancerProcess(Child);
-
-impl Drop for BalancerProcess {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 /// Starts a balancer and returns once its administration API accepts connections.
-fn start_balancer(directory: &Path, administration: SocketAddr) -> BalancerProcess {
+fn start_balancer(directory: &Path, administration: SocketAddr) -> Process {
     let settings = write_balancer(directory, "127.0.0.1:0", &administration.to_string());
-    let child = Command::new(env!("CARGO_BIN_EXE_nutmegkeel"))
-        .args(["balancer", "--settings", &settings.to_string_lossy()])
-        .stdout(Stdio::null())
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("the binary starts");
-    let running = BalancerProcess(child);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_nutmegkeel"));
+    command.args(["balancer", "--settings", &settings.to_string_lossy()]);
+    command.stdout(Stdio::null()).stderr(Stdio::null());
+    let running = Process::spawn(&mut command).expect("the binary starts");
     let until = Instant::now() + STARTED_WITHIN;
     while std::net::TcpStream::connect(administration).is_err() {
         assert!(Instant::now() < until, "the balancer does not answer at {administration}");
--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use nutmegkeel_standin::client::{Client, Outcome};
-use nutmegkeel_standin::fleet::{Fleet, Plan, Signal};
+use nutmegkeel_standin::fleet::{Fleet, Plan};
 use nutmegkeel_standin::host::{CONFIG_APPLY_MS, DOMAIN};
+use nutmegkeel_standin::process::Signal;
 use nutmegkeel_standin::store::Mode;
 
 const SHORT_WAIT: Duration = Duration::from_secs(3);
--- a/crates/nutmegkeel_dev/src/compare/play.rs
+++ b/crates/nutmegkeel_dev/src/compare/play.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
+use nutmegkeel_standin::guard;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -141,8 +142,8 @@
 
 fn run_bench(bench: &Path, way: &Way, arguments: &[String]) -> Result<String, Fault> {
     let fault = |error| Fault::Io { what: format!("{} in {}", bench.display(), way.name), error };
-    let ended =
-        Command::new(bench).args(arguments).current_dir(&way.folder).output().map_err(fault)?;
+    let mut command = Command::new(bench);
+    let ended = guard::output(command.args(arguments).current_dir(&way.folder)).map_err(fault)?;
     Ok(String::from_utf8_lossy(&ended.stdout).into_owned()
         + &String::from_utf8_lossy(&ended.stderr))
 }
--- a/crates/nutmegkeel_dev/src/demo.rs
+++ b/crates/nutmegkeel_dev/src/demo.rs
@@ -43,7 +43,7 @@
     let step = length / 8;
     pause(began, step);
     println!("{:>6.1}s stopping balancer 1 gracefully", began.elapsed().as_secs_f64());
-    deployment.stop_balancer(0);
+    deployment.stop_balancer(0)?;
     pause(began, step * 2);
     println!("{:>6.1}s killing balancer 2", began.elapsed().as_secs_f64());
     deployment.kill_balancer(1);
--- a/crates/nutmegkeel_dev/src/demo/deployment.rs
+++ b/crates/nutmegkeel_dev/src/demo/deployment.rs
@@ -6,9 +6,11 @@
 use std::net::SocketAddr;
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
+use nutmegkeel_standin::guard;
+use nutmegkeel_standin::process::{Process, Signal};
 use nutmegkeel_wire::key::Ring;
 use rustls::pki_types::CertificateDer;
 use serde_json::{Value, json};
@@ -16,7 +18,6 @@
 use super::settling::{self, ChangeState};
 use crate::caller::SERVER_NAME;
 use crate::port;
-use crate::process::{Process, Signal};
 use crate::standin::backend::{self, Records};
 use crate::standin::fabric::{self, Trouble};
 
@@ -192,10 +193,12 @@
         Ok(())
     }
 
-    pub(crate) fn stop_balancer(&self, index: usize) {
-        if let Some(process) = &self.balancers[index].process {
-            process.signal(Signal::Terminate);
-        }
+    /// Requests a graceful stop of a balancer.
+    pub(crate) fn stop_balancer(&mut self, index: usize) -> io::Result<()> {
+        self.balancers[index]
+            .process
+            .as_mut()
+            .map_or(Ok(()), |process| process.signal(Signal::Term))
     }
 
     pub(crate) fn kill_balancer(&mut self, index: usize) {
@@ -206,7 +209,7 @@
 
     pub(crate) fn balancer_exited(&mut self, index: usize) -> bool {
         let process = self.balancers[index].process.as_mut();
-        process.is_some_and(|process| process.exited_cleanly_within(EXIT_TIMEOUT))
+        process.is_some_and(exits_cleanly)
     }
 
     /// Drains the server that holds the feed and returns its name.
@@ -230,16 +233,15 @@
     }
 
     /// Sends a signal to the agent of the server called `name`.
-    pub(crate) fn signal_agent(&self, name: &str, signal: Signal) -> io::Result<()> {
-        let server = self.servers.iter().find(|server| server.name == name);
+    pub(crate) fn signal_agent(&mut self, name: &str, signal: Signal) -> io::Result<()> {
+        let server = self.servers.iter_mut().find(|server| server.name == name);
         let server = server.ok_or_else(|| io::Error::other("there is no such server"))?;
-        server.agent.signal(signal);
-        Ok(())
+        server.agent.signal(signal)
     }
 
     pub(crate) fn agent_exited(&mut self, name: &str) -> bool {
         let server = self.servers.iter_mut().find(|server| server.name == name);
-        server.is_some_and(|server| server.agent.exited_cleanly_within(EXIT_TIMEOUT))
+        server.is_some_and(|server| exits_cleanly(&mut server.agent))
     }
 
     pub(crate) fn records(&self) -> Vec<Records> {
@@ -311,11 +313,9 @@
         let at = at.to_string();
         let token_file = text(&self.directory.join("token"));
         let (command, rest) = arguments.split_at(2);
-        Command::new(&self.product)
-            .args(command)
-            .args(["--at", &at, "--token-file", &token_file])
-            .args(rest)
-            .output()
+        let mut running = Command::new(&self.product);
+        running.args(command).args(["--at", &at, "--token-file", &token_file]).args(rest);
+        guard::output(&mut running)
     }
 
     /// Returns a `status` command line for each started balancer.
@@ -420,7 +420,7 @@
     if !cfg!(debug_assertions) {
         build.arg("--release");
     }
-    if !build.status()?.success() {
+    if !guard::spawn(&mut build)?.wait()?.success() {
         return Err(io::Error::other("the product could not be built"));
     }
     let product = tool.parent().map(|directory| directory.join("nutmegkeel"));
@@ -443,8 +443,16 @@
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
+/// Starts a program whose output goes to a log in the directory.
 fn spawn(directory: &Path, name: &str, program: &Path, arguments: &[&str]) -> io::Result<Process> {
-    Process::spawn(name, program, arguments, &directory.join(format!("{name}.log")))
+    let log = fs::File::create(directory.join(format!("{name}.log")))?;
+    let mut command = Command::new(program);
+    command.args(arguments).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+    Process::spawn(&mut command)
+}
+
+fn exits_cleanly(process: &mut Process) -> bool {
+    process.exit_within(EXIT_TIMEOUT).is_some_and(|status| status.success())
 }
 
 fn write_json(directory: &Path, name: &str, value: &Value) -> io::Result<PathBuf> {
--- a/crates/nutmegkeel_dev/src/lib.rs
+++ b/crates/nutmegkeel_dev/src/lib.rs
@@ -8,6 +8,5 @@
 pub mod measure;
 pub mod model;
 pub mod port;
-pub mod process;
 pub mod soak;
 pub mod standin;
--- a/crates/nutmegkeel_dev/src/main.rs
+++ b/crates/nutmegkeel_dev/src/main.rs
@@ -47,10 +47,7 @@
         Command::Compare(options) => compare::run(&options).map_err(std::io::Error::other),
         Command::PlayDays(options) => compare::check(&options).map_err(std::io::Error::other),
         Command::SoakProcesses(series) => soak::run_processes(&series),
-        Command::Busy => {
-            soak::busy::run();
-            Ok(true)
-        }
+        Command::Busy => soak::busy::run(),
         Command::Soak(seed, minutes) => Ok(soak::run(seed, minutes)),
         Command::Platform(address) => standin::platform::spawn(address).map(|_handle| {
             loop {
@@ -256,7 +253,7 @@
 fn busy() -> impl Parser<Command> {
     bpaf::pure(Command::Busy)
         .to_options()
-        .descr("Keep one processor busy until standard input ends")
+        .descr("Keep one processor busy until the process is killed")
         .command("busy")
 }
 
--- a/crates/nutmegkeel_dev/src/measure/capacity.rs
+++ b/crates/nutmegkeel_dev/src/measure/capacity.rs
@@ -14,6 +14,7 @@
 use nutmegkeel_core::peer::Peer;
 use nutmegkeel_core::placement::{Candidate, Key, Pool, Rule};
 use nutmegkeel_fake::fleet::{agent, balancer};
+use nutmegkeel_standin::guard;
 use serde_json::{Map, Value, json};
 
 /// Numbers of members known to one process.
@@ -69,9 +70,9 @@
 }
 
 fn measure_in_subprocess(name: &str, count: u32) -> io::Result<Value> {
-    let output = Command::new(std::env::current_exe()?)
-        .args(["measure", "capacity-point", name, &count.to_string()])
-        .output()?;
+    let mut command = Command::new(std::env::current_exe()?);
+    command.args(["measure", "capacity-point", name, &count.to_string()]);
+    let output = guard::output(&mut command)?;
     Ok(serde_json::from_slice(&output.stdout)?)
 }
 
--- a/crates/nutmegkeel_dev/src/measure/forward.rs
+++ b/crates/nutmegkeel_dev/src/measure/forward.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::process::{Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -11,13 +12,13 @@
 use nutmegkeel_core::load::Report;
 use nutmegkeel_core::member::Instance;
 use nutmegkeel_core::placement::Hop;
+use nutmegkeel_standin::process::Process;
 use nutmegkeel_wire::frame::{self, Header, Outbound};
 use nutmegkeel_wire::{cid, key::Ring};
 use serde_json::{Map, json};
 
 use crate::demo::deployment::{CLASSES, Deployment};
 use crate::port;
-use crate::process::Process;
 use crate::standin::fabric::Trouble;
 
 /// Length of a caller's packet, in bytes.
@@ -76,10 +77,9 @@
 fn relayed() -> io::Result<Sample> {
     let target = receiver()?;
     let from = port::free(1)?[0];
-    let arguments = ["relay".to_owned(), from.to_string(), target.local_addr()?.to_string()];
-    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    let tool = std::env::current_exe()?;
-    let relay = Process::spawn("relay", &tool, &arguments, std::path::Path::new("/dev/null"))?;
+    let mut command = Command::new(std::env::current_exe()?);
+    command.args(["relay", &from.to_string(), &target.local_addr()?.to_string()]);
+    let relay = Process::spawn(command.stdin(Stdio::null()).stdout(Stdio::null()))?;
     std::thread::sleep(Duration::from_millis(200));
     pump(from, &[0x40; PACKET], &target, relay.id())
 }
--- a/crates/nutmegkeel_dev/src/measure/suspension.rs
+++ b/crates/nutmegkeel_dev/src/measure/suspension.rs
@@ -3,13 +3,13 @@
 use std::io;
 use std::time::{Duration, Instant};
 
+use nutmegkeel_standin::process::Signal;
 use serde_json::{Map, json};
 
 use super::silence::{SETTLE, open_flows};
 use crate::caller::Caller;
 use crate::demo::calls;
 use crate::demo::deployment::Deployment;
-use crate::process::Signal;
 use crate::standin::fabric::Trouble;
 
 /// Duration of the suspension. Balancers declare the agent dead meanwhile, and it is shorter than
@@ -23,7 +23,7 @@
 /// # Errors
 /// When the system does not come up.
 pub(super) fn run() -> io::Result<bool> {
-    let deployment = Deployment::open(Trouble::default())?;
+    let mut deployment = Deployment::open(Trouble::default())?;
     let runtime = tokio::runtime::Runtime::new()?;
     let classes = deployment.classes();
     let class = &classes[0];
--- a/crates/nutmegkeel_dev/src/model.rs
+++ b/crates/nutmegkeel_dev/src/model.rs
@@ -5,6 +5,8 @@
 use std::path::Path;
 use std::process::Command;
 
+use nutmegkeel_standin::guard;
+
 /// A model and its guards that can be disabled.
 struct Model {
     name: &'static str,
@@ -73,7 +75,7 @@
 
 fn run_command(mut command: Command, directory: &Path) -> io::Result<String> {
     let name = command.get_program().to_string_lossy().into_owned();
-    let ended = command.current_dir(directory).output().map_err(|error| {
+    let ended = guard::output(command.current_dir(directory)).map_err(|error| {
         io::Error::other(format!("{name}: {error}; install it with `apt-get install spin gcc`"))
     })?;
     let output = String::from_utf8_lossy(&ended.stdout).into_owned();
--- a/crates/nutmegkeel_dev/src/soak.rs
+++ b/crates/nutmegkeel_dev/src/soak.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use nutmegkeel_fake::soak;
-use nutmegkeel_standin::guard;
 
 /// Number of faults injected in one run.
 const FAULTS_PER_RUN: usize = 60;
@@ -58,7 +57,7 @@
 /// When the path of the running program is unknown, a busy process cannot be started, or a run
 /// panics.
 pub fn run_processes(series: &Series) -> std::io::Result<bool> {
-    kill_processes_on_panic();
+    report_panic();
     let program = processes::program_path()?;
     let _busy = busy::spawn(series.busy)?;
     let Series { seed: first_seed, count, seconds, hold_ms, outages, .. } = *series;
@@ -91,13 +90,12 @@
     Ok(passed)
 }
 
-/// Guards against processes under test that run on: a panic aborts this program.
-fn kill_processes_on_panic() {
+/// Prints that no seed is judged when this program panics.
+fn report_panic() {
     let report = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |info| {
         report(info);
         println!("the soak test itself failed; its seeds are not judged");
-        guard::kill_all();
     }));
 }
 
--- a/crates/nutmegkeel_dev/src/soak/busy.rs
+++ b/crates/nutmegkeel_dev/src/soak/busy.rs
@@ -1,49 +1,22 @@
 //! Processes that keep processors busy, so that a soak test can be repeated beside the same load.
 
-use std::io::{self, Read};
-use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread;
+use std::io;
+use std::process::Command;
 
-/// Running busy processes, which are killed when the handle is dropped.
-#[derive(Debug)]
-pub struct Handle(Vec<Child>);
+use nutmegkeel_standin::process::Process;
 
-/// Starts busy processes.
+/// Starts busy processes, which are killed when they are dropped.
 ///
 /// # Errors
 /// When the path of the running program is unknown, or a process cannot be started.
-pub fn spawn(count: usize) -> io::Result<Handle> {
+pub fn spawn(count: usize) -> io::Result<Vec<Process>> {
     let program = std::env::current_exe()?;
-    let mut handle = Handle(Vec::new());
-    for _ in 0..count {
-        let child = Command::new(&program).arg("busy").stdin(Stdio::piped()).spawn()?;
-        handle.0.push(child);
-    }
-    Ok(handle)
-}
-
-impl Drop for Handle {
-    fn drop(&mut self) {
-        for child in &mut self.0 {
-            // The process may have exited already.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
+    (0..count).map(|_| Process::spawn(Command::new(&program).arg("busy"))).collect()
 }
 
-/// Keeps one processor busy until standard input ends, which it does with the parent process.
-pub fn run() {
-    let is_over = Arc::new(AtomicBool::new(false));
-    let ends = Arc::clone(&is_over);
-    thread::spawn(move || {
-        // An error ends the input too.
-        let _ = io::stdin().read(&mut [0]);
-        ends.store(true, Ordering::Relaxed);
-    });
-    while !is_over.load(Ordering::Relaxed) {
+/// Keeps one processor busy until the process is killed.
+pub fn run() -> ! {
+    loop {
         std::hint::spin_loop();
     }
 }
--- a/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/chaos.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use nutmegkeel_standin::client::{Client, Outcome};
-use nutmegkeel_standin::fleet::{Fleet, Signal};
+use nutmegkeel_standin::fleet::Fleet;
+use nutmegkeel_standin::process::Signal;
 use nutmegkeel_standin::store::Mode;
 use nutmegkeel_standin::{proxy, server};
 use rand::rngs::StdRng;
--- a/crates/nutmegkeel_dev/src/soak/processes/outages.rs
+++ b/crates/nutmegkeel_dev/src/soak/processes/outages.rs
@@ -4,7 +4,7 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use nutmegkeel_standin::fleet::Signal;
+use nutmegkeel_standin::process::Signal;
 use rand::Rng;
 
 use super::chaos::Chaos;
--- a/crates/nutmegkeel_dev/tests/demo.rs
+++ b/crates/nutmegkeel_dev/tests/demo.rs
@@ -1,23 +1,27 @@
 //! The whole system as separate processes, under a graceful stop, a kill, a start and a drain.
 
 use std::path::Path;
-use std::process::{Command, Stdio};
+use std::process::{Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
+use nutmegkeel_standin::guard;
 use serde_json::Value;
 
 /// Duration of the callers' load, in seconds.
 const SECONDS: &str = "8";
 
+/// Runs the program, which is killed if this test is.
+fn run(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_nutmegkeel_dev"));
+    guard::output(command.args(arguments)).expect("the program starts")
+}
+
 /// Guards against a feed that hangs or is cut, a download that stalls, and a filing that is lost or
 /// runs twice. While callers open flows and file, one balancer stops, one is killed, one starts,
 /// and the backend server that holds the feed drains.
 #[test]
 fn callers_stay_connected_through_every_planned_change_and_a_kill() {
-    let ran = Command::new(env!("CARGO_BIN_EXE_nutmegkeel_dev"))
-        .args(["demo", "--seconds", SECONDS])
-        .output()
-        .expect("the demo starts");
+    let ran = run(&["demo", "--seconds", SECONDS]);
 
     let output = String::from_utf8_lossy(&ran.stdout);
     let errors = String::from_utf8_lossy(&ran.stderr);
@@ -38,10 +42,7 @@
 /// were allowed to clear the bit by which balancers distinguish packets from frames (RFC 9287).
 #[test]
 fn no_caller_packet_is_misclassified() {
-    let ran = Command::new(env!("CARGO_BIN_EXE_nutmegkeel_dev"))
-        .args(["measure", "path", "--flows", "20"])
-        .output()
-        .expect("the measurement starts");
+    let ran = run(&["measure", "path", "--flows", "20"]);
 
     let output = String::from_utf8_lossy(&ran.stdout);
     let report: Value =
@@ -54,10 +55,7 @@
 /// for some seconds, and the next one is sent after the agent has given up.
 #[test]
 fn a_flow_opens_after_some_seconds_without_replies() {
-    let ran = Command::new(env!("CARGO_BIN_EXE_nutmegkeel_dev"))
-        .args(["measure", "opening", "--mute-ms", "4500"])
-        .output()
-        .expect("the measurement starts");
+    let ran = run(&["measure", "opening", "--mute-ms", "4500"]);
 
     let output = String::from_utf8_lossy(&ran.stdout);
     assert!(ran.status.success(), "{output}");
@@ -67,10 +65,7 @@
 /// declare it dead, and would reset each flow that sends a packet.
 #[test]
 fn flows_survive_a_suspension_of_their_agent() {
-    let ran = Command::new(env!("CARGO_BIN_EXE_nutmegkeel_dev"))
-        .args(["measure", "suspension"])
-        .output()
-        .expect("the measurement starts");
+    let ran = run(&["measure", "suspension"]);
 
     let output = String::from_utf8_lossy(&ran.stdout);
     assert!(ran.status.success(), "{output}");
