--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -1,6 +1,7 @@
 //! Decisions of a balancer for flows without a routing token.
 
 mod collector;
+mod detour;
 mod discovery;
 mod evacuation;
 mod event;
@@ -27,7 +28,7 @@
 use discovery::Discovery;
 use introductions::Introductions;
 use kept::View;
-use search::{carry_to, record_declined};
+use search::record_declined;
 use snapshot::Snapshot;
 
 use super::cache::{Cache, Place};
@@ -126,6 +127,10 @@
     /// Whether the current event is a packet that was kept before. Keeping a packet is logged only
     /// once.
     is_recalled: bool,
+    /// Whether the current event is a packet that another balancer relayed. It is not relayed again.
+    is_relayed: bool,
+    /// Counts the inquiries about silent agents; other balancers are asked in turn.
+    inquiry_turn: usize,
     /// Known shortage of room, beyond what the agents report.
     shortage: shortage::Tracker,
 }
@@ -174,6 +179,8 @@
             agent_appeared: false,
             answer_time_us: 0,
             is_recalled: false,
+            is_relayed: false,
+            inquiry_turn: 0,
             shortage: shortage::Tracker::default(),
         }
     }
@@ -201,8 +208,12 @@
             Event::Declined { from, head, reason, load } => {
                 self.declined(now, from, &head, reason, load)
             }
-            Event::Relayed(head) if self.table.version == 0 => self.unrouted(now, &head),
-            Event::Relayed(head) => self.client_packet(now, &head),
+            Event::Relayed(head) => {
+                self.is_relayed = true;
+                let actions = self.relayed(now, &head);
+                self.is_relayed = false;
+                actions
+            }
             Event::Holds { from, flow, load } => self.holds(now, from, flow, load),
             Event::Absent { from, flow, load } => self.absent(now, from, flow, load),
             Event::Unsure { from, flow, load } => self.unsure(now, from, flow, load),
@@ -218,6 +229,8 @@
                 Vec::new()
             }
             Event::Committed(written) => self.committed(written),
+            Event::Inquired(from, agents) => self.inquired(now, from, &agents),
+            Event::Hears(from, agents) => self.heard_elsewhere(now, from, &agents),
             Event::PortChecked(agent, finding) => self.port_checked(now, agent, finding),
             Event::Leave => self.leave(now),
             Event::Tick => self.tick(now),
@@ -335,7 +348,7 @@
         let log = Action::Log(Decision::Declined { flow: head.flow, agent: from, reason, load });
         let mut actions = match (current, route.filter(|_| head.opens())) {
             (Some(agent), Some(_)) if agent != from => Vec::new(),
-            (Some(agent), None) if agent != from => vec![carry_to(agent, false)],
+            (Some(agent), None) if agent != from => self.carry_to(now, head, agent, false),
             (_, Some(route)) => self.opening(now, head, &route),
             // The opening was sent by an earlier process on this host, which had a configuration.
             (_, None) if head.opens() => self.keep(head, Cause::NoConfiguration),
--- a/crates/nutmegkeel_core/src/l4/balancer/discovery.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/discovery.rs
@@ -76,7 +76,7 @@
     /// Returns whether no other balancer receives announcements of more agents. Guards against
     /// resetting the flows of an agent that does not know this balancer yet but is known to others.
     fn knows_as_many_as_peers(&self, now: Time) -> bool {
-        let own = self.pool.recently_seen_count(now);
+        let own = self.pool.recently_seen_count(now) + self.pool.unreachable_count(now);
         self.peer_states
             .fresh(now)
             .map(|(_, state)| state.agents)
--- a/crates/nutmegkeel_core/src/l4/balancer/event.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/event.rs
@@ -19,7 +19,8 @@
     Client(Head),
     /// A packet that was kept is handled again.
     Recalled(Head),
-    /// Another balancer, which has no configuration, forwarded a client's packet.
+    /// Another balancer, which has no configuration or does not reach the flow's agent, forwarded a
+    /// client's packet.
     Relayed(Head),
     /// An agent returned a client's packet.
     Declined {
@@ -79,6 +80,11 @@
     /// A write of lists to the store ended: the agents whose lists are in the store, each with the
     /// number of its list.
     Committed(Vec<(Ipv4Addr, u64)>),
+    /// Another balancer asked which of these agents this one hears.
+    Inquired(Ipv4Addr, Vec<Ipv4Addr>),
+    /// Another balancer hears these agents; each with the time since its last message, in
+    /// milliseconds.
+    Hears(Ipv4Addr, Vec<(Ipv4Addr, u32)>),
     /// A check of an agent's port has ended.
     PortChecked(Ipv4Addr, Finding),
     /// The process was requested to stop.
--- a/crates/nutmegkeel_core/src/l4/balancer/review.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/review.rs
@@ -23,6 +23,7 @@
             return actions;
         }
         actions.extend(self.check_ports(now));
+        actions.extend(self.inquire(now));
         actions.extend(self.reset_impatient(now));
         let silent = self.pool.newly_silent(now);
         for agent in &silent {
--- a/crates/nutmegkeel_core/src/l4/balancer/search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -52,7 +52,11 @@
             return vec![call];
         }
         let next = self.next_to_ask(now, flow).or_else(|| self.next_to_retry(now, flow));
-        next.into_iter().map(|agent| Action::Send(agent, Message::Locate { flow })).collect()
+        let ask = |agent| match self.pool.detour(now, agent) {
+            Some(_) => Action::RecallFlow(flow),
+            None => Action::Send(agent, Message::Locate { flow }),
+        };
+        next.map(ask).into_iter().collect()
     }
 
     /// Returns whether every agent that may hold the flow has reported that it does not, or is
@@ -132,7 +136,7 @@
             self.skip_overdue(now, head.flow);
         }
         match self.cache.entry(now, head.flow).place.clone() {
-            Some(Place::Asked(agent)) => vec![carry_to(agent, false)],
+            Some(Place::Asked(agent)) => self.carry_to(now, head, agent, false),
             Some(Place::Placed(agent)) => self.carry_known(now, head, agent, false),
             Some(Place::Held(agent)) => self.carry_known(now, head, agent, true),
             None => self.search(now, head),
@@ -155,11 +159,13 @@
                 self.cache.remove(&head.flow);
                 return self.reset(head, Cause::AgentDead, 0);
             }
-            Some(Health::Restarting | Health::Stopped | Health::Silent) => is_held,
+            Some(Health::Restarting | Health::Stopped | Health::Unreachable | Health::Silent) => {
+                is_held
+            }
             None => false,
         };
         if goes_there {
-            return vec![carry_to(agent, is_held)];
+            return self.carry_to(now, head, agent, is_held);
         }
         self.cache.entry(now, head.flow).restart(now);
         self.search(now, head)
@@ -178,7 +184,7 @@
             }
         }
         match self.next_to_ask(now, head.flow) {
-            Some(agent) => vec![carry_to(agent, false)],
+            Some(agent) => self.carry_to(now, head, agent, false),
             None => self.not_found(now, head),
         }
     }
@@ -274,10 +280,6 @@
     }
 }
 
-pub(super) fn carry_to(agent: Ipv4Addr, known: bool) -> Action {
-    Action::Forward(agent, Message::Carry { known })
-}
-
 /// Records that an agent was skipped: it may hold the flow.
 pub(super) fn record_unanswered(entry: &mut Entry, agent: Ipv4Addr) {
     record_declined(entry, agent, Reason::NotHeld);
--- a/crates/nutmegkeel_core/src/l4/decision.rs
+++ b/crates/nutmegkeel_core/src/l4/decision.rs
@@ -51,7 +51,8 @@
         /// Number of agents that were queried before.
         asked: usize,
     },
-    /// A balancer without a configuration relayed a packet to a balancer that has one.
+    /// A balancer without a configuration, or one that does not reach the flow's agent, relayed a
+    /// packet to another balancer.
     Relayed {
         /// The flow.
         flow: Flow,
--- a/crates/nutmegkeel_core/src/l4/health.rs
+++ b/crates/nutmegkeel_core/src/l4/health.rs
@@ -22,6 +22,11 @@
 /// Clients of a host that goes down meanwhile are told within three seconds.
 pub const CHECK_INTERVAL_MS: u64 = SILENT_MS;
 
+/// Interval between two inquiries about a silent agent, in milliseconds. Two fit between
+/// [`CHECK_MS`] and the time at which the agent would be considered dead, and four into the time for
+/// which an answer counts, [`SILENT_MS`].
+pub const INQUIRY_INTERVAL_MS: u64 = 500;
+
 /// Time for which the flows of a silent agent are kept while its host answers, in milliseconds. No
 /// client waits longer for an answer.
 pub const STOPPED_MS: u64 = RESTART_MS;
@@ -60,15 +65,17 @@
     /// Its announcements have been missing for too long, but its host answers: its process is
     /// suspended, or has ended and is started again. Its backend server may be well.
     Stopped,
+    /// Its announcements are missing, but another balancer receives them.
+    Unreachable,
     /// Its announcements have been missing for too long.
     Silent,
 }
 
 impl Health {
-    /// Returns whether the agent is away, but is expected back with its flows.
+    /// Returns whether the agent is away or out of reach, but keeps its flows.
     #[must_use]
     pub const fn is_away(self) -> bool {
-        matches!(self, Self::Restarting | Self::Stopped)
+        matches!(self, Self::Restarting | Self::Stopped | Self::Unreachable)
     }
 
     /// Returns the health of an agent whose last announcement is `silence_ms` old.
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -53,7 +53,7 @@
     /// Agent to balancer: its own state.
     Announce(Announcement),
     /// Balancer to balancer: asks it to handle a client's packet. Sent while the sender has no
-    /// configuration.
+    /// configuration, or does not reach the agent that holds the flow.
     Relay,
     /// Balancer to agents and balancers: the known balancers and its configuration version.
     Gossip(Gossip),
@@ -77,6 +77,16 @@
         /// Load of the agent at that time.
         load: Load,
     },
+    /// Balancer to balancer: asks which of these agents it hears. Sent when they are silent.
+    Inquire {
+        /// The agents.
+        agents: Vec<Ipv4Addr>,
+    },
+    /// Balancer to balancer: it hears these agents.
+    Hears {
+        /// The agents, each with the time since its last message, in milliseconds.
+        agents: Vec<(Ipv4Addr, u32)>,
+    },
 }
 
 /// An opening that a balancer offers to an agent.
--- a/crates/nutmegkeel_core/src/l4/placement/balance.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/balance.rs
@@ -289,7 +289,7 @@
             match self.health_of(now, one) {
                 Health::Fresh => sample.add(one),
                 Health::Late => sample.late += 1,
-                Health::Restarting | Health::Stopped | Health::Silent => {}
+                Health::Restarting | Health::Stopped | Health::Unreachable | Health::Silent => {}
             }
         }
         samples
--- a/crates/nutmegkeel_core/src/l4/placement/liveness.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/liveness.rs
@@ -7,7 +7,7 @@
 use super::Pool;
 use super::candidate::{Candidate, Visibility};
 use crate::clock::Time;
-use crate::l4::health::{CHECK_MS, FORGET_MS, Health, LOST_MS, UNREPORTED_MS};
+use crate::l4::health::{CHECK_MS, FORGET_MS, Health, LATE_MS, LOST_MS, UNREPORTED_MS};
 use crate::l4::message::Load;
 use crate::port::Finding;
 
@@ -110,6 +110,62 @@
         }
     }
 
+    /// Returns the agents that other balancers are to be asked for now. They are counted as asked
+    /// for.
+    pub fn request_inquiries(&mut self, now: Time) -> Vec<Ipv4Addr> {
+        let mut due = self.find_agents(|candidate| now.since(candidate.last_seen) >= CHECK_MS);
+        due.retain(|agent| {
+            let Some(candidate) = self.agents.get(agent) else { return false };
+            let visibility = self.visibility(now, candidate);
+            let known = self.agents.get_mut(agent);
+            known.is_some_and(|known| known.request_inquiry(now, visibility))
+        });
+        due
+    }
+
+    /// Records that another balancer heard an agent at this time.
+    pub fn heard_elsewhere(&mut self, agent: Ipv4Addr, by: Ipv4Addr, heard_at: Time) {
+        if let Some(candidate) = self.agents.get_mut(&agent) {
+            candidate.heard_elsewhere(by, heard_at);
+        }
+    }
+
+    /// Returns how long ago an agent sent its last message to this balancer; `None` for one that is
+    /// late, and for one that announces itself only in another failure domain.
+    #[must_use]
+    pub fn heard_ms_ago(&self, now: Time, agent: Ipv4Addr) -> Option<u64> {
+        let candidate = self.agents.get(&agent)?;
+        let own = self.domain.as_ref();
+        if own.is_some_and(|own| *own != candidate.announcement.domain) {
+            return None;
+        }
+        Some(now.since(candidate.last_seen)).filter(|age_ms| *age_ms <= LATE_MS)
+    }
+
+    /// Returns the failure domain of an agent.
+    #[must_use]
+    pub fn domain_of(&self, agent: Ipv4Addr) -> Option<&Arc<str>> {
+        self.agents.get(&agent).map(|candidate| &candidate.announcement.domain)
+    }
+
+    /// Returns the balancer by way of which an agent is reached; `None` if this balancer reaches the
+    /// agent itself, or none does.
+    #[must_use]
+    pub fn detour(&self, now: Time, agent: Ipv4Addr) -> Option<Ipv4Addr> {
+        let candidate = self.agents.get(&agent)?;
+        if self.health_of(now, candidate) != Health::Unreachable {
+            return None;
+        }
+        candidate.detour(now)
+    }
+
+    /// Returns the number of agents that only other balancers reach.
+    #[must_use]
+    pub fn unreachable_count(&self, now: Time) -> usize {
+        let is_unreachable = |one: &&Candidate| self.health_of(now, one) == Health::Unreachable;
+        self.agents.values().filter(is_unreachable).count()
+    }
+
     /// Returns the health of an agent; `None` if it is not known.
     #[must_use]
     pub fn health(&self, now: Time, agent: Ipv4Addr) -> Option<Health> {
@@ -149,13 +205,15 @@
     /// is cut off.
     ///
     /// Stopped agents are left out: they accept no new flows, and may hold an open one
-    /// ([`Self::has_stopped`]).
+    /// ([`Self::has_stopped`]). So are those that only other balancers reach: a packet that they may
+    /// hold is relayed ([`Self::detour`]).
     #[must_use]
     pub fn is_conclusive(&self, now: Time) -> bool {
         let undecided = |candidate: &Candidate| {
             let visibility = self.visibility(now, candidate);
             let health = candidate.health(visibility);
-            !matches!(health, Health::Fresh | Health::Stopped) && candidate.may_hold(visibility)
+            let is_left_out = matches!(health, Health::Stopped | Health::Unreachable);
+            health != Health::Fresh && !is_left_out && candidate.may_hold(visibility)
         };
         !self.is_cut_off(now) && !self.agents.values().any(undecided)
     }
@@ -174,7 +232,9 @@
 
     /// Forgets agents that have been silent for longer than any flow lives.
     pub fn forget(&mut self, now: Time) {
-        let gone = self.find_agents(|candidate| now.since(candidate.last_seen) >= FORGET_MS);
+        let gone = self.find_agents(|candidate| {
+            now.since(candidate.last_seen) >= FORGET_MS && candidate.detour(now).is_none()
+        });
         gone.into_iter().for_each(|agent| self.remove(agent));
     }
 
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -9,6 +9,7 @@
 mod contended_agent;
 mod crash;
 mod delegate;
+mod detour;
 mod evacuated_fleet;
 mod evacuation;
 mod fetch;
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -275,6 +275,8 @@
             | Message::Absent { .. }
             | Message::Unsure { .. }
             | Message::Relay
+            | Message::Inquire { .. }
+            | Message::Hears { .. }
             | Message::Orders(_)
             | Message::SaveFlows(_)
             | Message::Summary(_)
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -339,6 +339,8 @@
             Message::Summary(summary) => Event::Summary(summary),
             Message::Orders(orders) => Event::Ordered(orders),
             Message::SaveFlows(list) => Event::SaveFlows(from, list),
+            Message::Inquire { agents } => Event::Inquired(from, agents),
+            Message::Hears { agents } => Event::Hears(from, agents),
             Message::FlowsSaved { .. }
             | Message::Open(_)
             | Message::Carry { .. }
--- a/crates/nutmegkeel_node/src/l4/decision_log.rs
+++ b/crates/nutmegkeel_node/src/l4/decision_log.rs
@@ -252,7 +252,7 @@
         }
         Decision::Relayed { flow, to } => {
             info!(event = "relayed", flow:% = flow, to:% = to;
-                "no configuration yet, packet relayed to a balancer that has it");
+                "packet relayed to a balancer that can handle it");
         }
         Decision::Reset { flow, cause, asked, version, observed } => {
             let is_open = observed.map(|observed| observed.is_open);
