--- a/crates/nutmegkeel_core/src/l4/agent/crash.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/crash.rs
@@ -24,6 +24,7 @@
     /// Records that a packet was passed to the server which it would answer.
     pub(super) fn record_awaiting(&mut self, now: Time) {
         self.awaiting_since.get_or_insert(now);
+        self.port.allow();
     }
 
     /// Requests a check of the port of a server that has started: only a port that was seen open
--- a/crates/nutmegkeel_core/src/port.rs
+++ b/crates/nutmegkeel_core/src/port.rs
@@ -19,7 +19,7 @@
 /// two attempts, so that one lost packet changes nothing.
 const GRACE_MS: u64 = 2 * RETRY_MS;
 
-/// Maximum number of checks in one period of silence.
+/// Maximum number of checks in one period of silence, beyond those allowed for somebody who waits.
 const MAX_CHECKS: u32 = 12;
 
 /// State of a port.
@@ -64,14 +64,15 @@
     latest: Option<Finding>,
     /// The last finding of a host that answered.
     answer: Option<Finding>,
-    checks: u32,
+    /// Number of further checks.
+    left: u32,
 }
 
 impl Monitor {
     /// Creates a monitor that repeats answered checks after `interval_ms`.
     #[must_use]
     pub const fn open(interval_ms: u64) -> Self {
-        Self { interval_ms, asked_at: None, latest: None, answer: None, checks: 0 }
+        Self { interval_ms, asked_at: None, latest: None, answer: None, left: MAX_CHECKS }
     }
 
     /// Records that the process was heard: its silence is over.
@@ -87,6 +88,11 @@
         }
     }
 
+    /// Allows another check although the maximum is reached: somebody waits for the process.
+    pub fn allow(&mut self) {
+        self.left = self.left.max(1);
+    }
+
     /// Returns whether a check is due, and counts it as requested.
     pub fn request(&mut self, now: Time) -> bool {
         let pause_ms = match self.latest {
@@ -95,10 +101,10 @@
             Some(Finding { state: State::Unanswered, .. }) | None => RETRY_MS,
         };
         let is_due = self.asked_at.is_none_or(|asked_at| now.since(asked_at) >= pause_ms);
-        if !is_due || self.checks >= MAX_CHECKS {
+        if !is_due || self.left == 0 {
             return false;
         }
-        self.checks += 1;
+        self.left -= 1;
         self.asked_at = Some(now);
         true
     }
--- a/crates/nutmegkeel_core/tests/l4/crash.rs
+++ b/crates/nutmegkeel_core/tests/l4/crash.rs
@@ -195,6 +195,38 @@
     assert!((1..=12).contains(&count(&paused)), "{}", count(&paused));
 }
 
+/// Guards against a client that waits until its deadline because its server crashed after a long
+/// silence, when all checks had been made.
+#[test]
+fn a_crash_after_a_long_silence_is_told_to_a_client_that_still_sends() {
+    let mut agent = serving();
+    run(&mut agent, 300, 40_000, State::Open);
+
+    send_data(&mut agent, 40_010, flow(1), 1_001);
+    let actions = run(&mut agent, 40_100, 41_200, State::Closed);
+
+    assert_eq!(resets(&actions), 1, "{actions:?}");
+}
+
+/// Guards against checks without a bound: each packet of a client allows one more, and they keep
+/// their pause.
+#[test]
+fn clients_that_keep_sending_cause_one_check_a_second() {
+    let mut agent = serving();
+    run(&mut agent, 300, 40_000, State::Open);
+
+    let mut checked = 0;
+    for now_ms in (40_010..50_010).step_by(100) {
+        send_data(&mut agent, now_ms, flow(1), 1_001);
+        checked += run(&mut agent, now_ms + 50, now_ms + 50, State::Open)
+            .iter()
+            .filter_map(|action| check(std::slice::from_ref(action)))
+            .count();
+    }
+
+    assert!((9..=10).contains(&checked), "{checked}");
+}
+
 /// Returns what a restarted agent says of a flow, at this time after its start.
 fn located(state: State, now_ms: u64) -> Vec<Action> {
     let mut agent = agent();
