--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -17,7 +17,7 @@
 mod speed;
 mod warmup;
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
@@ -80,8 +80,9 @@
     balancers: Roster,
     /// Balancers that changed since the last tick.
     balancers_changed: Changes,
-    /// Balancers that have sent a message to this process, and so know it.
-    introduced: BTreeSet<Ipv4Addr>,
+    /// Balancers that have sent their state to this process, and so know it; each with the time of
+    /// the last one.
+    introduced: BTreeMap<Ipv4Addr, Time>,
     table: Table,
     probes: Probes,
     waiting: Queue,
@@ -154,7 +155,7 @@
             started: now,
             balancers,
             balancers_changed: Changes::default(),
-            introduced: BTreeSet::new(),
+            introduced: BTreeMap::new(),
             table: Table::default(),
             probes: Probes::default(),
             service_time: Estimate::default(),
@@ -342,7 +343,7 @@
         self.probes.expire(now);
         self.balancers.expire(now);
         self.balancer_states.expire(now);
-        self.introduced.retain(|balancer| self.balancers.contains(*balancer));
+        self.introduced.retain(|balancer, _| self.balancers.contains(*balancer));
         actions.extend(self.log_balancer_changes());
         if now.since(self.announced_at) >= ANNOUNCE_MS {
             actions.extend(self.announce_periodically(now));
--- a/crates/nutmegkeel_core/src/l4/agent/balancers.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/balancers.rs
@@ -32,7 +32,7 @@
             self.introduced.remove(&from);
             self.balancer_states.remove(from);
         } else {
-            self.introduced.insert(from);
+            self.introduced.insert(from, now);
             self.balancer_states.apply(now, from, gossip);
         }
         if gossip.digest == self.balancers.digest() {
@@ -69,7 +69,7 @@
     pub(super) fn introduce(&mut self, now: Time) -> Vec<Action> {
         let known = &self.introduced;
         let not_introduced: Vec<Ipv4Addr> =
-            self.balancers.iter().filter(|balancer| !known.contains(balancer)).collect();
+            self.balancers.iter().filter(|balancer| !known.contains_key(balancer)).collect();
         if not_introduced.is_empty() { Vec::new() } else { self.announce_to(now, not_introduced) }
     }
 
@@ -88,7 +88,25 @@
     /// Sends the announcement that is due every 300 ms.
     pub(super) fn announce_periodically(&mut self, now: Time) -> Vec<Action> {
         self.announced_at = now;
-        self.announce_to(now, self.announcement_targets(now))
+        let targets = self.announcement_targets(now);
+        let unheard = self.report_unheard(now, &targets);
+        let mut actions = self.announce_to(now, targets);
+        actions.extend(unheard);
+        actions
+    }
+
+    /// Reports to those of these balancers that have become silent that nothing arrives from them.
+    ///
+    /// Guards against packets that are lost in a network that is cut in one direction: the balancer
+    /// receives the announcements and keeps sending packets.
+    fn report_unheard(&self, now: Time, targets: &[Ipv4Addr]) -> Vec<Action> {
+        let report = |balancer: &Ipv4Addr| {
+            let silent_ms = now.since(*self.introduced.get(balancer)?);
+            let silent_ms = u32::try_from(silent_ms).unwrap_or(u32::MAX);
+            let is_silent = u64::from(silent_ms) > LOCAL_CONTACT_MS;
+            is_silent.then_some(Action::Send(*balancer, Message::Unheard { silent_ms }))
+        };
+        targets.iter().filter_map(report).collect()
     }
 
     /// Returns the balancers that need the announcement from the agent itself: those of its own
@@ -103,7 +121,8 @@
             let domain = self.balancer_states.get(*balancer).map(|state| &state.domain);
             domain.is_some_and(|domain| *domain != self.identity.domain)
         };
-        all.filter(|balancer| !is_remote(balancer) || !self.introduced.contains(balancer)).collect()
+        all.filter(|balancer| !is_remote(balancer) || !self.introduced.contains_key(balancer))
+            .collect()
     }
 
     fn has_local_balancer(&self, now: Time) -> bool {
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -99,6 +99,8 @@
     reaches_store: bool,
     discovery: Discovery,
     last_event: Time,
+    /// When this process started, or last resumed after a stall.
+    running_since: Time,
     /// When a stall ended after which the configuration may be out of date.
     resumed_at: Option<Time>,
     reviewed_at: Time,
@@ -163,6 +165,7 @@
             reaches_store: true,
             discovery: Discovery::open(now),
             last_event: now,
+            running_since: now,
             resumed_at: None,
             reviewed_at: now,
             gossip_turn: 0,
@@ -230,6 +233,7 @@
             }
             Event::Committed(written) => self.committed(written),
             Event::Inquired(from, agents) => self.inquired(now, from, &agents),
+            Event::Unheard(from, silent_ms) => self.unheard(now, from, silent_ms),
             Event::Hears(from, agents) => self.heard_elsewhere(now, from, &agents),
             Event::PortChecked(agent, finding) => self.port_checked(now, agent, finding),
             Event::Leave => self.leave(now),
@@ -244,6 +248,7 @@
         let gap = now.since(self.last_event);
         if gap > STALL_MS {
             self.pool.extend_timeouts(gap);
+            self.running_since = now;
             self.reset_discovery();
         }
         if gap >= OUTDATED_MS {
--- a/crates/nutmegkeel_core/src/l4/balancer/detour.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/detour.rs
@@ -78,6 +78,15 @@
         Vec::new()
     }
 
+    /// Applies an agent's report that it does not hear this balancer. One that covers a time in which
+    /// this process did not run, and sent nothing, shows nothing.
+    pub(super) fn unheard(&mut self, now: Time, from: Ipv4Addr, silent_ms: u32) -> Vec<Action> {
+        if now.since(self.running_since) > u64::from(silent_ms) {
+            self.pool.unheard(now, from);
+        }
+        Vec::new()
+    }
+
     /// Forwards a packet to the agent that holds its flow, or may hold it. If only another balancer
     /// reaches the agent, the packet is relayed to that one, which looks for the flow itself.
     ///
--- a/crates/nutmegkeel_core/src/l4/balancer/event.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/event.rs
@@ -85,6 +85,8 @@
     /// Another balancer hears these agents; each with the time since its last message, in
     /// milliseconds.
     Hears(Ipv4Addr, Vec<(Ipv4Addr, u32)>),
+    /// An agent has received nothing from this balancer for this time, in milliseconds.
+    Unheard(Ipv4Addr, u32),
     /// A check of an agent's port has ended.
     PortChecked(Ipv4Addr, Finding),
     /// The process was requested to stop.
--- a/crates/nutmegkeel_core/src/l4/health.rs
+++ b/crates/nutmegkeel_core/src/l4/health.rs
@@ -65,7 +65,8 @@
     /// Its announcements have been missing for too long, but its host answers: its process is
     /// suspended, or has ended and is started again. Its backend server may be well.
     Stopped,
-    /// Its announcements are missing, but another balancer receives them.
+    /// Its announcements are missing, or it does not receive this balancer's messages, but another
+    /// balancer hears it.
     Unreachable,
     /// Its announcements have been missing for too long.
     Silent,
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -87,6 +87,11 @@
         /// The agents, each with the time since its last message, in milliseconds.
         agents: Vec<(Ipv4Addr, u32)>,
     },
+    /// Agent to balancer: it receives nothing from it, although it did before.
+    Unheard {
+        /// Time since its last message, in milliseconds.
+        silent_ms: u32,
+    },
 }
 
 /// An opening that a balancer offers to an agent.
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -11,6 +11,7 @@
 mod inheritance;
 mod liveness;
 mod order;
+mod reach;
 mod report;
 mod uneven;
 
@@ -123,6 +124,7 @@
         let last_sent = known.as_ref().and_then(|known| known.last_sent);
         let slowness = known.as_ref().and_then(|known| known.slowness);
         let min_flows = known.as_ref().map_or(0, |known| known.min_flows);
+        let reach = known.as_ref().map(|known| known.reach);
         let change = known.map_or(Change::Appeared, |known| known.change(now, &announcement));
         if change == Change::Stale {
             return change;
@@ -135,9 +137,14 @@
         // backend server.
         let last_sent = last_sent.filter(|_| change != Change::Appeared);
         let slowness = slowness.filter(|_| change != Change::Appeared);
+        let reach = reach.filter(|_| change != Change::Appeared).unwrap_or_default();
         let inherited = self.inherited(now, from, &announcement, change);
-        let mut candidate =
-            Candidate { slowness, min_flows, ..Candidate::new(now, announcement, last_sent) };
+        let mut candidate = Candidate {
+            slowness,
+            min_flows,
+            reach,
+            ..Candidate::new(now, announcement, last_sent)
+        };
         candidate.inherit(now, inherited);
         self.insert(from, candidate);
         change
--- a/crates/nutmegkeel_core/src/l4/placement/candidate.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -3,11 +3,10 @@
 use std::net::Ipv4Addr;
 
 use super::inheritance::Inheritance;
+use super::reach::Reach;
 use super::{Change, Choice, Slowness};
 use crate::clock::Time;
-use crate::l4::health::{
-    CHECK_INTERVAL_MS, CHECK_MS, Health, INQUIRY_INTERVAL_MS, LATE_MS, SILENT_MS, STOPPED_MS,
-};
+use crate::l4::health::{CHECK_INTERVAL_MS, CHECK_MS, Health, LATE_MS, SILENT_MS, STOPPED_MS};
 use crate::l4::message::{Announcement, Load, Report, State};
 use crate::l4::room::Occupancy;
 use crate::l4::roster::Sent;
@@ -76,10 +75,8 @@
     pub(super) is_stop_reported: bool,
     /// Checks of its port since it was last seen.
     pub(super) port: Monitor,
-    /// When other balancers were last asked for it since it was last seen.
-    pub(super) inquired_at: Option<Time>,
-    /// The balancer that last reported to hear it.
-    pub(super) heard_elsewhere: Option<Detour>,
+    /// Whether another balancer reaches it.
+    pub(super) reach: Reach,
     /// What this balancer last sent to the agent about the balancers.
     pub(super) last_sent: Option<Sent>,
     /// Service times that make its server count as slow; `None` if it does not.
@@ -105,8 +102,7 @@
             is_lateness_reported: false,
             is_stop_reported: false,
             port: Monitor::open(CHECK_INTERVAL_MS),
-            inquired_at: None,
-            heard_elsewhere: None,
+            reach: Reach::default(),
             last_sent,
             slowness: None,
             min_flows: 0,
@@ -141,7 +137,9 @@
         let silence_ms = visibility.until.since(self.last_seen);
         let is_restarting = self.announcement.state == State::Restarting;
         match Health::of(silence_ms, is_restarting) {
-            Health::Late | Health::Silent if self.detour(visibility.now).is_some() => {
+            Health::Fresh | Health::Late | Health::Silent
+                if self.detour(visibility.now).is_some() =>
+            {
                 Health::Unreachable
             }
             Health::Silent if !is_restarting && self.is_stopped(visibility.now) => Health::Stopped,
@@ -171,32 +169,18 @@
     /// the inquiry as sent.
     pub(super) fn request_inquiry(&mut self, now: Time, visibility: Visibility) -> bool {
         let silence_ms = visibility.until.since(self.last_seen);
-        let is_silent = match self.health(visibility) {
+        let is_out_of_reach = match self.health(visibility) {
             Health::Late => (CHECK_MS..SILENT_MS).contains(&silence_ms),
             Health::Unreachable => true,
             Health::Fresh | Health::Restarting | Health::Stopped | Health::Silent => false,
         };
-        let is_due = self.inquired_at.is_none_or(|at| now.since(at) >= INQUIRY_INTERVAL_MS);
-        if !is_silent || !is_due || self.announcement.service.is_none() {
-            return false;
-        }
-        self.inquired_at = Some(now);
-        true
-    }
-
-    /// Records that another balancer hears the agent.
-    pub(super) fn heard_elsewhere(&mut self, by: Ipv4Addr, heard_at: Time) {
-        if self.heard_elsewhere.is_none_or(|known| known.heard_at <= heard_at) {
-            self.heard_elsewhere = Some(Detour { by, heard_at });
-        }
+        let is_out_of_reach = is_out_of_reach || self.reach.is_unheard(now);
+        is_out_of_reach && self.announcement.service.is_some() && self.reach.request_inquiry(now)
     }
 
-    /// Returns the balancer that hears the agent although this one has not for some time.
+    /// Returns the balancer by way of which the agent is reached, if this one does not reach it.
     pub(super) fn detour(&self, now: Time) -> Option<Ipv4Addr> {
-        let is_later = |detour: &Detour| detour.heard_at.since(self.last_seen) > LATE_MS;
-        let is_recent = |detour: &Detour| now.since(detour.heard_at) <= SILENT_MS;
-        let detour = self.heard_elsewhere.filter(is_later).filter(is_recent)?;
-        Some(detour.by)
+        self.reach.detour(now, self.last_seen)
     }
 
     /// Records that the agent was heard now.
@@ -205,7 +189,6 @@
         self.is_silence_reported = false;
         self.is_lateness_reported = false;
         self.is_stop_reported = false;
-        self.inquired_at = None;
         self.port.clear();
     }
 
@@ -367,14 +350,6 @@
     placed_since: u16,
 }
 
-/// Another balancer that hears an agent.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Detour {
-    by: Ipv4Addr,
-    /// When it last heard the agent.
-    heard_at: Time,
-}
-
 /// Period in which reports on an agent could be received.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Visibility {
--- a/crates/nutmegkeel_core/src/l4/placement/liveness.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/liveness.rs
@@ -113,7 +113,9 @@
     /// Returns the agents that other balancers are to be asked for now. They are counted as asked
     /// for.
     pub fn request_inquiries(&mut self, now: Time) -> Vec<Ipv4Addr> {
-        let mut due = self.find_agents(|candidate| now.since(candidate.last_seen) >= CHECK_MS);
+        let mut due = self.find_agents(|candidate| {
+            now.since(candidate.last_seen) >= CHECK_MS || candidate.reach.is_unheard(now)
+        });
         due.retain(|agent| {
             let Some(candidate) = self.agents.get(agent) else { return false };
             let visibility = self.visibility(now, candidate);
@@ -123,20 +125,33 @@
         due
     }
 
+    /// Records that an agent of the own failure domain does not hear this balancer. Others are sent
+    /// messages too rarely to expect more.
+    pub fn unheard(&mut self, now: Time, agent: Ipv4Addr) {
+        let own = self.domain.as_ref();
+        if let Some(candidate) = self.agents.get_mut(&agent)
+            && own.is_none_or(|own| *own == candidate.announcement.domain)
+        {
+            candidate.reach.record_unheard(now);
+        }
+    }
+
     /// Records that another balancer heard an agent at this time.
     pub fn heard_elsewhere(&mut self, agent: Ipv4Addr, by: Ipv4Addr, heard_at: Time) {
         if let Some(candidate) = self.agents.get_mut(&agent) {
-            candidate.heard_elsewhere(by, heard_at);
+            candidate.reach.heard_elsewhere(by, heard_at);
         }
     }
 
     /// Returns how long ago an agent sent its last message to this balancer; `None` for one that is
-    /// late, and for one that announces itself only in another failure domain.
+    /// late or does not hear this balancer, and for one that announces itself only in another failure
+    /// domain.
     #[must_use]
     pub fn heard_ms_ago(&self, now: Time, agent: Ipv4Addr) -> Option<u64> {
         let candidate = self.agents.get(&agent)?;
         let own = self.domain.as_ref();
-        if own.is_some_and(|own| *own != candidate.announcement.domain) {
+        let is_remote = own.is_some_and(|own| *own != candidate.announcement.domain);
+        if is_remote || candidate.reach.is_unheard(now) {
             return None;
         }
         Some(now.since(candidate.last_seen)).filter(|age_ms| *age_ms <= LATE_MS)
--- a/crates/nutmegkeel_core/tests/l4/detour.rs
+++ b/crates/nutmegkeel_core/tests/l4/detour.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 
+use nutmegkeel_core::l4::agent::{self, Agent};
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
 use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::flow::Head;
@@ -10,8 +11,8 @@
 use nutmegkeel_core::l4::route::Kind;
 
 use crate::fixture::{
-    BALANCER, PORT, announce, announcement, at, data, default_service, flow, forwarded, gossip,
-    host, identity, route, service_address, table,
+    BALANCER, DOMAIN, PORT, announce, announcement, at, data, default_service, flow, forwarded,
+    gossip, heartbeat, host, identity, route, service_address, table,
 };
 
 const ALL: [u8; 4] = [1, 2, 3, 4];
@@ -81,6 +82,28 @@
         }
     }
 
+    /// Lets time pass beside a running agent at the first host. What the first balancer sends to it is
+    /// lost, and all else arrives.
+    fn run_deaf_agent(&mut self, agent: &mut Agent, from_ms: u64, until_ms: u64) {
+        for now_ms in (from_ms..=until_ms).step_by(50) {
+            self.run(now_ms, now_ms, &ALL[1..]);
+            for action in agent.handle(at(now_ms), agent::Event::Tick) {
+                let agent::Action::Send(to, message) = action else { continue };
+                let receiver = usize::from(to == PEER);
+                let event = match message {
+                    Message::Announce(state) => Event::Announced(host(1), state),
+                    Message::Unheard { silent_ms } => Event::Unheard(host(1), silent_ms),
+                    _ => continue,
+                };
+                self.handle(receiver, now_ms, event);
+            }
+            if now_ms % 1_000 == 0 {
+                let state = gossip(1, &[BALANCER, PEER], 4);
+                agent.handle(at(now_ms), agent::Event::Gossip(PEER, state));
+            }
+        }
+    }
+
     fn client_packet(&mut self, receiver: usize, now_ms: u64, head: Head) -> Vec<Action> {
         self.handle(receiver, now_ms, Event::Client(head))
     }
@@ -107,7 +130,7 @@
         let near = pair.client_packet(0, 15_010, head);
         let far = pair.handle(1, 15_010, Event::Relayed(head));
 
-        assert_eq!(pair.resets, []);
+        assert!(pair.resets.is_empty(), "{:?}", pair.resets);
         assert_eq!(relayed_to(&near), Some(PEER));
         assert!(forwarded(&far).is_some(), "{far:?}");
     }
@@ -177,7 +200,62 @@
     asked.sort_unstable();
     assert_eq!(asked, [host(2), host(3), host(4)]);
     assert_eq!(relayed_to(&actions), Some(PEER));
-    assert_eq!(pair.resets, []);
+    assert!(pair.resets.is_empty(), "{:?}", pair.resets);
+}
+
+/// Returns an agent with a backend server that has heard both balancers until now.
+fn running_agent(now_ms: u64) -> Agent {
+    let identity = agent::Identity {
+        address: host(1),
+        incarnation: 2,
+        domain: DOMAIN.into(),
+        heartbeat_ms: 60_000,
+        checkpoints_per_s: 80,
+        policy: Policy::default(),
+    };
+    let mut agent = Agent::open(at(0), identity, &[]);
+    agent.handle(at(now_ms), agent::Event::Recovered(None));
+    agent.handle(at(now_ms), agent::Event::Heartbeat(heartbeat("a", 1)));
+    for balancer in [BALANCER, PEER] {
+        let state = gossip(1, &[BALANCER, PEER], 4);
+        agent.handle(at(now_ms), agent::Event::Gossip(balancer, state));
+    }
+    agent
+}
+
+/// Guards against packets that are lost for as long as the network is cut in one direction: the
+/// agent's announcements arrive, and what is sent to it does not.
+#[test]
+fn packets_that_do_not_reach_an_agent_take_the_detour() {
+    let mut pair = Pair::open(Kind::Once);
+    let mut agent = running_agent(3_000);
+
+    pair.run_deaf_agent(&mut agent, 3_050, 6_500);
+    let soon = pair.client_packet(0, 6_510, data(flow(1), 1_001, 500));
+    pair.run_deaf_agent(&mut agent, 6_550, 30_000);
+    let later = pair.client_packet(0, 30_010, data(flow(1), 1_001, 500));
+    let opening = pair.client_packet(0, 30_020, crate::fixture::opening(flow(9), 0));
+
+    assert_eq!(relayed_to(&soon), Some(PEER));
+    assert_eq!(relayed_to(&later), Some(PEER));
+    assert_ne!(forwarded(&opening), Some(host(1)));
+    assert!(pair.resets.is_empty(), "{:?}", pair.resets);
+}
+
+/// Guards against a balancer that believes all agents to be out of reach when it has just started:
+/// they have not heard its predecessor for some time.
+#[test]
+fn an_agent_that_did_not_hear_the_previous_process_is_in_reach() {
+    let mut pair = Pair::open(Kind::Once);
+    for now_ms in (3_050..4_400).step_by(50) {
+        pair.run(now_ms, now_ms, &ALL);
+        pair.handle(0, now_ms, Event::Unheard(host(1), 8_000));
+    }
+
+    let actions = pair.client_packet(0, 4_410, data(flow(1), 1_001, 500));
+
+    assert_eq!(forwarded(&actions), Some(host(1)));
+    assert_eq!(pair.inquiries, 0);
 }
 
 /// Guards against new flows at an agent that their packets do not reach.
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -277,6 +277,7 @@
             | Message::Relay
             | Message::Inquire { .. }
             | Message::Hears { .. }
+            | Message::Unheard { .. }
             | Message::Orders(_)
             | Message::SaveFlows(_)
             | Message::Summary(_)
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -341,6 +341,7 @@
             Message::SaveFlows(list) => Event::SaveFlows(from, list),
             Message::Inquire { agents } => Event::Inquired(from, agents),
             Message::Hears { agents } => Event::Hears(from, agents),
+            Message::Unheard { silent_ms } => Event::Unheard(from, silent_ms),
             Message::FlowsSaved { .. }
             | Message::Open(_)
             | Message::Carry { .. }
