--- a/crates/nutmegkeel_core/tests/l4/agent.rs
+++ b/crates/nutmegkeel_core/tests/l4/agent.rs
@@ -68,6 +68,22 @@
     assert_eq!(agent.state(at(1_002)), State::Closed);
 }
 
+/// Guards against a new flow at a draining server whose agent was killed after it had acknowledged
+/// the drain: its successor knows nothing of it until the next heartbeat.
+#[test]
+fn a_successor_of_an_agent_that_acknowledged_a_drain_accepts_no_flow() {
+    let mut successor = agent();
+
+    let before = successor.handle(at(10), open(flow(1), 0, IF_IN_TIME));
+    let mut beat = heartbeat("a", 7);
+    beat.draining = true;
+    successor.handle(at(600), Event::Heartbeat(beat));
+    let after = successor.handle(at(610), open(flow(2), 0, IF_IN_TIME));
+
+    assert_eq!(refusal(&before), Some(Reason::Leaving));
+    assert_eq!(refusal(&after), Some(Reason::Leaving));
+}
+
 #[test]
 fn open_flows_of_a_draining_server_continue() {
     let mut agent = serving();
--- a/crates/nutmegkeel_core/tests/l4/detour.rs
+++ b/crates/nutmegkeel_core/tests/l4/detour.rs
@@ -30,8 +30,15 @@
 impl Pair {
     /// Both balancers know all agents and each other, and the first knows a flow at the first agent.
     fn open(kind: Kind) -> Self {
+        Self::open_in([DOMAIN; 2], kind)
+    }
+
+    /// Opens such a pair in these failure domains; the agents are in the second one.
+    fn open_in(domains: [&str; 2], kind: Kind) -> Self {
         let open = |address| {
-            let mut balancer = Balancer::open(at(0), identity(address, Policy::default()), &[]);
+            let mut identity = identity(address, Policy::default());
+            identity.domain = domains[usize::from(address == PEER)].into();
+            let mut balancer = Balancer::open(at(0), identity, &[]);
             balancer.handle(at(0), Event::Ordered(Orders::default()));
             let mut configuration = table(1, &[]);
             configuration.routes.insert(service_address(PORT), route(default_service(), kind));
@@ -60,6 +67,9 @@
                 Action::Send(_, Message::Gossip(gossip)) => {
                     self.handle(other, now_ms, Event::Gossip(own, gossip.clone()));
                 }
+                Action::Send(_, Message::Summary(summary)) => {
+                    self.handle(other, now_ms, Event::Summary(summary.clone()));
+                }
                 Action::Reset { .. } => self.resets.push(now_ms),
                 _ => {}
             }
@@ -258,6 +268,19 @@
     assert_eq!(pair.inquiries, 0);
 }
 
+/// Guards against packets that are lost for as long as the network is cut between a balancer and an
+/// agent of another failure domain, which the balancer knows by summaries.
+#[test]
+fn packets_that_do_not_reach_an_agent_of_another_domain_take_the_detour() {
+    let mut pair = Pair::open_in(["tema", DOMAIN], Kind::Once);
+    let mut agent = running_agent(3_000);
+
+    pair.run_deaf_agent(&mut agent, 3_050, 13_000);
+    let actions = pair.client_packet(0, 13_010, data(flow(1), 1_001, 500));
+
+    assert_eq!(relayed_to(&actions), Some(PEER));
+}
+
 /// Guards against new flows at an agent that their packets do not reach.
 #[test]
 fn an_agent_out_of_reach_gets_no_new_flows() {
--- a/crates/nutmegkeel_store/tests/registration.rs
+++ b/crates/nutmegkeel_store/tests/registration.rs
@@ -94,6 +94,22 @@
     assert_eq!(store.grants(), 2);
 }
 
+/// Guards against an entry that is missing, or that ends with the lease of the predecessor, because
+/// that one was killed between its lease and its entry.
+#[test]
+fn a_process_killed_between_its_lease_and_its_entry_leaves_nothing_behind() {
+    let store = Leased::open(vec![CallOutcome::Answered, CallOutcome::CallLost]);
+    let killed = entry().step(&store, at(0));
+    let left = store.list("balancers/").expect("the store answers");
+
+    entry().step(&store, at(10)).expect("the store answers");
+
+    assert!(killed.is_err());
+    assert_eq!(left.len(), 0);
+    assert_eq!(store.list("balancers/").expect("the store answers").len(), 1);
+    assert_eq!(store.grants(), 2);
+}
+
 #[test]
 fn a_write_whose_answer_was_lost_is_tried_again() {
     let store = Leased::open(vec![CallOutcome::Answered, CallOutcome::AnswerLost]);
