--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -6,10 +6,12 @@
 
 mod answer;
 mod balancers;
+mod carry;
 mod contended;
 mod crash;
 mod evacuation;
 mod event;
+mod flow_list;
 mod refused;
 mod replica;
 mod request;
@@ -29,8 +31,8 @@
 use super::changes::Changes;
 use super::checkpoint::Recorder;
 use super::decision::{Cause, Decision, Observed};
-use super::flow::{Flow, Head};
-use super::handover::{Handover, Step};
+use super::flow::Flow;
+use super::handover::Handover;
 use super::health::ANNOUNCE_MS;
 use super::message::{Load, Message, Reason, State};
 use super::mute;
@@ -282,50 +284,6 @@
         Action::Log(Decision::Accepted { flow, load: self.load() })
     }
 
-    fn carry(&mut self, now: Time, from: Ipv4Addr, head: &Head, known: bool) -> Vec<Action> {
-        let flow = head.flow;
-        if let Some(cause) = self.refused.cause(now, head) {
-            return reset_unknown(flow, head.ack, cause).into();
-        }
-        if self.table.holds(now, head) {
-            if let Some(held) = self.take_ended(now, &flow) {
-                return reset(now, flow, &held, Cause::ServerDead).into();
-            }
-            let mut actions = self.accept(now, head, from);
-            if !known {
-                actions.push(Action::Send(from, Message::Holds { flow, load: self.load() }));
-            }
-            return actions;
-        }
-        // If another server holds the flow and this one accepted a copy of the opening, this one
-        // is never probed: if the sequence numbers of the two servers are close, it would accept
-        // the packet as its own.
-        if self.table.is_elsewhere(head)
-            || self.is_certain(now, &flow)
-            || self.probes.denied(now, &flow)
-        {
-            return vec![self.decline(from, Reason::NotHeld)];
-        }
-        vec![Action::ToServer(self.probes.insert_query(now, flow, from, head.len > 0))]
-    }
-
-    /// Reports that the agent holds the flow, that it does not, or that only a packet of the flow
-    /// can show it. The last is the case if the backend server has to be probed, or if the agent
-    /// has seen only an opening, which another server may have accepted too. If the agent claimed
-    /// such a flow, the balancer would reset the flow when the agent dies. If it denied the flow,
-    /// the balancer would not send it the packet.
-    fn locate(&self, now: Time, from: Ipv4Addr, flow: Flow) -> Vec<Action> {
-        let load = self.load();
-        if self.table.is_open(&flow) {
-            return vec![Action::Send(from, Message::Holds { flow, load })];
-        }
-        let is_opening = self.table.get(&flow).is_some();
-        if !is_opening && (self.is_certain(now, &flow) || self.probes.denied(now, &flow)) {
-            return vec![Action::Send(from, Message::Absent { flow, load })];
-        }
-        vec![Action::Send(from, Message::Unsure { flow, load })]
-    }
-
     fn leave(&mut self, now: Time) -> Vec<Action> {
         self.leaving = true;
         self.announce(now)
@@ -353,49 +311,6 @@
         actions
     }
 
-    fn save(&mut self, now: Time) -> Option<Action> {
-        if !self.uses(Mechanism::FlowLists) {
-            return None;
-        }
-        let flows = self.table.open_flows();
-        if let Some(server) = self.history.server()
-            && let Some(checkpoint) = self.recorder.due(now, self.agent_count, server, flows)
-        {
-            if !self.uses(Mechanism::Collectors) {
-                return Some(Action::Save(checkpoint));
-            }
-            self.handover.begin(checkpoint);
-        }
-        if !self.handover.is_pending() {
-            return None;
-        }
-        let timeout_ms = self.balancer_states.valid_ms();
-        let delegates =
-            self.balancer_states.delegates(now, &self.identity.domain, None, timeout_ms);
-        let agents = self.agents_in_domain(now);
-        match self.handover.step(now, &delegates, self.reaches_store(now), agents)? {
-            Step::Delegate(balancer, checkpoint) => {
-                Some(Action::Send(balancer, Message::SaveFlows(checkpoint)))
-            }
-            Step::Write(checkpoint) => Some(Action::Save(checkpoint)),
-        }
-    }
-
-    /// Returns the estimated number of agents in the own failure domain; balancers report the total
-    /// of all domains.
-    fn agents_in_domain(&self, now: Time) -> u64 {
-        self.agent_count.div_ceil(self.balancer_states.domains(now).max(1))
-    }
-
-    /// Returns whether a balancer of the own failure domain recently reported that the store
-    /// answers.
-    #[must_use]
-    pub fn reaches_store(&self, now: Time) -> bool {
-        self.balancer_states
-            .of_domain(now, &self.identity.domain)
-            .any(|(_, state)| state.reaches_store)
-    }
-
     fn decline(&self, to: Ipv4Addr, reason: Reason) -> Action {
         Action::Return(to, Message::Declined { reason, load: self.load() })
     }
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -8,6 +8,7 @@
 pub mod introductions;
 mod kept;
 mod opening;
+mod packet;
 mod peers;
 mod queries;
 mod review;
@@ -28,21 +29,20 @@
 use discovery::Discovery;
 use introductions::Introductions;
 use kept::View;
-use search::record_declined;
 use snapshot::Snapshot;
 
-use super::cache::{Cache, Place};
+use super::cache::Cache;
 use super::changes::Changes;
 use super::decision::{Cause, Decision};
 use super::evacuation::Latest;
 use super::fetch::Holder;
 use super::flow::{Flow, Head};
-use super::message::{Announcement, Load, Reason};
+use super::message::Announcement;
 use super::peer_state::States;
 use super::placement::Pool;
 use super::policy::{Mechanism, Policy};
 use super::roster::{Roster, Sent};
-use super::route::{Service, Table};
+use super::route::Table;
 use crate::clock::Time;
 
 pub use event::{Action, Event};
@@ -263,106 +263,6 @@
         self.resumed_at.is_some_and(|resumed_at| now.since(resumed_at) < CATCH_UP_MS)
     }
 
-    fn client_packet(&mut self, now: Time, head: &Head) -> Vec<Action> {
-        // A first opening begins a new flow, even if the cache has an older flow with the same
-        // addresses and ports.
-        if head.opens() && head.ack == 0 {
-            self.cache.remove(&head.flow);
-        }
-        self.handle_packet(now, head)
-    }
-
-    fn handle_packet(&mut self, now: Time, head: &Head) -> Vec<Action> {
-        if self.table.version == 0 {
-            return self.relay(now, head);
-        }
-        let route = self.table.routes.get(&head.flow.service).cloned();
-        // Guards against a new flow by a route that has changed, and against the reset of an open
-        // flow whose route is new.
-        if self.is_behind(now) && (head.opens() || route.is_none()) {
-            return self.keep(head, Cause::Behind);
-        }
-        let Some(route) = route else {
-            self.cache.remove(&head.flow);
-            return self.reset(head, Cause::NoRoute, 0);
-        };
-        if head.opens() { self.opening(now, head, &route) } else { self.carry(now, head) }
-    }
-
-    /// Handles a packet while neither this balancer nor any other known one has a configuration.
-    ///
-    /// Guards against open flows that hang when the whole fleet restarts while the store is
-    /// unreachable: backend servers and their agents are alive, but clients would wait until the
-    /// store is back. A packet of an open flow needs no route, because the agent that holds the
-    /// flow reports it. Only an opening needs one.
-    fn unrouted(&mut self, now: Time, head: &Head) -> Vec<Action> {
-        if head.opens() || !self.identity.policy.uses(Mechanism::Unrouted) {
-            return self.keep(head, Cause::NoConfiguration);
-        }
-        self.carry(now, head)
-    }
-
-    /// Returns whether a configuration is in force that has no route for a flow.
-    fn has_no_route(&self, flow: &Flow) -> bool {
-        self.table.version > 0 && !self.table.routes.contains_key(&flow.service)
-    }
-
-    /// Returns the services whose agents are asked first for a flow: those of its route. Without a
-    /// configuration, no service is preferred and all agents are asked. Returns `None` if a
-    /// configuration is in force that has no route for the flow.
-    fn services(&self, flow: &Flow) -> Option<Vec<Service>> {
-        if self.table.version == 0 {
-            return Some(Vec::new());
-        }
-        let route = self.table.routes.get(&flow.service)?;
-        Some(route.shares.iter().map(|share| share.service).collect())
-    }
-
-    fn declined(
-        &mut self,
-        now: Time,
-        from: Ipv4Addr,
-        head: &Head,
-        reason: Reason,
-        load: Load,
-    ) -> Vec<Action> {
-        self.pool.load_received(now, from, load);
-        match reason {
-            Reason::Leaving => self.pool.closed(from),
-            Reason::Cold => self.pool.room_exhausted(from),
-            _ => {}
-        }
-        if self.has_no_route(&head.flow) {
-            return self.reset(head, Cause::NoRoute, 0);
-        }
-        let route = self.table.routes.get(&head.flow.service).cloned();
-        let entry = self.cache.entry(now, head.flow);
-        let current = entry.place.as_ref().map(Place::agent);
-        let was_asked = entry.place == Some(Place::Asked(from));
-        let after_ms = now.since(entry.asked_at);
-        if reason == Reason::NotHeld {
-            entry.unanswered.retain(|agent| *agent != from);
-        }
-        if current.is_none_or(|agent| agent == from) {
-            entry.place = None;
-            record_declined(entry, from, reason);
-        }
-        if was_asked {
-            self.learn_answer_time(after_ms);
-        }
-        let log = Action::Log(Decision::Declined { flow: head.flow, agent: from, reason, load });
-        let mut actions = match (current, route.filter(|_| head.opens())) {
-            (Some(agent), Some(_)) if agent != from => Vec::new(),
-            (Some(agent), None) if agent != from => self.carry_to(now, head, agent, false),
-            (_, Some(route)) => self.opening(now, head, &route),
-            // The opening was sent by an earlier process on this host, which had a configuration.
-            (_, None) if head.opens() => self.keep(head, Cause::NoConfiguration),
-            (_, None) => self.search(now, head),
-        };
-        actions.push(log);
-        actions
-    }
-
     fn announced(&mut self, now: Time, from: Ipv4Addr, announcement: Announcement) -> Vec<Action> {
         let is_local = announcement.domain == self.identity.domain;
         let replica = announcement.replica;
--- a/crates/nutmegkeel_core/src/l4/balancer/detour.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/detour.rs
@@ -108,12 +108,4 @@
         let decision = Decision::Relayed { flow: head.flow, to };
         vec![Action::Forward(to, Message::Relay), Action::Log(decision)]
     }
-
-    /// Handles a packet that another balancer relayed.
-    pub(super) fn relayed(&mut self, now: Time, head: &Head) -> Vec<Action> {
-        if self.table.version == 0 {
-            return self.unrouted(now, head);
-        }
-        self.client_packet(now, head)
-    }
 }
--- a/crates/nutmegkeel_core/src/l4/placement/candidate.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -1,5 +1,6 @@
 //! State that a balancer keeps for each agent.
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
 use super::inheritance::Inheritance;
@@ -67,12 +68,8 @@
     pub(super) inherited: Option<Inheritance>,
     /// Flows that the backend server holds and the agent does not know yet.
     pub(super) missing: u16,
-    /// Whether the agent was returned as newly silent since it was last seen.
-    pub(super) is_silence_reported: bool,
-    /// Whether the agent was returned as newly late since it was last seen.
-    pub(super) is_lateness_reported: bool,
-    /// Whether the agent was returned as newly stopped since it was last seen.
-    pub(super) is_stop_reported: bool,
+    /// The states of health that were reported since it was last heard.
+    pub(super) reported: BTreeSet<Health>,
     /// Checks of its port since it was last seen.
     pub(super) port: Monitor,
     /// Whether another balancer reaches it.
@@ -98,9 +95,7 @@
             placed_since: 0,
             inherited: None,
             missing: 0,
-            is_silence_reported: false,
-            is_lateness_reported: false,
-            is_stop_reported: false,
+            reported: BTreeSet::new(),
             port: Monitor::open(CHECK_INTERVAL_MS),
             reach: Reach::default(),
             last_sent,
@@ -184,11 +179,9 @@
     }
 
     /// Records that the agent was heard now.
-    pub(super) const fn heard(&mut self, now: Time) {
+    pub(super) fn heard(&mut self, now: Time) {
         self.last_seen = now;
-        self.is_silence_reported = false;
-        self.is_lateness_reported = false;
-        self.is_stop_reported = false;
+        self.reported.clear();
         self.port.clear();
     }
 
--- a/crates/nutmegkeel_core/src/l4/placement/liveness.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/liveness.rs
@@ -55,22 +55,25 @@
 
     /// Returns the agents that became silent without notice since the last call.
     pub fn newly_silent(&mut self, now: Time) -> Vec<Ipv4Addr> {
-        let is_new = |candidate: &Candidate| {
-            !candidate.is_silence_reported && self.health_of(now, candidate) == Health::Silent
-        };
-        let silent = self.find_agents(is_new);
-        self.update(&silent, |candidate| candidate.is_silence_reported = true);
-        silent
+        self.newly(now, Health::Silent)
     }
 
     /// Returns the agents that stopped since the last call: they are silent, and their hosts answer.
     pub fn newly_stopped(&mut self, now: Time) -> Vec<Ipv4Addr> {
+        self.newly(now, Health::Stopped)
+    }
+
+    /// Returns the agents that have this health now and were not returned with it since they were
+    /// last heard.
+    pub(super) fn newly(&mut self, now: Time, health: Health) -> Vec<Ipv4Addr> {
         let is_new = |candidate: &Candidate| {
-            !candidate.is_stop_reported && self.health_of(now, candidate) == Health::Stopped
+            !candidate.reported.contains(&health) && self.health_of(now, candidate) == health
         };
-        let stopped = self.find_agents(is_new);
-        self.update(&stopped, |candidate| candidate.is_stop_reported = true);
-        stopped
+        let agents = self.find_agents(is_new);
+        self.update(&agents, |candidate| {
+            candidate.reported.insert(health);
+        });
+        agents
     }
 
     /// Returns the agents that are stopped now.
@@ -80,27 +83,19 @@
         self.find_agents(is_stopped).into_iter().collect()
     }
 
-    /// Returns whether an agent is stopped that may hold flows.
+    /// Returns whether an agent is stopped. It may hold flows: only the ports of agents with a backend
+    /// server are checked.
     #[must_use]
     pub fn has_stopped(&self, now: Time) -> bool {
-        let is_stopped = |candidate: &Candidate| {
-            let visibility = self.visibility(now, candidate);
-            candidate.health(visibility) == Health::Stopped && candidate.may_hold(visibility)
-        };
+        let is_stopped = |candidate: &Candidate| self.health_of(now, candidate) == Health::Stopped;
         self.agents.values().any(is_stopped)
     }
 
     /// Returns the agents whose port is to be checked now. They are counted as requested.
     pub fn request_port_checks(&mut self, now: Time) -> Vec<Ipv4Addr> {
         let is_silent = |candidate: &Candidate| now.since(candidate.last_seen) >= CHECK_MS;
-        let mut due = self.find_agents(is_silent);
-        due.retain(|agent| {
-            let Some(candidate) = self.agents.get(agent) else { return false };
-            let visibility = self.visibility(now, candidate);
-            let known = self.agents.get_mut(agent);
-            known.is_some_and(|known| known.request_port_check(now, visibility))
-        });
-        due
+        let due = self.find_agents(is_silent);
+        self.request(now, due, Candidate::request_port_check)
     }
 
     /// Records the result of a port check.
@@ -113,16 +108,25 @@
     /// Returns the agents that other balancers are to be asked for now. They are counted as asked
     /// for.
     pub fn request_inquiries(&mut self, now: Time) -> Vec<Ipv4Addr> {
-        let mut due = self.find_agents(|candidate| {
+        let due = self.find_agents(|candidate| {
             now.since(candidate.last_seen) >= CHECK_MS || candidate.reach.is_unheard(now)
         });
-        due.retain(|agent| {
+        self.request(now, due, Candidate::request_inquiry)
+    }
+
+    /// Returns those of these agents for which a request is due, and counts it as sent.
+    fn request(
+        &mut self,
+        now: Time,
+        mut agents: Vec<Ipv4Addr>,
+        request: fn(&mut Candidate, Time, Visibility) -> bool,
+    ) -> Vec<Ipv4Addr> {
+        agents.retain(|agent| {
             let Some(candidate) = self.agents.get(agent) else { return false };
             let visibility = self.visibility(now, candidate);
-            let known = self.agents.get_mut(agent);
-            known.is_some_and(|known| known.request_inquiry(now, visibility))
+            self.agents.get_mut(agent).is_some_and(|known| request(known, now, visibility))
         });
-        due
+        agents
     }
 
     /// Records that an agent of the own failure domain does not hear this balancer. Others are sent
--- a/crates/nutmegkeel_core/src/l4/placement/report.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/report.rs
@@ -75,16 +75,10 @@
     /// Returns a summary of the agents in the own failure domain that became late since the last
     /// call.
     pub fn newly_late(&mut self, now: Time, domain: &Arc<str>) -> Summary {
-        let is_new = |candidate: &Candidate| {
-            !candidate.is_lateness_reported
-                && candidate.announcement.domain == *domain
-                && self.health_of(now, candidate) == Health::Late
-        };
-        let late = self.find_agents(is_new);
+        let late = self.newly(now, Health::Late);
         if late.is_empty() {
             return Summary::open(domain);
         }
-        self.update(&late, |candidate| candidate.is_lateness_reported = true);
         let mut summary = self.summary(now, domain);
         summary.reports.retain(|report| late.contains(&report.agent));
         summary
