--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -211,12 +211,7 @@
             Event::Declined { from, head, reason, load } => {
                 self.declined(now, from, &head, reason, load)
             }
-            Event::Relayed(head) => {
-                self.is_relayed = true;
-                let actions = self.relayed(now, &head);
-                self.is_relayed = false;
-                actions
-            }
+            Event::Relayed(head) => self.relayed(now, &head),
             Event::Holds { from, flow, load } => self.holds(now, from, flow, load),
             Event::Absent { from, flow, load } => self.absent(now, from, flow, load),
             Event::Unsure { from, flow, load } => self.unsure(now, from, flow, load),
@@ -233,8 +228,14 @@
             }
             Event::Committed(written) => self.committed(written),
             Event::Inquired(from, agents) => self.inquired(now, from, &agents),
-            Event::Unheard(from, silent_ms) => self.unheard(now, from, silent_ms),
-            Event::Hears(from, agents) => self.heard_elsewhere(now, from, &agents),
+            Event::Unheard(from, silent_ms) => {
+                self.record_unheard(now, from, silent_ms);
+                Vec::new()
+            }
+            Event::Hears(from, agents) => {
+                self.record_heard_elsewhere(now, from, &agents);
+                Vec::new()
+            }
             Event::PortChecked(agent, finding) => self.port_checked(now, agent, finding),
             Event::Leave => self.leave(now),
             Event::Tick => self.tick(now),
--- a/crates/nutmegkeel_core/src/l4/balancer/detour.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/detour.rs
@@ -66,25 +66,25 @@
         vec![Action::Send(from, Message::Hears { agents })]
     }
 
-    pub(super) fn heard_elsewhere(
+    /// Records that another balancer hears these agents; each with the time since its last message,
+    /// in milliseconds.
+    pub(super) fn record_heard_elsewhere(
         &mut self,
         now: Time,
         by: Ipv4Addr,
         agents: &[(Ipv4Addr, u32)],
-    ) -> Vec<Action> {
+    ) {
         for (agent, age_ms) in agents {
             self.pool.heard_elsewhere(*agent, by, now.before(u64::from(*age_ms)));
         }
-        Vec::new()
     }
 
-    /// Applies an agent's report that it does not hear this balancer. One that covers a time in which
-    /// this process did not run, and sent nothing, shows nothing.
-    pub(super) fn unheard(&mut self, now: Time, from: Ipv4Addr, silent_ms: u32) -> Vec<Action> {
+    /// Records that an agent does not hear this balancer. A report that covers a time in which this
+    /// process did not run, and sent nothing, shows nothing.
+    pub(super) fn record_unheard(&mut self, now: Time, from: Ipv4Addr, silent_ms: u32) {
         if now.since(self.running_since) > u64::from(silent_ms) {
             self.pool.unheard(now, from);
         }
-        Vec::new()
     }
 
     /// Forwards a packet to the agent that holds its flow, or may hold it. If only another balancer
--- a/crates/nutmegkeel_core/src/l4/balancer/packet.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/packet.rs
@@ -116,9 +116,13 @@
 
     /// Handles a packet that another balancer relayed.
     pub(super) fn relayed(&mut self, now: Time, head: &Head) -> Vec<Action> {
-        if self.table.version == 0 {
-            return self.unrouted(now, head);
-        }
-        self.client_packet(now, head)
+        self.is_relayed = true;
+        let actions = if self.table.version == 0 {
+            self.unrouted(now, head)
+        } else {
+            self.client_packet(now, head)
+        };
+        self.is_relayed = false;
+        actions
     }
 }
