--- a/crates/nutmegkeel_core/src/l4/agent/balancers.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/balancers.rs
@@ -6,6 +6,7 @@
 use super::{Action, Agent};
 use crate::clock::Time;
 use crate::l4::decision::Decision;
+use crate::l4::health::ANNOUNCE_MS;
 use crate::l4::message::{Announcement, Gossip, Message};
 use crate::l4::placement::Change;
 use crate::l4::policy::Mechanism;
@@ -15,6 +16,10 @@
 /// reached by this agent's announcements, in milliseconds. One message may be lost.
 const LOCAL_CONTACT_MS: u64 = 2 * LOCAL_SEND_INTERVAL_MS + 500;
 
+/// Longest usual gap between two announcements, in milliseconds. A longer one means that this
+/// process was stalled.
+const STALL_MS: u64 = 2 * ANNOUNCE_MS;
+
 impl Agent {
     /// Applies a balancer's state.
     ///
@@ -87,9 +92,11 @@
 
     /// Sends the announcement that is due every 300 ms.
     pub(super) fn announce_periodically(&mut self, now: Time) -> Vec<Action> {
+        // After a stall, messages that have arrived meanwhile are not read yet.
+        let has_stalled = now.since(self.announced_at) > STALL_MS;
         self.announced_at = now;
         let targets = self.announcement_targets(now);
-        let unheard = self.report_unheard(now, &targets);
+        let unheard = if has_stalled { Vec::new() } else { self.report_unheard(now, &targets) };
         let mut actions = self.announce_to(now, targets);
         actions.extend(unheard);
         actions
--- a/crates/nutmegkeel_core/tests/l4/detour.rs
+++ b/crates/nutmegkeel_core/tests/l4/detour.rs
@@ -252,6 +252,27 @@
     assert!(pair.resets.is_empty(), "{:?}", pair.resets);
 }
 
+/// Guards against detours to an agent that was suspended: it has not read the messages that arrived
+/// meanwhile, and takes the balancers for silent.
+#[test]
+fn an_agent_that_resumes_reports_no_balancer_as_unheard() {
+    let mut agent = running_agent(3_000);
+    let is_report =
+        |action: &agent::Action| matches!(action, agent::Action::Send(_, Message::Unheard { .. }));
+    (3_050..=4_000).step_by(50).for_each(|now_ms| {
+        agent.handle(at(now_ms), agent::Event::Tick);
+    });
+
+    let mut resumed = agent.handle(at(8_000), agent::Event::Tick);
+    for balancer in [BALANCER, PEER] {
+        let state = gossip(1, &[BALANCER, PEER], 4);
+        agent.handle(at(8_001), agent::Event::Gossip(balancer, state));
+    }
+    resumed.extend(agent.handle(at(8_400), agent::Event::Tick));
+
+    assert!(!resumed.iter().any(is_report), "{resumed:?}");
+}
+
 /// Guards against a balancer that believes all agents to be out of reach when it has just started:
 /// they have not heard its predecessor for some time.
 #[test]
