--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,8 +14,8 @@
 from standin import CannotRun, Client, Target, main  # noqa: E402
 
 # Time between the exit of the agent and its start, in seconds: the platform's "short delay".
-RESTART_DELAY_S = 1.0
-FLOWS = 40
+RESTART_DELAY_S = 1.5
+FLOWS = 60
 
 
 def play(record, fleet, trouble):
