--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -19,6 +20,7 @@
 import tempfile
 import threading
 import time
+import traceback
 import urllib.parse
 import zlib
 
@@ -255,14 +257,12 @@
 
     last = 0
 
-    def __init__(self, record, name, service, app, outbound, control, zone, work_s=0.25, slots=7,
-                 seen_at=None):
+    def __init__(self, record, name, service, app, outbound, control, zone, work_s=0.25, slots=7):
         Target.last += 1
         self.record, self.name, self.service = record, name, service
         self.id = f"i-{random.getrandbits(40):010x}"
         self.born = int(time.time() * 1000)
         self.app, self.outbound, self.control, self.zone = app, outbound, control, zone
-        self.seen_at = seen_at or app
         self.work_s, self.slots = work_s, slots
         self.state, self.seq, self.stopped = "ready", 0, threading.Event()
         self.flows, self.runs, self.foreign, self.acked = {}, [], 0, 0
@@ -312,7 +312,7 @@
         peer.close()
 
     def body(self, seq):
-        return {"service": self.service, "address": f"{self.seen_at[0]}:{self.seen_at[1]}",
+        return {"service": self.service, "address": f"{self.app[0]}:{self.app[1]}",
                 "zone": self.zone, "version": "v1", "slots": self.slots, "state": self.state,
                 "warmup-left-ms": 0, "seq": seq, "born": self.born}
 
@@ -430,110 +430,6 @@
             self.send(*held["last"])
 
 
-class Link:
-    """The link between a target and the node beside it, which can be cut in both directions.
-
-    `app` is where the node reaches the target. While the link is cut, datagrams are lost, new
-    connections get no answer, and open ones carry nothing and stay so.
-    """
-
-    def __init__(self, app, target, outbound, node_outbound, control, node_control):
-        self.is_cut = False
-        self.app, self.target, self.control = app, target, control
-        self.node_control, self.filler = node_control, []
-        self.to_target, self.to_node = self.udp(app, target), self.udp(outbound, node_outbound)
-        self.listeners = {app: target, control: node_control}
-        self.open = {}
-        for at in self.listeners:
-            one = socket.socket()
-            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            one.bind(at)
-            one.listen(0)
-            one.settimeout(0.02)
-            self.open[at] = one
-            threading.Thread(target=self.accept, args=(at,), daemon=True).start()
-
-    def udp(self, at, to):
-        one = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        one.bind(at)
-
-        def forward():
-            while True:
-                raw, _ = one.recvfrom(2048)
-                if not self.is_cut:
-                    try:
-                        one.sendto(raw, to)
-                    except OSError:
-                        pass
-
-        threading.Thread(target=forward, daemon=True).start()
-        return one
-
-    def accept(self, at):
-        while True:
-            if self.is_cut:
-                time.sleep(0.01)
-                continue
-            try:
-                near, _ = self.open[at].accept()
-            except OSError:
-                continue
-            far = socket.socket()
-            try:
-                far.connect(self.listeners[at])
-            except OSError:
-                # Nobody listens there: the connection is reset.
-                near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                near.close()
-                continue
-            for source, sink in ((near, far), (far, near)):
-                threading.Thread(target=self.pump, args=(source, sink), daemon=True).start()
-
-    def pump(self, source, sink):
-        source.settimeout(0.05)
-        while True:
-            try:
-                data = source.recv(65536)
-            except socket.timeout:
-                continue
-            except OSError:
-                data = b""
-            if self.is_cut:
-                # What the cut holds up is lost; the connection is never used again.
-                return
-            try:
-                if not data:
-                    sink.shutdown(socket.SHUT_WR)
-                    return
-                sink.sendall(data)
-            except OSError:
-                return
-
-    def cut(self):
-        """From now on connections to either side get no answer: the queues are kept full."""
-        self.is_cut = True
-        time.sleep(0.05)
-        for at in self.listeners:
-            for _ in range(3):
-                one = socket.socket()
-                one.setblocking(False)
-                one.connect_ex(at)
-                self.filler.append(one)
-        time.sleep(0.05)
-
-    def heal(self):
-        for one in self.filler:
-            one.close()
-        for at in self.listeners:
-            # What was queued during the cut was never answered.
-            try:
-                while True:
-                    self.open[at].accept()[0].close()
-            except OSError:
-                pass
-        self.is_cut = False
-
-
 # ---------------------------------------------------------------- consumers and routers
 
 
@@ -837,6 +733,8 @@
                 one.send_signal(signal.SIGCONT)
                 one.kill()
                 one.wait()
+        if not os.environ.get("KEEP"):
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def main(case, folder, play):
@@ -846,6 +744,12 @@
     record.line(f"case {case}, TROUBLE={'1' if trouble else '0'}")
     fleet = None
     code = 2
+
+    def stop(number, _):
+        raise CannotRun(f"stopped by {signal.Signals(number).name}")
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, stop)
     watchdog = threading.Timer(110, lambda: (record.line("took too long"),
                                              fleet and fleet.close(), os._exit(2)))
     watchdog.daemon = True
@@ -861,8 +765,7 @@
         record.line(f"could not run: {error}")
     except Exception as error:  # a fault of the case itself
         record.line(f"could not run: {type(error).__name__}: {error}")
-        import traceback
-        record.line(traceback.format_exc())
+        traceback.print_exc()
     finally:
         if fleet:
             fleet.close()
