--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -303,7 +303,10 @@
         self.balancer_states.expire(now);
         self.introduced.retain(|balancer, _| self.balancers.contains(*balancer));
         actions.extend(self.log_balancer_changes());
-        if now.since(self.announced_at) >= ANNOUNCE_MS {
+        if self.leaving {
+            // Balancers that miss the announcement would take the restart for the end of the host.
+            actions.extend(self.announce(now));
+        } else if now.since(self.announced_at) >= ANNOUNCE_MS {
             actions.extend(self.announce_periodically(now));
         } else if self.uses(Mechanism::Introductions) {
             actions.extend(self.introduce(now));
--- a/crates/nutmegkeel_core/src/l4/agent/balancers.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/balancers.rs
@@ -158,6 +158,7 @@
             cold: self.is_cold(now),
             room: self.room(now),
             state: self.state(now),
+            sees_all_flows: self.sees_all_flows(now),
             load: self.load(),
             balancers: self.balancers.digest(),
             replica: self.replica.version(),
--- a/crates/nutmegkeel_core/src/l4/agent/server.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/server.rs
@@ -141,6 +141,15 @@
         }
     }
 
+    /// Returns whether this process has seen every flow that its backend server may hold. Known
+    /// without a server only once the server has reported its end, or its port is closed.
+    pub(super) fn sees_all_flows(&self, now: Time) -> bool {
+        match self.history.server() {
+            Some(server) => server.seen_from_start || now.since(self.started) > FORGET_MS,
+            None => self.history.has_ended() || self.port.state(now) == Some(port::State::Closed),
+        }
+    }
+
     /// Detects a backend server that stopped answering. It gets no new flows.
     ///
     /// Its open flows are not reset, even when its heartbeats are missing too: it may be paused, or
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 mod event;
 pub mod introductions;
+mod inventory;
 mod kept;
 mod opening;
 mod packet;
@@ -28,6 +29,7 @@
 use collector::Collector;
 use discovery::Discovery;
 use introductions::Introductions;
+use inventory::Absences;
 use kept::View;
 use snapshot::Snapshot;
 
@@ -98,6 +100,7 @@
     /// Whether the store answered the last call.
     reaches_store: bool,
     discovery: Discovery,
+    absences: Absences,
     last_event: Time,
     /// When this process started, or last resumed after a stall.
     running_since: Time,
@@ -164,6 +167,7 @@
             peer_states: States::default(),
             reaches_store: true,
             discovery: Discovery::open(now),
+            absences: Absences::open(now),
             last_event: now,
             running_since: now,
             resumed_at: None,
@@ -236,6 +240,8 @@
                 self.record_heard_elsewhere(now, from, &agents);
                 Vec::new()
             }
+            Event::ListAgents(from, request) => self.list_agents(now, from, request),
+            Event::Agents(from, inventory) => self.apply_inventory(now, from, &inventory),
             Event::PortChecked(agent, finding) => self.port_checked(now, agent, finding),
             Event::Leave => self.leave(now),
             Event::Tick => self.tick(now),
@@ -251,6 +257,7 @@
             self.pool.extend_timeouts(gap);
             self.running_since = now;
             self.reset_discovery();
+            self.forget_absences(now);
         }
         if gap >= OUTDATED_MS {
             self.resumed_at = Some(now);
--- a/crates/nutmegkeel_core/src/l4/balancer/discovery.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/discovery.rs
@@ -65,18 +65,24 @@
     }
 
     /// Records whether all agents are known now.
-    pub(super) const fn record_discovery(&mut self, is_cut_off: bool, knows_all_agents: bool) {
+    ///
+    /// While neither agents nor balancers are heard, agents may be restarted without notice. If
+    /// balancers are heard, most agents have stopped, and nothing was missed.
+    pub(super) fn record_discovery(&mut self, now: Time, is_cut_off: bool, knows_all_agents: bool) {
         if is_cut_off {
             self.reset_discovery();
+            if !self.pool.is_empty() && self.peer_states.fresh(now).next().is_none() {
+                self.forget_absences(now);
+            }
         } else {
             self.discovery.was_complete |= knows_all_agents;
         }
     }
 
-    /// Returns whether no other balancer receives announcements of more agents. Guards against
+    /// Returns whether no other balancer knows more agents that may hold flows. Guards against
     /// resetting the flows of an agent that does not know this balancer yet but is known to others.
     fn knows_as_many_as_peers(&self, now: Time) -> bool {
-        let own = self.pool.recently_seen_count(now) + self.pool.unreachable_count(now);
+        let own = self.pool.holder_count(now);
         self.peer_states
             .fresh(now)
             .map(|(_, state)| state.agents)
@@ -91,7 +97,7 @@
         now.since(self.discovery.last_appeared) <= span
     }
 
-    /// Returns whether every agent that may hold a flow is known and can be asked.
+    /// Returns whether no agent is known to be missing or out of touch.
     pub(super) fn knows_all_agents(&self, now: Time) -> bool {
         !self.is_discovering(now)
             && self.pool.is_conclusive(now)
--- a/crates/nutmegkeel_core/src/l4/balancer/event.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/event.rs
@@ -8,7 +8,7 @@
 use crate::l4::evacuation::Orders;
 use crate::l4::fetch::Holder;
 use crate::l4::flow::{Flow, Head};
-use crate::l4::message::{Announcement, Gossip, Load, Message, Reason, Summary};
+use crate::l4::message::{Announcement, Gossip, Inventory, Load, Message, Reason, Summary};
 use crate::l4::route::Table;
 use crate::port::Finding;
 
@@ -65,6 +65,10 @@
     /// A balancer reported the agents of another failure domain, as one of its balancers or by
     /// forwarding a summary.
     Summary(Summary),
+    /// Another balancer asked for all agents that may hold flows, with the number of its request.
+    ListAgents(Ipv4Addr, u32),
+    /// Another balancer listed the agents that may hold flows.
+    Agents(Ipv4Addr, Inventory),
     /// Another balancer reported its state.
     Gossip(Ipv4Addr, Gossip),
     /// The store's list of balancers was read.
--- a/crates/nutmegkeel_core/src/l4/balancer/peers.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/peers.rs
@@ -191,6 +191,7 @@
             known,
             balancers: Vec::new(),
             agents,
+            knows_all_agents: self.absences.are_known(),
             reaches_store: self.reaches_store,
             leaving: self.leaving,
             orders: self.latest_orders.orders().cloned(),
--- a/crates/nutmegkeel_core/src/l4/balancer/review.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/review.rs
@@ -11,9 +11,10 @@
     pub(super) fn review(&mut self, now: Time) -> Vec<Action> {
         let (is_cut_off, knows_all_agents) =
             (self.pool.is_cut_off(now), self.knows_all_agents(now));
-        self.record_discovery(is_cut_off, knows_all_agents);
+        self.record_discovery(now, is_cut_off, knows_all_agents);
         let mut actions = self.recall_if_changed(now, knows_all_agents);
         actions.extend(self.repeat_introduction(now));
+        actions.extend(self.review_absences(now));
         actions.extend(self.collector.due(now).map(Action::Commit));
         actions.extend(self.send_summaries(now));
         actions.extend(self.send_late_agents(now));
--- a/crates/nutmegkeel_core/src/l4/balancer/search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -65,7 +65,7 @@
     /// recently to know all agents.
     fn is_held_nowhere(&mut self, now: Time, flow: Flow) -> bool {
         let is_impatient = self.is_impatient(now, &flow);
-        if self.table.version == 0 || !self.knows_all_agents(now) {
+        if self.table.version == 0 || !self.knows_all_holders(now) {
             return false;
         }
         if self.pool.has_stopped(now) && !is_impatient {
--- a/crates/nutmegkeel_core/src/l4/balancer/snapshot.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/snapshot.rs
@@ -22,7 +22,7 @@
     pub(super) balancers: Vec<Ipv4Addr>,
     /// Digest of their addresses.
     pub(super) digest: u64,
-    /// Number of agents.
+    /// Number of agents that may hold flows.
     pub(super) agents: usize,
 }
 
@@ -44,6 +44,6 @@
     fn take_snapshot(&self, now: Time) -> Snapshot {
         let balancers = self.known(now);
         let digest = roster::digest(balancers.iter().copied());
-        Snapshot { at: now, balancers, digest, agents: self.pool.recently_seen_count(now) }
+        Snapshot { at: now, balancers, digest, agents: self.pool.holder_count(now) }
     }
 }
--- a/crates/nutmegkeel_core/src/l4/decision.rs
+++ b/crates/nutmegkeel_core/src/l4/decision.rs
@@ -101,6 +101,15 @@
         /// Number of agents that are known now.
         known: usize,
     },
+    /// A balancer knows every agent that may hold flows, also those that it cannot hear.
+    AgentsComplete {
+        /// The balancer that listed them; `None` if none had to.
+        from: Option<Ipv4Addr>,
+        /// Number of agents that are known now.
+        agents: usize,
+        /// Time for which it did not know all of them, in milliseconds.
+        after_ms: u64,
+    },
     /// No announcement of some agents has arrived within the time-out.
     AgentsSilent {
         /// The agents.
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -92,6 +92,28 @@
         /// Time since its last message, in milliseconds.
         silent_ms: u32,
     },
+    /// Balancer to balancer: asks for all agents that may hold flows. Sent by a balancer that has
+    /// started or resumed and cannot know which agents are away.
+    ListAgents {
+        /// Number of the request, which the answer repeats.
+        request: u32,
+    },
+    /// Balancer to balancer: a part of the answer to [`Message::ListAgents`].
+    Agents(Inventory),
+}
+
+/// A part of the list of all agents that may hold flows, as known to a balancer that knows all of
+/// them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Inventory {
+    /// Number of the request that this answers.
+    pub request: u32,
+    /// Number of this part, from zero.
+    pub part: u16,
+    /// Number of parts.
+    pub parts: u16,
+    /// The agents of this part, which belong to one failure domain.
+    pub agents: Summary,
 }
 
 /// An opening that a balancer offers to an agent.
@@ -225,6 +247,9 @@
     pub room: Option<u32>,
     /// Whether it accepts new flows.
     pub state: State,
+    /// Whether the process has seen every flow that its backend server may hold. Not so if it has
+    /// replaced another process beside a server that kept running.
+    pub sees_all_flows: bool,
     /// Its load.
     pub load: Load,
     /// Digest of the balancers that it knows. A balancer that knows others replies with its list.
@@ -269,6 +294,8 @@
     /// As in [`Announcement`].
     pub state: State,
     /// As in [`Announcement`].
+    pub sees_all_flows: bool,
+    /// As in [`Announcement`].
     pub load: Load,
 }
 
@@ -299,6 +326,7 @@
             cold: self.cold,
             room: self.room,
             state: self.state,
+            sees_all_flows: self.sees_all_flows,
             load: self.load,
             balancers: 0,
             replica: 0,
@@ -319,9 +347,11 @@
     pub known: u32,
     /// These addresses, or a part of them. Left out where the receiver probably knows them.
     pub balancers: Vec<Ipv4Addr>,
-    /// Number of agents that it receives announcements of. A balancer with a lower number does not
-    /// know all agents.
+    /// Number of agents that may hold flows, as far as it knows. A balancer with a lower number does
+    /// not know all agents.
     pub agents: u32,
+    /// Whether it knows every agent that may hold flows, also those that are away.
+    pub knows_all_agents: bool,
     /// Whether the store answered its last call.
     pub reaches_store: bool,
     /// Whether the sender is about to stop.
--- a/crates/nutmegkeel_core/src/l4/peer_state.rs
+++ b/crates/nutmegkeel_core/src/l4/peer_state.rs
@@ -60,8 +60,10 @@
     pub received_at: Time,
     /// Failure domain.
     pub domain: Arc<str>,
-    /// Number of agents that it receives announcements of.
+    /// Number of agents that may hold flows, as far as it knows.
     pub agents: usize,
+    /// Whether it knows every agent that may hold flows.
+    pub knows_all_agents: bool,
     /// Version of its configuration; zero while it has none.
     pub version: u64,
     /// Whether the store answered its last call.
@@ -85,6 +87,7 @@
             received_at: now,
             domain: Arc::clone(&gossip.domain),
             agents: usize::try_from(gossip.agents).unwrap_or(usize::MAX),
+            knows_all_agents: gossip.knows_all_agents,
             version: gossip.version,
             reaches_store: gossip.reaches_store,
             leaving: gossip.leaving,
@@ -142,7 +145,7 @@
     }
 
     /// Returns the states of the last [`VALID_MS`], of balancers that are not about to stop.
-    /// Volatile values, such as the number of agents that a balancer receives announcements of, are
+    /// Volatile values, such as the number of agents that a balancer knows, are
     /// outdated sooner than the list of balancers.
     pub fn fresh(&self, now: Time) -> impl Iterator<Item = (Ipv4Addr, &State)> + '_ {
         self.not_leaving(now).filter(move |(_, state)| now.since(state.received_at) <= VALID_MS)
--- a/crates/nutmegkeel_core/src/l4/placement/candidate.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -245,6 +245,7 @@
             cold: announcement.cold,
             room: announcement.room,
             state: announcement.state,
+            sees_all_flows: announcement.sees_all_flows,
             load: self.load,
         }
     }
--- a/crates/nutmegkeel_core/src/l4/placement/liveness.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/liveness.rs
@@ -178,13 +178,6 @@
         candidate.detour(now)
     }
 
-    /// Returns the number of agents that only other balancers reach.
-    #[must_use]
-    pub fn unreachable_count(&self, now: Time) -> usize {
-        let is_unreachable = |one: &&Candidate| self.health_of(now, one) == Health::Unreachable;
-        self.agents.values().filter(is_unreachable).count()
-    }
-
     /// Returns the health of an agent; `None` if it is not known.
     #[must_use]
     pub fn health(&self, now: Time, agent: Ipv4Addr) -> Option<Health> {
@@ -243,6 +236,22 @@
         self.agents.values().all(|candidate| candidate.announcement.number <= RECENT_START_TICKS)
     }
 
+    /// Returns whether all known agents have started recently and have seen every flow of their
+    /// backend servers, as after a power failure. Not so if processes were replaced beside servers
+    /// that kept running.
+    #[must_use]
+    pub fn has_started_anew(&self) -> bool {
+        let sees_all = |one: &Candidate| one.announcement.sees_all_flows;
+        self.is_recently_started() && self.agents.values().all(sees_all)
+    }
+
+    /// Returns the number of agents that may hold flows.
+    #[must_use]
+    pub fn holder_count(&self, now: Time) -> usize {
+        let may_hold = |one: &&Candidate| one.may_hold(self.visibility(now, one));
+        self.agents.values().filter(may_hold).count()
+    }
+
     /// Returns whether an agent may hold flows.
     #[must_use]
     pub fn may_hold(&self, now: Time, agent: Ipv4Addr) -> bool {
--- a/crates/nutmegkeel_core/src/l4/placement/report.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/report.rs
@@ -1,12 +1,13 @@
 //! Summaries of agents that balancers of different failure domains exchange.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::candidate::Candidate;
 use super::{Change, Pool};
 use crate::clock::Time;
-use crate::l4::health::{Health, SILENT_MS, SUMMARY_MS};
-use crate::l4::message::{Report, Summary};
+use crate::l4::health::{CHECK_MS, Health, RESTART_MS, SILENT_MS, SUMMARY_MS};
+use crate::l4::message::{Report, State, Summary};
 
 /// Time for which an agent is included in summaries after it was last seen, in milliseconds.
 /// Other balancers have given it up by then too.
@@ -72,6 +73,51 @@
         summary
     }
 
+    /// Returns all agents that may hold flows, in summaries of one failure domain with at most
+    /// `most` reports each; at least one summary.
+    #[must_use]
+    pub fn holders(&self, now: Time, most: usize) -> Vec<Summary> {
+        let mut summaries: Vec<Summary> = Vec::new();
+        let mut open: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
+        for (agent, candidate) in &self.agents {
+            if !candidate.may_hold(self.visibility(now, candidate)) {
+                continue;
+            }
+            let domain = &candidate.announcement.domain;
+            let last = open.get(domain).filter(|at| summaries[**at].reports.len() < most);
+            let at = last.copied().unwrap_or(summaries.len());
+            if at == summaries.len() {
+                summaries.push(Summary::open(domain));
+                open.insert(domain, at);
+            }
+            let summary = &mut summaries[at];
+            let report = candidate.report(now, *agent, &mut summary.services);
+            summary.reports.push(report);
+        }
+        if summaries.is_empty() {
+            summaries.push(Summary::open(&"".into()));
+        }
+        summaries
+    }
+
+    /// Applies a report of a balancer that lists all agents. An agent whose last announcement is
+    /// known keeps its state: its own messages show whether it is reached from here.
+    ///
+    /// An agent that is silent there counts as silent here only as long as its port is still to be
+    /// checked from here.
+    pub fn listed(&mut self, now: Time, summary: &Summary, report: &Report) -> Change {
+        let known = self.agents.get(&report.agent).map(|known| &known.announcement);
+        if known.is_some_and(|known| {
+            (known.incarnation, known.number) >= (report.incarnation, report.number)
+        }) {
+            return Change::None;
+        }
+        let longest_ms = if report.state == State::Restarting { RESTART_MS } else { CHECK_MS };
+        let longest_ms = u32::try_from(longest_ms).unwrap_or(u32::MAX);
+        let report = Report { age_ms: report.age_ms.min(longest_ms), ..report.clone() };
+        self.reported(now, summary, &report)
+    }
+
     /// Returns a summary of the agents in the own failure domain that became late since the last
     /// call.
     pub fn newly_late(&mut self, now: Time, domain: &Arc<str>) -> Summary {
--- a/crates/nutmegkeel_core/tests/l4/balancer.rs
+++ b/crates/nutmegkeel_core/tests/l4/balancer.rs
@@ -184,6 +184,9 @@
 #[test]
 fn a_waiting_client_is_reset_once_all_agents_are_known() {
     let mut balancer = balancer(&[]);
+    for now_ms in (0..3_000).step_by(500) {
+        balancer.handle(at(now_ms), Event::Tick);
+    }
     announce(&mut balancer, &[1], 3_000, 3_000);
     let packet = data(flow(1), 1_001, 500);
     balancer.handle(at(3_100), Event::Client(packet));
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -17,6 +17,7 @@
 mod fixture;
 mod full_server;
 mod introduction;
+mod inventory;
 mod mute;
 mod outlier;
 mod overload;
--- a/crates/nutmegkeel_core/tests/l4/stopped.rs
+++ b/crates/nutmegkeel_core/tests/l4/stopped.rs
@@ -73,6 +73,7 @@
         cold: false,
         room: None,
         state: message::State::Ready,
+        sees_all_flows: true,
         load: Load::default(),
     };
     let (domain, services) = ("tema".into(), vec![default_service()]);
--- a/crates/nutmegkeel_core/tests/l4/summary.rs
+++ b/crates/nutmegkeel_core/tests/l4/summary.rs
@@ -31,6 +31,7 @@
         cold: false,
         room: None,
         state: State::Ready,
+        sees_all_flows: true,
         load: Load::default(),
     }
 }
--- a/crates/nutmegkeel_dev/src/measure/finding.rs
+++ b/crates/nutmegkeel_dev/src/measure/finding.rs
@@ -87,6 +87,7 @@
             room: None,
             cold: false,
             state: State::Ready,
+            sees_all_flows: true,
             load: Load { busy: 2, flows: 20, service_ms: 50 },
             balancers: 0,
             replica: 0,
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -29,10 +29,10 @@
 use crate::port_check::Checker;
 use crate::web::{self, Answer};
 
-/// How long an agent goes on serving after it has announced that it leaves. Balancers receive the
-/// announcement at once, but packets that they sent before it are in transit for a few
-/// milliseconds.
-const LEAVE_LINGER: Duration = Duration::from_millis(200);
+/// Number of ticks for which an agent goes on serving after it has announced that it leaves.
+/// Balancers receive the announcement at once, or with the next tick if it is lost, but packets that
+/// they sent before it are in transit for a few milliseconds.
+const LEAVE_TICKS: usize = 2;
 
 /// Share of the store's write budget that the agents' lists of flows may use, in percent. The rest
 /// is for the operator and for processes that register.
@@ -153,7 +153,10 @@
     pub fn leave(self) {
         info!(event = "leaving", role = "agent"; "stop requested");
         self.shared.handle(Event::Leave, &mut []);
-        thread::sleep(LEAVE_LINGER);
+        for _ in 0..LEAVE_TICKS {
+            self.pause();
+            self.shared.handle(Event::Tick, &mut []);
+        }
         info!(event = "stopped", role = "agent"; "agent stopped");
     }
 }
@@ -277,6 +280,8 @@
             | Message::Relay
             | Message::Inquire { .. }
             | Message::Hears { .. }
+            | Message::ListAgents { .. }
+            | Message::Agents(_)
             | Message::Unheard { .. }
             | Message::Orders(_)
             | Message::SaveFlows(_)
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -341,6 +341,8 @@
             Message::SaveFlows(list) => Event::SaveFlows(from, list),
             Message::Inquire { agents } => Event::Inquired(from, agents),
             Message::Hears { agents } => Event::Hears(from, agents),
+            Message::ListAgents { request } => Event::ListAgents(from, request),
+            Message::Agents(inventory) => Event::Agents(from, inventory),
             Message::Unheard { silent_ms } => Event::Unheard(from, silent_ms),
             Message::FlowsSaved { .. }
             | Message::Open(_)
--- a/crates/nutmegkeel_node/src/l4/decision_log.rs
+++ b/crates/nutmegkeel_node/src/l4/decision_log.rs
@@ -172,6 +172,7 @@
         Decision::GivenUp { .. } => ("given_up", EXCEPTIONAL_LINES_PER_S),
         Decision::BeyondShare { .. } => ("beyond_share", ROUTINE_LINES_PER_S),
         Decision::Agents { .. }
+        | Decision::AgentsComplete { .. }
         | Decision::AgentsSilent { .. }
         | Decision::AgentsStopped { .. } => ("agent", EXCEPTIONAL_LINES_PER_S),
         Decision::PortChecked { .. } => ("port_checked", EXCEPTIONAL_LINES_PER_S),
@@ -298,6 +299,11 @@
                 opened = changes.opened.len(), closed = changes.closed.len(),
                 which = names_if_few(changes.all()); "agents changed");
         }
+        Decision::AgentsComplete { from, agents, after_ms } => {
+            let from = from.map(|from| from.to_string());
+            info!(event = "agents_complete", from = from, known = agents, after_ms = after_ms;
+                "all agents that may hold flows are known");
+        }
         Decision::AgentsSilent { agents } => {
             warn!(event = "agents_silent", count = agents.len(), which = names_if_few(agents);
                 "no messages received from agents");
--- a/crates/nutmegkeel_wire/tests/l4.rs
+++ b/crates/nutmegkeel_wire/tests/l4.rs
@@ -81,6 +81,7 @@
         cold: true,
         room: Some(1_000),
         state: State::Restarting,
+        sees_all_flows: true,
         load: Load { busy: 1_000, flows: 10_000, service_ms: 1_000 },
     };
     let services = (0..4).map(|number| Service::named(&format!("service-{number}"))).collect();
@@ -98,6 +99,7 @@
         known: 100_000,
         balancers: vec![Ipv4Addr::new(203, 0, 113, 200); introductions::ADDRESSES_PER_DATAGRAM],
         agents: 100_000,
+        knows_all_agents: true,
         reaches_store: true,
         leaving: false,
         orders: Some(evacuated(18)),
