--- a/crates/nutmegkeel_core/src/l4/balancer/packet.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/packet.rs
@@ -92,7 +92,8 @@
         let was_asked = entry.place == Some(Place::Asked(from));
         let after_ms = now.since(entry.asked_at);
         if reason == Reason::NotHeld {
-            entry.unanswered.retain(|agent| *agent != from);
+            entry.unanswered.remove(&from);
+            entry.record_denied(now, from);
         }
         if current.is_none_or(|agent| agent == from) {
             entry.place = None;
--- a/crates/nutmegkeel_core/src/l4/balancer/search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -10,6 +10,19 @@
 use crate::l4::health::Health;
 use crate::l4::message::{Load, Message, Reason};
 
+/// How likely an agent holds a flow and answers a query, the best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    /// It is there, and has not denied the flow.
+    Present,
+    /// It is out of reach.
+    Away,
+    /// It has ended, and its successor has not been heard yet.
+    Replaced,
+    /// It has denied the flow in an earlier search.
+    Denied,
+}
+
 impl Balancer {
     /// Continues a search while no packet of the flow is available.
     pub(super) fn continue_search(&mut self, now: Time, flow: Flow) -> Vec<Action> {
@@ -76,7 +89,7 @@
             Some(Health::Stopped) => false,
             _ => self.pool.may_hold(now, *agent),
         };
-        !entry.declined.is_empty() && !entry.unanswered.iter().any(may_answer)
+        !entry.declined.is_empty() && !entry.unanswered.keys().any(may_answer)
     }
 
     /// Returns why a flow is reset that no agent which answered holds.
@@ -92,7 +105,7 @@
             return None;
         }
         let fresh = |agent: &&Ipv4Addr| self.pool.health(now, **agent) == Some(Health::Fresh);
-        let agent = *entry.unanswered.iter().find(fresh)?;
+        let agent = *entry.unanswered.keys().find(fresh)?;
         entry.ask(now, agent);
         Some(agent)
     }
@@ -106,7 +119,8 @@
     ) -> Vec<Action> {
         self.pool.load_received(now, from, load);
         let entry = self.cache.entry(now, flow);
-        entry.unanswered.retain(|agent| *agent != from);
+        entry.unanswered.remove(&from);
+        entry.record_denied(now, from);
         let was_queried = entry.queried.remove(&from);
         let was_asked = entry.place == Some(Place::Asked(from));
         if !was_queried && !was_asked {
@@ -153,15 +167,16 @@
         agent: Ipv4Addr,
         is_held: bool,
     ) -> Vec<Action> {
+        if self.pool.is_being_replaced(now, agent) {
+            return self.keep(head, Cause::Undecided);
+        }
         let goes_there = match self.pool.health(now, agent) {
-            Some(Health::Fresh | Health::Late) => true,
+            Some(Health::Fresh | Health::Late | Health::Restarting) => true,
             Some(Health::Silent) if is_held && !self.pool.is_cut_off(now) => {
                 self.cache.remove(&head.flow);
                 return self.reset(head, Cause::AgentDead, 0);
             }
-            Some(Health::Restarting | Health::Stopped | Health::Unreachable | Health::Silent) => {
-                is_held
-            }
+            Some(Health::Stopped | Health::Unreachable | Health::Silent) => is_held,
             None => false,
         };
         if goes_there {
@@ -183,7 +198,7 @@
                 return many;
             }
         }
-        match self.next_to_ask(now, head.flow) {
+        match self.next_for_packet(now, head.flow) {
             Some(agent) => self.carry_to(now, head, agent, false),
             None => self.not_found(now, head),
         }
@@ -204,46 +219,84 @@
         self.first_unasked(now, flow, first).is_none()
     }
 
-    /// Returns the next agent to ask for a flow, usually one of the few that its opening was
-    /// offered to. One that is away is asked last: if all others are ruled out first, it must be the
-    /// one that holds the flow.
+    /// Returns the next agent to ask for a flow with its packet; `None` if the packet is to be kept
+    /// until an agent that is being replaced is back, or if no agent is left.
+    ///
+    /// Guards against packets that reach server after server while the flow's own agent restarts.
+    /// An agent that has just started passes them to its server, so one that has denied the flow
+    /// does not get them again.
+    fn next_for_packet(&mut self, now: Time, flow: Flow) -> Option<Ipv4Addr> {
+        let (standing, agent) = self.next_unasked(now, flow)?;
+        if standing >= Standing::Replaced {
+            return None;
+        }
+        self.cache.entry(now, flow).ask(now, agent);
+        Some(agent)
+    }
+
+    /// Returns the next agent to ask for a flow without its packet.
     fn next_to_ask(&mut self, now: Time, flow: Flow) -> Option<Ipv4Addr> {
-        let services = self.services(&flow)?;
-        let first = self.pool.search_first(flow.key(), &services, &self.identity.domain);
-        let agent = match self.first_unasked(now, flow, first) {
-            Some((health, agent)) if !health.is_away() => agent,
-            _ => {
-                let all = self.pool.search(flow.key(), &services, &self.identity.domain);
-                self.first_unasked(now, flow, all)?.1
-            }
-        };
+        let (standing, agent) = self.next_unasked(now, flow)?;
+        if standing == Standing::Replaced {
+            return None;
+        }
         self.cache.entry(now, flow).ask(now, agent);
         Some(agent)
     }
 
-    /// Returns the first of these agents that may hold a flow and has not denied it.
+    /// Returns the next agent to ask for a flow, usually one of the few that its opening was offered
+    /// to. One that is away is asked late: if all others are ruled out first, it must be the one
+    /// that holds the flow. One that has denied the flow in an earlier search is asked last.
+    fn next_unasked(&mut self, now: Time, flow: Flow) -> Option<(Standing, Ipv4Addr)> {
+        let services = self.services(&flow)?;
+        let first = self.pool.search_first(flow.key(), &services, &self.identity.domain);
+        let first = self.first_unasked(now, flow, first);
+        if let Some((Standing::Present, _)) = first {
+            return first;
+        }
+        let all = self.pool.search(flow.key(), &services, &self.identity.domain);
+        self.first_unasked(now, flow, all)
+    }
+
+    /// Returns the first of these agents that may hold a flow and has not denied it in this search.
     fn first_unasked(
         &mut self,
         now: Time,
         flow: Flow,
         agents: Vec<Ipv4Addr>,
-    ) -> Option<(Health, Ipv4Addr)> {
+    ) -> Option<(Standing, Ipv4Addr)> {
         let entry = self.cache.entry(now, flow);
         // An agent that refused the opening may have accepted a later copy of it, so only an answer
-        // to this query counts.
-        let asked = |agent: &Ipv4Addr| entry.declined.contains(&(*agent, Reason::NotHeld));
+        // to this query counts. One that gave none is asked again as soon as a new process runs.
+        let was_asked = |agent: &Ipv4Addr| {
+            let has_returned = |skipped_at: &Time| self.pool.has_appeared(*agent, *skipped_at);
+            entry.declined.contains(&(*agent, Reason::NotHeld))
+                && !entry.unanswered.get(agent).is_some_and(has_returned)
+        };
+        let standing = |agent: Ipv4Addr| {
+            let health = self.pool.health(now, agent)?;
+            Some(if entry.was_denied_by(now, agent) {
+                Standing::Denied
+            } else if self.pool.is_being_replaced(now, agent) {
+                Standing::Replaced
+            } else if health.is_away() {
+                Standing::Away
+            } else {
+                Standing::Present
+            })
+        };
         agents
             .into_iter()
-            .filter(|agent| !asked(agent) && self.pool.may_hold(now, *agent))
-            .filter_map(|agent| Some((self.pool.health(now, agent)?, agent)))
-            .min_by_key(|(health, _)| health.is_away())
+            .filter(|agent| !was_asked(agent) && self.pool.may_hold(now, *agent))
+            .filter_map(|agent| Some((standing(agent)?, agent)))
+            .min_by_key(|(standing, _)| *standing)
     }
 
     /// Skips an agent that has not answered: it may be dead, and another may hold the flow.
     fn skip_overdue(&mut self, now: Time, flow: Flow) {
         let entry = self.cache.entry(now, flow);
         if let Some(place) = entry.place.take() {
-            record_unanswered(entry, place.agent());
+            record_unanswered(now, entry, place.agent());
         }
     }
 
@@ -267,11 +320,7 @@
         let entry = self.cache.entry(now, flow);
         let is_new = entry.place != Some(Place::Held(from));
         let asked = entry.declined.len();
-        entry.place = Some(Place::Held(from));
-        entry.declined.clear();
-        entry.unanswered.clear();
-        entry.queried.clear();
-        entry.unsure.clear();
+        entry.record_held(from);
         self.cache.mark_decided(&flow);
         if !is_new {
             return Vec::new();
@@ -281,11 +330,9 @@
 }
 
 /// Records that an agent was skipped: it may hold the flow.
-pub(super) fn record_unanswered(entry: &mut Entry, agent: Ipv4Addr) {
+pub(super) fn record_unanswered(now: Time, entry: &mut Entry, agent: Ipv4Addr) {
     record_declined(entry, agent, Reason::NotHeld);
-    if !entry.unanswered.contains(&agent) {
-        entry.unanswered.push(agent);
-    }
+    entry.unanswered.insert(agent, now);
 }
 
 pub(super) fn record_declined(entry: &mut Entry, agent: Ipv4Addr, reason: Reason) {
--- a/crates/nutmegkeel_core/src/l4/balancer/wide_search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/wide_search.rs
@@ -7,9 +7,10 @@
 
 use std::net::Ipv4Addr;
 
-use super::search::record_unanswered;
+use super::search::{record_declined, record_unanswered};
 use super::{Action, Balancer};
 use crate::clock::Time;
+use crate::l4::cache::Place;
 use crate::l4::flow::Flow;
 use crate::l4::health::Health;
 use crate::l4::message::{Load, Message, Reason};
@@ -74,7 +75,7 @@
     pub(super) fn skip_unanswered(&mut self, now: Time, flow: Flow) {
         let entry = self.cache.entry(now, flow);
         for agent in std::mem::take(&mut entry.queried) {
-            record_unanswered(entry, agent);
+            record_unanswered(now, entry, agent);
         }
     }
 
@@ -88,10 +89,20 @@
     ) -> Vec<Action> {
         self.pool.load_received(now, from, load);
         let entry = self.cache.entry(now, flow);
-        if !entry.queried.remove(&from) {
+        let was_asked = entry.place == Some(Place::Asked(from));
+        if !entry.queried.remove(&from) && !was_asked {
             return Vec::new();
         }
-        entry.unsure.insert(from);
+        if was_asked {
+            entry.place = None;
+        }
+        if entry.was_denied_by(now, from) {
+            // Its server has denied the flow to an earlier process on its host.
+            record_declined(entry, from, Reason::NotHeld);
+        } else {
+            entry.ask_again(from);
+            entry.unsure.insert(from);
+        }
         if entry.queried.is_empty() { self.continue_search(now, flow) } else { Vec::new() }
     }
 
--- a/crates/nutmegkeel_core/src/l4/cache.rs
+++ b/crates/nutmegkeel_core/src/l4/cache.rs
@@ -33,6 +33,11 @@
 /// later.
 const RETRY_MS: u64 = 200;
 
+/// Time for which an agent's denial is remembered beyond the search in which it was asked, in
+/// milliseconds. A flow does not move to another server. The time is bounded because a client may
+/// open a new flow from the same port by way of another balancer.
+const DENIED_MS: u64 = 10_000;
+
 /// Location of a flow, as known to this balancer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Place {
@@ -77,8 +82,11 @@
     request: Option<Request>,
     /// Whether its client was refused before and now retries; `None` until this was looked up.
     pub is_retry: Option<bool>,
-    /// Agents that were skipped without an answer. One of them may hold the flow.
-    pub unanswered: Vec<Ipv4Addr>,
+    /// Agents that were skipped without an answer, with the time of that. One of them may hold the
+    /// flow.
+    pub unanswered: BTreeMap<Ipv4Addr, Time>,
+    /// Agents that denied the flow, in this search or an earlier one, with the time of that.
+    denied: BTreeMap<Ipv4Addr, Time>,
     /// Agents that were asked without the packet and have not answered yet.
     pub queried: BTreeSet<Ipv4Addr>,
     /// Agents that need the packet to determine whether they hold the flow.
@@ -99,7 +107,8 @@
             client_ack: 0,
             request: None,
             is_retry: None,
-            unanswered: Vec::new(),
+            unanswered: BTreeMap::new(),
+            denied: BTreeMap::new(),
             queried: BTreeSet::new(),
             unsure: BTreeSet::new(),
             started_at: now,
@@ -108,10 +117,39 @@
         }
     }
 
-    /// Restarts the search.
+    /// Restarts the search. What agents said of the flow is kept.
     pub fn restart(&mut self, now: Time) {
         let (client_ack, request) = (self.client_ack, self.request);
-        *self = Self { client_ack, request, ..Self::new(now) };
+        let mut denied = std::mem::take(&mut self.denied);
+        denied.retain(|_, at| now.since(*at) <= DENIED_MS);
+        *self = Self { client_ack, request, denied, ..Self::new(now) };
+    }
+
+    /// Records that an agent does not hold the flow.
+    pub fn record_denied(&mut self, now: Time, agent: Ipv4Addr) {
+        self.denied.insert(agent, now);
+    }
+
+    /// Returns whether an agent has denied the flow recently.
+    #[must_use]
+    pub fn was_denied_by(&self, now: Time, agent: Ipv4Addr) -> bool {
+        self.denied.get(&agent).is_some_and(|at| now.since(*at) <= DENIED_MS)
+    }
+
+    /// Records that an agent holds the flow.
+    pub fn record_held(&mut self, agent: Ipv4Addr) {
+        self.place = Some(Place::Held(agent));
+        self.declined.clear();
+        self.unanswered.clear();
+        self.denied.clear();
+        self.queried.clear();
+        self.unsure.clear();
+    }
+
+    /// Records that an agent which was skipped can be asked again.
+    pub fn ask_again(&mut self, agent: Ipv4Addr) {
+        self.unanswered.remove(&agent);
+        self.declined.retain(|(declined, _)| *declined != agent);
     }
 
     /// Records a packet of the client.
--- a/crates/nutmegkeel_core/src/l4/health.rs
+++ b/crates/nutmegkeel_core/src/l4/health.rs
@@ -35,6 +35,10 @@
 /// kept until then.
 pub const RESTART_MS: u64 = 10_000;
 
+/// Time for which an agent goes on serving after it last announced its restart, in milliseconds.
+/// Packets that arrive later are lost.
+pub const LINGER_MS: u64 = 100;
+
 /// Time for which a dead agent is remembered, in milliseconds. No flow lives longer. Until then, a
 /// flow that no other agent holds may be at the dead agent's backend server.
 pub const FORGET_MS: u64 = 60_000;
--- a/crates/nutmegkeel_core/src/l4/placement.rs
+++ b/crates/nutmegkeel_core/src/l4/placement.rs
@@ -125,6 +125,7 @@
         let slowness = known.as_ref().and_then(|known| known.slowness);
         let min_flows = known.as_ref().map_or(0, |known| known.min_flows);
         let reach = known.as_ref().map(|known| known.reach);
+        let appeared_at = known.as_ref().map(|known| known.appeared_at);
         let change = known.map_or(Change::Appeared, |known| known.change(now, &announcement));
         if change == Change::Stale {
             return change;
@@ -138,11 +139,13 @@
         let last_sent = last_sent.filter(|_| change != Change::Appeared);
         let slowness = slowness.filter(|_| change != Change::Appeared);
         let reach = reach.filter(|_| change != Change::Appeared).unwrap_or_default();
+        let appeared_at = appeared_at.filter(|_| change != Change::Appeared).unwrap_or(now);
         let inherited = self.inherited(now, from, &announcement, change);
         let mut candidate = Candidate {
             slowness,
             min_flows,
             reach,
+            appeared_at,
             ..Candidate::new(now, announcement, last_sent)
         };
         candidate.inherit(now, inherited);
--- a/crates/nutmegkeel_core/src/l4/placement/candidate.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -53,6 +53,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Candidate {
     pub(super) announcement: Announcement,
+    /// Time of the first announcement of its process.
+    pub(super) appeared_at: Time,
     /// Time of the last announcement.
     pub(super) announced_at: Time,
     /// Last announcement at this address with an earlier start than that of the known process.
@@ -85,6 +87,7 @@
 impl Candidate {
     pub(super) fn new(now: Time, announcement: Announcement, last_sent: Option<Sent>) -> Self {
         Self {
+            appeared_at: now,
             announced_at: now,
             unconfirmed: None,
             last_seen: now,
--- a/crates/nutmegkeel_core/src/l4/placement/liveness.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/liveness.rs
@@ -7,7 +7,7 @@
 use super::Pool;
 use super::candidate::{Candidate, Visibility};
 use crate::clock::Time;
-use crate::l4::health::{CHECK_MS, FORGET_MS, Health, LATE_MS, LOST_MS, UNREPORTED_MS};
+use crate::l4::health::{CHECK_MS, FORGET_MS, Health, LATE_MS, LINGER_MS, LOST_MS, UNREPORTED_MS};
 use crate::l4::message::Load;
 use crate::port::Finding;
 
@@ -178,6 +178,22 @@
         candidate.detour(now)
     }
 
+    /// Returns whether an agent announced its restart and has ended since, so that nothing reaches it
+    /// until its successor runs.
+    #[must_use]
+    pub fn is_being_replaced(&self, now: Time, agent: Ipv4Addr) -> bool {
+        self.agents.get(&agent).is_some_and(|one| {
+            let is_restarting = self.health_of(now, one) == Health::Restarting;
+            is_restarting && now.since(one.last_seen) > LINGER_MS
+        })
+    }
+
+    /// Returns whether the process of an agent was first heard at this time or later.
+    #[must_use]
+    pub fn has_appeared(&self, agent: Ipv4Addr, since: Time) -> bool {
+        self.agents.get(&agent).is_some_and(|one| one.appeared_at >= since)
+    }
+
     /// Returns the health of an agent; `None` if it is not known.
     #[must_use]
     pub fn health(&self, now: Time, agent: Ipv4Addr) -> Option<Health> {
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -24,6 +24,7 @@
 mod placement;
 mod policy;
 mod recovery;
+mod replaced;
 mod replica;
 mod room;
 mod roster;
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -9,6 +9,7 @@
 use metrics::{counter, gauge, histogram};
 use nutmegkeel_core::l4::agent::{Action, Agent, Event, Identity, TICK_MS};
 use nutmegkeel_core::l4::flow::Direction;
+use nutmegkeel_core::l4::health::LINGER_MS;
 use nutmegkeel_core::l4::message::Message;
 use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::l4::route::Table;
@@ -29,10 +30,10 @@
 use crate::port_check::Checker;
 use crate::web::{self, Answer};
 
-/// Number of ticks for which an agent goes on serving after it has announced that it leaves.
-/// Balancers receive the announcement at once, or with the next tick if it is lost, but packets that
-/// they sent before it are in transit for a few milliseconds.
-const LEAVE_TICKS: usize = 2;
+/// How long an agent goes on serving after it has last announced that it leaves. Balancers receive
+/// the announcement at once, but packets that they sent before it are in transit for a few
+/// milliseconds.
+const LINGER: Duration = Duration::from_millis(LINGER_MS);
 
 /// Share of the store's write budget that the agents' lists of flows may use, in percent. The rest
 /// is for the operator and for processes that register.
@@ -153,10 +154,9 @@
     pub fn leave(self) {
         info!(event = "leaving", role = "agent"; "stop requested");
         self.shared.handle(Event::Leave, &mut []);
-        for _ in 0..LEAVE_TICKS {
-            self.pause();
-            self.shared.handle(Event::Tick, &mut []);
-        }
+        self.pause();
+        self.shared.handle(Event::Tick, &mut []);
+        thread::sleep(LINGER);
         info!(event = "stopped", role = "agent"; "agent stopped");
     }
 }
