--- a/crates/nutmegkeel_core/src/l4/placement/order.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/order.rs
@@ -68,18 +68,43 @@
     /// Returns all agents in the order in which they are asked for a flow: [`Self::search_first`],
     /// then the other agents of the given services, then all others, because the route may have
     /// changed since the flow was opened.
+    ///
+    /// The others come in rounds, each with the next agents of the own failure domain and of the
+    /// other ones. A flow that was opened while some of the first were away, full or closed went to
+    /// one of the next in either order. If the whole own domain were asked before, many agents would
+    /// have to be asked for a flow that went to another one.
     #[must_use]
     pub fn search(&self, key: Key, services: &[Service], domain: &str) -> Vec<Ipv4Addr> {
         let first = self.search_first(key, services, domain);
         let is_likely = |candidate: &Candidate| {
             candidate.announcement.service.is_some_and(|service| services.contains(&service))
         };
-        let rest = self.agents.iter().filter(|(agent, _)| !first.contains(agent));
-        let mut rest: Vec<_> = rest
-            .map(|(agent, known)| (is_likely(known), Ranked::of(key, *agent, known, domain)))
-            .collect();
-        rest.sort_unstable_by(|one, two| two.cmp(one));
-        first.into_iter().chain(rest.into_iter().map(|(_, ranked)| ranked.agent)).collect()
+        let (mut likely, mut unlikely) = (Vec::new(), Vec::new());
+        for (agent, known) in self.agents.iter().filter(|(agent, _)| !first.contains(agent)) {
+            let ranked = Ranked::of(key, *agent, known, domain);
+            if is_likely(known) { likely.push(ranked) } else { unlikely.push(ranked) }
+        }
+        let rest = [in_rounds(likely), in_rounds(unlikely)].concat();
+        first.into_iter().chain(rest).collect()
+    }
+}
+
+/// Returns agents in rounds of [`LOCAL_CANDIDATES`] of the own failure domain and
+/// [`REMOTE_CANDIDATES`] of the others, each in descending order.
+fn in_rounds(ranked: Vec<Ranked>) -> Vec<Ipv4Addr> {
+    let (mut local, mut remote): (Vec<_>, Vec<_>) =
+        ranked.into_iter().partition(|one| one.is_local);
+    local.sort_unstable_by(|one, two| two.cmp(one));
+    remote.sort_unstable_by(|one, two| two.cmp(one));
+    let (mut local, mut remote) =
+        (local.chunks(LOCAL_CANDIDATES), remote.chunks(REMOTE_CANDIDATES));
+    let mut rounds = Vec::new();
+    loop {
+        let next = [local.next(), remote.next()];
+        if next.iter().all(Option::is_none) {
+            return rounds;
+        }
+        rounds.extend(next.into_iter().flatten().flatten().map(|one| one.agent));
     }
 }
 
--- a/crates/nutmegkeel_core/tests/l4/placement.rs
+++ b/crates/nutmegkeel_core/tests/l4/placement.rs
@@ -197,3 +197,34 @@
 
     assert!(asked_before.iter().all(|before| *before < 5), "{asked_before:?}");
 }
+
+/// Guards against a search that asks a whole failure domain for a flow that went to another one,
+/// because the agents that it would usually go to were away when it opened.
+#[test]
+fn a_flow_opened_while_others_were_away_is_found_among_the_first_asked() {
+    const LOCAL: u8 = 20;
+    const AGENTS: u8 = 60;
+    let announce = |pool: &mut Pool, agent: u8, number, state| {
+        let mut announced = announcement(number, state, load(0, 0));
+        if agent > LOCAL {
+            announced.domain = "tema".into();
+        }
+        pool.announced(at(number), host(agent), announced);
+    };
+    let mut pool = Pool::default();
+    (1..=AGENTS).for_each(|agent| announce(&mut pool, agent, 1, State::Ready));
+    let key = flow(1).key();
+    let first = pool.search_first(key, &[default_service()], DOMAIN);
+    // The agents that the flow is usually offered to are away, and the own domain is full.
+    for agent in 1..=AGENTS {
+        let is_closed = first.contains(&host(agent)) || agent <= LOCAL;
+        announce(&mut pool, agent, 2, if is_closed { State::Closed } else { State::Ready });
+    }
+    let chosen = pool.choose(at(3), &need(key, Kind::Once, &[])).expect("an agent is open");
+
+    let asked = pool.search(key, &[default_service()], DOMAIN);
+
+    let place = asked.iter().position(|agent| *agent == chosen.agent).expect("all are asked");
+    assert_eq!(asked.len(), usize::from(AGENTS));
+    assert!(place < 10, "{place}");
+}
