--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -196,7 +196,7 @@
     #[must_use]
     pub fn state(&self, now: Time) -> State {
         match self.history.server() {
-            None if self.leaving => State::Gone,
+            None if self.leaving && self.sees_all_flows(now) => State::Gone,
             _ if self.leaving => State::Restarting,
             Some(server) if server.draining || self.unresponsive => State::Closed,
             Some(_) if self.history.is_contested() => State::Closed,
--- a/crates/nutmegkeel_core/src/l4/placement/candidate.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/candidate.rs
@@ -188,12 +188,12 @@
         self.port.clear();
     }
 
-    /// Returns whether the agent may hold flows: it can be queried, or it is late or restarting and
-    /// has a backend server.
+    /// Returns whether the agent may hold flows: it can be queried, or it restarts, or it is out of
+    /// touch and has a backend server. One that restarts may not have learned of its server yet.
     pub(super) fn may_hold(&self, visibility: Visibility) -> bool {
         match self.health(visibility) {
-            Health::Fresh => true,
-            Health::Late | Health::Restarting | Health::Stopped | Health::Unreachable => {
+            Health::Fresh | Health::Restarting => true,
+            Health::Late | Health::Stopped | Health::Unreachable => {
                 self.announcement.service.is_some()
             }
             Health::Silent => false,
--- a/crates/nutmegkeel_core/tests/l4/replaced.rs
+++ b/crates/nutmegkeel_core/tests/l4/replaced.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
+use nutmegkeel_core::l4::agent;
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
 use nutmegkeel_core::l4::flow::Head;
 use nutmegkeel_core::l4::message::{Announcement, Load, Message, Reason, State};
 
-use crate::fixture::{announcement, at, balancer, data, flow, host};
+use crate::fixture::{
+    agent, announce, announcement, at, balancer, data, flow, heartbeat, host, incarnation, resets,
+};
 
 /// The agent that holds the flow, and the others. All have restarted beside a running server, so
 /// that each must pass a packet to its server to deny the flow.
@@ -169,3 +172,55 @@
 
     assert!(located.contains(&host(1)) && located.contains(&host(2)), "{located:?}");
 }
+
+/// Guards against the reset of all flows of a running server: its agent is stopped again before the
+/// server's next heartbeat, and says that there is none.
+#[test]
+fn an_agent_that_has_not_heard_its_server_yet_leaves_as_restarting() {
+    let mut agent = agent();
+    agent.handle(at(100), agent::Event::Tick);
+
+    let actions = agent.handle(at(200), agent::Event::Leave);
+
+    let state = actions.iter().find_map(|action| match action {
+        agent::Action::Send(_, Message::Announce(announced)) => Some(announced.state),
+        _ => None,
+    });
+    assert_eq!(state, Some(State::Restarting));
+}
+
+#[test]
+fn an_agent_whose_server_has_ended_leaves_as_gone() {
+    let mut agent = agent();
+    agent.handle(at(100), agent::Event::Heartbeat(heartbeat("one", 1)));
+    agent.handle(at(200), agent::Event::Deregistered(incarnation("one")));
+
+    let actions = agent.handle(at(300), agent::Event::Leave);
+
+    let gone = |action: &agent::Action| match action {
+        agent::Action::Send(_, Message::Announce(announced)) => announced.state == State::Gone,
+        _ => false,
+    };
+    assert!(actions.iter().any(gone), "{actions:?}");
+}
+
+/// Guards against the reset of flows of an agent that restarts and has not said which service its
+/// server belongs to.
+#[test]
+fn an_agent_that_restarts_before_it_knows_its_server_may_hold_flows() {
+    let mut balancer = balancer(&[1, 2]);
+    let restarting = announcement(1, State::Restarting, Load::default());
+    let restarting = Announcement { incarnation: 2, service: None, ..restarting };
+    balancer.handle(at(3_010), Event::Announced(host(1), restarting));
+    let packet = data(flow(1), 1_001, 500);
+    let (reason, load) = (Reason::NotHeld, Load::default());
+
+    announce(&mut balancer, &[2], 3_300, 4_200);
+
+    let mut actions = balancer.handle(at(4_210), Event::Client(packet));
+    let denied = Event::Declined { from: host(2), head: packet, reason, load };
+    actions.extend(balancer.handle(at(4_211), denied));
+    actions.extend(balancer.handle(at(4_300), Event::Tick));
+
+    assert!(!resets(&actions), "{actions:?}");
+}
