--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -12,7 +12,7 @@
 use nutmegkeel_core::l4::health::LINGER_MS;
 use nutmegkeel_core::l4::message::Message;
 use nutmegkeel_core::l4::policy::Policy;
-use nutmegkeel_core::l4::route::Table;
+use nutmegkeel_core::l4::route::{Service, Table};
 use nutmegkeel_platform::settings::Settings;
 use nutmegkeel_platform::store::LatestEra;
 use nutmegkeel_platform::{control, packet};
@@ -44,6 +44,8 @@
 
 struct Shared {
     core: Mutex<Agent>,
+    /// Service of the backend server on this host; `None` if any may run there.
+    service: Mutex<Option<Service>>,
     clock: Clock,
     /// Socket for packets from and to the backend server, and for packets to clients.
     server_socket: Arc<UdpSocket>,
@@ -98,6 +100,7 @@
     let addresses = settings.endpoints()?;
     let shared = Arc::new(Shared {
         core: Mutex::new(Agent::open(now, identity, &settings.seeds)),
+        service: Mutex::new(settings.service),
         clock,
         server_socket: Arc::new(link::bind("the backend server's packets", addresses.from_server)?),
         server: addresses.server,
@@ -142,6 +145,7 @@
     pub fn tick(&mut self, reload_signalled: bool) {
         let now = self.shared.clock.now();
         if let Some(settings) = self.reload.check(now, reload_signalled) {
+            *lock(&self.shared.service) = settings.service;
             self.shared.handle(Event::Listed(settings.seeds), &mut []);
         }
         self.shared.handle(Event::Tick, &mut []);
@@ -213,26 +217,33 @@
 
 fn spawn_control(shared: &Arc<Shared>, address: SocketAddrV4) -> Result<web::Handle, Fault> {
     let shared = Arc::clone(shared);
-    serve("heartbeats", address, move |call| match control::decode(&call.path, &call.body) {
-        Ok(control::Call::Heartbeat(beat)) => {
-            shared.handle(Event::Heartbeat(beat), &mut []);
-            Answer::new(200, control::EMPTY_BODY)
-        }
-        Ok(control::Call::Deregister(leaving)) => {
-            shared.handle(Event::Deregistered(leaving), &mut []);
-            Answer::new(200, control::EMPTY_BODY)
-        }
-        Err(fault @ control::Fault::Path(_)) => Answer::new(404, fault.to_string()),
-        Err(fault) => {
-            counter!(metric::HEARTBEATS_REFUSED).increment(1);
-            let reason = fault.to_string();
-            shared.decision_log.record_refused_heartbeat(shared.clock.now(), &reason);
-            Answer::new(400, reason)
+    serve("heartbeats", address, move |call| {
+        match control::decode(&call.path, &call.body, shared.service()) {
+            Ok(control::Call::Heartbeat(beat)) => {
+                shared.handle(Event::Heartbeat(beat), &mut []);
+                Answer::new(200, control::EMPTY_BODY)
+            }
+            Ok(control::Call::Deregister(leaving)) => {
+                shared.handle(Event::Deregistered(leaving), &mut []);
+                Answer::new(200, control::EMPTY_BODY)
+            }
+            Err(fault @ control::Fault::Path(_)) => Answer::new(404, fault.to_string()),
+            Err(fault) => {
+                counter!(metric::HEARTBEATS_REFUSED).increment(1);
+                let reason = fault.to_string();
+                shared.decision_log.record_refused_heartbeat(shared.clock.now(), &reason);
+                Answer::new(400, reason)
+            }
         }
     })
 }
 
 impl Shared {
+    /// Returns the service of the backend server on this host, if the settings state it.
+    fn service(&self) -> Option<Service> {
+        *lock(&self.service)
+    }
+
     fn core(&self) -> MutexGuard<'_, Agent> {
         lock(&self.core)
     }
