--- a/crates/nutmegkeel_dev/tests/killed.rs
+++ b/crates/nutmegkeel_dev/tests/killed.rs
@@ -6,6 +6,7 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 
 /// Environment variable that children inherit; its value names the test.
@@ -28,6 +29,7 @@
 
 impl Program {
     fn spawn(test: &str, arguments: &[&str], path: Option<&Path>) -> Self {
+        build_product();
         let mark = format!("{test}-{}", std::process::id());
         let mut command = Command::new(env!("CARGO_BIN_EXE_nutmegkeel_dev"));
         if let Some(first) = path {
@@ -79,6 +81,21 @@
     }
 }
 
+/// Builds the product that the programs start. They build it too, and a whole build takes longer than
+/// they may take to start their children.
+fn build_product() {
+    static BUILT: OnceLock<()> = OnceLock::new();
+    BUILT.get_or_init(|| {
+        let mut build = Command::new(std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into()));
+        build.args(["build", "--quiet", "--package", "nutmegkeel"]);
+        if !cfg!(debug_assertions) {
+            build.arg("--release");
+        }
+        let built = build.status().expect("cargo starts");
+        assert!(built.success(), "the product could not be built");
+    });
+}
+
 fn process_ids() -> Vec<u32> {
     let entries = fs::read_dir("/proc").expect("processes are listed").flatten();
     entries.filter_map(|entry| entry.file_name().to_str()?.parse().ok()).collect()
