--- a/crates/nutmegkeel_core/src/l4/balancer/event.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/event.rs
@@ -124,8 +124,6 @@
     Recall,
     /// Handle the packet of this flow, if one is kept, as [`Event::Recalled`].
     RecallFlow(Flow),
-    /// Drop the kept packet of this flow: the agent that holds the flow has it.
-    DropKept(Flow),
     /// Fetch a newer configuration from this peer or agent.
     Fetch(Holder),
     /// Write these agents' lists of open flows to the store.
--- a/crates/nutmegkeel_core/src/l4/balancer/review.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/review.rs
@@ -36,9 +36,7 @@
         if !silent.is_empty() {
             actions.push(Action::Log(Decision::AgentsSilent { agents: silent }));
         }
-        if !knows_all_agents {
-            actions.extend(self.continue_overdue(now));
-        } else {
+        if knows_all_agents {
             let has_stopped = self.pool.has_stopped(now);
             let mut undecided = self.cache.undecided(now);
             undecided.retain(|flow| !has_stopped || self.is_impatient(now, flow));
--- a/crates/nutmegkeel_core/src/l4/balancer/search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -9,7 +9,6 @@
 use crate::l4::flow::{Flow, Head};
 use crate::l4::health::Health;
 use crate::l4::message::{Load, Message, Reason};
-use crate::l4::policy::Mechanism;
 
 /// How likely an agent holds a flow and answers a query, the best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -200,37 +199,11 @@
             }
         }
         match self.next_for_packet(now, head.flow) {
-            Some(agent) => self.ask_with_packet(now, head, agent),
+            Some(agent) => self.carry_to(now, head, agent, false),
             None => self.not_found(now, head),
         }
     }
 
-    /// Sends a packet to an agent that may hold its flow, and keeps a copy until the agent answers.
-    fn ask_with_packet(&mut self, now: Time, head: &Head, agent: Ipv4Addr) -> Vec<Action> {
-        let mut actions = self.carry_to(now, head, agent, false);
-        let entry = self.cache.entry(now, head.flow);
-        if entry.place == Some(Place::Asked(agent))
-            && self.identity.policy.uses(Mechanism::KeptPackets)
-        {
-            entry.has_copy = true;
-            self.cache.mark_undecided(now, head.flow);
-            actions.push(Action::Keep(*head));
-        }
-        actions
-    }
-
-    /// Continues the searches in which an agent has not answered, with the kept packets.
-    ///
-    /// Guards against a search that goes on only with the client's next copy, up to 1.6 s later, each
-    /// time that a packet is sent to an agent that has just ended.
-    pub(super) fn continue_overdue(&mut self, now: Time) -> Vec<Action> {
-        let overdue = self.cache.overdue(now);
-        for flow in &overdue {
-            self.skip_overdue(now, *flow);
-        }
-        overdue.into_iter().map(Action::RecallFlow).collect()
-    }
-
     fn wait_for_answers(&mut self, now: Time, head: &Head) -> Vec<Action> {
         self.cache.mark_undecided(now, head.flow);
         self.keep(head, Cause::Undecided)
@@ -346,15 +319,13 @@
         self.pool.load_received(now, from, load);
         let entry = self.cache.entry(now, flow);
         let is_new = entry.place != Some(Place::Held(from));
-        let has_packet = entry.has_copy && entry.place == Some(Place::Asked(from));
         let asked = entry.declined.len();
         entry.record_held(from);
         self.cache.mark_decided(&flow);
         if !is_new {
             return Vec::new();
         }
-        let kept = if has_packet { Action::DropKept(flow) } else { Action::RecallFlow(flow) };
-        vec![kept, Action::Log(Decision::Found { flow, agent: from, asked })]
+        vec![Action::RecallFlow(flow), Action::Log(Decision::Found { flow, agent: from, asked })]
     }
 }
 
--- a/crates/nutmegkeel_core/src/l4/cache.rs
+++ b/crates/nutmegkeel_core/src/l4/cache.rs
@@ -91,8 +91,6 @@
     pub queried: BTreeSet<Ipv4Addr>,
     /// Agents that need the packet to determine whether they hold the flow.
     pub unsure: BTreeSet<Ipv4Addr>,
-    /// Whether a copy of the packet that was sent to the asked agent is kept.
-    pub has_copy: bool,
     /// When the current search or placement began.
     pub started_at: Time,
     /// When the agent of `place`, or those of `queried`, were asked.
@@ -113,7 +111,6 @@
             denied: BTreeMap::new(),
             queried: BTreeSet::new(),
             unsure: BTreeSet::new(),
-            has_copy: false,
             started_at: now,
             asked_at: now,
             used_at: now,
@@ -147,7 +144,6 @@
         self.denied.clear();
         self.queried.clear();
         self.unsure.clear();
-        self.has_copy = false;
     }
 
     /// Records that an agent which was skipped can be asked again.
@@ -182,7 +178,6 @@
     /// Records that an agent is asked for the flow.
     pub fn ask(&mut self, now: Time, agent: Ipv4Addr) {
         self.place = Some(Place::Asked(agent));
-        self.has_copy = false;
         self.asked_at = now;
     }
 
@@ -272,15 +267,6 @@
         self.undecided.keys().copied().collect()
     }
 
-    /// Returns flows whose asked agent has not answered in time, and whose packet is kept.
-    #[must_use]
-    pub fn overdue(&self, now: Time) -> Vec<Flow> {
-        let is_overdue = |flow: &&Flow| {
-            self.entries.get(flow).is_some_and(|entry| entry.has_copy && entry.is_overdue(now))
-        };
-        self.undecided.keys().filter(is_overdue).copied().collect()
-    }
-
     /// Returns the flows that an agent reported to hold, with the clients' last acknowledgement
     /// numbers.
     #[must_use]
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -400,7 +400,6 @@
                 Action::Keep(head) => self.keep(now, received_at, head, packet),
                 Action::Recall => recalled.extend(lock(&self.kept).take_all(now)),
                 Action::RecallFlow(flow) => recalled.extend(lock(&self.kept).take(now, &flow)),
-                Action::DropKept(flow) => drop(lock(&self.kept).take(now, &flow)),
                 Action::Fetch(holder) => fetch = Some(holder),
                 Action::Commit(batch) => {
                     if !self.collector.write(batch) {
