--- a/crates/nutmegkeel_core/src/l4/peer_state.rs
+++ b/crates/nutmegkeel_core/src/l4/peer_state.rs
@@ -145,8 +145,8 @@
     }
 
     /// Returns the states of the last [`VALID_MS`], of balancers that are not about to stop.
-    /// Volatile values, such as the number of agents that a balancer knows, are
-    /// outdated sooner than the list of balancers.
+    /// Volatile values, such as the number of agents that a balancer knows, are outdated sooner than
+    /// the list of balancers.
     pub fn fresh(&self, now: Time) -> impl Iterator<Item = (Ipv4Addr, &State)> + '_ {
         self.not_leaving(now).filter(move |(_, state)| now.since(state.received_at) <= VALID_MS)
     }
--- a/crates/nutmegkeel_core/src/l4/placement/report.rs
+++ b/crates/nutmegkeel_core/src/l4/placement/report.rs
@@ -103,8 +103,8 @@
     /// Applies a report of a balancer that lists all agents. An agent whose last announcement is
     /// known keeps its state: its own messages show whether it is reached from here.
     ///
-    /// An agent that is silent there counts as silent here only as long as its port is still to be
-    /// checked from here.
+    /// The silence of an agent that does not restart counts only up to the time after which its port
+    /// is checked. Otherwise it would be taken for dead here without a check.
     pub fn listed(&mut self, now: Time, summary: &Summary, report: &Report) -> Change {
         let known = self.agents.get(&report.agent).map(|known| &known.announcement);
         if known.is_some_and(|known| {
--- a/crates/nutmegkeel_wire/tests/l4.rs
+++ b/crates/nutmegkeel_wire/tests/l4.rs
@@ -7,7 +7,9 @@
 use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::flow::Flow;
 use nutmegkeel_core::l4::handover;
-use nutmegkeel_core::l4::message::{Gossip, Load, Message, Reason, Report, State, Summary};
+use nutmegkeel_core::l4::message::{
+    Gossip, Inventory, Load, Message, Reason, Report, State, Summary,
+};
 use nutmegkeel_core::l4::route::Service;
 use nutmegkeel_core::l4::server::Incarnation;
 use nutmegkeel_core::revision::{Era, Revision};
@@ -85,12 +87,15 @@
         load: Load { busy: 1_000, flows: 10_000, service_ms: 1_000 },
     };
     let services = (0..4).map(|number| Service::named(&format!("service-{number}"))).collect();
-    let summary = Message::Summary(Summary {
+    let agents = Summary {
         domain: "a-failure-domain-with-a-long-name".into(),
         services,
         reports: vec![report; summary::REPORTS_PER_DATAGRAM],
         forwarded: false,
-    });
+    };
+    let summary = Message::Summary(agents.clone());
+    let (request, part, parts) = (u32::MAX, u16::MAX - 1, u16::MAX);
+    let inventory = Message::Agents(Inventory { request, part, parts, agents });
 
     let roster = Message::Gossip(Gossip {
         version: u64::MAX >> 20,
@@ -105,7 +110,7 @@
         orders: Some(evacuated(18)),
     });
 
-    for message in [list, summary, roster] {
+    for message in [list, summary, inventory, roster] {
         let mut datagram = Vec::new();
         encode(&message, b"", &mut datagram);
 
