--- a/crates/nutmegkeel_node/src/l4/configuration/watch.rs
+++ b/crates/nutmegkeel_node/src/l4/configuration/watch.rs
@@ -190,7 +190,13 @@
                 self.after = None;
                 self.next()
             }
-            Err(fault) => Err(fault),
+            Err(fault) => {
+                // The store may take too long over a long answer, and the next one would be longer.
+                if matches!(fault, Fault::Lost(_)) {
+                    self.after = None;
+                }
+                Err(fault)
+            }
         }
     }
 
