--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -141,9 +141,13 @@
                 body = json.loads(self.rfile.read(length) or b"{}")
                 self.answer(*store.post(self.path, body))
 
-        ThreadingHTTPServer.daemon_threads = True
-        ThreadingHTTPServer.request_queue_size = 128
-        self.server = ThreadingHTTPServer(address, Handler)
+        class Server(ThreadingHTTPServer):
+            daemon_threads, request_queue_size = True, 128
+
+            def handle_error(self, *_):
+                """A caller that was killed or gave up reads no answer."""
+
+        self.server = Server(address, Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         threading.Thread(target=self.expire, daemon=True).start()
 
@@ -491,10 +495,17 @@
 # --- the processes -------------------------------------------------------------------------------
 
 
+def stop(*_):
+    """Ends the case and its processes when it is told to stop."""
+    raise SystemExit(2)
+
+
 class World:
     """A small deployment on loopback addresses."""
 
     def __init__(self, folder, zones, bounds, contracts):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, stop)
         if not os.path.exists(BINARY):
             raise CannotRun(f"{BINARY} is missing; build it with the command of the deploy file")
         self.record = Record(os.path.join(folder, "record.txt"))
