--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -97,6 +97,28 @@
     assert!(exited, "a stopped balancer exits within its grace time");
 }
 
+/// Guards against openings on a new route that are refused, and packets of its flows that are not
+/// forwarded, because a balancer that is about to stop is told of no newer configuration.
+#[test]
+fn a_stopping_balancer_applies_a_newer_configuration() {
+    let mut fleet = fleet("stopping", 35, &["desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let stopping = fleet.balancers()[0];
+    let mut used = client.open(30_000, 443, &[stopping]).expect("the flow opens");
+
+    fleet.signal(stopping, Signal::Term);
+    std::thread::sleep(Duration::from_millis(900));
+    fleet.configure(2, &[(443, "desk"), (8_443, "desk")]);
+    std::thread::sleep(Duration::from_millis(300));
+    // A balancer that gets packets goes on running.
+    let before = client.request(&mut used, &[stopping], SHORT_WAIT);
+    let mut added = client.open(30_001, 8_443, &[stopping]).expect("the flow opens");
+    let outcome = client.request(&mut added, &[stopping], SHORT_WAIT);
+
+    assert!(served_by(&before, "desk"), "{before:?}");
+    assert!(served_by(&outcome, "desk"), "{outcome:?}");
+}
+
 /// Guards against a flow that is reset when its agent is killed and restarted: the new process has
 /// no state of the flow and must query the backend server, which still holds it.
 #[test]
--- a/crates/nutmegkeel_core/src/l4/balancer/peers.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/peers.rs
@@ -29,7 +29,7 @@
     /// per tick, it would take many seconds in a large domain to detect that both delegates are
     /// dead.
     pub(super) fn send_gossip(&mut self, now: Time) -> Vec<Action> {
-        let (local, remote) = self.peers_by_domain();
+        let (local, remote) = self.peers_by_domain(now);
         let heartbeat = self.heartbeat(now);
         let turn = self.gossip_turn;
         let few = if self.watches(now) { local.len() } else { PEERS_PER_TICK };
@@ -42,19 +42,21 @@
         actions
     }
 
-    /// Returns the peers of the own failure domain, and the others.
-    fn peers_by_domain(&self) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
+    /// Returns the peers of the own failure domain, and the others. Those that are about to stop are
+    /// included: they still forward packets, so they need newer configurations and orders too.
+    fn peers_by_domain(&self, now: Time) -> (Vec<Ipv4Addr>, Vec<Ipv4Addr>) {
         let is_local = |peer: &Ipv4Addr| {
             self.peer_states.get(*peer).is_some_and(|state| *state.domain == *self.identity.domain)
         };
-        self.peers.iter().partition(is_local)
+        let leaving = self.peer_states.leaving(now).filter(|peer| !self.peers.contains(*peer));
+        self.peers.iter().chain(leaving).partition(is_local)
     }
 
     /// Notifies the whole failure domain at once of a new configuration, or that the store no
     /// longer answers this balancer. Other failure domains have their own delegates.
     pub(super) fn notify_domain(&mut self, now: Time) -> Vec<Action> {
         let heartbeat = self.heartbeat(now);
-        let (local, _) = self.peers_by_domain();
+        let (local, _) = self.peers_by_domain(now);
         local.into_iter().map(|peer| Action::Send(peer, heartbeat.clone())).collect()
     }
 
@@ -104,6 +106,9 @@
         if let Some(orders) = &gossip.orders {
             actions.extend(self.apply_peer_orders(now, gossip, orders));
         }
+        if gossip.version > self.table.version {
+            actions.push(Action::Fetch(Holder { address: from, version: gossip.version }));
+        }
         if gossip.leaving {
             self.peer_states.apply(now, from, gossip);
             if self.peers.contains(from) {
@@ -131,9 +136,6 @@
         }
         actions.extend(lists.into_iter().map(|part| Action::Send(from, part)));
         actions.extend(self.listed(now, &gossip.balancers));
-        if gossip.version > self.table.version {
-            actions.push(Action::Fetch(Holder { address: from, version: gossip.version }));
-        }
         actions
     }
 
--- a/crates/nutmegkeel_core/src/l4/peer_state.rs
+++ b/crates/nutmegkeel_core/src/l4/peer_state.rs
@@ -156,6 +156,11 @@
         self.current(now).filter(|(_, state)| !state.leaving)
     }
 
+    /// Returns the balancers with a valid state that are about to stop.
+    pub fn leaving(&self, now: Time) -> impl Iterator<Item = Ipv4Addr> + '_ {
+        self.current(now).filter(|(_, state)| state.leaving).map(|(balancer, _)| balancer)
+    }
+
     /// Returns the balancers that act for a failure domain towards the store, by the valid states
     /// and `own`, the calling balancer itself. A hash selects the first two of those that the store
     /// answers, or of all if it answers none of them. One that has sent nothing for `timeout_ms`
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -18,6 +18,7 @@
 mod full_server;
 mod introduction;
 mod inventory;
+mod leaving;
 mod mute;
 mod outlier;
 mod overload;
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -154,15 +154,21 @@
         gauges::update(&self.shared.core(), now);
     }
 
-    /// Leaves the rotation, forwards packets until no more arrive, and returns.
+    /// Leaves the rotation, forwards packets until no more arrive, and returns. Until then the other
+    /// balancers are told that this one still runs, so that they tell it what changes.
     pub fn leave(self) {
         let begun = self.shared.clock.now();
         info!(event = "leaving", role = "balancer"; "stop requested");
         self.shared.handle(Event::Leave, &[]);
         let limit = self.grace_ms.saturating_sub(GRACE_RESERVE_MS);
+        let mut ticked_at = begun;
         loop {
             thread::sleep(Duration::from_millis(QUIET_MS / 2));
             let now = self.shared.clock.now();
+            if now.since(ticked_at) >= TICK_MS {
+                self.shared.handle(Event::Tick, &[]);
+                ticked_at = now;
+            }
             let quiet = now.since(*lock(&self.shared.last_packet)) > QUIET_MS;
             let passed = now.since(begun);
             if passed > limit || (passed > ROTATION_DELAY_MS && quiet) {
