--- a/crates/nutmegkeel_core/src/l4/agent.rs
+++ b/crates/nutmegkeel_core/src/l4/agent.rs
@@ -12,6 +12,7 @@
 mod evacuation;
 mod event;
 mod flow_list;
+mod missing_route;
 mod refused;
 mod replica;
 mod request;
@@ -249,6 +250,9 @@
                 self.open_flow(now, &Opening { from, head, offer, since })
             }
             Event::Carry { from, head, known } => self.carry(now, from, &head, known),
+            Event::CarryWithoutRoute { from, head, missing } => {
+                self.carry_without_route(now, from, &head, missing)
+            }
             Event::Locate(from, flow) => self.locate(now, from, flow),
             Event::FromServer(head) => self.handle_server_packet(now, &head),
             Event::Bounced(head) => self.bounced(now, &head),
--- a/crates/nutmegkeel_core/src/l4/agent/event.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/event.rs
@@ -7,7 +7,7 @@
 use crate::l4::decision::Decision;
 use crate::l4::fetch::Holder;
 use crate::l4::flow::{Flow, Head};
-use crate::l4::message::{Gossip, Message, Offer};
+use crate::l4::message::{Gossip, Message, MissingRoute, Offer};
 use crate::l4::route::Urgency;
 use crate::l4::server::{Heartbeat, Incarnation};
 use crate::port::Finding;
@@ -33,6 +33,15 @@
         /// Whether the balancer knows that the flow is here.
         known: bool,
     },
+    /// A balancer whose configuration has no route for the flow forwarded a packet of a client.
+    CarryWithoutRoute {
+        /// The balancer.
+        from: Ipv4Addr,
+        /// The packet.
+        head: Head,
+        /// What the balancer knows.
+        missing: MissingRoute,
+    },
     /// A balancer asks whether the flow is here.
     Locate(Ipv4Addr, Flow),
     /// The backend server sent a packet to a client.
@@ -65,7 +74,9 @@
     /// Returns the head of the client's packet that a balancer sent, if this is one.
     pub(super) const fn client_head(&self) -> Option<&Head> {
         match self {
-            Self::Open { head, .. } | Self::Carry { head, .. } => Some(head),
+            Self::Open { head, .. }
+            | Self::Carry { head, .. }
+            | Self::CarryWithoutRoute { head, .. } => Some(head),
             _ => None,
         }
     }
--- a/crates/nutmegkeel_core/src/l4/agent/replica.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/replica.rs
@@ -40,6 +40,11 @@
         self.version
     }
 
+    /// Returns the newest version that a balancer has reported; zero if none has.
+    pub(super) fn newest_version(&self) -> u64 {
+        self.newest.map_or(0, |(_, newest)| newest)
+    }
+
     /// Records the version that a balancer has in force. Of two balancers with the same version the
     /// later one is used, because the earlier one may have stopped.
     pub(super) fn record_version(&mut self, balancer: Ipv4Addr, version: u64) {
--- a/crates/nutmegkeel_core/src/l4/agent/request.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/request.rs
@@ -65,7 +65,8 @@
         self.budget.record(now);
         self.waiting.remove(&flow);
         self.refused.remove(&flow);
-        self.table.open(now, flow, opening.head.seq, demand, opening.arrival());
+        let (seq, version) = (opening.head.seq, opening.offer.version);
+        self.table.open(now, flow, seq, version, demand, opening.arrival());
         self.record_asked(now, flow, opening.from);
         if self.may_wait(demand) && self.is_saturated() {
             self.waiting.push(opening.waiting(now));
--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -8,6 +8,7 @@
 pub mod introductions;
 mod inventory;
 mod kept;
+mod missing_route;
 mod opening;
 mod packet;
 mod peers;
@@ -31,6 +32,7 @@
 use introductions::Introductions;
 use inventory::Absences;
 use kept::View;
+use missing_route::{Budget, Dropped};
 use snapshot::Snapshot;
 
 use super::cache::Cache;
@@ -91,6 +93,9 @@
 pub struct Balancer {
     identity: Identity,
     table: Table,
+    /// Routes that earlier configurations had.
+    dropped: Dropped,
+    query_budget: Budget,
     latest_orders: Latest,
     pool: Pool,
     cache: Cache,
@@ -160,6 +165,8 @@
         Self {
             identity,
             table: Table::default(),
+            dropped: Dropped::default(),
+            query_budget: Budget::open(now),
             latest_orders: Latest::default(),
             pool,
             cache: Cache::default(),
@@ -294,6 +301,7 @@
         let is_first = self.table.version == 0;
         self.resumed_at = None;
         self.shortage.configured(&table);
+        self.dropped.record(now, &self.table, &table);
         self.table = table;
         let mut actions = vec![Action::Log(decision)];
         if is_first {
@@ -310,6 +318,7 @@
     fn tick(&mut self, now: Time) -> Vec<Action> {
         self.cache.expire(now);
         self.shortage.expire(now);
+        self.dropped.expire(now);
         self.pool.forget(now);
         self.peers.expire(now);
         self.peer_states.expire(now);
--- a/crates/nutmegkeel_core/src/l4/balancer/detour.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/detour.rs
@@ -101,7 +101,7 @@
     ) -> Vec<Action> {
         let detour = self.pool.detour(now, agent).filter(|_| !self.is_relayed);
         let Some(to) = detour else {
-            return vec![Action::Forward(agent, Message::Carry { known })];
+            return vec![Action::Forward(agent, self.carry_message(&head.flow, known))];
         };
         // An agent out of reach is asked last, when no other holds the flow.
         self.cache.entry(now, head.flow).place = Some(Place::Held(agent));
--- a/crates/nutmegkeel_core/src/l4/balancer/opening.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/opening.rs
@@ -138,6 +138,7 @@
             orders: self.latest_orders.revision(),
             cold_per_s: self.table.cold_per_s.get(&service).copied().unwrap_or(0),
             is_retry: false,
+            version: self.table.version,
         }
     }
 }
--- a/crates/nutmegkeel_core/src/l4/balancer/packet.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/packet.rs
@@ -28,14 +28,13 @@
             return self.relay(now, head);
         }
         let route = self.table.routes.get(&head.flow.service).cloned();
-        // Guards against a new flow by a route that has changed, and against the reset of an open
-        // flow whose route is new.
+        // Guards against a new flow by a route that has changed, and against a search for an open flow
+        // whose route is among the changes that have not been read yet.
         if self.is_behind(now) && (head.opens() || route.is_none()) {
             return self.keep(head, Cause::Behind);
         }
         let Some(route) = route else {
-            self.cache.remove(&head.flow);
-            return self.reset(head, Cause::NoRoute, 0);
+            return self.without_route(now, head);
         };
         if head.opens() { self.opening(now, head, &route) } else { self.carry(now, head) }
     }
@@ -53,20 +52,11 @@
         self.carry(now, head)
     }
 
-    /// Returns whether a configuration is in force that has no route for a flow.
-    pub(super) fn has_no_route(&self, flow: &Flow) -> bool {
-        self.table.version > 0 && !self.table.routes.contains_key(&flow.service)
-    }
-
     /// Returns the services whose agents are asked first for a flow: those of its route. Without a
-    /// configuration, no service is preferred and all agents are asked. Returns `None` if a
-    /// configuration is in force that has no route for the flow.
-    pub(super) fn services(&self, flow: &Flow) -> Option<Vec<Service>> {
-        if self.table.version == 0 {
-            return Some(Vec::new());
-        }
-        let route = self.table.routes.get(&flow.service)?;
-        Some(route.shares.iter().map(|share| share.service).collect())
+    /// route, no service is preferred and all agents are asked.
+    pub(super) fn services(&self, flow: &Flow) -> Vec<Service> {
+        let route = self.table.routes.get(&flow.service);
+        route.into_iter().flat_map(|route| &route.shares).map(|share| share.service).collect()
     }
 
     pub(super) fn declined(
@@ -83,7 +73,7 @@
             Reason::Cold => self.pool.room_exhausted(from),
             _ => {}
         }
-        if self.has_no_route(&head.flow) {
+        if head.opens() && self.has_no_route(&head.flow) {
             return self.reset(head, Cause::NoRoute, 0);
         }
         let route = self.table.routes.get(&head.flow.service).cloned();
--- a/crates/nutmegkeel_core/src/l4/balancer/search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/search.rs
@@ -26,8 +26,7 @@
 impl Balancer {
     /// Continues a search while no packet of the flow is available.
     pub(super) fn continue_search(&mut self, now: Time, flow: Flow) -> Vec<Action> {
-        if self.has_no_route(&flow) {
-            self.cache.remove(&flow);
+        if !self.may_search(now, &flow) {
             return Vec::new();
         }
         let entry = self.cache.entry(now, flow);
@@ -52,7 +51,7 @@
         let entry = self.cache.entry(now, flow);
         let (seq, asked) = (entry.client_ack, entry.declined.len());
         self.cache.mark_decided(&flow);
-        self.reset_flow(flow, seq, self.cause_of_loss(now), asked)
+        self.reset_flow(flow, seq, self.cause_of_loss(now, &flow), asked)
     }
 
     /// Asks the remaining agents without a packet. Returns nothing if there are none.
@@ -93,8 +92,14 @@
     }
 
     /// Returns why a flow is reset that no agent which answered holds.
-    fn cause_of_loss(&self, now: Time) -> Cause {
-        if self.pool.has_stopped(now) { Cause::AgentStopped } else { Cause::NotHeld }
+    fn cause_of_loss(&self, now: Time, flow: &Flow) -> Cause {
+        if self.has_no_route(flow) {
+            Cause::NoRoute
+        } else if self.pool.has_stopped(now) {
+            Cause::AgentStopped
+        } else {
+            Cause::NotHeld
+        }
     }
 
     /// Returns an agent that was skipped and may answer now. Guards against a client that waits for
@@ -107,6 +112,7 @@
         let fresh = |agent: &&Ipv4Addr| self.pool.health(now, **agent) == Some(Health::Fresh);
         let agent = *entry.unanswered.keys().find(fresh)?;
         entry.ask(now, agent);
+        self.record_queries(&flow, 1);
         Some(agent)
     }
 
@@ -191,7 +197,7 @@
             return self.wait_for_answers(now, head);
         }
         self.skip_unanswered(now, head.flow);
-        if self.has_asked_likely(now, head.flow) {
+        if self.has_no_route(&head.flow) || self.has_asked_likely(now, head.flow) {
             let mut many = self.ask_many(now, head.flow);
             if !many.is_empty() {
                 many.extend(self.wait_for_answers(now, head));
@@ -206,15 +212,13 @@
 
     fn wait_for_answers(&mut self, now: Time, head: &Head) -> Vec<Action> {
         self.cache.mark_undecided(now, head.flow);
-        self.keep(head, Cause::Undecided)
+        self.keep(head, self.cause_of_wait(&head.flow))
     }
 
     /// Returns whether the few agents that the flow's opening was probably offered to have been
     /// asked.
     fn has_asked_likely(&mut self, now: Time, flow: Flow) -> bool {
-        let Some(services) = self.services(&flow) else {
-            return false;
-        };
+        let services = self.services(&flow);
         let first = self.pool.search_first(flow.key(), &services, &self.identity.domain);
         self.first_unasked(now, flow, first).is_none()
     }
@@ -230,6 +234,7 @@
         if standing >= Standing::Replaced {
             return None;
         }
+        self.record_queries(&flow, 1);
         self.cache.entry(now, flow).ask(now, agent);
         Some(agent)
     }
@@ -240,6 +245,7 @@
         if standing == Standing::Replaced {
             return None;
         }
+        self.record_queries(&flow, 1);
         self.cache.entry(now, flow).ask(now, agent);
         Some(agent)
     }
@@ -248,7 +254,7 @@
     /// to. One that is away is asked late: if all others are ruled out first, it must be the one
     /// that holds the flow. One that has denied the flow in an earlier search is asked last.
     fn next_unasked(&mut self, now: Time, flow: Flow) -> Option<(Standing, Ipv4Addr)> {
-        let services = self.services(&flow)?;
+        let services = self.services(&flow);
         let first = self.pool.search_first(flow.key(), &services, &self.identity.domain);
         let first = self.first_unasked(now, flow, first);
         if let Some((Standing::Present, _)) = first {
@@ -303,7 +309,7 @@
     fn not_found(&mut self, now: Time, head: &Head) -> Vec<Action> {
         if self.is_held_nowhere(now, head.flow) {
             let asked = self.cache.entry(now, head.flow).declined.len();
-            self.reset(head, self.cause_of_loss(now), asked)
+            self.reset(head, self.cause_of_loss(now, &head.flow), asked)
         } else {
             self.wait_for_answers(now, head)
         }
--- a/crates/nutmegkeel_core/src/l4/balancer/wide_search.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/wide_search.rs
@@ -6,6 +6,7 @@
 //! client's objective.
 
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 
 use super::search::{record_declined, record_unanswered};
 use super::{Action, Balancer};
@@ -21,29 +22,46 @@
 const SEQUENTIAL_SEARCH_PERCENT: u64 = 25;
 
 impl Balancer {
-    /// Asks all remaining agents, if asking them one by one would take too long. Returns nothing if
-    /// it would not, or if no remaining agent can answer without the packet.
+    /// Asks all remaining agents, if asking them one by one would take too long, or if the flow has no
+    /// route. Returns nothing otherwise, or if no remaining agent can answer without the packet.
+    ///
+    /// Without a route, the agents that the opening was probably offered to are asked before all
+    /// others, for each service, and none of them gets the packet of a flow that it does not hold.
     pub(super) fn ask_many(&mut self, now: Time, flow: Flow) -> Vec<Action> {
         if !self.identity.policy.uses(Mechanism::WideSearch) {
             return Vec::new();
         }
         let left = self.left_to_ask(now, flow);
-        if !self.takes_long(flow, left.len()) {
+        let is_due = self.has_no_route(&flow) || self.takes_long(flow, left.len());
+        if left.is_empty() || !is_due {
             return Vec::new();
         }
+        self.record_queries(&flow, left.len());
         let entry = self.cache.entry(now, flow);
         entry.asked_at = now;
         entry.queried.extend(&left);
         left.into_iter().map(|agent| Action::Send(agent, Message::Locate { flow })).collect()
     }
 
-    /// Returns the agents that may hold a flow, have not denied it and are not known to need the
-    /// packet.
+    /// Returns the agents to ask next: all that are left, or for a flow without a route those of the
+    /// first ones that are left, if there are any.
     fn left_to_ask(&mut self, now: Time, flow: Flow) -> Vec<Ipv4Addr> {
-        let Some(services) = self.services(&flow) else {
-            return Vec::new();
-        };
-        let agents = self.pool.search(flow.key(), &services, &self.identity.domain);
+        let (key, services) = (flow.key(), self.services(&flow));
+        let domain = Arc::clone(&self.identity.domain);
+        if self.has_no_route(&flow) {
+            let first = self.pool.search_first(key, &services, &domain);
+            let left = self.left_of(now, flow, first);
+            if !left.is_empty() {
+                return left;
+            }
+        }
+        let all = self.pool.search(key, &services, &domain);
+        self.left_of(now, flow, all)
+    }
+
+    /// Returns those of these agents that may hold a flow, have not denied it and are not known to
+    /// need the packet.
+    fn left_of(&mut self, now: Time, flow: Flow, agents: Vec<Ipv4Addr>) -> Vec<Ipv4Addr> {
         let entry = self.cache.entry(now, flow);
         let is_left = |agent: &Ipv4Addr| {
             let is_there = self.pool.health(now, *agent) <= Some(Health::Late);
--- a/crates/nutmegkeel_core/src/l4/cache.rs
+++ b/crates/nutmegkeel_core/src/l4/cache.rs
@@ -239,6 +239,12 @@
         entry
     }
 
+    /// Returns the entry of a flow, if there is one.
+    #[must_use]
+    pub fn get(&self, flow: &Flow) -> Option<&Entry> {
+        self.entries.get(flow)
+    }
+
     /// Removes a flow.
     pub fn remove(&mut self, flow: &Flow) {
         self.entries.remove(flow);
--- a/crates/nutmegkeel_core/src/l4/decision.rs
+++ b/crates/nutmegkeel_core/src/l4/decision.rs
@@ -59,6 +59,25 @@
         /// The other balancer.
         to: Ipv4Addr,
     },
+    /// A balancer did not handle a packet, and kept nothing of it.
+    Dropped {
+        /// The flow.
+        flow: Flow,
+        /// Why it could not handle it.
+        cause: Cause,
+    },
+    /// A balancer without the flow's route forwarded a packet of an open flow. The agent handled the
+    /// packet, because nothing shows that the route was dropped.
+    RouteUnknown {
+        /// The flow.
+        flow: Flow,
+        /// The balancer.
+        from: Ipv4Addr,
+        /// Version of the configuration under which the flow was opened, if the agent knows it.
+        opened_under: Option<u64>,
+        /// Version of the balancer's configuration.
+        version: u64,
+    },
     /// A reset was sent to the client.
     Reset {
         /// The flow.
@@ -67,7 +86,8 @@
         cause: Cause,
         /// Number of agents that were queried.
         asked: usize,
-        /// Version of the configuration in force, at a balancer.
+        /// Version of the configuration that decided it: the one in force at a balancer, or the
+        /// balancer's at an agent that resets a flow whose route was dropped. Otherwise zero.
         version: u64,
         /// What the agent had observed of the flow; `None` if it does not know the flow, and at a
         /// balancer.
@@ -258,8 +278,10 @@
     NoConfiguration,
     /// This process has just resumed, and its configuration may be out of date.
     Behind,
-    /// No route has the address.
+    /// No route has the address, or the flow's route was dropped.
     NoRoute,
+    /// The configuration in force has no route for an open flow, whose route may be a newer one.
+    RouteUnknown,
     /// No agent takes flows of the service.
     NoAgent,
     /// The backend server has no free slot.
@@ -304,6 +326,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::Behind => "behind",
             Self::NoRoute => "no_route",
+            Self::RouteUnknown => "route_unknown",
             Self::NoAgent => "no_agent",
             Self::AllBusy => "all_busy",
             Self::AllDeclined => "all_declined",
--- a/crates/nutmegkeel_core/src/l4/message.rs
+++ b/crates/nutmegkeel_core/src/l4/message.rs
@@ -100,6 +100,21 @@
     },
     /// Balancer to balancer: a part of the answer to [`Message::ListAgents`].
     Agents(Inventory),
+    /// Balancer to agent: forwards a packet of an open flow for which the balancer's configuration
+    /// has no route. The agent that holds the flow decides whether the route was dropped.
+    CarryWithoutRoute(MissingRoute),
+}
+
+/// What a balancer that has no route for a flow knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MissingRoute {
+    /// Version of its configuration.
+    pub version: u64,
+    /// Whether it had the route under an earlier version, so that this or another version up to
+    /// `version` dropped it.
+    pub was_dropped: bool,
+    /// Whether it knows that the agent holds the flow, as in [`Message::Carry`].
+    pub known: bool,
 }
 
 /// A part of the list of all agents that may hold flows, as known to a balancer that knows all of
@@ -136,6 +151,8 @@
     pub cold_per_s: u32,
     /// Whether the client was refused before for lack of room, and now retries.
     pub is_retry: bool,
+    /// Version of the configuration that has the route of the flow.
+    pub version: u64,
 }
 
 /// Condition under which an agent accepts an opening.
--- a/crates/nutmegkeel_core/src/l4/table.rs
+++ b/crates/nutmegkeel_core/src/l4/table.rs
@@ -50,9 +50,18 @@
         self.flows.get(flow)
     }
 
-    /// Records an opening that goes to the server, and what its requests demand.
-    pub fn open(&mut self, now: Time, flow: Flow, seq: u32, demand: Demand, arrival: Arrival) {
-        self.insert(flow, Held::opening(now, seq, demand, arrival));
+    /// Records an opening that goes to the server, with its sequence number, the version of the
+    /// configuration that has the flow's route, and what the flow's requests demand.
+    pub fn open(
+        &mut self,
+        now: Time,
+        flow: Flow,
+        seq: u32,
+        version: u64,
+        demand: Demand,
+        arrival: Arrival,
+    ) {
+        self.insert(flow, Held::opening(now, seq, version, demand, arrival));
     }
 
     /// Passes the next request of a flow to the server. It counts as in progress from now on: after
--- a/crates/nutmegkeel_core/src/l4/table/held.rs
+++ b/crates/nutmegkeel_core/src/l4/table/held.rs
@@ -46,6 +46,9 @@
     pub opened_with: u32,
     /// Last acknowledgement number of the client.
     pub client_ack: u32,
+    /// Version of the configuration under which it was opened; `None` if this process has not seen
+    /// the opening.
+    pub opened_under: Option<u64>,
     /// What the requests on this flow demand; `None` if this is not known.
     pub(super) demand: Option<Demand>,
     /// The opening, until a packet of the client goes to the server.
@@ -69,6 +72,7 @@
             stage,
             opened_with: 0,
             client_ack: 0,
+            opened_under: None,
             demand: None,
             arrival: None,
             waits: false,
@@ -83,10 +87,18 @@
         }
     }
 
-    /// Creates a flow whose opening goes to the server, with the demand of its requests.
-    pub(super) const fn opening(now: Time, seq: u32, demand: Demand, arrival: Arrival) -> Self {
-        let (demand, arrival) = (Some(demand), Some(arrival));
-        Self { opened_with: seq, demand, arrival, ..Self::new(now, Stage::Opening(None)) }
+    /// Creates a flow whose opening, with this sequence number, goes to the server. `version` is that
+    /// of the configuration that has its route.
+    pub(super) const fn opening(
+        now: Time,
+        seq: u32,
+        version: u64,
+        demand: Demand,
+        arrival: Arrival,
+    ) -> Self {
+        let (opened_under, demand, arrival) = (Some(version), Some(demand), Some(arrival));
+        let opening = Self::new(now, Stage::Opening(None));
+        Self { opened_with: seq, opened_under, demand, arrival, ..opening }
     }
 
     /// Returns whether the flow was ended by both ends or by a reset.
--- a/crates/nutmegkeel_core/tests/l4/fixture.rs
+++ b/crates/nutmegkeel_core/tests/l4/fixture.rs
@@ -204,6 +204,7 @@
         orders: Revision::ZERO,
         cold_per_s: 0,
         is_retry: false,
+        version: 1,
     }
 }
 
--- a/crates/nutmegkeel_core/tests/l4/main.rs
+++ b/crates/nutmegkeel_core/tests/l4/main.rs
@@ -19,6 +19,7 @@
 mod introduction;
 mod inventory;
 mod leaving;
+mod missing_route;
 mod mute;
 mod outlier;
 mod overload;
--- a/crates/nutmegkeel_node/src/l4/agent.rs
+++ b/crates/nutmegkeel_node/src/l4/agent.rs
@@ -282,6 +282,10 @@
                 let Some(head) = link::client_head(packet) else { return };
                 Event::Carry { from, head, known }
             }
+            Message::CarryWithoutRoute(missing) => {
+                let Some(head) = link::client_head(packet) else { return };
+                Event::CarryWithoutRoute { from, head, missing }
+            }
             Message::Locate { flow } => Event::Locate(from, flow),
             Message::FlowsSaved { number } => Event::FlowsSaved(number),
             Message::Declined { .. }
--- a/crates/nutmegkeel_node/src/l4/balancer.rs
+++ b/crates/nutmegkeel_node/src/l4/balancer.rs
@@ -353,6 +353,7 @@
             Message::FlowsSaved { .. }
             | Message::Open(_)
             | Message::Carry { .. }
+            | Message::CarryWithoutRoute(_)
             | Message::Locate { .. } => {
                 link::drop_datagram("message");
                 return;
--- a/crates/nutmegkeel_node/src/l4/decision_log.rs
+++ b/crates/nutmegkeel_node/src/l4/decision_log.rs
@@ -164,6 +164,8 @@
         Decision::Adopted { .. } => ("adopted", ROUTINE_LINES_PER_S),
         Decision::Declined { .. } => ("declined", ROUTINE_LINES_PER_S),
         Decision::Relayed { .. } => ("relayed", ROUTINE_LINES_PER_S),
+        Decision::Dropped { .. } => ("dropped", EXCEPTIONAL_LINES_PER_S),
+        Decision::RouteUnknown { .. } => ("route_unknown", ROUTINE_LINES_PER_S),
         Decision::Reset { .. } => ("reset", EXCEPTIONAL_LINES_PER_S),
         Decision::Refused { .. } => ("refused", EXCEPTIONAL_LINES_PER_S),
         Decision::Kept { .. } => ("kept", ROUTINE_LINES_PER_S),
@@ -213,6 +215,7 @@
         Decision::Speed(verdict) if verdict.is_slow => "slow",
         Decision::Speed(_) => "usual",
         Decision::Reset { cause, .. }
+        | Decision::Dropped { cause, .. }
         | Decision::Refused { cause, .. }
         | Decision::Kept { cause, .. }
         | Decision::GivenUp { cause, .. } => cause.name(),
@@ -255,6 +258,14 @@
             info!(event = "relayed", flow:% = flow, to:% = to;
                 "packet relayed to a balancer that can handle it");
         }
+        Decision::Dropped { flow, cause } => {
+            warn!(event = "dropped", flow:% = flow, cause = cause.name(); "packet dropped");
+        }
+        Decision::RouteUnknown { flow, from, opened_under, version } => {
+            info!(event = "route_unknown", flow:% = flow, balancer:% = from,
+                configuration = version, opened_under = opened_under;
+                "balancer without the flow's route forwarded a packet");
+        }
         Decision::Reset { flow, cause, asked, version, observed } => {
             let is_open = observed.map(|observed| observed.is_open);
             let silent_ms = observed.map(|observed| observed.server_silent_ms);
--- a/crates/nutmegkeel_wire/src/l4.rs
+++ b/crates/nutmegkeel_wire/src/l4.rs
@@ -4,7 +4,7 @@
 use nutmegkeel_core::l4::message::Message;
 
 /// Version of the encoding. A process that uses another version drops the datagram.
-const VERSION: u8 = 6;
+const VERSION: u8 = 7;
 
 /// Maximum length of a datagram, in bytes: a message with the longest packet, or with a part of a
 /// roster.
