--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -32,7 +32,7 @@
 use introductions::Introductions;
 use inventory::Absences;
 use kept::View;
-use missing_route::{Budget, Dropped};
+use missing_route::{Budget, Dropped, Newest};
 use snapshot::Snapshot;
 
 use super::cache::Cache;
@@ -96,6 +96,7 @@
     /// Routes that earlier configurations had.
     dropped: Dropped,
     query_budget: Budget,
+    newest: Newest,
     latest_orders: Latest,
     pool: Pool,
     cache: Cache,
@@ -167,6 +168,7 @@
             table: Table::default(),
             dropped: Dropped::default(),
             query_budget: Budget::open(now),
+            newest: Newest::default(),
             latest_orders: Latest::default(),
             pool,
             cache: Cache::default(),
@@ -284,8 +286,8 @@
         let change = self.pool.announced(now, from, announcement);
         self.agent_changed(now, from, change);
         let mut actions = Vec::new();
-        if replica > self.table.version && self.identity.policy.uses(Mechanism::Replicas) {
-            actions.push(Action::Fetch(Holder { address: from, version: replica }));
+        if self.identity.policy.uses(Mechanism::Replicas) {
+            actions.extend(self.fetch_newer(now, Holder { address: from, version: replica }));
         }
         actions.extend(self.notify_agent(now, from, is_local));
         actions
@@ -302,6 +304,7 @@
         self.resumed_at = None;
         self.shortage.configured(&table);
         self.dropped.record(now, &self.table, &table);
+        self.newest.configured(now, table.version);
         self.table = table;
         let mut actions = vec![Action::Log(decision)];
         if is_first {
--- a/crates/nutmegkeel_core/src/l4/balancer/missing_route.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/missing_route.rs
@@ -2,15 +2,18 @@
 //!
 //! A missing route does not show that the route was dropped: this process may have an old
 //! configuration, because it is about to stop, has just started or resumed, or is cut off. Openings
-//! are refused at once, since their clients lose nothing. A packet of an open flow goes to the agent
-//! that holds the flow, which knows under which configuration the flow was opened.
+//! are refused at once, since their clients lose nothing, unless a newer configuration is being
+//! fetched. A packet of an open flow goes to the agent that holds the flow, which knows under which
+//! configuration the flow was opened.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
+use super::opening::MAX_OPENING_AGE_MS;
 use super::{Action, Balancer};
 use crate::clock::Time;
 use crate::l4::decision::{Cause, Decision};
+use crate::l4::fetch::Holder;
 use crate::l4::flow::{Flow, Head};
 use crate::l4::message::{Message, MissingRoute};
 use crate::l4::route::Table;
@@ -51,6 +54,31 @@
     }
 }
 
+/// The newest version that another process has reported.
+#[derive(Debug, Default)]
+pub(super) struct Newest {
+    version: u64,
+    /// Since when the own version has been lower.
+    awaited_since: Option<Time>,
+}
+
+impl Newest {
+    /// Records the version in force.
+    pub(super) fn configured(&mut self, now: Time, version: u64) {
+        self.awaited_since = (version < self.version).then_some(now);
+    }
+
+    fn reported(&mut self, now: Time, version: u64) {
+        self.version = self.version.max(version);
+        self.awaited_since.get_or_insert(now);
+    }
+
+    /// Returns whether a newer version is being fetched, and openings may wait for it.
+    fn is_awaited(&self, now: Time) -> bool {
+        self.awaited_since.is_some_and(|since| now.since(since) <= MAX_OPENING_AGE_MS)
+    }
+}
+
 /// Limits how many queries are sent in searches for flows without a route.
 #[derive(Debug)]
 pub(super) struct Budget {
@@ -93,6 +121,9 @@
 
     /// Handles a packet for which the configuration in force has no route.
     pub(super) fn without_route(&mut self, now: Time, head: &Head) -> Vec<Action> {
+        if head.opens() && self.newest.is_awaited(now) {
+            return self.keep(head, Cause::RouteUnknown);
+        }
         if head.opens() {
             self.cache.remove(&head.flow);
             return self.reset(head, Cause::NoRoute, 0);
@@ -105,6 +136,15 @@
         self.carry(now, head)
     }
 
+    /// Fetches the configuration of a process that has a newer one.
+    pub(super) fn fetch_newer(&mut self, now: Time, holder: Holder) -> Option<Action> {
+        if holder.version <= self.table.version {
+            return None;
+        }
+        self.newest.reported(now, holder.version);
+        Some(Action::Fetch(holder))
+    }
+
     /// Returns whether the search for a flow may go on, or begin if it has not begun or is repeated.
     /// False only for a flow without a route.
     pub(super) fn may_search(&mut self, now: Time, flow: &Flow) -> bool {
--- a/crates/nutmegkeel_core/src/l4/balancer/peers.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/peers.rs
@@ -106,9 +106,8 @@
         if let Some(orders) = &gossip.orders {
             actions.extend(self.apply_peer_orders(now, gossip, orders));
         }
-        if gossip.version > self.table.version {
-            actions.push(Action::Fetch(Holder { address: from, version: gossip.version }));
-        }
+        let holder = Holder { address: from, version: gossip.version };
+        actions.extend(self.fetch_newer(now, holder));
         if gossip.leaving {
             self.peer_states.apply(now, from, gossip);
             if self.peers.contains(from) {
--- a/crates/nutmegkeel_core/src/l4/decision.rs
+++ b/crates/nutmegkeel_core/src/l4/decision.rs
@@ -280,7 +280,7 @@
     Behind,
     /// No route has the address, or the flow's route was dropped.
     NoRoute,
-    /// The configuration in force has no route for an open flow, whose route may be a newer one.
+    /// The configuration in force has no route, and a newer one may have it.
     RouteUnknown,
     /// No agent takes flows of the service.
     NoAgent,
--- a/crates/nutmegkeel_core/tests/l4/missing_route.rs
+++ b/crates/nutmegkeel_core/tests/l4/missing_route.rs
@@ -1,15 +1,17 @@
 //! Packets of open flows at a balancer whose configuration has no route for them.
 
 use nutmegkeel_core::l4::agent::{self, Agent};
-use nutmegkeel_core::l4::balancer::{Action, Event};
+use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
 use nutmegkeel_core::l4::decision::{Cause, Decision};
+use nutmegkeel_core::l4::evacuation::Orders;
 use nutmegkeel_core::l4::flow::{Flow, Head};
 use nutmegkeel_core::l4::message::{Load, Message, MissingRoute, Offer, Reason};
+use nutmegkeel_core::l4::policy::Policy;
 use quickcheck::{TestResult, quickcheck};
 
 use crate::fixture::{
     BALANCER, PORT, accepted, agent, announce, at, balancer, data, default_service, demand, flow,
-    forwarded, gossip, heartbeat, host, offer, opening, resets, service_address, table,
+    forwarded, gossip, heartbeat, host, identity, offer, opening, resets, service_address, table,
 };
 
 /// Port of a route that the balancer's configuration does not have.
@@ -131,6 +133,62 @@
     assert_eq!(reset_cause(&actions), Some(Cause::NoRoute));
 }
 
+/// Guards against the reset of open flows by a balancer that has just started: its first read of the
+/// store was some seconds old, and it knows neither the other balancers nor all agents yet.
+#[test]
+fn a_balancer_that_has_just_started_carries_a_flow_without_a_route() {
+    let mut balancer = Balancer::open(at(0), identity(BALANCER, Policy::default()), &[]);
+    balancer.handle(at(0), Event::Ordered(Orders::default()));
+    balancer.handle(at(0), Event::Configured(table(1, &[(PORT, default_service())])));
+    let head = packet(1);
+
+    let early = balancer.handle(at(5), Event::Client(head));
+    announce(&mut balancer, &[1, 2], 20, 20);
+    let asked = balancer.handle(at(80), Event::Recalled(head));
+    balancer.handle(at(81), absent(1, head.flow));
+    let found = balancer.handle(at(82), holds(2, head.flow));
+    let carried = balancer.handle(at(82), Event::Recalled(head));
+
+    assert!(!resets(&early), "{early:?}");
+    assert_eq!(queried(&asked), 2);
+    assert!(found.contains(&Action::RecallFlow(head.flow)), "{found:?}");
+    assert_eq!(forwarded(&carried), Some(host(2)));
+}
+
+/// Guards against openings on a new route that are refused by a balancer which has just started: its
+/// first read of the store was some seconds old, and it knows of a newer configuration by now.
+#[test]
+fn an_opening_without_a_route_waits_for_a_newer_configuration() {
+    let mut balancer = balancer(&[1, 2]);
+    let head = opening(packet(1).flow, 0);
+    let routes = [(PORT, default_service()), (ADDED_PORT, default_service())];
+    balancer.handle(at(3_010), Event::Gossip(host(9), gossip(2, &[], 2)));
+
+    let kept = balancer.handle(at(3_020), Event::Client(head));
+    let configured = balancer.handle(at(3_050), Event::Configured(table(2, &routes)));
+    let placed = balancer.handle(at(3_050), Event::Recalled(head));
+
+    assert!(kept.contains(&Action::Keep(head)) && !resets(&kept), "{kept:?}");
+    assert!(configured.contains(&Action::Recall), "{configured:?}");
+    assert!(forwarded(&placed).is_some(), "{placed:?}");
+}
+
+/// Guards against clients that get no answer while a newer configuration cannot be fetched.
+#[test]
+fn an_opening_without_a_route_is_refused_if_the_newer_configuration_does_not_arrive() {
+    let mut balancer = balancer(&[1, 2]);
+    balancer.handle(at(3_010), Event::Gossip(host(9), gossip(2, &[], 2)));
+    let kept = balancer.handle(at(3_020), Event::Client(opening(packet(1).flow, 0)));
+
+    announce(&mut balancer, &[1, 2], 3_300, 3_900);
+    let recalled = balancer.handle(at(4_120), Event::Tick);
+    let refused = balancer.handle(at(4_120), Event::Recalled(opening(packet(1).flow, 0)));
+
+    assert!(!resets(&kept), "{kept:?}");
+    assert!(recalled.contains(&Action::Recall), "{recalled:?}");
+    assert!(resets(&refused), "{refused:?}");
+}
+
 /// Guards against flows of a dropped route that go on, or end only after a search: the balancer
 /// knows their agent and tells it that the route was dropped.
 #[test]
