--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -608,6 +608,27 @@
     assert_eq!(opened, Ok(()));
 }
 
+/// Guards against new flows in a failure domain to which an evacuation was moved with one
+/// transaction: both changes have one revision, and only the first was followed.
+#[test]
+fn an_evacuation_that_is_moved_with_one_transaction_is_followed() {
+    let fleet = fleet("evacuation-moves", 36, &["desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let balancers = fleet.balancers();
+    fleet.evacuate("elsewhere");
+    std::thread::sleep(Duration::from_secs(1));
+    let before = client.open(30_000, 443, &balancers).map(|_| ());
+
+    fleet.move_evacuation("elsewhere", DOMAIN);
+    std::thread::sleep(APPLY_TIME);
+    let after = client.open(30_001, 443, &balancers).map(|_| ());
+    let status = status(&fleet, balancers[0]);
+
+    assert_eq!(before, Ok(()));
+    assert_eq!(after, Err(Outcome::Reset));
+    assert!(status.contains(&format!("evacuated      {DOMAIN} (revision ")), "{status}");
+}
+
 /// Guards against new flows in an evacuated failure domain, and processes that are not found, after
 /// the store was restored from a copy that is older than the order and the entries of processes.
 #[test]
--- a/crates/nutmegkeel_core/src/l4/evacuation.rs
+++ b/crates/nutmegkeel_core/src/l4/evacuation.rs
@@ -146,17 +146,23 @@
         self.orders.revision.era
     }
 
-    /// Applies one change of a failure domain at a revision. A change that the last snapshot
-    /// already contains is ignored.
-    pub fn apply_change(&mut self, revision: Revision, domain: Arc<str>, evacuated: bool) {
-        if revision <= self.orders.revision {
-            return;
-        }
-        self.orders.revision = revision;
-        if evacuated {
-            self.orders.domains.insert(domain);
-        } else {
-            self.orders.domains.remove(&domain);
+    /// Applies the changes that one answer of a watch reports, complete up to the revision `as_of`.
+    /// Changes that the known orders already contain are ignored, and so are those after `as_of`,
+    /// which the next answer reports again.
+    ///
+    /// Guards against an evacuation that is moved to another failure domain and followed only by
+    /// half: all changes of one transaction of the operator have the same revision. Orders of a
+    /// revision are applied as a whole, because other processes accept each revision only once.
+    pub fn apply_changes(&mut self, as_of: Revision, changes: Vec<Change>) {
+        let known = self.orders.revision;
+        let is_new = |change: &Change| change.revision > known && change.revision <= as_of;
+        for change in changes.into_iter().filter(is_new) {
+            self.orders.revision = self.orders.revision.max(change.revision);
+            if change.evacuated {
+                self.orders.domains.insert(change.domain);
+            } else {
+                self.orders.domains.remove(&change.domain);
+            }
         }
     }
 
--- a/crates/nutmegkeel_core/tests/l4/evacuation.rs
+++ b/crates/nutmegkeel_core/tests/l4/evacuation.rs
@@ -7,7 +7,7 @@
 use nutmegkeel_core::l4::agent;
 use nutmegkeel_core::l4::balancer::{Action, Balancer, Event};
 use nutmegkeel_core::l4::decision::{Cause, Decision};
-use nutmegkeel_core::l4::evacuation::{Follower, Latest, Orders, REWRITE_MS};
+use nutmegkeel_core::l4::evacuation::{Change, Follower, Latest, Orders, REWRITE_MS};
 use nutmegkeel_core::l4::message::{Announcement, Gossip, Load, Message, Offer, Reason, State};
 use nutmegkeel_core::l4::policy::Policy;
 use nutmegkeel_core::revision::{Era, Revision};
@@ -303,16 +303,61 @@
     assert!(!takes(&older), "{older:?}");
 }
 
+/// Returns a change of one failure domain's order.
+fn order(revision: Revision, domain: &str, evacuated: bool) -> Change {
+    Change { domain: domain.into(), evacuated, revision }
+}
+
+/// Guards against new flows in a failure domain to which the operator has moved an evacuation with
+/// one transaction: its changes have one revision, and all but the first were ignored.
+#[test]
+fn all_changes_of_one_revision_are_followed() {
+    let mut follower = Follower::default();
+    follower.apply_snapshot(at(0), revision(10), orders(0, &[REMOTE]).domains);
+    let moved = vec![order(revision(12), REMOTE, false), order(revision(12), DOMAIN, true)];
+
+    follower.apply_changes(revision(12), moved);
+
+    assert_eq!(*follower.orders(), orders(12, &[DOMAIN]));
+}
+
+#[test]
+fn changes_of_a_transaction_that_counts_each_key_are_followed() {
+    let mut follower = Follower::default();
+    follower.apply_snapshot(at(0), revision(10), orders(0, &[REMOTE]).domains);
+    let moved = vec![order(revision(12), REMOTE, false), order(revision(13), DOMAIN, true)];
+
+    follower.apply_changes(revision(13), moved);
+
+    assert_eq!(*follower.orders(), orders(13, &[DOMAIN]));
+}
+
+/// Guards against orders of one revision that differ between processes: an answer that ends inside
+/// a transaction is complete only up to the revision before it.
+#[test]
+fn a_revision_that_an_answer_reports_in_part_is_applied_with_the_next_answer() {
+    let mut follower = Follower::default();
+    follower.apply_snapshot(at(0), revision(10), orders(0, &[REMOTE]).domains);
+    let moved = vec![order(revision(12), REMOTE, false), order(revision(12), DOMAIN, true)];
+
+    follower.apply_changes(revision(11), vec![moved[0].clone()]);
+    let partly = follower.orders().clone();
+    follower.apply_changes(revision(12), moved);
+
+    assert_eq!(partly, orders(10, &[REMOTE]));
+    assert_eq!(*follower.orders(), orders(12, &[DOMAIN]));
+}
+
 #[test]
 fn a_snapshot_replaces_changes_that_were_missed() {
     let mut follower = Follower::default();
     follower.apply_snapshot(at(0), revision(10), orders(0, &[REMOTE]).domains);
-    follower.apply_change(revision(12), DOMAIN.into(), true);
+    follower.apply_changes(revision(12), vec![order(revision(12), DOMAIN, true)]);
     let seen = follower.orders().clone();
 
     follower.apply_snapshot(at(0), revision(20), orders(0, &[DOMAIN]).domains);
     // A change from before the snapshot is delivered again.
-    follower.apply_change(revision(12), REMOTE.into(), true);
+    follower.apply_changes(revision(12), vec![order(revision(12), REMOTE, true)]);
 
     assert_eq!(seen, orders(12, &[DOMAIN, REMOTE]));
     assert_eq!(*follower.orders(), orders(20, &[DOMAIN]));
@@ -347,7 +392,7 @@
 
     follower.apply_snapshot(at(100), later_era(450), BTreeSet::new());
     let held = follower.orders().domains.clone();
-    follower.apply_change(later_era(460), REMOTE.into(), true);
+    follower.apply_changes(later_era(460), vec![order(later_era(460), REMOTE, true)]);
     follower.apply_snapshot(at(100 + REWRITE_MS), later_era(470), orders(0, &[REMOTE]).domains);
 
     assert_eq!(held, orders(0, &[REMOTE]).domains);
@@ -405,11 +450,9 @@
     let mut follower = Follower::default();
     let mut states = vec![follower.orders().clone()];
     for (number, (domain, evacuated)) in (1..).zip(steps) {
-        follower.apply_change(
-            revision(number),
-            format!("domain-{}", domain % 3).into(),
-            *evacuated,
-        );
+        let domain = format!("domain-{}", domain % 3);
+        let change = order(revision(number), &domain, *evacuated);
+        follower.apply_changes(revision(number), vec![change]);
         states.push(follower.orders().clone());
     }
     states
--- a/crates/nutmegkeel_node/src/l4/configuration/watch.rs
+++ b/crates/nutmegkeel_node/src/l4/configuration/watch.rs
@@ -7,7 +7,7 @@
 
 use log::{info, warn};
 use metrics::gauge;
-use nutmegkeel_core::l4::evacuation::{Follower, Orders, REWRITE_MS};
+use nutmegkeel_core::l4::evacuation::{self, Follower, Orders, REWRITE_MS};
 use nutmegkeel_core::l4::peer_state::pause_after_change_ms;
 use nutmegkeel_core::l4::route::Table;
 use nutmegkeel_core::l4::watch::Timeouts;
@@ -178,7 +178,7 @@
         match self.store.watch(configuration::PREFIX, after, self.timeouts()) {
             Ok(Watched::Until(until, changes)) => {
                 self.after = Some(until);
-                Ok(self.apply_changes(changes))
+                Ok(self.apply_changes(until, changes))
             }
             Ok(Watched::Compacted) => {
                 self.after = None;
@@ -262,9 +262,9 @@
         }
     }
 
-    /// Applies changes.
-    fn apply_changes(&mut self, changes: Vec<Change>) -> Vec<Update> {
-        let mut ordered = false;
+    /// Applies the changes of one answer, which is complete up to the revision `until`.
+    fn apply_changes(&mut self, until: Revision, changes: Vec<Change>) -> Vec<Update> {
+        let mut orders = Vec::new();
         let mut tables = Vec::new();
         for change in changes {
             let (key, revision, pair) = match change {
@@ -273,8 +273,8 @@
             };
             match (entry(&key), pair) {
                 (Some(Entry::Evacuation(domain)), pair) => {
-                    self.follower.apply_change(revision, domain, pair.is_some());
-                    ordered = true;
+                    let evacuated = pair.is_some();
+                    orders.push(evacuation::Change { domain, evacuated, revision });
                 }
                 (Some(Entry::Configuration), Some(pair)) => {
                     tables.extend(self.apply_configuration(&pair, StoreCall::Watch));
@@ -283,7 +283,9 @@
                 (Some(Entry::Configuration) | None, _) => {}
             }
         }
-        self.updates(ordered, tables)
+        let is_ordered = !orders.is_empty();
+        self.follower.apply_changes(until, orders);
+        self.updates(is_ordered, tables)
     }
 
     fn updates(&self, ordered: bool, tables: Vec<Table>) -> Vec<Update> {
