--- a/crates/nutmegkeel/tests/platform.rs
+++ b/crates/nutmegkeel/tests/platform.rs
@@ -119,6 +119,35 @@
     assert!(served_by(&outcome, "desk"), "{outcome:?}");
 }
 
+/// Guards against flows that go on after their route was dropped: at a balancer that knows their
+/// agent, at one that has to search it, and at an agent that has not seen their openings.
+#[test]
+fn flows_of_a_dropped_route_are_reset() {
+    let mut fleet = fleet("dropped", 37, &["desk", "desk"]);
+    let client = Client::bind(fleet.client(0), fleet.ports);
+    let (first, second) = (fleet.balancers()[0], fleet.balancers()[1]);
+    fleet.configure(2, &[(443, "desk"), (8_443, "desk")]);
+    std::thread::sleep(APPLY_TIME);
+    let mut known = client.open(30_000, 8_443, &[first]).expect("the flow opens");
+    let mut unknown = client.open(30_001, 8_443, &[first]).expect("the flow opens");
+    let mut inherited = client.open(30_002, 8_443, &[first]).expect("the flow opens");
+    let before = [&mut known, &mut unknown, &mut inherited]
+        .map(|open| client.request(open, &[first], SHORT_WAIT));
+    let agent = holder(&fleet, &before[2]);
+    fleet.signal(agent, Signal::Kill);
+    assert!(fleet.exits_within(agent, SHORT_WAIT));
+    fleet.start(agent).expect("the process starts");
+    std::thread::sleep(SHORT_WAIT);
+
+    fleet.configure(3, &[(443, "desk")]);
+    std::thread::sleep(APPLY_TIME);
+    let after = [(&mut known, first), (&mut unknown, second), (&mut inherited, second)]
+        .map(|(open, balancer)| client.request(open, &[balancer], SHORT_WAIT));
+
+    assert!(before.iter().all(|outcome| served_by(outcome, "desk")), "{before:?}");
+    assert_eq!(after, [Outcome::Reset, Outcome::Reset, Outcome::Reset]);
+}
+
 /// Guards against a flow that is reset when its agent is killed and restarted: the new process has
 /// no state of the flow and must query the backend server, which still holds it.
 #[test]
--- a/crates/nutmegkeel_core/src/l4/agent/missing_route.rs
+++ b/crates/nutmegkeel_core/src/l4/agent/missing_route.rs
@@ -12,7 +12,6 @@
 use crate::l4::decision::{Cause, Decision};
 use crate::l4::flow::Head;
 use crate::l4::message::MissingRoute;
-use crate::l4::table::Held;
 
 impl Agent {
     /// Resets the flow of a packet if its route was dropped after the flow was opened, and handles
@@ -24,18 +23,23 @@
         head: &Head,
         missing: MissingRoute,
     ) -> Vec<Action> {
-        let held = self.table.get(&head.flow).filter(|held| !held.is_over());
-        let Some(held) = held.filter(|_| self.table.holds(now, head) && !head.flags.rst) else {
-            return self.carry(now, from, head, missing.known);
+        let (flow, version) = (head.flow, missing.version);
+        let held = self.table.get(&flow);
+        let observed = held.map(|held| held.observed(now));
+        let opened_under = held.and_then(|held| held.opened_under);
+        let may_hold = match held {
+            Some(held) => self.table.holds(now, head) && !held.is_over(),
+            None => !self.is_certain(now, &flow) && !self.probes.denied(now, &flow),
         };
-        let (flow, opened_under, version) = (head.flow, held.opened_under, missing.version);
-        if !self.is_route_dropped(held, missing) {
+        if !may_hold || head.flags.rst {
+            return self.carry(now, from, head, missing.known);
+        }
+        if !self.is_route_dropped(opened_under, missing) {
             let mut actions = self.carry(now, from, head, missing.known);
             let decision = Decision::RouteUnknown { flow, from, opened_under, version };
             actions.push(Action::Log(decision));
             return actions;
         }
-        let observed = Some(held.observed(now));
         // The client gets a final answer, so its request must not run any more.
         self.waiting.remove(&flow);
         self.table.set_waiting(flow, false);
@@ -48,11 +52,11 @@
     ///
     /// The configuration under which the flow was opened has its route, so any later one without the
     /// route shows that it was dropped. A balancer with an earlier one knows nothing of the flow's
-    /// route. For a flow that was opened before this process started, the balancer must have had the
-    /// route itself, and this process must have heard of no later configuration, which could have
-    /// the route again.
-    fn is_route_dropped(&self, held: &Held, missing: MissingRoute) -> bool {
-        match held.opened_under {
+    /// route. For a flow that may have been opened before this process started, the balancer must
+    /// have had the route itself, and this process must have heard of no later configuration, which
+    /// could have the route again.
+    fn is_route_dropped(&self, opened_under: Option<u64>, missing: MissingRoute) -> bool {
+        match opened_under {
             Some(opened_under) => missing.version >= opened_under,
             None => missing.was_dropped && missing.version >= self.replica.newest_version(),
         }
--- a/crates/nutmegkeel_core/tests/l4/missing_route.rs
+++ b/crates/nutmegkeel_core/tests/l4/missing_route.rs
@@ -274,9 +274,16 @@
     agent
 }
 
+/// Returns an agent that has replaced another one beside a server.
+fn restarted_agent() -> Agent {
+    let mut agent = agent();
+    agent.handle(at(1), agent::Event::Heartbeat(heartbeat("a", 7)));
+    agent
+}
+
 /// Returns an agent that has replaced another one beside a server with an open flow.
-fn restarted_agent(flow: Flow) -> Agent {
-    let mut agent = agent_with_server();
+fn agent_with_inherited_flow(flow: Flow) -> Agent {
+    let mut agent = restarted_agent();
     agent.handle(at(20), agent::Event::FromServer(data(flow, 600, 1_001)));
     agent
 }
@@ -323,18 +330,47 @@
 fn an_agent_that_has_restarted_resets_only_flows_of_routes_that_the_balancer_had() {
     let head = data(flow(1), 1_001, 601);
 
-    let never_had = carry(&mut restarted_agent(flow(1)), head, 6, false);
-    let dropped = carry(&mut restarted_agent(flow(1)), head, 6, true);
+    let never_had = carry(&mut agent_with_inherited_flow(flow(1)), head, 6, false);
+    let dropped = carry(&mut agent_with_inherited_flow(flow(1)), head, 6, true);
+
+    assert!(reaches_server(&never_had) && !is_reset(&never_had), "{never_had:?}");
+    assert!(is_reset(&dropped) && !reaches_server(&dropped), "{dropped:?}");
+}
+
+/// Guards against requests that run on a flow whose route was dropped: the agent has restarted, and
+/// its server would have to be asked with the packet.
+#[test]
+fn an_agent_that_has_restarted_asks_its_server_for_no_flow_of_a_dropped_route() {
+    let head = data(flow(1), 1_001, 601);
+
+    let never_had = carry(&mut restarted_agent(), head, 6, false);
+    let dropped = carry(&mut restarted_agent(), head, 6, true);
 
     assert!(reaches_server(&never_had) && !is_reset(&never_had), "{never_had:?}");
     assert!(is_reset(&dropped) && !reaches_server(&dropped), "{dropped:?}");
 }
 
+/// Guards against the reset of a flow that another agent holds.
+#[test]
+fn an_agent_that_knows_all_flows_of_its_server_declines_others() {
+    let mut agent = agent_with_server();
+
+    let actions = carry(&mut agent, data(flow(1), 1_001, 601), 6, true);
+
+    let is_declined = |action: &agent::Action| {
+        matches!(
+            action,
+            agent::Action::Return(_, Message::Declined { reason: Reason::NotHeld, .. })
+        )
+    };
+    assert!(actions.iter().any(is_declined) && !is_reset(&actions), "{actions:?}");
+}
+
 /// Guards against the reset of a flow whose route was dropped and added again, by a balancer that
 /// has heard only of the first.
 #[test]
 fn an_agent_that_has_restarted_trusts_no_balancer_that_is_behind() {
-    let mut agent = restarted_agent(flow(1));
+    let mut agent = agent_with_inherited_flow(flow(1));
     agent.handle(at(50), agent::Event::Gossip(host(9), gossip(7, &[], 1)));
 
     let actions = carry(&mut agent, data(flow(1), 1_001, 601), 6, true);
