--- a/crates/nutmegkeel_core/src/l4/balancer.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer.rs
@@ -96,6 +96,7 @@
     /// Routes that earlier configurations had.
     dropped: Dropped,
     query_budget: Budget,
+    /// Newest configuration that another process has reported.
     newest: Newest,
     latest_orders: Latest,
     pool: Pool,
--- a/crates/nutmegkeel_core/src/l4/balancer/missing_route.rs
+++ b/crates/nutmegkeel_core/src/l4/balancer/missing_route.rs
@@ -21,8 +21,8 @@
 /// Time for which a dropped route is remembered, in milliseconds. Flows do not live longer.
 const DROPPED_MS: u64 = 60_000;
 
-/// Maximum number of dropped routes that are remembered. Flows of others end when their clients
-/// close them, if their agents have restarted.
+/// Maximum number of dropped routes that are remembered. A flow of another one goes on until its
+/// client closes it, if the flow's agent has restarted.
 const MAX_DROPPED: usize = 10_000;
 
 /// Number of queries per second that searches for flows without a route may cost on average. A scan
